Pin the build tools; add the frames for metrics and benchmarks

Cause: a fresh clone failed in `make setup`, because the setuptools that a new virtual environment brings refuses the licence field; the freeze left it out.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 PACKAGES := core decisions node cli standins
 STAMP := $(VENV)/.installed
-TOOLS := setuptools wheel black ruff mypy import-linter behave hypothesis matplotlib
+TOOLS := "setuptools>=77" wheel black ruff mypy import-linter behave hypothesis matplotlib
 
 .PHONY: setup demo test bench format
 
@@ -21,6 +21,9 @@
 test: setup
 	$(VENV)/bin/python tools/run_tests.py
 
+bench: setup
+	$(VENV)/bin/python -m jaylatch_standins.bench $(BENCH)
+
 format: setup
 	$(VENV)/bin/python -m black --quiet packages features tools
 	$(VENV)/bin/python -m ruff check --fix --quiet packages features tools
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -21,6 +21,7 @@
 )
 from jaylatch_core.messages.requests import TargetReport
 from jaylatch_decisions.leases import HeldLease
+from jaylatch_node.observability import Metrics
 
 NO_GROUP = GroupId("")
 NO_EPOCH = Epoch(0)
@@ -97,6 +98,7 @@
     identity: Identity
     events: EventLog
     grant: GrantBoard
+    metrics: Metrics = field(default_factory=Metrics)
     member: MemberBoard = field(default_factory=MemberBoard)
     targets: dict[InstanceId, TargetBoard] = field(default_factory=dict)
 
--- a/packages/node/src/jaylatch_node/entry/handlers.py
+++ b/packages/node/src/jaylatch_node/entry/handlers.py
@@ -284,6 +284,19 @@
         self.finish(answer.body)
 
 
+class MetricsHandler(RequestHandler):
+    """``GET /metrics``."""
+
+    def initialize(self, board: Blackboard) -> None:
+        """Take the blackboard."""
+        self._board = board
+
+    def get(self) -> None:
+        """Return all metrics of this process in the Prometheus text form."""
+        self.set_header("Content-Type", "text/plain; version=0.0.4")
+        self.finish(self._board.metrics.text())
+
+
 class HealthHandler(RequestHandler):
     """``GET /healthz``: the process runs; ``GET /readyz``: it has a lease and may take work."""
 
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -25,6 +25,7 @@
     CompletionHandler,
     EntryServices,
     HealthHandler,
+    MetricsHandler,
     ModelsHandler,
     ServiceHandler,
 )
@@ -61,6 +62,7 @@
                     ("/services/([^/]+)/(.*)", ServiceHandler, callers),
                     ("/healthz", HealthHandler, {"board": board, "needs_lease": False}),
                     ("/readyz", HealthHandler, {"board": board, "needs_lease": True}),
+                    ("/metrics", MetricsHandler, {"board": board}),
                     ("/admin/v1/status", StatusHandler, operators),
                     ("/admin/v1/configuration", ConfigurationHandler, operators),
                     ("/admin/v1/preset", PresetHandler, operators),
--- a/packages/node/src/jaylatch_node/observability/__init__.py
+++ b/packages/node/src/jaylatch_node/observability/__init__.py
@@ -1,5 +1,6 @@
 """Logs, metrics and the time line."""
 
 from jaylatch_node.observability.logs import configure_logs
+from jaylatch_node.observability.metrics import Metrics, Timer
 
-__all__ = ["configure_logs"]
+__all__ = ["Metrics", "Timer", "configure_logs"]
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks. One module for each; its class is called ``Benchmark``."""
