--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/control/snapshot.py
@@ -0,0 +1,44 @@
+"""The stored form of the control state."""
+
+import msgspec
+
+from jaylatch_core.configuration import Configuration
+from jaylatch_core.enums import DrainScope
+from jaylatch_core.exceptions import CommandRefused, GenerationConflict
+from jaylatch_core.ids import CommandId, Epoch, Generation, InstanceId
+from jaylatch_core.messages.control import CommandAccepted, Group
+from jaylatch_core.messages.membership import PresetState
+
+
+class RememberedResult(msgspec.Struct, frozen=True):
+    """The result of an operator's command, kept so that a resend is answered alike."""
+
+    command: CommandId
+    result: CommandAccepted | CommandRefused | GenerationConflict
+
+
+class ControlSnapshot(msgspec.Struct, frozen=True):
+    """Everything that a ``ControlState`` holds; ``results`` are oldest first."""
+
+    configuration: Configuration
+    generation: Generation
+    preset: PresetState
+    groups: tuple[Group, ...]
+    occupied: dict[InstanceId, Epoch]
+    drains: tuple[tuple[DrainScope, str], ...]
+    last_epoch: Epoch
+    results: tuple[RememberedResult, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(ControlSnapshot)
+
+
+def encode_snapshot(snapshot: ControlSnapshot) -> bytes:
+    """Return the MessagePack form of ``snapshot``."""
+    return _encoder.encode(snapshot)
+
+
+def decode_snapshot(data: bytes) -> ControlSnapshot:
+    """Parse a snapshot. Raises ``msgspec.DecodeError`` if the bytes are not one."""
+    return _decoder.decode(data)
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from returns.pipeline import is_successful
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
@@ -23,6 +24,12 @@
     SetDrain,
 )
 from jaylatch_core.messages.membership import PresetState
+from jaylatch_decisions.control.snapshot import (
+    ControlSnapshot,
+    RememberedResult,
+    decode_snapshot,
+    encode_snapshot,
+)
 
 REMEMBERED_COMMANDS = 10_000
 
@@ -46,6 +53,41 @@
         self._last_epoch = 0
         self._results: OrderedDict[CommandId, ControlResult] = OrderedDict()
 
+    @classmethod
+    def load(cls, data: bytes) -> "ControlState":
+        """Return the state that ``dump`` wrote. Raises ``msgspec.DecodeError`` on other bytes."""
+        snapshot = decode_snapshot(data)
+        state = cls()
+        state.configuration = snapshot.configuration
+        state.generation = snapshot.generation
+        state.preset = snapshot.preset
+        state.groups = {group.id: group for group in snapshot.groups}
+        state.occupied = dict(snapshot.occupied)
+        state.drains = set(snapshot.drains)
+        state._last_epoch = snapshot.last_epoch
+        for item in snapshot.results:
+            state._results[item.command] = _to_result(item.result)
+        return state
+
+    def dump(self) -> bytes:
+        """Return the whole state, remembered command results included, for a snapshot."""
+        results = tuple(
+            RememberedResult(command, _from_result(result))
+            for command, result in self._results.items()
+        )
+        return encode_snapshot(
+            ControlSnapshot(
+                self.configuration,
+                self.generation,
+                self.preset,
+                tuple(self.groups.values()),
+                self.occupied,
+                tuple(sorted(self.drains)),
+                Epoch(self._last_epoch),
+                results,
+            )
+        )
+
     def apply(self, command: ControlCommand) -> ControlResult:
         """Carry out a committed command. A resent command id gets its first result again."""
         match command:
@@ -177,3 +219,15 @@
     def _next_epoch(self) -> Epoch:
         self._last_epoch += 1
         return Epoch(self._last_epoch)
+
+
+def _from_result(result: ControlResult) -> CommandAccepted | CommandRefused | GenerationConflict:
+    return result.unwrap() if is_successful(result) else result.failure()
+
+
+def _to_result(body: CommandAccepted | CommandRefused | GenerationConflict) -> ControlResult:
+    match body:
+        case CommandAccepted():
+            return Success(body)
+        case _:
+            return Err(body)
