--- a/features/steps/journal_steps.py
+++ b/features/steps/journal_steps.py
@@ -35,11 +35,11 @@
         case "dispatch":
             return DispatchOrder(order, name, INSTANCE, RUN, 0.0)
         case "release":
-            return ReleaseOrder(order, name)
+            return ReleaseOrder(order, name, RUN)
         case "complete":
-            return CompleteOrder(order, name, ANSWER)
+            return CompleteOrder(order, name, ANSWER, 1.0)
         case _:
-            return AbandonOrder(order, name)
+            return AbandonOrder(order, name, RUN)
 
 
 HISTORIES = {
--- a/packages/core/src/jaylatch_core/enums.py
+++ b/packages/core/src/jaylatch_core/enums.py
@@ -59,6 +59,8 @@
     COMPLETED = "completed"
     KEY_REUSED = "key_reused"
     UNKNOWN = "unknown"
+    ABSENT = "absent"
+    EXPIRED = "expired"
 
 
 class DrainScope(str, Enum):
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -33,6 +33,7 @@
     ClaimOrder,
     CompleteOrder,
     DispatchOrder,
+    LookupOrder,
     OrderVerdict,
     ReleaseOrder,
 )
@@ -74,6 +75,7 @@
     | SetDrain
     | CommandAccepted
     | ClaimOrder
+    | LookupOrder
     | DispatchOrder
     | ReleaseOrder
     | CompleteOrder
--- a/packages/core/src/jaylatch_core/messages/journal.py
+++ b/packages/core/src/jaylatch_core/messages/journal.py
@@ -25,7 +25,8 @@
     """Asks for the right to run an order as ``attempt``; ``digest`` is of method, path and body.
 
     ``instance`` and ``incarnation`` name the agent's run that will get the attempt, or are empty;
-    ``clock`` is that run's clock, as the attempt will carry it.
+    ``clock`` is that run's clock, as the attempt will carry it. ``address`` is the agent's stream
+    address, by which every entry can ask it. ``at`` is the entry's wall clock in seconds.
     """
 
     order: OrderName
@@ -34,6 +35,15 @@
     instance: InstanceId
     incarnation: Incarnation
     clock: float
+    address: str = ""
+    at: float = 0.0
+
+
+class LookupOrder(msgspec.Struct, frozen=True, tag=True):
+    """Asks what is on record of an order without claiming it."""
+
+    order: OrderName
+    digest: str
 
 
 class DispatchOrder(msgspec.Struct, frozen=True, tag=True):
@@ -44,37 +54,51 @@
     instance: InstanceId
     incarnation: Incarnation
     clock: float
+    address: str = ""
 
 
 class ReleaseOrder(msgspec.Struct, frozen=True, tag=True):
-    """Ends a claim with proof that ``attempt`` did not run; the key may be claimed again."""
+    """Ends a claim with proof that ``attempt`` did not run; the key may be claimed again.
+
+    The proof holds for the run of the agent that ``incarnation`` names; it releases nothing if the
+    attempt has been dispatched to another run since.
+    """
 
     order: OrderName
     attempt: AttemptId
+    incarnation: Incarnation
 
 
 class CompleteOrder(msgspec.Struct, frozen=True, tag=True):
-    """Stores the answer of ``attempt``."""
+    """Stores the answer of ``attempt``. ``at`` is the entry's wall clock in seconds."""
 
     order: OrderName
     attempt: AttemptId
     answer: StoredAnswer
+    at: float = 0.0
 
 
 class AbandonOrder(msgspec.Struct, frozen=True, tag=True):
-    """Records that nobody can tell any more whether ``attempt`` ran; it is never run again."""
+    """Records that nobody can tell any more whether ``attempt`` ran; it is never run again.
+
+    Like a release it holds only for the run of the agent that ``incarnation`` names.
+    """
 
     order: OrderName
     attempt: AttemptId
+    incarnation: Incarnation
 
 
-JournalCommand = ClaimOrder | DispatchOrder | ReleaseOrder | CompleteOrder | AbandonOrder
+JournalCommand = (
+    ClaimOrder | LookupOrder | DispatchOrder | ReleaseOrder | CompleteOrder | AbandonOrder
+)
 
 
 class OrderVerdict(msgspec.Struct, frozen=True, tag=True):
     """The journal's answer: the verdict, and what is recorded of the order.
 
-    ``attempt``, ``instance``, ``incarnation`` and ``clock`` name the attempt that holds the claim.
+    ``attempt``, ``instance``, ``incarnation`` and ``clock`` name the attempt that holds the claim,
+    ``address`` is that of its agent.
     """
 
     verdict: ClaimVerdict
@@ -83,3 +107,4 @@
     incarnation: Incarnation
     clock: float
     answer: StoredAnswer | None = None
+    address: str = ""
--- a/packages/decisions/src/jaylatch_decisions/journal/state.py
+++ b/packages/decisions/src/jaylatch_decisions/journal/state.py
@@ -16,11 +16,18 @@
     CompleteOrder,
     DispatchOrder,
     JournalCommand,
+    LookupOrder,
     OrderName,
     OrderVerdict,
     ReleaseOrder,
     StoredAnswer,
 )
+from jaylatch_decisions.journal.retention import (
+    DEFAULT_RETENTION,
+    RetentionQueue,
+    RetentionSnapshot,
+    RetentionTimes,
+)
 
 
 class _OrderRecord(msgspec.Struct):
@@ -30,9 +37,15 @@
     instance: InstanceId
     incarnation: Incarnation
     clock: float
+    address: str
     answer: StoredAnswer | None = None
 
 
+class _Snapshot(msgspec.Struct):
+    orders: list[tuple[OrderName, _OrderRecord]]
+    retention: RetentionSnapshot
+
+
 def shard_of(order: OrderName, shards: int) -> int:
     """Return the number of the journal shard that holds ``order``."""
     return crc32(f"{order.account}\0{order.key}".encode()) % shards
@@ -41,24 +54,43 @@
 class JournalState:
     """The orders of one shard. ``apply`` is deterministic."""
 
-    def __init__(self) -> None:
+    def __init__(self, times: RetentionTimes = DEFAULT_RETENTION) -> None:
+        self._times = times
         self._orders: dict[OrderName, _OrderRecord] = {}
+        self._retention = RetentionQueue()
 
     @property
     def size(self) -> int:
         """Return the number of orders on record."""
         return len(self._orders)
 
+    def dump(self) -> bytes:
+        """Return the whole state as bytes for a snapshot."""
+        return msgspec.msgpack.encode(_Snapshot(list(self._orders.items()), self._retention.dump()))
+
+    @classmethod
+    def load(cls, data: bytes, times: RetentionTimes = DEFAULT_RETENTION) -> "JournalState":
+        """Return the state that ``dump`` wrote. Raises ``msgspec.DecodeError`` for other bytes."""
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        state = cls(times)
+        state._orders = dict(snapshot.orders)
+        state._retention = RetentionQueue(snapshot.retention)
+        return state
+
     def apply(self, command: JournalCommand) -> OrderVerdict:
         """Carry out a committed command and return what is then on record."""
         match command:
             case ClaimOrder():
+                self._expire(command.at)
                 return self._claim(command)
+            case LookupOrder():
+                return self._lookup(command)
             case DispatchOrder():
                 return self._dispatch(command)
             case ReleaseOrder():
                 return self._release(command)
             case CompleteOrder():
+                self._expire(command.at)
                 return self._complete(command)
             case AbandonOrder():
                 return self._abandon(command)
@@ -73,49 +105,68 @@
                 command.instance,
                 command.incarnation,
                 command.clock,
+                command.address,
             )
             self._orders[command.order] = record
         if record.digest != command.digest:
             return _verdict(ClaimVerdict.KEY_REUSED, record)
         return _verdict_for(record, command.attempt)
 
+    def _lookup(self, command: LookupOrder) -> OrderVerdict:
+        record = self._orders.get(command.order)
+        if record is None:
+            return _no_claim(ClaimVerdict.ABSENT, AttemptId(""))
+        if record.digest != command.digest:
+            return _verdict(ClaimVerdict.KEY_REUSED, record)
+        return _verdict_for(record, AttemptId(""))
+
     def _dispatch(self, command: DispatchOrder) -> OrderVerdict:
         record = self._orders.get(command.order)
         if record is None:
-            return _lost_claim(command.attempt)
+            return _no_claim(ClaimVerdict.ABSENT, command.attempt)
         if _is_held(record, command.attempt):
             record.instance = command.instance
             record.incarnation = command.incarnation
             record.clock = command.clock
+            record.address = command.address
         return _verdict_for(record, command.attempt)
 
     def _release(self, command: ReleaseOrder) -> OrderVerdict:
         record = self._orders.get(command.order)
-        if record is not None and _is_held(record, command.attempt):
-            del self._orders[command.order]
-            return _verdict(ClaimVerdict.GRANTED, record)
         if record is None:
-            return _lost_claim(command.attempt)
-        return _verdict_for(record, command.attempt)
+            return _no_claim(ClaimVerdict.ABSENT, command.attempt)
+        if not _is_held(record, command.attempt) or record.incarnation != command.incarnation:
+            return _verdict_for(record, AttemptId(""))
+        del self._orders[command.order]
+        return _verdict(ClaimVerdict.ABSENT, record)
 
     def _complete(self, command: CompleteOrder) -> OrderVerdict:
         record = self._orders.get(command.order)
         if record is None:
-            return _lost_claim(command.attempt)
+            return _no_claim(ClaimVerdict.ABSENT, command.attempt)
         # An answer is proof that the attempt ran, so it also ends the UNKNOWN state.
         if record.attempt == command.attempt and record.state is not OrderState.COMPLETED:
             record.state = OrderState.COMPLETED
             record.answer = command.answer
+            self._retention.add(command.order)
         return _verdict_for(record, command.attempt)
 
     def _abandon(self, command: AbandonOrder) -> OrderVerdict:
         record = self._orders.get(command.order)
         if record is None:
-            return _lost_claim(command.attempt)
-        if _is_held(record, command.attempt):
+            return _no_claim(ClaimVerdict.ABSENT, command.attempt)
+        if _is_held(record, command.attempt) and record.incarnation == command.incarnation:
             record.state = OrderState.UNKNOWN
         return _verdict_for(record, command.attempt)
 
+    def _expire(self, at: float) -> None:
+        """Drop old answers, and after the longer time their keys."""
+        self._retention.advance(at)
+        for order in self._retention.take_answers(self._times):
+            self._orders[order].answer = None
+        for order in self._retention.take_keys(self._times):
+            del self._orders[order]
+
 
 def _is_held(record: _OrderRecord, attempt: AttemptId) -> bool:
     return record.state is OrderState.CLAIMED and record.attempt == attempt
@@ -123,6 +174,8 @@
 
 def _verdict_for(record: _OrderRecord, attempt: AttemptId) -> OrderVerdict:
     match record.state:
+        case OrderState.COMPLETED if record.answer is None:
+            return _verdict(ClaimVerdict.EXPIRED, record)
         case OrderState.COMPLETED:
             return _verdict(ClaimVerdict.COMPLETED, record)
         case OrderState.UNKNOWN:
@@ -139,8 +192,9 @@
         record.incarnation,
         record.clock,
         record.answer,
+        record.address,
     )
 
 
-def _lost_claim(attempt: AttemptId) -> OrderVerdict:
-    return OrderVerdict(ClaimVerdict.IN_PROGRESS, attempt, InstanceId(""), Incarnation(""), 0.0)
+def _no_claim(verdict: ClaimVerdict, attempt: AttemptId) -> OrderVerdict:
+    return OrderVerdict(verdict, attempt, InstanceId(""), Incarnation(""), 0.0)
--- a/packages/node/src/jaylatch_node/entry/orders.py
+++ b/packages/node/src/jaylatch_node/entry/orders.py
@@ -103,7 +103,7 @@
                 return Success(outcome)
             case AttemptRefused() if outcome.outcome is Outcome.NOT_RUN:
                 released = await self._commit(
-                    ReleaseOrder(order, start.attempt), request.caller.deadline
+                    ReleaseOrder(order, start.attempt, start.incarnation), request.caller.deadline
                 )
                 return None if released is not None else Err(refusal_of(outcome))
             case AttemptRefused():
@@ -139,10 +139,16 @@
             case AttemptEnd():
                 return await self._fetch_answer(order, request, verdict)
             case AttemptRefused() if body.outcome is Outcome.NOT_RUN:
-                await self._commit(ReleaseOrder(order, verdict.attempt), request.caller.deadline)
+                await self._commit(
+                    ReleaseOrder(order, verdict.attempt, verdict.incarnation),
+                    request.caller.deadline,
+                )
                 return None
             case AttemptRefused() if body.code == "agent_restarted":
-                await self._commit(AbandonOrder(order, verdict.attempt), request.caller.deadline)
+                await self._commit(
+                    AbandonOrder(order, verdict.attempt, verdict.incarnation),
+                    request.caller.deadline,
+                )
                 return Err(_outcome_unknown())
             case _:
                 return Err(_outcome_unknown())
