--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -28,6 +28,7 @@
     ClaimOrder,
     CompleteOrder,
     DispatchOrder,
+    LookupOrder,
     OrderVerdict,
     ReleaseOrder,
 )
@@ -66,6 +67,7 @@
     | SetDrain
     | CommandAccepted
     | ClaimOrder
+    | LookupOrder
     | DispatchOrder
     | ReleaseOrder
     | CompleteOrder
