--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -1,70 +1,198 @@
-"""Steps on the file of a replicated log."""
+"""Steps on the folder of a replicated log."""
+
+import errno
+from pathlib import Path
 
 from behave import given, then, when
 from behave.runner import Context
 from returns.pipeline import is_successful
 
-from jaylatch_core.exceptions import StorageCorrupt
+from jaylatch_core.exceptions import StorageCorrupt, StorageFailed
 from jaylatch_core.ids import InstanceId, LogIndex, Term
-from jaylatch_core.messages.consensus import HardState, LogEntry
-from jaylatch_node.storage import LogFile
+from jaylatch_core.messages.consensus import HardState, LogEntry, Snapshot
+from jaylatch_node.storage import FileSystem, LogStore
+
+STATE = HardState(Term(1), InstanceId("a"))
+
+
+class FailingDisk(FileSystem):
+    """Fails at one point, as a full or broken disk does."""
+
+    def __init__(self, fault: str) -> None:
+        self._fault = fault
+        self._has_written = False
+
+    def write(self, descriptor: int, data: bytes) -> int:
+        if self._fault == "the first byte" or self._has_written:
+            raise OSError(errno.ENOSPC, "no space left on device")
+        if self._fault == "the middle of a write":
+            self._has_written = True
+            return super().write(descriptor, data[: len(data) // 2])
+        return super().write(descriptor, data)
+
+    def sync(self, descriptor: int) -> None:
+        if self._fault == "the sync":
+            raise OSError(errno.EIO, "input/output error")
+        super().sync(descriptor)
+
+    def replace(self, path: Path, data: bytes) -> None:
+        if self._fault == "the rename of a snapshot":
+            raise OSError(errno.EIO, "input/output error")
+        super().replace(path, data)
 
 
 def entry(index: int, term: int = 1) -> LogEntry:
-    return LogEntry(LogIndex(index), Term(term), b"command" * index)
+    return LogEntry(LogIndex(index), Term(term), b"command" * min(index, 9))
+
+
+def open_folder(context: Context) -> LogStore:
+    store, _ = LogStore.open(context.log_folder, FileSystem()).unwrap()
+    return store
 
 
-@given("a log file with {number:d} entries")
-def step_file(context: Context, number: int) -> None:
-    context.path = context.folder / "log"
-    log, _ = LogFile.open(context.path).unwrap()
-    log.append(HardState(Term(1), InstanceId("a")), [])
+def segment(context: Context) -> Path:
+    return next(iter(context.log_folder.glob("segment-*")))
+
+
+def flip(path: Path, position: int) -> None:
+    data = bytearray(path.read_bytes())
+    data[position] ^= 0xFF
+    path.write_bytes(bytes(data))
+
+
+@given("a log folder with {number:d} entries")
+def step_folder(context: Context, number: int) -> None:
+    context.log_folder = context.folder / "log"
+    store = open_folder(context)
+    store.append(STATE, [])
+    context.ends = []
     for index in range(1, number + 1):
-        assert is_successful(log.append(None, [entry(index)]))
-    log.close()
+        context.ends.append(store.size)
+        assert is_successful(store.append(None, [entry(index)]))
+    store.close()
+
+
+@given("a log folder with {number:d} small entries")
+def step_large_folder(context: Context, number: int) -> None:
+    context.log_folder = context.folder / "log"
+    store = open_folder(context)
+    store.append(STATE, [entry(index) for index in range(1, number + 1)])
+    store.close()
+
+
+@given("a snapshot of the first {number:d} entries")
+def step_snapshot(context: Context, number: int) -> None:
+    context.old_segment = segment(context).read_bytes()
+    store, stored = LogStore.open(context.log_folder, FileSystem()).unwrap()
+    snapshot = Snapshot(LogIndex(number), Term(1), (InstanceId("a"),), b"state")
+    assert is_successful(store.replace(snapshot, STATE, stored.entries[number:]))
+    store.close()
+
+
+@given("a disk that fails at {fault}")
+def step_failing_disk(context: Context, fault: str) -> None:
+    context.files = FailingDisk("")
+    context.store, _ = LogStore.open(context.log_folder, context.files).unwrap()
+    context.files._fault = fault
+
+
+@when("{operation} is tried")
+def step_try(context: Context, operation: str) -> None:
+    if operation == "an append":
+        context.result = context.store.append(None, [entry(6)])
+    else:
+        snapshot = Snapshot(LogIndex(3), Term(1), (InstanceId("a"),), b"state")
+        context.result = context.store.replace(snapshot, STATE, [entry(4), entry(5)])
+
+
+@then("it fails with storage failed, and so does every later write")
+def step_failed(context: Context) -> None:
+    assert isinstance(context.result.failure(), StorageFailed)
+    context.files._fault = ""
+    context.files._has_written = False
+    assert isinstance(context.store.append(STATE, []).failure(), StorageFailed)
+    context.store.close()
 
 
 @when("nothing happens to it")
 def step_nothing(context: Context) -> None:
-    assert context.path.exists()
+    assert context.log_folder.exists()
 
 
 @when("its last {number:d} bytes are lost")
 def step_truncate(context: Context, number: int) -> None:
-    data = context.path.read_bytes()
-    context.path.write_bytes(data[:-number])
+    data = segment(context).read_bytes()
+    segment(context).write_bytes(data[:-number])
 
 
 @when("{number:d} bytes of noise are appended")
 def step_noise(context: Context, number: int) -> None:
-    with context.path.open("ab") as file:
-        file.write(b"\xc1" * number)
+    with segment(context).open("ab") as file:
+        file.write(b"\xc1\xf5" * (number // 2) + b"\xc1" * (number % 2))
 
 
 @when("a byte of its first record is flipped")
 def step_flip(context: Context) -> None:
-    data = bytearray(context.path.read_bytes())
-    data[8] ^= 0xFF
-    context.path.write_bytes(bytes(data))
+    flip(segment(context), 8)
+
+
+@when("a byte of its third record is flipped")
+def step_flip_third(context: Context) -> None:
+    flip(segment(context), context.ends[2] + 20)
 
 
 @when("an entry replaces entry {index:d}")
 def step_replace(context: Context, index: int) -> None:
-    log, _ = LogFile.open(context.path).unwrap()
-    log.append(None, [entry(index, term=2)])
-    log.close()
+    store = open_folder(context)
+    store.append(None, [entry(index, term=2)])
+    store.close()
+
+
+@when("a draft of a snapshot is left")
+def step_draft(context: Context) -> None:
+    (context.log_folder / "snapshot.draft").write_bytes(b"half")
+
+
+@when("the segment before it is left")
+def step_old_segment(context: Context) -> None:
+    (context.log_folder / "segment-00000000").write_bytes(context.old_segment)
+
+
+@when("a byte of the snapshot is flipped")
+def step_flip_snapshot(context: Context) -> None:
+    flip(context.log_folder / "snapshot", 20)
+
+
+@when("the snapshot is removed")
+def step_remove_snapshot(context: Context) -> None:
+    (context.log_folder / "snapshot").unlink()
+
+
+@when("the segment is removed")
+def step_remove_segment(context: Context) -> None:
+    segment(context).unlink()
 
 
 @then("opening it gives {number:d} entries")
 def step_entries(context: Context, number: int) -> None:
-    log, stored = LogFile.open(context.path).unwrap()
-    log.close()
-    assert len(stored.entries) == number, stored
-    assert stored.hard_state == HardState(Term(1), InstanceId("a"))
+    store, stored = LogStore.open(context.log_folder, FileSystem()).unwrap()
+    store.close()
+    assert len(stored.entries) == number, len(stored.entries)
+    assert [item.index for item in stored.entries] == list(range(1, number + 1))
+    assert stored.hard_state == STATE
+
+
+@then("opening it gives a snapshot and {number:d} entries")
+def step_snapshot_entries(context: Context, number: int) -> None:
+    store, stored = LogStore.open(context.log_folder, FileSystem()).unwrap()
+    store.close()
+    assert stored.snapshot.data == b"state"
+    assert [item.index for item in stored.entries] == list(range(4, 4 + number))
+    assert stored.hard_state == STATE
 
 
 @then("opening it gives storage corrupt")
 def step_corrupt(context: Context) -> None:
-    opened = LogFile.open(context.path)
+    opened = LogStore.open(context.log_folder, FileSystem())
     assert not is_successful(opened)
     assert isinstance(opened.failure(), StorageCorrupt)
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -28,8 +28,8 @@
     """The control quorum, known to every process.
 
     ``peers`` holds every control instance; ``voters`` names those of the first start (none: all).
-    From then on the logs say who votes. ``journal_shards`` must be the same on every process. ``data_folder`` is used by the control
-    role only.
+    From then on the logs say who votes. ``journal_shards`` must be the same on every process.
+    ``data_folder`` is used by the control role only.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
--- a/packages/node/src/jaylatch_node/consensus/host.py
+++ b/packages/node/src/jaylatch_node/consensus/host.py
@@ -96,7 +96,7 @@
     @property
     def leader(self) -> InstanceId:
         """Return the known leader, or an empty id."""
-        return self._raft.leader
+        return self._raft.leader if self._failure is None else InstanceId("")
 
     @property
     def term(self) -> Term:
@@ -111,7 +111,7 @@
     @property
     def is_leader(self) -> bool:
         """Return whether this voter leads."""
-        return self._raft.role is RaftRole.LEADER
+        return self._failure is None and self._raft.role is RaftRole.LEADER
 
     @property
     def is_recovering(self) -> bool:
--- a/packages/node/src/jaylatch_node/storage/log_store.py
+++ b/packages/node/src/jaylatch_node/storage/log_store.py
@@ -89,9 +89,7 @@
         """Close the files."""
         os.close(self._descriptor)
 
-    def _replace(
-        self, snapshot: Snapshot, hard_state: HardState, entries: list[LogEntry]
-    ) -> None:
+    def _replace(self, snapshot: Snapshot, hard_state: HardState, entries: list[LogEntry]) -> None:
         number = self._segment + 1
         data = pack_batch(Batch(hard_state, tuple(entries)))
         descriptor = self._files.create(_segment_path(self._folder, number), data)
