Test the control quorum with real processes; ask the next instance when one is silent

Cause: no test broke the quorum of real processes, and a call to a dead or silent instance waited a whole second before the next one was asked. Change: features/quorum applies changes and reads all the time while the leader is killed, paused or cut off in silence, a follower is cut off, loses or damages its disk, and all are killed. The client asks connected instances first, and a second one after 0.3 s of silence beside the first.

--- /dev/null
+++ b/features/steps/quorum_steps.py
@@ -0,0 +1,173 @@
+"""Steps on a control quorum of real processes."""
+
+from asyncio import create_task, sleep
+from shutil import rmtree
+
+from behave import given, then, when
+from behave.runner import Context
+
+from jaylatch_standins.caller import Caller, CallerOutcome
+from jaylatch_standins.cluster import Cluster, ClusterPlan
+from jaylatch_standins.deployment import (
+    ACCOUNT_KEYS,
+    MODEL,
+    SERVICE,
+    operator_of,
+    wait_for_groups,
+    wait_until,
+)
+from jaylatch_standins.quorum import (
+    ChangeHistory,
+    cut,
+    start_quorum,
+    wait_for_configuration,
+)
+
+LEASE_PASSED = 1.5
+LONG_SILENCE = 4.0
+CHANGES_BEFORE_FAULT = 5
+
+
+@given("a running control quorum")
+def step_quorum(context: Context) -> None:
+    async def start() -> None:
+        plan = ClusterPlan(controls=3, entries=1, domains=1, engines=0)
+        context.cluster, context.links = start_quorum(context.folder, plan, has_proxies=True)
+        await wait_for_configuration(context.cluster)
+
+    context.runner.run(start())
+
+
+@when("{number:d} changes are applied while {fault}")
+def step_changes(context: Context, number: int, fault: str) -> None:
+    async def run() -> ChangeHistory:
+        history = ChangeHistory(context.cluster)
+        history.start_reading()
+        for _ in range(CHANGES_BEFORE_FAULT):
+            await history.change()
+        injection = create_task(inject(context, fault))
+        for _ in range(number - CHANGES_BEFORE_FAULT):
+            await history.change()
+            await sleep(0.1)
+        await injection
+        await history.change()
+        history.stop_reading()
+        await history.check_final()
+        return history
+
+    context.history = context.runner.run(run())
+
+
+async def inject(context: Context, fault: str) -> None:
+    cluster = context.cluster
+    leader = (await operator_of(cluster).get("status"))["leader"]
+    follower = next(name for name in cluster.controls if name != leader)
+    match fault:
+        case "the leader is killed and started again":
+            cluster.kill(leader)
+            await sleep(LEASE_PASSED)
+            cluster.start_node(leader)
+        case "the leader is paused past its lease and resumed":
+            cluster.pause(leader)
+            await sleep(LEASE_PASSED)
+            cluster.resume(leader)
+        case "the leader is cut off in silence and comes back":
+            await cut_off(context, leader)
+        case "a follower is cut off in silence for long":
+            await cut_off(context, follower)
+        case "all control processes are killed at once":
+            for name in cluster.controls:
+                cluster.kill(name)
+            for name in cluster.controls:
+                cluster.start_node(name)
+        case "a follower loses its disk":
+            cluster.kill(follower)
+            rmtree(cluster.folder / follower)
+            await restore(cluster, follower)
+        case "a follower's disk is damaged":
+            cluster.kill(follower)
+            path = next((cluster.folder / follower / "control").glob("segment-*"))
+            data = bytearray(path.read_bytes())
+            data[len(data) // 2] ^= 0xFF
+            path.write_bytes(bytes(data))
+            await restore(cluster, follower)
+        case _:
+            raise AssertionError(f"unknown fault {fault!r}")
+
+
+async def cut_off(context: Context, name: str) -> None:
+    cut(context.links, name, is_cut=True)
+    await sleep(LONG_SILENCE)
+    cut(context.links, name, is_cut=False)
+
+
+async def restore(cluster: Cluster, lost: str) -> None:
+    """Start the instance anew; it must be able to carry the quorum with one other."""
+    cluster.start_node(lost)
+    await sleep(LONG_SILENCE)
+    leader = (await operator_of(cluster).get("status"))["leader"]
+    other = next(name for name in cluster.controls if name not in (lost, leader))
+    cluster.kill(other)
+
+
+@when("{number:d} changes are applied and all control processes are started anew")
+def step_restart(context: Context, number: int) -> None:
+    async def run() -> ChangeHistory:
+        history = ChangeHistory(context.cluster)
+        for _ in range(number):
+            await history.change()
+        for name in context.cluster.controls:
+            context.cluster.kill(name)
+        for name in context.cluster.controls:
+            context.cluster.start_node(name)
+        await history.check_final()
+        await history.change()
+        return history
+
+    context.history = context.runner.run(run())
+
+
+@then("every accepted change stayed, and every read was current")
+def step_stayed(context: Context) -> None:
+    assert not context.history.wrong, context.history.wrong[:5]
+    assert context.history.reads > 0, "nothing was read, so nothing was shown"
+
+
+@given("a running deployment with a group and a service")
+def step_deployment(context: Context) -> None:
+    async def start() -> None:
+        plan = ClusterPlan(controls=3, entries=1, domains=1, services={SERVICE: 1})
+        context.cluster, _ = start_quorum(context.folder, plan, has_proxies=False)
+        await wait_for_groups(context.cluster, 1)
+        caller = Caller(context.cluster.entries[0], ACCOUNT_KEYS["skarvik"])
+
+        async def is_served() -> bool:
+            return (await caller.order(SERVICE, "orders", "first", "key-first")).is_whole
+
+        await wait_until(is_served, 60.0, "the service answers")
+
+    context.runner.run(start())
+
+
+@when("the control leader is killed while requests are sent")
+def step_leader_killed(context: Context) -> None:
+    async def run() -> list[CallerOutcome]:
+        cluster = context.cluster
+        caller = Caller(cluster.entries[0], ACCOUNT_KEYS["skarvik"])
+        running = []
+        for number in range(60):
+            if number == 10:
+                cluster.kill((await operator_of(cluster).get("status"))["leader"])
+            prompt = caller.complete(MODEL, f"prompt {number}", 5, is_streamed=True)
+            order = caller.order(SERVICE, "orders", f"order-{number}", f"key-{number}")
+            running += [create_task(prompt), create_task(order)]
+            await sleep(0.1)
+        return [await task for task in running]
+
+    context.outcomes = context.runner.run(run())
+
+
+@then("every request was answered whole")
+def step_all_whole(context: Context) -> None:
+    lost = [outcome for outcome in context.outcomes if not outcome.is_whole]
+    assert not lost, lost[:3]
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -1,6 +1,6 @@
 """Calls from any process to the leader of the control log or of a journal shard."""
 
-from asyncio import sleep
+from asyncio import FIRST_COMPLETED, Task, create_task, sleep, wait
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err
@@ -18,6 +18,7 @@
 CONTROL_LOG = "control"
 RETRY_DELAY = 0.05
 CALL_TIMEOUT = 1.0
+SILENCE_TIMEOUT = 0.3
 
 
 def journal_log(shard: int) -> str:
@@ -49,28 +50,58 @@
         return await self.call(journal_log(shard_of(command.order, self._shards)), command, timeout)
 
     async def call(self, log: str, body: Body, timeout: float) -> CallResult:
-        """Call the leader of ``log``; gives up with Unavailable after ``timeout`` seconds."""
+        """Call the leader of ``log``; gives up with Unavailable after ``timeout`` seconds.
+
+        An instance that is silent is not waited for alone: after a short time the next one is
+        asked too, and the first answer of a leader counts.
+        """
         deadline = monotonic() + timeout
-        while True:
-            address = self._leaders.get(log, self._order[0])
-            left = deadline - monotonic()
-            if left <= 0:
-                return Err(Unavailable(f"no leader of log {log!r} answered within {timeout} s"))
-            result = await self._peers.get(address).call(body, min(left, CALL_TIMEOUT))
-            answer = result.unwrap() if is_successful(result) else None
-            match answer:
-                case None:
-                    self._leaders[log] = self._next(address)
-                case NotLeader(_, leader) if leader in self._addresses:
-                    self._leaders[log] = self._addresses[leader]
-                case NotLeader() | StorageFailed():
+        running: dict[Task[CallResult], str] = {}
+        try:
+            while (left := deadline - monotonic()) > 0:
+                address = self._choose(log, set(running.values()))
+                if address is not None:
+                    call = self._peers.get(address).call(body, min(left, CALL_TIMEOUT))
+                    running[create_task(call)] = address
+                done, _ = await wait(
+                    running, timeout=min(left, SILENCE_TIMEOUT), return_when=FIRST_COMPLETED
+                )
+                for task in done:
+                    answer = self._learn(log, running.pop(task), task.result())
+                    if answer is not None:
+                        return Success(answer)
+                if done:
+                    await sleep(RETRY_DELAY)
+                elif address is not None:
                     self._leaders[log] = self._next(address)
-                case Unavailable():
-                    pass
-                case _:
-                    self._leaders[log] = address
-                    return Success(answer)
-            await sleep(RETRY_DELAY)
+        finally:
+            for task in running:
+                task.cancel()
+        return Err(Unavailable(f"no leader of log {log!r} answered within {timeout} s"))
+
+    def _learn(self, log: str, address: str, result: CallResult) -> Body | None:
+        """Return the leader's answer, or note whom to ask instead."""
+        answer = result.unwrap() if is_successful(result) else None
+        match answer:
+            case NotLeader(_, leader) if leader in self._addresses:
+                self._leaders[log] = self._addresses[leader]
+            case None | NotLeader() | StorageFailed():
+                self._leaders[log] = self._next(address)
+            case Unavailable():
+                pass
+            case _:
+                self._leaders[log] = address
+                return answer
+        return None
+
+    def _choose(self, log: str, asked: set[str]) -> str | None:
+        """Return whom to ask next: the supposed leader, or the next that is connected."""
+        supposed = self._leaders.get(log, self._order[0])
+        position = self._order.index(supposed)
+        candidates = self._order[position:] + self._order[:position]
+        left = [address for address in candidates if address not in asked]
+        connected = [item for item in left if self._peers.get(item).connection is not None]
+        return next(iter(connected or ([] if asked else left)), None)
 
     def _next(self, address: str) -> str:
         position = self._order.index(address)
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/quorum.py
@@ -0,0 +1,150 @@
+"""A control quorum of real processes under faults: changes of configuration and their check."""
+
+from asyncio import Task, create_task, sleep
+from pathlib import Path
+from time import monotonic
+from typing import Any
+from uuid import uuid4
+
+import msgspec
+from tornado.netutil import bind_sockets
+
+from jaylatch_standins.caller import Operator
+from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
+from jaylatch_standins.deployment import configuration_text, hash_key, operator_of, wait_until
+from jaylatch_standins.ports import LOOPBACK
+from jaylatch_standins.proxy import FaultProxy
+
+WAIT = 60.0
+RETRY_DELAY = 0.02
+READ_INTERVAL = 0.02
+Links = dict[tuple[str, str], FaultProxy]
+
+
+def start_quorum(folder: Path, plan: ClusterPlan, *, has_proxies: bool) -> tuple[Cluster, Links]:
+    """Start the processes of ``plan``; call on the loop that is to run the proxies, if any."""
+    cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
+    links = _put_proxies_between(cluster) if has_proxies else {}
+    cluster.start()
+    return cluster, links
+
+
+def cut(links: Links, name: str, *, is_cut: bool) -> None:
+    """Hold back all bytes between one control instance and the others, or let them pass again."""
+    for pair, proxy in links.items():
+        if name in pair:
+            proxy.is_cut_forward = is_cut
+            proxy.is_cut_back = is_cut
+
+
+async def wait_for_configuration(cluster: Cluster) -> None:
+    """Wait until the first configuration is in force."""
+    operator = operator_of(cluster)
+
+    async def has_configuration() -> bool:
+        status = await operator.get("status")
+        return bool(status and status.get("generation", 0) >= 1)
+
+    await wait_until(has_configuration, WAIT, "the first configuration")
+
+
+class ChangeHistory:
+    """Applies changes one after the other, reads all the time, and notes what is wrong.
+
+    Change N names N in an account's id, so each state that is read tells which change it is.
+    """
+
+    def __init__(self, cluster: Cluster) -> None:
+        self._operator: Operator = operator_of(cluster)
+        self._reader: Task[None] | None = None
+        self.accepted = 1
+        self.reads = 0
+        self.slowest = 0.0
+        self.wrong: list[str] = []
+
+    def start_reading(self) -> None:
+        """Begin to read the state, over and over."""
+        self._reader = create_task(self._read())
+
+    def stop_reading(self) -> None:
+        """Stop reading."""
+        if self._reader is not None:
+            self._reader.cancel()
+
+    async def change(self, timeout: float = WAIT) -> None:
+        """Apply one change and resend it under one command id until it is accepted."""
+        text = _text(self.accepted + 1)
+        headers = {
+            "X-Command-Id": uuid4().hex,
+            "X-Expected-Generation": str(self.accepted),
+        }
+        started_at = monotonic()
+        while True:
+            answer = await self._operator.put("configuration", text, headers)
+            kind = answer.get("type") if answer else None
+            if kind == "CommandAccepted":
+                break
+            if kind not in (None, "Unavailable"):
+                self.wrong.append(f"change {self.accepted + 1} got {answer}")
+                return
+            if monotonic() - started_at > timeout:
+                self.wrong.append(f"change {self.accepted + 1} not accepted in {timeout} s")
+                return
+            await sleep(RETRY_DELAY)
+        self.accepted += 1
+        self.slowest = max(self.slowest, monotonic() - started_at)
+
+    async def check_final(self) -> None:
+        """Read once more: it must be the last accepted change."""
+        status = await self._wait_for_status()
+        self._judge(status, self.accepted)
+
+    async def _read(self) -> None:
+        while True:
+            floor = self.accepted
+            status = await self._operator.get("status")
+            if status and "generation" in status:
+                self._judge(status, floor)
+            await sleep(READ_INTERVAL)
+
+    def _judge(self, status: dict[str, Any], floor: int) -> None:
+        self.reads += 1
+        generation = status["generation"]
+        if generation < floor:
+            self.wrong.append(f"read generation {generation} after {floor} was accepted")
+        accounts = [item["id"] for item in status["configuration"]["accounts"]]
+        if generation > 1 and f"change-{generation}" not in accounts:
+            self.wrong.append(f"generation {generation} holds {accounts}")
+
+    async def _wait_for_status(self) -> dict[str, Any]:
+        found: dict[str, Any] = {}
+
+        async def is_read() -> bool:
+            found.update(await self._operator.get("status") or {})
+            return "generation" in found
+
+        await wait_until(is_read, WAIT, "a confirmed read")
+        return found
+
+
+def _text(number: int) -> bytes:
+    account = f'[[accounts]]\nid = "change-{number}"\nkey_hashes = ["{hash_key(str(number))}"]\n'
+    return (configuration_text() + account).encode()
+
+
+def _put_proxies_between(cluster: Cluster) -> Links:
+    """Give each control instance a proxy of its own to each other one."""
+    links: Links = {}
+    for source in cluster.controls:
+        path = cluster.nodes[source].settings
+        settings = msgspec.toml.decode(path.read_bytes())
+        for peer in settings["control"]["peers"]:
+            target = peer["instance"]
+            if target != source:
+                proxy = FaultProxy(cluster.nodes[target].stream)
+                sockets = bind_sockets(0, LOOPBACK)
+                proxy.add_sockets(sockets)
+                links[(source, target)] = proxy
+                peer["address"] = f"{LOOPBACK}:{sockets[0].getsockname()[1]}"
+        path.write_bytes(msgspec.toml.encode(settings))
+    return links
