--- a/packages/core/src/jaylatch_core/messages/consensus.py
+++ b/packages/core/src/jaylatch_core/messages/consensus.py
@@ -1,6 +1,6 @@
 """Messages and records of a replicated log. ``log`` names which one.
 
-All are MessagePack arrays, since heartbeats are most of what a control instance sends at rest.
+The voters' messages are MessagePack arrays with short tags, since heartbeats are most of what a control instance sends at rest.
 """
 
 import msgspec
@@ -42,7 +42,7 @@
     data: bytes
 
 
-class VoteRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class VoteRequest(msgspec.Struct, frozen=True, tag=1, array_like=True):
     """Asks for a vote; with ``is_pre_vote`` it only asks whether a vote would be given.
 
     ``is_transfer``: the leader of the term before gave up its lease and asked for this election.
@@ -60,7 +60,7 @@
     recovery: int = 0
 
 
-class VoteReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class VoteReply(msgspec.Struct, frozen=True, tag=2, array_like=True):
     """Answer to a ``VoteRequest`` of the same ``term``.
 
     ``is_fresh``: the sender holds no entry and has seen no term. ``recovery`` is the asker's.
@@ -75,7 +75,7 @@
     recovery: int = 0
 
 
-class AppendRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class AppendRequest(msgspec.Struct, frozen=True, tag=3, array_like=True):
     """Replicates entries after ``previous_index``; empty as a heartbeat.
 
     ``round`` is a number that the reply returns, by which the leader dates its lease.
@@ -93,7 +93,7 @@
     readmitted: int = 0
 
 
-class AppendReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class AppendReply(msgspec.Struct, frozen=True, tag=4, array_like=True):
     """Answer to an ``AppendRequest``; ``match`` is the last index known to agree, or a hint."""
 
     log: str
@@ -106,7 +106,7 @@
     is_recovering: bool = False
 
 
-class SnapshotRequest(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class SnapshotRequest(msgspec.Struct, frozen=True, tag=5, array_like=True):
     """Sends the bytes of a snapshot from ``offset`` on; without bytes it is a heartbeat."""
 
     log: str
@@ -121,7 +121,7 @@
     data: bytes
 
 
-class SnapshotReply(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class SnapshotReply(msgspec.Struct, frozen=True, tag=6, array_like=True):
     """Answer to a ``SnapshotRequest``: the ``offset`` up to which the receiver has the bytes."""
 
     log: str
@@ -134,7 +134,7 @@
     is_recovering: bool = False
 
 
-class TransferLeadership(msgspec.Struct, frozen=True, tag=True, array_like=True):
+class TransferLeadership(msgspec.Struct, frozen=True, tag=7, array_like=True):
     """Tells an up-to-date voter to stand for election at once; the leader of ``term`` has ended."""
 
     log: str
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -36,7 +36,7 @@
     voters: tuple[InstanceId, ...] = ()
     data_folder: str = "var/control"
     journal_shards: int = 2
-    heartbeat_interval: float = 0.1
+    heartbeat_interval: float = 0.2
     election_timeout: float = 0.6
     initial_configuration: str = ""
 
--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -15,6 +15,8 @@
 
 SNAPSHOT_CHUNK_BYTES = 256 * 1024
 QUORUM_TIMEOUTS = 2
+ROUND_SLACK = 0.1
+"""Share of the interval by which a round may be early, so that a periodic host does not miss it."""
 
 
 class Leader:
@@ -195,7 +197,7 @@
         state = self._state
         self._round += 1
         self._round_sent_at[self._round] = now
-        self._heartbeat_due = now + state.timing.heartbeat_interval
+        self._heartbeat_due = now + state.timing.heartbeat_interval * (1 - ROUND_SLACK)
         for peer in self._progress:
             self._send_next(now, peer, is_round=True)
         self._extend_lease()
--- a/packages/standins/src/jaylatch_standins/proxy.py
+++ b/packages/standins/src/jaylatch_standins/proxy.py
@@ -15,7 +15,8 @@
 
     ``delay`` is seconds each way; ``is_cut_forward`` and ``is_cut_back`` hold back all bytes of one
     direction without closing (a one-way partition; both: half-open); ``refuses`` drops new
-    connections; ``cut_after`` closes each connection after so many bytes back (mid-frame).
+    connections; ``bytes_passed`` counts both directions; ``cut_after`` closes each connection
+    after so many bytes back (mid-frame).
     """
 
     def __init__(self, target: str) -> None:
@@ -28,6 +29,7 @@
         self.is_cut_back = False
         self.refuses = False
         self.cut_after: int | None = None
+        self.bytes_passed = 0
 
     def drop_connections(self) -> None:
         """Close all present connections."""
@@ -66,6 +68,7 @@
                     await sink.write(data[: self.cut_after - passed])
                     return
                 passed += len(data)
+                self.bytes_passed += len(data)
                 await sink.write(data)
         except StreamClosedError:
             pass
--- a/packages/standins/src/jaylatch_standins/quorum.py
+++ b/packages/standins/src/jaylatch_standins/quorum.py
@@ -21,10 +21,16 @@
 Links = dict[tuple[str, str], FaultProxy]
 
 
-def start_quorum(folder: Path, plan: ClusterPlan, *, has_proxies: bool) -> tuple[Cluster, Links]:
+def start_quorum(
+    folder: Path, plan: ClusterPlan, *, has_proxies: bool, journal_shards: int = 2
+) -> tuple[Cluster, Links]:
     """Start the processes of ``plan``; call on the loop that is to run the proxies, if any."""
     cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
     links = _put_proxies_between(cluster) if has_proxies else {}
+    for node in cluster.nodes.values():
+        settings = msgspec.toml.decode(node.settings.read_bytes())
+        settings["control"]["journal_shards"] = journal_shards
+        node.settings.write_bytes(msgspec.toml.encode(settings))
     cluster.start()
     return cluster, links
 
