--- a/packages/core/src/jaylatch_core/messages/consensus.py
+++ b/packages/core/src/jaylatch_core/messages/consensus.py
@@ -1,6 +1,7 @@
 """Messages and records of a replicated log. ``log`` names which one.
 
-The voters' messages are MessagePack arrays with short tags, since heartbeats are most of what a control instance sends at rest.
+The voters' messages are MessagePack arrays with short tags, since heartbeats are most of what a
+control instance sends at rest.
 """
 
 import msgspec
