--- a/packages/core/src/jaylatch_core/messages/administration.py
+++ b/packages/core/src/jaylatch_core/messages/administration.py
@@ -49,3 +49,13 @@
     """The answer to ``ReadEvents``."""
 
     events: tuple[Event, ...]
+
+
+class ReadMetrics(msgspec.Struct, frozen=True, tag=True):
+    """Asks a process for its metrics."""
+
+
+class MetricsReport(msgspec.Struct, frozen=True, tag=True):
+    """The answer to ``ReadMetrics``: the Prometheus text form."""
+
+    text: bytes
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -12,7 +12,9 @@
 )
 from jaylatch_core.messages.administration import (
     EventReport,
+    MetricsReport,
     ReadEvents,
+    ReadMetrics,
     ReadStatus,
     StatusReport,
 )
@@ -97,6 +99,8 @@
     | StatusReport
     | ReadEvents
     | EventReport
+    | ReadMetrics
+    | MetricsReport
     | FailureBody
 )
 
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -8,7 +8,12 @@
 from jaylatch_core.enums import Role
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import Incarnation
-from jaylatch_core.messages.administration import EventReport, ReadEvents
+from jaylatch_core.messages.administration import (
+    EventReport,
+    MetricsReport,
+    ReadEvents,
+    ReadMetrics,
+)
 from jaylatch_core.messages.consensus import (
     AppendReply,
     AppendRequest,
@@ -25,7 +30,7 @@
 from jaylatch_node.control.role import ControlRole
 from jaylatch_node.entry.role import EntryRole
 from jaylatch_node.leases import LeaseController
-from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
+from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
 INCARNATION_BYTES = 8
 HTTP_CLIENTS = 128
@@ -47,8 +52,9 @@
             self._events,
             GrantBoard(HeldLease(settings.lease.drift)),
         )
-        self._peers = PeerPool(self._events, self._handle_body)
-        self._server = StreamServer(self._events, self._handle_body)
+        traffic = Traffic(self._board.metrics)
+        self._peers = PeerPool(self._events, traffic, self._handle_body)
+        self._server = StreamServer(self._events, traffic, self._handle_body)
         self._client = ControlClient(settings.control, self._peers)
         self._control: ControlRole | None = None
         self._entry: EntryRole | None = None
@@ -96,6 +102,8 @@
                     self._control.handle_consensus(body)
             case ViewChanged():
                 self._leases.renew_now()
+            case ReadMetrics():
+                connection.reply(call, MetricsReport(self._board.metrics.text()))
             case ReadEvents():
                 connection.reply(call, EventReport(self._events.recent()))
             case _:
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -18,6 +18,7 @@
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed, Unavailable
 from jaylatch_core.messages.frames import Body, Frame, decode_frame, encode_frame
+from jaylatch_node.streams.traffic import Traffic
 
 READ_SIZE = 64 * 1024
 MAXIMUM_FRAME_SIZE = 32 * 1024 * 1024
@@ -32,11 +33,17 @@
     """A connected stream. ``run`` reads until the stream closes."""
 
     def __init__(
-        self, stream: IOStream, events: EventLog, handler: BodyHandler, address: str = ""
+        self,
+        stream: IOStream,
+        events: EventLog,
+        traffic: Traffic,
+        handler: BodyHandler,
+        address: str = "",
     ) -> None:
         self._address = address
         self._stream = stream
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._packer = Packer()
         self._unpacker = Unpacker(max_buffer_size=MAXIMUM_FRAME_SIZE)
@@ -86,8 +93,11 @@
             while True:
                 data = await self._stream.read_bytes(READ_SIZE, partial=True)
                 self._unpacker.feed(data)
+                messages = 0
                 for payload in self._unpacker:
+                    messages += 1
                     self._receive(decode_frame(payload))
+                self._traffic.count_received(messages, len(data))
         except (StreamClosedError, BufferFull, UnpackException, msgspec.DecodeError, TypeError):
             pass
         finally:
@@ -120,6 +130,7 @@
 
     def _flush(self) -> None:
         data = b"".join(self._outgoing)
+        self._traffic.count_sent(len(self._outgoing), len(data))
         self._outgoing.clear()
         try:
             self._stream.write(data)
--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -13,6 +13,7 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.settings import split_address
 from jaylatch_node.streams.connection import BodyHandler, CallResult, StreamConnection
+from jaylatch_node.streams.traffic import Traffic
 
 CONNECT_TIMEOUT = 1.0
 RECONNECT_DELAY = 0.1
@@ -24,9 +25,12 @@
 class Peer:
     """A process at an address. Reconnects until it is closed."""
 
-    def __init__(self, address: str, events: EventLog, handler: BodyHandler) -> None:
+    def __init__(
+        self, address: str, events: EventLog, traffic: Traffic, handler: BodyHandler
+    ) -> None:
         self._address = address
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._connection: StreamConnection | None = None
         self._connect_handlers: list[PeerHandler] = []
@@ -97,7 +101,9 @@
         return stream
 
     async def _serve(self, stream: IOStream) -> None:
-        connection = StreamConnection(stream, self._events, self._handler, self._address)
+        connection = StreamConnection(
+            stream, self._events, self._traffic, self._handler, self._address
+        )
         self._connection = connection
         self._is_connected.set()
         for handler in self._connect_handlers:
@@ -112,8 +118,9 @@
 class PeerPool:
     """One ``Peer`` for each address that this process talks to."""
 
-    def __init__(self, events: EventLog, handler: BodyHandler) -> None:
+    def __init__(self, events: EventLog, traffic: Traffic, handler: BodyHandler) -> None:
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._peers: dict[str, Peer] = {}
 
@@ -121,7 +128,7 @@
         """Return the peer at ``address``, connecting to it if it is new."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = Peer(address, self._events, self._handler)
+            peer = Peer(address, self._events, self._traffic, self._handler)
             self._peers[address] = peer
         return peer
 
--- a/packages/node/src/jaylatch_node/streams/server.py
+++ b/packages/node/src/jaylatch_node/streams/server.py
@@ -7,6 +7,7 @@
 
 from jaylatch_core.events import EventLog
 from jaylatch_node.streams.connection import BodyHandler, StreamConnection
+from jaylatch_node.streams.traffic import Traffic
 
 ConnectionHandler = Callable[[StreamConnection], None]
 
@@ -14,9 +15,10 @@
 class StreamServer(TCPServer):
     """Accepts streams. Handlers are told of each connection's start and end."""
 
-    def __init__(self, events: EventLog, handler: BodyHandler) -> None:
+    def __init__(self, events: EventLog, traffic: Traffic, handler: BodyHandler) -> None:
         super().__init__()
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._open_handlers: list[ConnectionHandler] = []
         self._close_handlers: list[ConnectionHandler] = []
@@ -31,7 +33,7 @@
 
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one accepted stream until it closes."""
-        connection = StreamConnection(stream, self._events, self._handler)
+        connection = StreamConnection(stream, self._events, self._traffic, self._handler)
         for handler in self._open_handlers:
             handler(connection)
         await connection.run()
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/bench/capacity_load.py
@@ -0,0 +1,113 @@
+"""An entry, an agent and the journal's voters against completions, tokens and orders."""
+
+from asyncio import create_task, gather, sleep
+from collections.abc import Awaitable, Callable, Mapping
+from pathlib import Path
+from time import monotonic
+
+from jaylatch_standins.bench.capacity_process import Meter, control_roles
+from jaylatch_standins.caller import Caller, CallerOutcome
+from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
+from jaylatch_standins.deployment import (
+    ACCOUNT_KEYS,
+    MODEL,
+    SERVICE,
+    configuration_text,
+    hash_key,
+    wait_for_groups,
+)
+
+WINDOW = 10.0
+WARM_UP = 2.0
+ENGINES = 4
+GROUPS = 1
+KEY = ACCOUNT_KEYS["skarvik"]
+ENGINE_OPTIONS = ("--token-time", "0.005", "--slots", "64")
+
+Emit = Callable[[str, str, Mapping[str, float], Mapping[str, float]], None]
+
+
+async def measure_completions(folder: Path, load: tuple[float, int], emit: Emit) -> None:
+    """Emit what an entry and a head's agent use at ``load``: requests a second, tokens in each."""
+    rate, tokens = load
+    cluster = await _start(folder)
+    try:
+        caller = Caller(cluster.entries[0], KEY)
+        head = next(name for name in cluster.nodes if name.startswith("engine"))
+        roles = {**await control_roles(cluster), "head agent": head}
+
+        async def ask(number: int) -> CallerOutcome:
+            return await caller.complete(MODEL, f"prompt {number}", tokens, is_streamed=True)
+
+        usages, answered = await _under_load(cluster, roles, rate, ask)
+        sizes = {"requests": answered, "tokens": answered * tokens}
+        for role, usage in usages.items():
+            emit("completions", role, sizes, usage)
+    finally:
+        cluster.stop()
+
+
+async def measure_orders(folder: Path, rate: float, emit: Emit) -> None:
+    """Emit what an entry and the control instances use at ``rate`` orders a second."""
+    cluster = await _start(folder)
+    try:
+        caller = Caller(cluster.entries[0], KEY)
+
+        async def ask(number: int) -> CallerOutcome:
+            return await caller.order(SERVICE, "orders", f"order {number}", f"key-{number}")
+
+        roles = await control_roles(cluster)
+        usages, answered = await _under_load(cluster, roles, rate, ask)
+        for role, usage in usages.items():
+            emit("orders", role, {"orders": answered}, usage)
+    finally:
+        cluster.stop()
+
+
+async def _start(folder: Path) -> Cluster:
+    plan = ClusterPlan(
+        domains=1,
+        entries=1,
+        engines=ENGINES,
+        services={SERVICE: 1},
+        engine_options=ENGINE_OPTIONS,
+    )
+    text = configuration_text() + "[ordinary]\ntarget_concurrency = 64\n"
+    cluster = Cluster(folder, plan, text, hash_key(OPERATOR_TOKEN))
+    cluster.start()
+    try:
+        await wait_for_groups(cluster, GROUPS)
+    except BaseException:
+        cluster.stop()
+        raise
+    return cluster
+
+
+async def _under_load(
+    cluster: Cluster,
+    roles: dict[str, str],
+    rate: float,
+    ask: Callable[[int], Awaitable[CallerOutcome]],
+) -> tuple[dict[str, dict[str, float]], float]:
+    """Return the usage of ``roles`` over a window, and the answered requests a second."""
+    pending = []
+    started_at = monotonic()
+    number = 0
+    meter = None
+    while monotonic() < started_at + WARM_UP + WINDOW:
+        if meter is None and monotonic() >= started_at + WARM_UP:
+            meter = await Meter.start(cluster, roles)
+            first = number
+        if rate:
+            pending.append(create_task(_ask(ask, number)))
+            number += 1
+        await sleep(max(started_at + number / rate - monotonic(), 0) if rate else 0.1)
+    assert meter is not None
+    usages = await meter.read()
+    outcomes = await gather(*pending)
+    assert all(outcome.is_whole for outcome in outcomes), "an answer was not whole"
+    return usages, (number - first) / WINDOW
+
+
+async def _ask(ask: Callable[[int], Awaitable[CallerOutcome]], number: int) -> CallerOutcome:
+    return await ask(number)
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/bench/capacity_process.py
@@ -0,0 +1,38 @@
+"""Measures the usage of the processes of a running deployment over a window."""
+
+from jaylatch_standins.cluster import Cluster
+from jaylatch_standins.deployment import operator_of
+from jaylatch_standins.usage import Usage, read_usage
+
+
+class Meter:
+    """Usage of some processes since ``start``. Roles are the keys, instances the values."""
+
+    def __init__(self, cluster: Cluster, roles: dict[str, str], first: dict[str, Usage]) -> None:
+        self._cluster = cluster
+        self._roles = roles
+        self._first = first
+
+    @classmethod
+    async def start(cls, cluster: Cluster, roles: dict[str, str]) -> "Meter":
+        """Begin a window."""
+        return cls(cluster, roles, await _read_all(cluster, roles))
+
+    async def read(self) -> dict[str, dict[str, float]]:
+        """Return each role's usage since the start of the window."""
+        latest = await _read_all(self._cluster, self._roles)
+        return {role: usage.since(self._first[role]) for role, usage in latest.items()}
+
+
+async def control_roles(cluster: Cluster) -> dict[str, str]:
+    """Return the leader, one follower and the first entry."""
+    leader = (await operator_of(cluster).get("status"))["leader"]
+    follower = next(name for name in cluster.controls if name != leader)
+    return {"leader": leader, "follower": follower, "entry": "entry-1"}
+
+
+async def _read_all(cluster: Cluster, roles: dict[str, str]) -> dict[str, Usage]:
+    return {
+        role: await read_usage(cluster.processes[name].pid, cluster.nodes[name].stream)
+        for role, name in roles.items()
+    }
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -85,6 +85,10 @@
         if command is not None:
             self._spawn(f"{name}/target", command)
 
+    def start_helper(self, name: str, command: list[str]) -> None:
+        """Start another process of the deployment, for example a stand-in of many agents."""
+        self._spawn(name, command)
+
     def kill(self, name: str) -> None:
         """End a process at once (SIGKILL)."""
         process = self.processes.pop(name)
