--- /dev/null
+++ b/packages/core/src/jaylatch_core/checks/__init__.py
@@ -0,0 +1,21 @@
+"""System checks: faults of settings that types and bounds cannot express.
+
+Importing this package registers the checks of the core; a subsystem registers its own with
+``register``.
+"""
+
+from jaylatch_core.checks import addresses, roles, storage, timing
+from jaylatch_core.checks.registry import Check, register, run_checks
+from jaylatch_core.findings import CheckMessage, Level
+
+__all__ = [
+    "Check",
+    "CheckMessage",
+    "Level",
+    "addresses",
+    "register",
+    "roles",
+    "run_checks",
+    "storage",
+    "timing",
+]
--- /dev/null
+++ b/packages/core/src/jaylatch_core/checks/addresses.py
@@ -0,0 +1,66 @@
+"""Checks of the addresses."""
+
+from ipaddress import ip_address
+
+from jaylatch_core.checks.registry import register
+from jaylatch_core.enums import Role
+from jaylatch_core.findings import CheckMessage, error
+from jaylatch_core.settings import NodeSettings
+
+HIGHEST_PORT = 65535
+
+
+def own_addresses(settings: NodeSettings) -> dict[str, str]:
+    """Return the addresses at which this process listens, by setting."""
+    found = {"stream": settings.stream}
+    if Role.ENTRY in settings.roles:
+        found["entry.http"] = settings.entry.http
+    if Role.AGENT in settings.roles:
+        found["agent.http"] = settings.agent.http
+    return found
+
+
+@register
+def check_form(settings: NodeSettings) -> list[CheckMessage]:
+    """Every address must be an IP address and a port, because no name is resolved."""
+    addresses = own_addresses(settings)
+    for number, peer in enumerate(settings.control.peers):
+        addresses[f"control.peers[{number}].address"] = peer.address
+    return [
+        error(
+            "addresses.E001",
+            subject,
+            f"{address!r} is not IP:port",
+            "give an IP address and a port from 1 to 65535, such as '10.0.0.1:7100'",
+        )
+        for subject, address in addresses.items()
+        if not _is_address(address)
+    ]
+
+
+@register
+def check_distinct(settings: NodeSettings) -> list[CheckMessage]:
+    """A process cannot listen twice at one address."""
+    seen: dict[str, str] = {}
+    found = []
+    for subject, address in own_addresses(settings).items():
+        if address in seen:
+            found.append(
+                error(
+                    "addresses.E002",
+                    subject,
+                    f"{address!r} is also the address of {seen[address]}",
+                    "give each listener an address of its own",
+                )
+            )
+        seen[address] = subject
+    return found
+
+
+def _is_address(address: str) -> bool:
+    host, _, port = address.rpartition(":")
+    try:
+        ip_address(host)
+        return 1 <= int(port) <= HIGHEST_PORT
+    except ValueError:
+        return False
--- a/packages/core/src/jaylatch_core/checks.py
+++ b/packages/core/src/jaylatch_core/checks/registry.py
@@ -1,31 +1,10 @@
-"""System checks: faults of settings found before start, each with an id, an object and a hint."""
+"""The registered checks of the settings, run before a process starts."""
 
 from collections.abc import Callable
-from enum import IntEnum
-
-import msgspec
 
+from jaylatch_core.findings import CheckMessage
 from jaylatch_core.settings import NodeSettings
 
-
-class Level(IntEnum):
-    """Severity of a check message; an ERROR prevents the start."""
-
-    INFO = 20
-    WARNING = 30
-    ERROR = 40
-
-
-class CheckMessage(msgspec.Struct, frozen=True):
-    """One finding of a check."""
-
-    level: Level
-    id: str
-    subject: str
-    text: str
-    hint: str = ""
-
-
 Check = Callable[[NodeSettings], list[CheckMessage]]
 
 _registry: list[Check] = []
--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -4,14 +4,20 @@
 committed document is usable by every process.
 """
 
+import re
+
 import msgspec
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
+from jaylatch_core.documents import parse_document
 from jaylatch_core.enums import Preset
 from jaylatch_core.exceptions import ConfigurationInvalid
+from jaylatch_core.findings import CheckMessage, error, format_finding
 from jaylatch_core.ids import AccountId
 
+SHA256_PATTERN = re.compile("[0-9a-f]{64}")
+
 
 class ModelSpecification(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A model deployment. ``groups`` is the wanted number of copies (0: as many as fit)."""
@@ -99,20 +105,25 @@
 
 def parse_configuration(document: bytes) -> Result[Configuration, ConfigurationInvalid]:
     """Parse and validate a TOML document; refuse unknown fields and impossible values."""
-    try:
-        configuration = msgspec.toml.decode(document, type=Configuration)
-    except msgspec.DecodeError as error:
-        return Err(ConfigurationInvalid(f"configuration is not valid: {error}"))
-    return validate_configuration(configuration)
+    return parse_document(document, Configuration).alt(_invalid).bind(validate_configuration)
 
 
 def validate_configuration(
     configuration: Configuration,
 ) -> Result[Configuration, ConfigurationInvalid]:
     """Check what types cannot express; returns the document unchanged if it is usable."""
-    for faults in _faults(configuration):
-        return Err(ConfigurationInvalid(faults))
-    return Success(configuration)
+    faults = _faults(configuration)
+    if not faults:
+        return Success(configuration)
+    hint = "see docs/reference/configuration.md"
+    return Err(
+        _invalid(tuple(error("configuration.E001", "document", fault, hint) for fault in faults))
+    )
+
+
+def _invalid(findings: tuple[CheckMessage, ...]) -> ConfigurationInvalid:
+    details = "; ".join(map(format_finding, findings))
+    return ConfigurationInvalid(f"configuration is not valid: {details}", findings)
 
 
 def _faults(configuration: Configuration) -> list[str]:
@@ -135,4 +146,20 @@
         policy = configuration.policy(preset)
         if policy.target_concurrency < 1 or policy.queue_limit < 0 or policy.spares_per_domain < 0:
             faults.append(f"preset {preset.value!r}: limits must not be negative or zero")
+    for account in configuration.accounts:
+        if account.share <= 0:
+            faults.append(f"account {account.id!r}: share is {account.share}; give more than 0")
+        faults += [
+            f"account {account.id!r}: key hash {value!r} is not a SHA-256 hex digest"
+            for value in account.key_hashes
+            if not SHA256_PATTERN.fullmatch(value)
+        ]
+    for kind in configuration.kinds:
+        if kind.deadline <= 0 or kind.weight < 0:
+            faults.append(
+                f"kind {kind.name!r}: give a deadline above 0 s and a weight of 0 or more"
+            )
+    weights = configuration.weights
+    if weights.group_downtime < 0 or weights.stranded_accelerator < 0:
+        faults.append("weights must not be negative")
     return faults
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from jaylatch_core.enums import Outcome
+from jaylatch_core.findings import CheckMessage
 from jaylatch_core.ids import Generation
 
 
@@ -17,11 +18,18 @@
 
 
 class SettingsInvalid(Failure, frozen=True):
-    """The node's settings file cannot be used."""
+    """The node's settings file cannot be used; ``findings`` are its faults."""
+
+    findings: tuple[CheckMessage, ...] = ()
 
 
 class ConfigurationInvalid(Failure, frozen=True):
-    """An operator's configuration document was refused; nothing was changed."""
+    """An operator's configuration document was refused; nothing was changed.
+
+    ``findings`` are the document's faults.
+    """
+
+    findings: tuple[CheckMessage, ...] = ()
 
 
 class GenerationConflict(Failure, frozen=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -1,21 +1,41 @@
 """Settings of one process, read from TOML. Every default is on this page.
 
-Durations are seconds, sizes are bytes, addresses are ``IP:port``.
+Durations are seconds, sizes are bytes, addresses are ``IP:port``. The bounds and the descriptions
+stand in the types, so that the checks and docs/reference/settings.md are made from them.
 """
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 from returns.result import Failure as Err
-from returns.result import Result, Success
+from returns.result import Result
 
+from jaylatch_core.documents import parse_document
 from jaylatch_core.enums import Role
 from jaylatch_core.exceptions import SettingsInvalid
+from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
 
 KIBIBYTE = 1024
 MEBIBYTE = 1024 * KIBIBYTE
 
+SECONDS = {"unit": "seconds"}
+BYTES = {"unit": "bytes"}
+
+Interval = Annotated[float, Meta(gt=0, le=60, extra=SECONDS)]
+"""A period of background work, or a timeout of it: above 60 s it is a value in a wrong unit."""
+
+Duration = Annotated[float, Meta(gt=0, le=86_400, extra=SECONDS)]
+"""A time for which something is kept or waited for."""
+
+Size = Annotated[int, Meta(ge=KIBIBYTE, le=1024 * MEBIBYTE, extra=BYTES)]
+"""A bound of memory."""
+
+Name = Annotated[str, Meta(min_length=1, max_length=128)]
+"""A name that must not be empty."""
+
 
 class ControlPeer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A control instance: its instance id and its stream address."""
@@ -32,28 +52,28 @@
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
-    data_folder: str = "var/control"
-    journal_shards: int = 2
-    heartbeat_interval: float = 0.1
-    election_timeout: float = 0.6
+    data_folder: Name = "var/control"
+    journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
+    heartbeat_interval: Interval = 0.1
+    election_timeout: Interval = 0.6
     initial_configuration: str = ""
 
 
 class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Leases of entries and agents. ``drift`` bounds the relative error of two clocks."""
 
-    duration: float = 4.0
-    renew_interval: float = 0.5
-    drift: float = 0.01
+    duration: Interval = 4.0
+    renew_interval: Interval = 0.5
+    drift: Annotated[float, Meta(ge=0, le=0.1)] = 0.01
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The role that faces callers and operators."""
 
     http: str = "127.0.0.1:8080"
-    body_limit: int = 4 * MEBIBYTE
-    answer_limit: int = 16 * MEBIBYTE
-    default_deadline: float = 30.0
+    body_limit: Size = 4 * MEBIBYTE
+    answer_limit: Size = 16 * MEBIBYTE
+    default_deadline: Duration = 30.0
     operator_token_hashes: tuple[str, ...] = ()
 
 
@@ -61,9 +81,9 @@
     """The role beside one target. ``http`` is where the target announces itself."""
 
     http: str = "127.0.0.1:7180"
-    probe_interval: float = 0.1
-    member_timeout: float = 0.8
-    attempt_retention: float = 30.0
+    probe_interval: Interval = 0.1
+    member_timeout: Interval = 0.8
+    attempt_retention: Duration = 30.0
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -88,15 +108,16 @@
 
 
 def load_settings(path: Path) -> Result[NodeSettings, SettingsInvalid]:
-    """Read and type-check the TOML file at ``path``; unknown keys are refused."""
+    """Read and type-check the TOML file at ``path``; all its faults are in the failure."""
     try:
         document = path.read_bytes()
-    except OSError as error:
-        return Err(SettingsInvalid(f"settings file {str(path)!r} cannot be read: {error}"))
-    try:
-        return Success(msgspec.toml.decode(document, type=NodeSettings))
-    except msgspec.DecodeError as error:
-        return Err(SettingsInvalid(f"settings file {str(path)!r}: {error}"))
+    except OSError as fault:
+        return Err(SettingsInvalid(f"settings file {str(path)!r} cannot be read: {fault}"))
+    return parse_document(document, NodeSettings).alt(
+        lambda findings: SettingsInvalid(
+            "\n".join([f"settings file {str(path)!r}:", *map(format_finding, findings)]), findings
+        )
+    )
 
 
 def split_address(address: str) -> tuple[str, int]:
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -10,6 +10,7 @@
 
 from jaylatch_core.checks import Level, run_checks
 from jaylatch_core.exceptions import JaylatchError
+from jaylatch_core.findings import format_finding
 from jaylatch_core.settings import NodeSettings, load_settings
 from jaylatch_node.observability import configure_logs
 from jaylatch_node.process import Process
@@ -48,11 +49,7 @@
     """Print the findings of the checks; returns whether the process may start."""
     messages = run_checks(settings)
     for message in messages:
-        print(
-            f"{message.level.name} {message.id} {message.subject}: {message.text}"
-            f" (hint: {message.hint})",
-            file=sys.stderr,
-        )
+        print(format_finding(message), file=sys.stderr)
     return all(message.level < Level.ERROR for message in messages)
 
 
