--- /dev/null
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -0,0 +1,83 @@
+"""The names of all events of the time line, each with what it tells."""
+
+from enum import Enum
+
+
+class EventName(str, Enum):
+    """What has happened. ``documentation`` says what the event's subject and detail are."""
+
+    documentation: str
+
+    def __new__(cls, value: str, documentation: str = "") -> "EventName":
+        """Make a member from its value and its documentation."""
+        member = str.__new__(cls, value)
+        member._value_ = value
+        member.documentation = documentation
+        return member
+
+    PROCESS_STARTED = (
+        "process.started",
+        "A process began to run; the subject is its incarnation, the detail its roles.",
+    )
+    PROCESS_STOPPED = (
+        "process.stopped",
+        "A process was asked to end; the subject is its incarnation.",
+    )
+    REQUEST_REFUSED = (
+        "request.refused",
+        "A caller was refused; the subject is the code, the detail what ran.",
+    )
+    REQUEST_ANSWERED = ("request.answered", "A caller got its whole answer.")
+    REQUEST_TORN = (
+        "request.torn",
+        "A streamed answer ended unfinished and the caller was told; the subject is the code.",
+    )
+    REQUEST_RETRIED = (
+        "request.retried",
+        "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
+    )
+    ATTEMPT_STARTED = (
+        "attempt.started",
+        "An agent handed an attempt to its target; the subject is the attempt.",
+    )
+    TARGET_ANNOUNCED = (
+        "target.announced",
+        "A target announced itself or changed what it says; the subject is the target.",
+    )
+    ENGINE_LOAD_ORDERED = (
+        "engine.load_ordered",
+        "An agent ordered its engine to load; the subject is the group, the detail the epoch.",
+    )
+    GROUP_WHOLE = (
+        "group.whole",
+        "The head's agent sees every member ready under the epoch; the subject is the group.",
+    )
+    GROUP_BROKEN = (
+        "group.broken",
+        "The head's agent misses a member and admits no work; the subject is the group.",
+    )
+    PRESET_CHANGED = (
+        "preset.changed",
+        "A process acts under another preset; the subject is the preset, the detail its number.",
+    )
+    CONFIGURATION_CHANGED = (
+        "configuration.changed",
+        "A process acts under another configuration; the generation says which.",
+    )
+    PLAN_FORM_GROUP = ("plan.FormGroup", "The leader formed a group; the subject is its members.")
+    PLAN_REPAIR_GROUP = (
+        "plan.RepairGroup",
+        "The leader replaced members of a group; the subject is the group.",
+    )
+    PLAN_DISSOLVE_GROUP = (
+        "plan.DissolveGroup",
+        "The leader ended a group; the subject is the group.",
+    )
+    PLAN_CONFIRM_RELEASE = (
+        "plan.ConfirmRelease",
+        "The leader recorded that an instance has left its group.",
+    )
+    PLAN_COMMIT_PRESET = (
+        "plan.CommitPreset",
+        "The leader ended a preset switch that every holder had acknowledged.",
+    )
--- a/packages/core/src/jaylatch_core/events.py
+++ b/packages/core/src/jaylatch_core/events.py
@@ -4,17 +4,21 @@
 
 import msgspec
 
-from jaylatch_core.ids import RequestId
+from jaylatch_core.ids import Epoch, Generation, GroupId, InstanceId, RequestId
 
 DEFAULT_EVENT_CAPACITY = 4096
 NO_REQUEST = RequestId("")
+NO_GROUP = GroupId("")
+NO_GENERATION = Generation(0)
+NO_EPOCH = Epoch(0)
 
 
 class Event(msgspec.Struct, frozen=True):
     """One event. ``at`` is wall-clock seconds, ``counter`` orders events of equal time.
 
     ``at`` and ``counter`` form a hybrid logical clock: they grow past every stamp that the process
-    has received, so an effect never sorts before its cause.
+    has received, so an effect never sorts before its cause. ``sequence`` counts the events of one
+    run of a process from 1, so that a reader sees which are no longer kept.
     """
 
     at: float
@@ -24,6 +28,50 @@
     subject: str = ""
     request: RequestId = NO_REQUEST
     detail: str = ""
+    group: GroupId = NO_GROUP
+    generation: Generation = NO_GENERATION
+    epoch: Epoch = NO_EPOCH
+    sequence: int = 0
+
+
+class EventFilter(msgspec.Struct, frozen=True):
+    """Which events a reader wants; an empty field asks for all.
+
+    ``target`` matches the process beside the target and every event about it. ``since`` and
+    ``until`` are wall-clock seconds (``until`` 0: no end).
+    """
+
+    request: str = ""
+    group: str = ""
+    target: str = ""
+    node: str = ""
+    since: float = 0.0
+    until: float = 0.0
+
+    def matches(self, event: Event) -> bool:
+        """Return whether the reader wants ``event``."""
+        is_in_time = event.at >= self.since and (not self.until or event.at <= self.until)
+        return (
+            is_in_time
+            and self.request in ("", event.request)
+            and (not self.group or self.group in (event.group, event.subject))
+            and (not self.target or self.target in (event.node, event.subject))
+            and self.node in ("", event.node)
+        )
+
+
+EVERY_EVENT = EventFilter()
+
+
+class EventGap(msgspec.Struct, frozen=True):
+    """Events of ``node`` that are missing: ``dropped`` are no longer kept.
+
+    ``is_unreachable`` tells that the process did not answer, so nothing is known of its events.
+    """
+
+    node: InstanceId
+    dropped: int = 0
+    is_unreachable: bool = False
 
 
 class EventLog:
@@ -34,12 +82,18 @@
         self._events: deque[Event] = deque(maxlen=capacity)
         self._at = 0.0
         self._counter = 0
+        self._sequence = 0
 
     @property
     def stamp(self) -> tuple[float, int]:
         """Return the latest hybrid logical clock value (seconds, counter)."""
         return self._at, self._counter
 
+    @property
+    def dropped(self) -> int:
+        """Return how many events of this run are no longer kept."""
+        return self._sequence - len(self._events)
+
     def observe(self, now: float, at: float, counter: int) -> None:
         """Advance the clock past a stamp received from another process."""
         latest = max(now, at, self._at)
@@ -60,13 +114,38 @@
         subject: str = "",
         request: RequestId = NO_REQUEST,
         detail: str = "",
+        *,
+        group: GroupId = NO_GROUP,
+        generation: Generation = NO_GENERATION,
+        epoch: Epoch = NO_EPOCH,
     ) -> Event:
-        """Append an event at wall-clock time ``now`` and return it."""
+        """Append an event at wall-clock time ``now`` and return it.
+
+        ``name`` is the value of an ``EventName``.
+        """
         self.observe(now, 0.0, 0)
-        event = Event(self._at, self._counter, self._node, name, subject, request, detail)
+        self._sequence += 1
+        event = Event(
+            self._at,
+            self._counter,
+            self._node,
+            getattr(name, "value", name),
+            subject,
+            request,
+            detail,
+            group,
+            generation,
+            epoch,
+            self._sequence,
+        )
         self._events.append(event)
         return event
 
-    def recent(self) -> tuple[Event, ...]:
-        """Return the kept events, oldest first."""
-        return tuple(self._events)
+    def recent(self, wanted: EventFilter = EVERY_EVENT) -> tuple[Event, ...]:
+        """Return the kept events that ``wanted`` matches, oldest first."""
+        return tuple(event for event in self._events if wanted.matches(event))
+
+
+def merge_events(events: list[Event]) -> list[Event]:
+    """Return the events of several processes in the order of their hybrid logical clocks."""
+    return sorted(events, key=lambda event: (event.at, event.counter, event.node, event.sequence))
--- a/packages/core/src/jaylatch_core/messages/administration.py
+++ b/packages/core/src/jaylatch_core/messages/administration.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration
-from jaylatch_core.events import Event
+from jaylatch_core.events import Event, EventFilter
 from jaylatch_core.ids import FailureDomainId, Generation, InstanceId
 from jaylatch_core.messages.control import Group
 from jaylatch_core.messages.membership import MemberReport, PresetState
@@ -27,7 +27,10 @@
 
 
 class StatusReport(msgspec.Struct, frozen=True, tag=True):
-    """The answer to ``ReadStatus``. ``not_in_force`` lists holders behind the log."""
+    """The answer to ``ReadStatus``. ``not_in_force`` lists holders behind the log.
+
+    ``silent`` are the instances whose lease has lapsed since the leader was elected.
+    """
 
     leader: InstanceId
     generation: Generation
@@ -39,16 +42,20 @@
     not_in_force: tuple[InstanceId, ...]
     group_downtime: float
     stranded_seconds: float
+    silent: tuple[InstanceId, ...] = ()
 
 
 class ReadEvents(msgspec.Struct, frozen=True, tag=True):
-    """Asks a process for its recent events."""
+    """Asks a process for its recent events, all or some."""
+
+    wanted: EventFilter = EventFilter()
 
 
 class EventReport(msgspec.Struct, frozen=True, tag=True):
-    """The answer to ``ReadEvents``."""
+    """The answer to ``ReadEvents``; ``dropped`` events of this run are no longer kept."""
 
     events: tuple[Event, ...]
+    dropped: int = 0
 
 
 class ReadMetrics(msgspec.Struct, frozen=True, tag=True):
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -10,6 +10,7 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.enums import Outcome, TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import AttemptId
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import (
@@ -138,7 +139,14 @@
             return
         self._board.member.in_flight += 1
         connection.send(AttemptStarted(start.attempt))
-        self._board.events.record(wall(), "attempt.started", start.attempt, start.request)
+        self._board.events.record(
+            wall(),
+            EventName.ATTEMPT_STARTED,
+            start.attempt,
+            start.request,
+            group=start.group,
+            epoch=start.epoch,
+        )
         record.task = create_task(self._run(record, start))
 
     def _reason_against(self, now: float, start: StartAttempt) -> str:
--- a/packages/node/src/jaylatch_node/agent/membership.py
+++ b/packages/node/src/jaylatch_node/agent/membership.py
@@ -8,6 +8,7 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.membership import (
     Assignment,
@@ -57,7 +58,7 @@
         """Take a target's announcement; a repeated one changes nothing."""
         if announcement != self._board.member.announcement:
             self._board.member.announcement = announcement
-            self._board.events.record(wall(), "target.announced", announcement.target)
+            self._board.events.record(wall(), EventName.TARGET_ANNOUNCED, announcement.target)
 
     def report(self, now: float) -> MemberReport:
         """Return what the lease renewal says of this instance."""
@@ -161,7 +162,12 @@
             rank = assignment.members.index(self._board.identity.instance)
             await engine.order_load(assignment, rank)
             self._board.events.record(
-                wall(), "engine.load_ordered", assignment.group, detail=str(assignment.epoch)
+                wall(),
+                EventName.ENGINE_LOAD_ORDERED,
+                assignment.group,
+                detail=str(assignment.epoch),
+                group=assignment.group,
+                epoch=assignment.epoch,
             )
 
     def _is_target_fresh(self, now: float) -> bool:
@@ -203,8 +209,9 @@
         self._was_whole = is_whole
         assignment = self._board.grant.assignment
         subject = assignment.group if assignment is not None else NO_GROUP
-        name = "group.whole" if is_whole else "group.broken"
-        self._board.events.record(wall(), name, subject)
+        name = EventName.GROUP_WHOLE if is_whole else EventName.GROUP_BROKEN
+        epoch = assignment.epoch if assignment is not None else NO_EPOCH
+        self._board.events.record(wall(), name, subject, group=subject, epoch=epoch)
         if not is_whole:
             self._on_loss()
         self._on_change()
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -7,6 +7,7 @@
 
 from jaylatch_core.clock import wall
 from jaylatch_core.enums import DrainScope, TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import Epoch, FailureDomainId, Generation, InstanceId, Term
 from jaylatch_core.messages.administration import NodeStatus, StatusReport
@@ -128,6 +129,9 @@
             tuple(self._behind(now)),
             self._measures.group_downtime,
             self._measures.stranded_seconds,
+            tuple(
+                holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
+            ),
         )
 
     def is_in_force_everywhere(self, now: float) -> bool:
@@ -272,7 +276,8 @@
             for command in commands:
                 await self._propose(command)
                 subject = str(getattr(command, "group", getattr(command, "members", "")))
-                self._board.events.record(wall(), f"plan.{type(command).__name__}", subject)
+                name = EventName(f"plan.{type(command).__name__}")
+                self._board.events.record(wall(), name, subject)
         finally:
             self._is_proposing = False
 
--- a/packages/node/src/jaylatch_node/entry/administration.py
+++ b/packages/node/src/jaylatch_node/entry/administration.py
@@ -10,7 +10,7 @@
 
 from jaylatch_core.configuration import Configuration, parse_configuration
 from jaylatch_core.enums import DrainScope, Preset
-from jaylatch_core.events import Event
+from jaylatch_core.events import Event, EventFilter, EventGap, merge_events
 from jaylatch_core.exceptions import (
     CommandRefused,
     ConfigurationInvalid,
@@ -21,6 +21,7 @@
 from jaylatch_core.ids import CommandId, Generation
 from jaylatch_core.messages.administration import (
     EventReport,
+    NodeStatus,
     ReadEvents,
     ReadStatus,
     StatusReport,
@@ -163,26 +164,46 @@
     """``GET /admin/v1/timeline``: the recent events of all processes, merged."""
 
     async def get(self) -> None:
-        """Return the events in the order of their hybrid logical clocks."""
+        """Return the wanted events in causal order, and what is missing among them."""
+        wanted = self._wanted()
+        if wanted is None:
+            return self._write(CommandRefused("since and until must be numbers of seconds"))
         status = await self._call(ReadStatus())
         if not isinstance(status, StatusReport):
             return self._write(status)
+        nodes = [item for item in status.nodes if wanted.node in ("", item.instance)]
+        reports = await gather(*(self._read(node, wanted) for node in nodes))
         events: list[Event] = []
-        unreachable = []
-        calls = [
-            self._services.peers.get(node.stream).call(ReadEvents(), EVENTS_TIMEOUT)
-            for node in status.nodes
-        ]
-        for node, result in zip(status.nodes, await gather(*calls), strict=True):
-            body = result.unwrap() if is_successful(result) else None
-            if isinstance(body, EventReport):
-                events += body.events
-            else:
-                unreachable.append(node.instance)
-        events.sort(key=lambda event: (event.at, event.counter, event.node))
-        self._write_json({"events": events, "unreachable": unreachable})
+        gaps = [EventGap(instance, is_unreachable=True) for instance in status.silent]
+        for node, report in zip(nodes, reports, strict=True):
+            if report is None:
+                gaps.append(EventGap(node.instance, is_unreachable=True))
+                continue
+            events += report.events
+            if report.dropped:
+                gaps.append(EventGap(node.instance, report.dropped))
+        self._write_json(
+            {
+                "events": merge_events(events),
+                "gaps": gaps,
+                "unreachable": [gap.node for gap in gaps if gap.is_unreachable],
+            }
+        )
         return None
 
+    async def _read(self, node: NodeStatus, wanted: EventFilter) -> EventReport | None:
+        peer = self._services.peers.get(node.stream)
+        result = await peer.call(ReadEvents(wanted), EVENTS_TIMEOUT)
+        body = result.unwrap() if is_successful(result) else None
+        return body if isinstance(body, EventReport) else None
+
+    def _wanted(self) -> EventFilter | None:
+        arguments = {name: self.get_query_argument(name) for name in self.request.query_arguments}
+        try:
+            return msgspec.convert(arguments, EventFilter, strict=False)
+        except msgspec.ValidationError:
+            return None
+
 
 def _to_toml(configuration: Configuration) -> bytes:
     return msgspec.toml.encode(configuration)
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -10,6 +10,7 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Outcome
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.ids import Epoch, GroupId, InstanceId
 from jaylatch_core.messages.journal import StoredAnswer
@@ -197,7 +198,7 @@
 
     def _record_retry(self, request: ModelRequest, refusal: AttemptRefused) -> None:
         self._board.events.record(
-            wall(), "request.retried", refusal.attempt, request.caller.id, refusal.code
+            wall(), EventName.REQUEST_RETRIED, refusal.attempt, request.caller.id, refusal.code
         )
 
 
--- a/packages/node/src/jaylatch_node/entry/handlers.py
+++ b/packages/node/src/jaylatch_node/entry/handlers.py
@@ -12,6 +12,7 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Outcome
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.ids import IdempotencyKey
 from jaylatch_core.messages.journal import StoredAnswer
@@ -91,12 +92,12 @@
 
     def _refuse(self, refusal: RequestRefused) -> None:
         self._services.board.events.record(
-            wall(), "request.refused", refusal.code, self._request_id, refusal.outcome.value
+            wall(), EventName.REQUEST_REFUSED, refusal.code, self._request_id, refusal.outcome.value
         )
         write_refusal(self, refusal, self._request_id)
 
     def _record_answer(self) -> None:
-        self._services.board.events.record(wall(), "request.answered", "", self._request_id)
+        self._services.board.events.record(wall(), EventName.REQUEST_ANSWERED, "", self._request_id)
 
 
 class CompletionHandler(CallerHandler):
@@ -164,7 +165,7 @@
     async def _end_torn(self, refusal: RequestRefused) -> None:
         """Tell a streaming caller that its answer is not whole: an error event and no end mark."""
         self._services.board.events.record(
-            wall(), "request.torn", refusal.code, self._request_id, refusal.outcome.value
+            wall(), EventName.REQUEST_TORN, refusal.code, self._request_id, refusal.outcome.value
         )
         await self._write_event({"error": problem_of(refusal, self._request_id)})
         await self.finish()
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -7,6 +7,8 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Role
+from jaylatch_core.event_names import EventName
+from jaylatch_core.ids import Generation
 from jaylatch_core.messages.membership import LeaseGrant, MemberReport, RenewLease
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_node.blackboard import Blackboard
@@ -90,17 +92,24 @@
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
         board = self._board.grant
-        latest_preset = max(grant.preset.generation, grant.preset.prepared_generation)
+        latest_preset = Generation(max(grant.preset.generation, grant.preset.prepared_generation))
         if grant.generation < board.generation or latest_preset < board.preset_generation:
             # A grant older than what this process acts under must not set it back.
             return False
         has_changed = grant.generation > board.generation or grant.preset != board.preset
         if grant.configuration is not None:
+            self._board.events.record(
+                wall(), EventName.CONFIGURATION_CHANGED, generation=grant.generation
+            )
             board.configuration = grant.configuration
             board.generation = grant.generation
         if grant.preset != board.preset:
             self._board.events.record(
-                wall(), "preset.changed", grant.preset.preset.value, detail=str(latest_preset)
+                wall(),
+                EventName.PRESET_CHANGED,
+                grant.preset.preset.value,
+                detail=str(latest_preset),
+                generation=latest_preset,
             )
         board.preset = grant.preset
         if grant.view is not None:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -5,7 +5,9 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from jaylatch_core.clock import wall
 from jaylatch_core.enums import Role
+from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import Incarnation
 from jaylatch_core.messages.administration import (
@@ -75,6 +77,10 @@
 
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
+        roles = ", ".join(role.value for role in self._settings.roles)
+        self._events.record(
+            wall(), EventName.PROCESS_STARTED, self._board.identity.incarnation, detail=roles
+        )
         host, port = split_address(self._settings.stream)
         self._server.listen(port, host)
         self._client.connect()
@@ -85,6 +91,7 @@
 
     def stop(self) -> None:
         """Stop all roles and close all streams."""
+        self._events.record(wall(), EventName.PROCESS_STOPPED, self._board.identity.incarnation)
         self._leases.stop()
         for role in (self._entry, self._agent, self._control):
             if role is not None:
@@ -104,8 +111,9 @@
                 self._leases.renew_now()
             case ReadMetrics():
                 connection.reply(call, MetricsReport(self._board.metrics.text()))
-            case ReadEvents():
-                connection.reply(call, EventReport(self._events.recent()))
+            case ReadEvents(wanted):
+                report = EventReport(self._events.recent(wanted), self._events.dropped)
+                connection.reply(call, report)
             case _:
                 self._handle_role_body(connection, call, body)
 
