--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from jaylatch_core.clock import wall
-from jaylatch_core.enums import DrainScope, TargetKind
+from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import Epoch, FailureDomainId, Generation, InstanceId, Term
@@ -79,15 +79,14 @@
         self._leases.grant(now, renewal)
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
-        self._refresh_view(now)
         has_configuration = renewal.configuration == self._state.generation
-        has_view = renewal.view == self._view.version
+        needs_view = Role.ENTRY in renewal.roles and renewal.view != self._view.version
         return LeaseGrant(
             self._leases.duration,
             self._state.generation,
             self._state.preset,
             None if has_configuration else self._state.configuration,
-            None if has_view else self._view,
+            self._view if needs_view else None,
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
         )
--- /dev/null
+++ b/tools/reference.py
@@ -0,0 +1,328 @@
+"""Writes docs/reference/ from the code; with --check only says which pages are not up to date."""
+
+import ast
+import os
+import subprocess
+import sys
+from argparse import ArgumentParser
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from jaylatch_core import exceptions
+from jaylatch_core.configuration import Configuration
+from jaylatch_core.event_names import EventName
+from jaylatch_core.settings import NodeSettings
+
+ROOT = Path(__file__).resolve().parent.parent
+FOLDER = ROOT / "docs" / "reference"
+SOURCES = sorted(ROOT.glob("packages/*/src/**/*.py"))
+HELP_WIDTH = "96"
+NOTE = "<!-- Made by tools/reference.py; do not edit. -->\n"
+BOUNDS = (("gt", ">"), ("ge", ">="), ("lt", "<"), ("le", "<="), ("multiple_of", "multiple of"))
+METRIC_KINDS = {"counter": "counter", "gauge": "gauge", "timer": "summary, seconds"}
+METRIC_SUFFIXES = {"counter": "_total", "gauge": "", "timer": "_seconds"}
+LEVELS = {"error": "error", "warning": "warning"}
+
+
+def table(heads: tuple[str, ...], rows: list[tuple[str, ...]]) -> str:
+    """Return a Markdown table."""
+    lines = [heads, tuple("---" for _ in heads), *rows]
+    cells = ([cell.replace("|", "\\|").replace("\n", " ") for cell in line] for line in lines)
+    return "\n".join(f"| {' | '.join(line)} |" for line in cells) + "\n"
+
+
+# Settings and configuration
+
+
+def structure_page(title: str, intro: str, root: type[msgspec.Struct]) -> str:
+    """Return the page of a TOML document: one section for each table."""
+    parts = [f"# {title}\n\n{NOTE}\n{intro}\n"]
+    for path, structure in structures(root, ""):
+        parts.append(f"\n## {f'`{path}`' if path else 'Top level'}\n\n{description(structure)}\n\n")
+        rows = [field_row(field) for field in msgspec.structs.fields(structure)]
+        parts.append(table(("key", "type", "unit", "default", "bounds"), rows))
+    return "".join(parts)
+
+
+def structures(root: type[msgspec.Struct], path: str) -> Iterator[tuple[str, type[msgspec.Struct]]]:
+    """Yield each structure of a document with its path."""
+    yield path, root
+    for field in msgspec.structs.fields(root):
+        inner = msgspec.inspect.type_info(field.type)
+        name = f"{path}.{field.encode_name}".strip(".")
+        if isinstance(inner, msgspec.inspect.VarTupleType):
+            inner = inner.item_type
+            name = f"{name}[]"
+        if isinstance(inner, msgspec.inspect.StructType):
+            yield from structures(inner.cls, name)
+
+
+def field_row(field: msgspec.structs.FieldInfo) -> tuple[str, ...]:
+    """Return the row of one key."""
+    info = msgspec.inspect.type_info(field.type)
+    unit = ""
+    if isinstance(info, msgspec.inspect.Metadata):
+        unit = (info.extra or {}).get("unit", "")
+        info = info.type
+    default = "required" if field.required else f"`{toml_value(field.default)}`"
+    return f"`{field.encode_name}`", type_name(info), unit, default, bounds(info)
+
+
+def type_name(info: msgspec.inspect.Type) -> str:
+    """Return the type of a key as TOML's users say it."""
+    match info:
+        case msgspec.inspect.EnumType(cls=choices):
+            return "one of " + ", ".join(f"`{item.value}`" for item in choices)
+        case msgspec.inspect.VarTupleType(item_type=item):
+            return f"array of {type_name(item)}"
+        case msgspec.inspect.StructType():
+            return "table"
+        case _:
+            return type(info).__name__.removesuffix("Type").lower().replace("str", "string")
+
+
+def bounds(info: msgspec.inspect.Type) -> str:
+    """Return the bounds of a key."""
+    found = [
+        f"{sign} {getattr(info, name)}"
+        for name, sign in BOUNDS
+        if getattr(info, name, None) is not None
+    ]
+    for name, text in (("min_length", "at least {} characters"), ("max_length", "at most {}")):
+        length = getattr(info, name, None)
+        if length is not None:
+            found.append(text.format(length))
+    return ", ".join(found)
+
+
+def toml_value(value: Any) -> str:
+    """Return a default as it would stand in TOML."""
+    match value:
+        case msgspec.Struct():
+            return "table of the defaults below"
+        case tuple() if value and isinstance(value[0], msgspec.Struct):
+            items = [msgspec.to_builtins(item) for item in value]
+            return "[" + ", ".join(inline_table(item) for item in items) + "]"
+        case tuple():
+            return "[" + ", ".join(toml_value(item) for item in value) + "]"
+        case str():
+            return f'"{getattr(value, "value", value)}"'
+        case bool():
+            return str(value).lower()
+        case _:
+            return str(value)
+
+
+def inline_table(item: dict[str, Any]) -> str:
+    """Return a TOML inline table."""
+    return "{ " + ", ".join(f"{key} = {toml_value(value)}" for key, value in item.items()) + " }"
+
+
+def description(item: Any) -> str:
+    """Return a docstring as running text."""
+    lines = (item.__doc__ or "").strip().splitlines()
+    return "\n".join(line.strip() for line in lines).replace("``", "`")
+
+
+# Pages from the code's text
+
+
+def calls(path: Path) -> Iterator[ast.Call]:
+    """Yield every call in a module."""
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Call):
+            yield node
+
+
+def text_of(node: ast.expr | None) -> str:
+    """Return a literal string's value; of another expression, its source."""
+    if isinstance(node, ast.Constant):
+        return str(node.value)
+    return ast.unparse(node) if node is not None else ""
+
+
+def called_name(call: ast.Call) -> str:
+    """Return the last part of the called name."""
+    return call.func.attr if isinstance(call.func, ast.Attribute) else text_of(call.func)
+
+
+def metrics_page() -> str:
+    """Return the page of all metrics."""
+    rows = []
+    for path in SOURCES:
+        for call in calls(path):
+            name = called_name(call)
+            is_metric = name in METRIC_KINDS and len(call.args) >= 2
+            if not is_metric or not isinstance(call.args[0], ast.Constant):
+                continue
+            labels = ", ".join(ast.literal_eval(call.args[2])) if len(call.args) > 2 else ""
+            full = f"`jaylatch_{text_of(call.args[0])}{METRIC_SUFFIXES[name]}`"
+            rows.append((full, METRIC_KINDS[name], labels, text_of(call.args[1])))
+    intro = (
+        "An entry serves its metrics at `/metrics` in the Prometheus text form; every process\n"
+        "answers the stream message `ReadMetrics` with the same text.\n\n"
+    )
+    return f"# Metrics\n\n{NOTE}\n{intro}" + table(
+        ("name", "kind", "labels", "meaning"), sorted(set(rows))
+    )
+
+
+def checks_page() -> str:
+    """Return the page of all checks of settings and documents."""
+    rows = []
+    for path in SOURCES:
+        for function in ast.walk(ast.parse(path.read_text())):
+            if not isinstance(function, ast.FunctionDef):
+                continue
+            for call in ast.walk(function):
+                if isinstance(call, ast.Call) and called_name(call) in LEVELS and call.args:
+                    identifier = text_of(call.args[0])
+                    meaning = (ast.get_docstring(function) or "").splitlines()
+                    rows.append((identifier, LEVELS[called_name(call)], " ".join(meaning[:1])))
+    named = {"SYNTAX", "UNKNOWN_KEY", "WRONG_VALUE", "MISSING_KEY", "UNREADABLE"}
+    rows = [row for row in rows if "." in row[0] and row[0] not in named]
+    rows += [
+        ("documents.E000", "error", "The file cannot be read."),
+        ("documents.E001", "error", "The document is not TOML; the text names the line."),
+        ("documents.E002", "error", "The key does not exist."),
+        ("documents.E003", "error", "The value has the wrong type or lies outside its bounds."),
+        ("documents.E004", "error", "A required key is missing."),
+    ]
+    intro = (
+        "`jaylatchd --check` and `jaylatch checks` run all of them and show every finding.\n"
+        "An error prevents the start.\n\n"
+    )
+    return f"# Checks\n\n{NOTE}\n{intro}" + table(
+        ("id", "level", "what it holds"), sorted(set(rows))
+    )
+
+
+def events_page() -> str:
+    """Return the page of all events."""
+    rows = [(f"`{name.value}`", name.documentation) for name in EventName]
+    return f"# Events\n\n{NOTE}\n" + table(("name", "meaning"), rows)
+
+
+def errors_page() -> str:
+    """Return the page of all failures and of the refusals that callers see."""
+    failures = [
+        (f"`{name}`", description(item).splitlines()[0])
+        for name, item in sorted(vars(exceptions).items())
+        if isinstance(item, type)
+        and issubclass(item, exceptions.Failure)
+        and item is not exceptions.Failure
+    ]
+    refusals = sorted(set(refusal_rows()))
+    intro = (
+        "A caller's refusal is `application/problem+json`; its `title` is the code and its\n"
+        "`outcome` says what ran: `not_run`, `ran` or `unknown`. `as proven` stands where the\n"
+        "outcome depends on what the agent has proven.\n\n## Refusals that callers see\n\n"
+    )
+    return (
+        f"# Errors\n\n{NOTE}\n{intro}"
+        + table(("code", "status", "what ran"), refusals)
+        + "\n## Failures\n\n"
+        + table(("name", "meaning"), failures)
+    )
+
+
+def refusal_rows() -> Iterator[tuple[str, ...]]:
+    """Yield the code, status and outcome of each refusal that the node makes."""
+    for path in SOURCES:
+        for call in calls(path):
+            values = [text_of(item) for item in call.args]
+            literal = [isinstance(item, ast.Constant) for item in call.args]
+            match called_name(call):
+                case "RequestRefused" if len(values) >= 4 and literal[2]:
+                    yield f"`{values[2]}`", values[1], outcome_of(values[3])
+                case "fail" if len(values) >= 2 and literal[0]:
+                    yield f"`{values[0]}`", "502", outcome_of(values[1])
+                case "_refuse" if len(values) >= 4 and literal[2]:
+                    yield f"`{values[2]}`", "502", outcome_of(values[3])
+    yield from not_started_rows()
+
+
+def not_started_rows() -> Iterator[tuple[str, ...]]:
+    """Yield the reasons for which an agent does not start an attempt."""
+    for path in SOURCES:
+        for function in ast.walk(ast.parse(path.read_text())):
+            if isinstance(function, ast.FunctionDef) and function.name == "_reason_against":
+                for node in ast.walk(function):
+                    if isinstance(node, ast.Return) and text_of(node.value):
+                        yield f"`{text_of(node.value)}`", "502", "`not_run`"
+
+
+def outcome_of(text: str) -> str:
+    """Return an outcome as callers see it."""
+    is_literal = text.startswith("Outcome.")
+    return f"`{text.removeprefix('Outcome.').lower()}`" if is_literal else "as proven"
+
+
+def commands_page() -> str:
+    """Return the help of every command."""
+    folder = ROOT / "packages/cli/src/jaylatch_cli/management/commands"
+    names = sorted(path.stem for path in folder.glob("*.py") if path.stem != "__init__")
+    parts = [f"# Commands\n\n{NOTE}"]
+    parts += [
+        help_of("jaylatchd", "jaylatch_node.daemon"),
+        help_of("jaylatch", "jaylatch_cli.main"),
+    ]
+    parts += [help_of(f"jaylatch {name}", "jaylatch_cli.main", name) for name in names]
+    return "".join(parts)
+
+
+def help_of(title: str, module: str, *arguments: str) -> str:
+    """Return the section of one command."""
+    done = subprocess.run(
+        [sys.executable, "-m", module, *arguments, "--help"],
+        env={**os.environ, "COLUMNS": HELP_WIDTH},
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    return f"\n## `{title}`\n\n```text\n{done.stdout.strip()}\n```\n"
+
+
+def pages() -> dict[str, str]:
+    """Return every generated page by its file name."""
+    settings = (
+        "The daemon reads one TOML file; every key has a default. Unknown keys are refused.\n"
+        "The checks of combinations are in [checks.md](checks.md)."
+    )
+    configuration = (
+        "The document that operators replace as a whole with `jaylatch config apply`. Unknown\n"
+        "keys are refused, and nothing is changed then."
+    )
+    return {
+        "settings.md": structure_page("Settings of a process", settings, NodeSettings),
+        "configuration.md": structure_page("Configuration", configuration, Configuration),
+        "commands.md": commands_page(),
+        "events.md": events_page(),
+        "metrics.md": metrics_page(),
+        "errors.md": errors_page(),
+        "checks.md": checks_page(),
+    }
+
+
+def main() -> int:
+    """Write the pages, or compare them; returns 1 if one is not up to date."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    is_check = parser.parse_args().check
+    stale = []
+    for name, text in pages().items():
+        path = FOLDER / name
+        if not path.exists() or path.read_text() != text:
+            stale.append(name)
+            if not is_check:
+                path.write_text(text)
+    if is_check and stale:
+        print(f"not up to date: {', '.join(stale)}; run: make reference", file=sys.stderr)
+    return 1 if is_check and stale else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
