--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -93,11 +93,12 @@
 
     def tick(self, now: float) -> None:
         """Measure, tell the nodes of changes, and propose what the plan asks for."""
-        self._measure(now)
+        facts = self._facts(now)
+        self._measure(now, facts)
         self._refresh_view(now)
         self._announce_changes()
         if not self._is_proposing:
-            commands = self._wanted_commands(now)
+            commands = self._wanted_commands(now, facts)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
@@ -225,27 +226,28 @@
 
     # Proposals
 
-    def _wanted_commands(self, now: float) -> list[ControlCommand]:
+    def _wanted_commands(self, now: float, facts: list[InstanceFacts]) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
         if preset.prepared_generation and self.is_in_force_everywhere(now):
             commands.append(CommitPreset(preset.prepared_generation))
         if now >= self._plan_from:
-            commands += plan_groups(self._plan_input(now))
+            commands += plan_groups(self._plan_input(facts))
         return commands
 
-    def _plan_input(self, now: float) -> PlanInput:
+    def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
         state = self._state
         return PlanInput(
             state.configuration,
             state.configuration.policy(state.preset.preset),
             tuple(state.groups.values()),
             dict(state.occupied),
-            tuple(self._facts(now)),
+            tuple(facts),
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
         facts = []
+        leaving = self._members_of_drained_groups()
         for holder in self._leases.all():
             renewal = holder.renewal
             member = renewal.member
@@ -257,7 +259,8 @@
                     renewal.instance,
                     renewal.failure_domain,
                     is_heard and member.is_target_healthy,
-                    self._is_instance_leaving(renewal.instance, renewal.failure_domain),
+                    renewal.instance in leaving
+                    or self._is_drained(renewal.instance, renewal.failure_domain),
                     member.epoch,
                     member.is_serving,
                     member.in_flight,
@@ -265,10 +268,13 @@
             )
         return facts
 
-    def _is_instance_leaving(self, instance: InstanceId, domain: FailureDomainId) -> bool:
-        group = self._state.group_of(instance)
-        is_group_drained = group is not None and (DrainScope.GROUP, group.id) in self._state.drains
-        return is_group_drained or self._is_drained(instance, domain)
+    def _members_of_drained_groups(self) -> set[InstanceId]:
+        return {
+            member
+            for group in self._state.groups.values()
+            if (DrainScope.GROUP, group.id) in self._state.drains
+            for member in group.members
+        }
 
     async def _propose_all(self, commands: list[ControlCommand]) -> None:
         try:
@@ -282,12 +288,11 @@
 
     # Measures
 
-    def _measure(self, now: float) -> None:
+    def _measure(self, now: float, facts: list[InstanceFacts]) -> None:
         elapsed = now - self._measures.measured_at
         self._measures.measured_at = now
         if now < self._plan_from:
             return
-        facts = self._facts(now)
         serving = {
             item.instance: item.epoch for item in facts if item.is_usable and item.is_serving
         }
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -21,6 +21,7 @@
 from jaylatch_node.streams.traffic import Traffic
 
 READ_SIZE = 64 * 1024
+INITIAL_BUFFER_SIZE = 4 * 1024
 MAXIMUM_FRAME_SIZE = 32 * 1024 * 1024
 
 BodyHandler = Callable[["StreamConnection", int, Body], None]
@@ -46,7 +47,9 @@
         self._traffic = traffic
         self._handler = handler
         self._packer = Packer()
-        self._unpacker = Unpacker(max_buffer_size=MAXIMUM_FRAME_SIZE)
+        # The unpacker walks through its whole first buffer before it reuses it, and a process may
+        # hold a thousand connections that carry small frames.
+        self._unpacker = Unpacker(max_buffer_size=MAXIMUM_FRAME_SIZE, read_size=INITIAL_BUFFER_SIZE)
         self._last_call = 0
         self._calls: dict[int, Future[CallResult]] = {}
         self._outgoing: list[bytes] = []
