Tell only the nodes that a change concerns

Cause: each repair or new group made every holder of a lease renew at once. Change: a change of groups is announced to the members that it touches and to the entries; a configuration, a preset or a drain still to all.

--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -2,6 +2,7 @@
 
 from asyncio import create_task
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -43,6 +44,14 @@
     measured_at: float = 0.0
 
 
+class _Announced(NamedTuple):
+    """What the nodes have been told of. ``shared`` concerns all of them."""
+
+    view: int = 0
+    shared: object = None
+    groups: frozenset[Group] = frozenset()
+
+
 class LeaderController:
     """Exists for one term of leadership of the control log."""
 
@@ -65,7 +74,7 @@
         self._renewed_at: dict[InstanceId, float] = {}
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
-        self._announced: object = None
+        self._announced = _Announced()
         self._is_proposing = False
         self._measures = _Measures(measured_at=now)
 
@@ -211,18 +220,27 @@
         return holder.renewal.failure_domain if holder is not None else FailureDomainId("")
 
     def _announce_changes(self) -> None:
-        current = (
+        """Tell the nodes that a change concerns, so that a repair does not make all renew."""
+        current = _Announced(
             self._view.version,
-            self._state.generation,
-            self._state.preset,
-            tuple(self._state.groups.values()),
-            frozenset(self._state.drains),
+            (self._state.generation, self._state.preset, frozenset(self._state.drains)),
+            frozenset(self._state.groups.values()),
         )
-        if current == self._announced:
+        announced, self._announced = self._announced, current
+        if current == announced:
             return
-        self._announced = current
-        for connection in self._connections.values():
-            connection.send(ViewChanged(self._view.version))
+        members = {
+            member for group in current.groups ^ announced.groups for member in group.members
+        }
+        is_for_all = current.shared != announced.shared
+        is_for_entries = current.view != announced.view
+        for instance, connection in self._connections.items():
+            if is_for_all or instance in members or (is_for_entries and self._is_entry(instance)):
+                connection.send(ViewChanged(self._view.version))
+
+    def _is_entry(self, instance: InstanceId) -> bool:
+        holder = self._leases.known(instance)
+        return holder is not None and Role.ENTRY in holder.renewal.roles
 
     # Proposals
 
--- a/packages/standins/src/jaylatch_standins/bench/capacity.py
+++ b/packages/standins/src/jaylatch_standins/bench/capacity.py
@@ -27,6 +27,7 @@
     "sent_messages": "1/s",
     "received_messages": "1/s",
     "seconds_to_force": "s",
+    "seconds_to_form": "s",
 }
 
 Sizes = Mapping[str, float]
--- a/packages/standins/src/jaylatch_standins/bench/capacity_agents.py
+++ b/packages/standins/src/jaylatch_standins/bench/capacity_agents.py
@@ -31,13 +31,14 @@
 
 async def measure_agents(folder: Path, agents: int, emit: Emit) -> None:
     """Emit what the control instances and an entry use while nothing changes."""
-    cluster, groups = await _start(folder, agents)
+    cluster, groups, seconds = await _start(folder, agents)
     try:
         sizes = {"agents": agents, "groups": groups, "entries": 1}
         meter = await Meter.start(cluster, await control_roles(cluster))
         await sleep(WINDOW)
         for role, usage in (await meter.read()).items():
             emit("agents", role, sizes, usage)
+        emit("agents", "all", sizes, {"seconds_to_form": seconds})
         seconds = await _time_change(cluster, 1)
         emit("agents", "all", sizes, {"seconds_to_force": seconds})
     finally:
@@ -46,7 +47,7 @@
 
 async def measure_changes(folder: Path, rate: float, emit: Emit) -> None:
     """Emit the same while the configuration changes ``rate`` times a second."""
-    cluster, groups = await _start(folder, AGENTS_FOR_CHANGES)
+    cluster, groups, _ = await _start(folder, AGENTS_FOR_CHANGES)
     try:
         sizes = {"agents": AGENTS_FOR_CHANGES, "groups": groups, "entries": 1, "changes": rate}
         meter = await Meter.start(cluster, await control_roles(cluster))
@@ -60,8 +61,8 @@
         cluster.stop()
 
 
-async def _start(folder: Path, agents: int) -> tuple[Cluster, int]:
-    """Start a deployment whose agents are stand-ins; returns it and the number of groups.
+async def _start(folder: Path, agents: int) -> tuple[Cluster, int, float]:
+    """Start a deployment whose agents are stand-ins; returns it, its groups and the seconds.
 
     On a busy machine some groups are always in repair, so a share of them is enough.
     """
@@ -76,13 +77,13 @@
         cluster.start_helper(f"agents-{first}", [*command, "--domains", str(DOMAINS)])
     groups = DOMAINS * ((agents // DOMAINS - 1) // INSTANCES_PER_GROUP)
     try:
-        await wait_for_groups(cluster, int(groups * FORMED_SHARE), FORMATION_TIMEOUT)
+        seconds = await wait_for_groups(cluster, int(groups * FORMED_SHARE), FORMATION_TIMEOUT)
         await sleep(SETTLE_TIME)
         formed = len((await operator_of(cluster).get("status"))["groups"])
     except BaseException:
         cluster.stop()
         raise
-    return cluster, formed
+    return cluster, formed, seconds
 
 
 async def _time_change(cluster: Cluster, number: int) -> float:
