--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -36,6 +36,18 @@
         "request.retried",
         "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
     )
+    REQUEST_DROPPED = (
+        "request.dropped",
+        "Admission gave up a waiting request; the subject is the reason, the detail the advice.",
+    )
+    STORAGE_SET_ASIDE = (
+        "storage.set_aside",
+        "A control instance set a damaged log file aside; the subject is the file.",
+    )
+    STORAGE_RECOVERING = (
+        "storage.recovering",
+        "A control instance takes a log anew from its peers; the subject is the log.",
+    )
     ATTEMPT_STARTED = (
         "attempt.started",
         "An agent handed an attempt to its target; the subject is the attempt.",
