--- a/packages/standins/src/jaylatch_standins/bench/capacity.py
+++ b/packages/standins/src/jaylatch_standins/bench/capacity.py
@@ -37,7 +37,7 @@
 Step = Callable[[Path], Coroutine[Any, Any, None]]
 """Measures one size in a deployment under the given folder."""
 
-AGENTS = (40, 80, 160, 320)
+AGENTS = (40, 80, 160, 320, 640, 1280)
 CHANGE_RATES = (0.0, 1.0, 2.0)
 ENTRIES = (0, 90, 180, 360)
 LOADS = ((5.0, 10), (5.0, 40), (15.0, 10), (15.0, 40))
