Measure the policy of the entries under load beside baselines

Cause: nothing measures what the entries' policy is worth. Change: a benchmark sends seeded Poisson arrivals of three kinds with deadlines through two entries per policy to the same four stand-in engines; the baselines (round robin, least loaded, two random choices without admission) are chosen by a setting of the entry.

--- a/packages/core/src/jaylatch_core/enums.py
+++ b/packages/core/src/jaylatch_core/enums.py
@@ -67,3 +67,12 @@
     INSTANCE = "instance"
     GROUP = "group"
     FAILURE_DOMAIN = "failure_domain"
+
+
+class EntryPolicy(Enum):
+    """How an entry chooses targets; all but ``ADAPTIVE`` are baselines without admission."""
+
+    ADAPTIVE = "adaptive"
+    NO_ADMISSION = "no_admission"
+    ROUND_ROBIN = "round_robin"
+    LEAST_LOADED = "least_loaded"
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -9,7 +9,7 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from jaylatch_core.enums import Role
+from jaylatch_core.enums import EntryPolicy, Role
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.ids import FailureDomainId, InstanceId
 
@@ -48,13 +48,14 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role that faces callers and operators."""
+    """The role that faces callers and operators. ``policy`` is ``adaptive`` but for comparisons."""
 
     http: str = "127.0.0.1:8080"
     body_limit: int = 4 * MEBIBYTE
     answer_limit: int = 16 * MEBIBYTE
     default_deadline: float = 30.0
     operator_token_hashes: tuple[str, ...] = ()
+    policy: EntryPolicy = EntryPolicy.ADAPTIVE
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/decisions/src/jaylatch_decisions/routing/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/routing/__init__.py
@@ -1,5 +1,10 @@
 """Choice of the target of an attempt."""
 
-from jaylatch_decisions.routing.choice import Candidate, choose_candidate
+from jaylatch_decisions.routing.choice import (
+    Candidate,
+    choose_candidate,
+    choose_in_turn,
+    choose_least_loaded,
+)
 
-__all__ = ["Candidate", "choose_candidate"]
+__all__ = ["Candidate", "choose_candidate", "choose_in_turn", "choose_least_loaded"]
--- a/packages/decisions/src/jaylatch_decisions/routing/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/routing/choice.py
@@ -30,6 +30,18 @@
     return min(picks, key=_load)
 
 
+def choose_in_turn(candidates: list[Candidate], turn: int) -> Candidate | None:
+    """Return the open candidate whose turn it is, whatever its load (a baseline)."""
+    open_candidates = [item for item in candidates if item.is_admitting and not _is_full(item)]
+    return open_candidates[turn % len(open_candidates)] if open_candidates else None
+
+
+def choose_least_loaded(candidates: list[Candidate]) -> Candidate | None:
+    """Return the open candidate with the least known load (a baseline)."""
+    open_candidates = [item for item in candidates if item.is_admitting and not _is_full(item)]
+    return min(open_candidates, key=_load, default=None)
+
+
 def _load(candidate: Candidate) -> float:
     return max(candidate.own_in_flight, candidate.reported_in_flight) / candidate.limit
 
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from jaylatch_core.clock import monotonic, wall
-from jaylatch_core.enums import Outcome
+from jaylatch_core.enums import EntryPolicy, Outcome
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.ids import Epoch, GroupId, InstanceId
 from jaylatch_core.messages.journal import StoredAnswer
@@ -21,7 +21,12 @@
     StartAttempt,
     TargetReport,
 )
-from jaylatch_decisions.routing import Candidate, choose_candidate
+from jaylatch_decisions.routing import (
+    Candidate,
+    choose_candidate,
+    choose_in_turn,
+    choose_least_loaded,
+)
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.entry.agents import REPORT_TIMEOUT, AgentLinks
 from jaylatch_node.entry.open_attempt import AttemptItem, OpenAttempt
@@ -37,10 +42,14 @@
 class Dispatcher:
     """Runs requests on targets."""
 
-    def __init__(self, board: Blackboard, links: AgentLinks, random: Random) -> None:
+    def __init__(
+        self, board: Blackboard, links: AgentLinks, random: Random, policy: EntryPolicy
+    ) -> None:
         self._board = board
         self._links = links
         self._random = random
+        self._policy = policy
+        self._turn = 0
 
     async def complete(
         self, request: ModelRequest
@@ -183,9 +192,19 @@
         else:
             routes = {item.instance: item for item in view.services if item.service == service}
         candidates = [self._candidate(now, instance) for instance in routes]
-        chosen = choose_candidate(candidates, self._random)
+        chosen = self._pick(candidates)
         return routes[chosen.instance] if chosen is not None else None
 
+    def _pick(self, candidates: list[Candidate]) -> Candidate | None:
+        match self._policy:
+            case EntryPolicy.ROUND_ROBIN:
+                self._turn += 1
+                return choose_in_turn(candidates, self._turn)
+            case EntryPolicy.LEAST_LOADED:
+                return choose_least_loaded(candidates)
+            case _:
+                return choose_candidate(candidates, self._random)
+
     def _candidate(self, now: float, instance: InstanceId) -> Candidate:
         target = self._board.target(instance)
         report = target.report
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -47,7 +47,7 @@
         self._settings = settings
         self._board = board
         self._links = AgentLinks(board, peers)
-        dispatcher = Dispatcher(board, self._links, random)
+        dispatcher = Dispatcher(board, self._links, random, settings.entry.policy)
         orders = OrderController(client, dispatcher, self._links)
         callers = {"services": EntryServices(board, dispatcher, orders)}
         operators = {
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/bench/policy_workload.py
@@ -0,0 +1,132 @@
+"""Seeded workloads of the policy benchmark, and the offline bound on their service."""
+
+from dataclasses import dataclass
+from random import Random
+
+TOKEN_TIME = 0.04
+PREFILL_PER_CHARACTER = 0.0001
+SLOTS_PER_ENGINE = 4
+SMALL_ACCOUNTS = tuple(f"shop-{number}" for number in range(1, 10))
+GREEDY_ACCOUNT = "greedy"
+ACCOUNTS = (GREEDY_ACCOUNT, *SMALL_ACCOUNTS)
+LONG_PROMPT = 2000
+PREFIX = "The shop sells clippers, blades, dyes and chairs to salons.     "
+
+
+@dataclass(frozen=True)
+class RequestKind:
+    """A kind of request; ``deadline`` is in seconds, ``frequency`` relative to the others."""
+
+    name: str
+    weight: float
+    deadline: float
+    tokens: int
+    characters: int
+    frequency: float
+
+
+KINDS = (
+    RequestKind("draft", 1.0, 2.0, 6, 120, 0.5),
+    RequestKind("mix", 2.0, 1.2, 4, 80, 0.3),
+    RequestKind("summary", 1.5, 4.0, 10, 600, 0.2),
+)
+LONG_KIND = RequestKind("summary", 1.5, 4.0, 10, LONG_PROMPT, 0.2)
+
+
+@dataclass(frozen=True)
+class Workload:
+    """What to send: ``load`` is relative to capacity, ``greedy`` extra load of one account."""
+
+    load: float
+    greedy: float = 0.0
+    has_long_prompts: bool = False
+    has_shared_prefix: bool = False
+
+
+WORKLOADS = {
+    "counter-1x": Workload(0.9),
+    "rush-1.5x": Workload(1.5),
+    "rush-2x": Workload(2.0),
+    "rush-4x": Workload(4.0),
+    "small-alone": Workload(0.6),
+    "small-greedy": Workload(0.6, greedy=2.0),
+    "long-prompts": Workload(1.5, has_long_prompts=True),
+    "shared-prefix": Workload(1.5, has_shared_prefix=True),
+}
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """One request at ``at`` seconds after the start, sent to entry ``entry``."""
+
+    at: float
+    entry: int
+    account: str
+    kind: RequestKind
+    prompt: str
+
+    @property
+    def work(self) -> float:
+        """Return the seconds for which it holds a slot of an idle engine."""
+        prefill = len(self.prompt) * PREFILL_PER_CHARACTER
+        return prefill + self.kind.tokens * TOKEN_TIME
+
+
+def mean_work(kinds: tuple[RequestKind, ...]) -> float:
+    """Return the mean slot time of a request in seconds."""
+    return sum(
+        kind.frequency * (kind.tokens * TOKEN_TIME + kind.characters * PREFILL_PER_CHARACTER)
+        for kind in kinds
+    )
+
+
+def make_arrivals(workload: Workload, seed: int, duration: float, slots: int) -> list[Arrival]:
+    """Return Poisson arrivals in the order of time, alternating over two entries by chance."""
+    random = Random(f"{workload}/{seed}")
+    kinds = (*KINDS[:2], LONG_KIND) if workload.has_long_prompts else KINDS
+    capacity = slots / mean_work(kinds)
+    arrivals = _stream(random, workload, kinds, workload.load * capacity, duration, ())
+    if workload.greedy:
+        greedy = (GREEDY_ACCOUNT,)
+        extra = Random(f"greedy/{seed}")
+        arrivals += _stream(extra, workload, kinds, workload.greedy * capacity, duration, greedy)
+    return sorted(arrivals, key=lambda arrival: arrival.at)
+
+
+def _stream(
+    random: Random,
+    workload: Workload,
+    kinds: tuple[RequestKind, ...],
+    rate: float,
+    duration: float,
+    accounts: tuple[str, ...],
+) -> list[Arrival]:
+    arrivals: list[Arrival] = []
+    at = random.expovariate(rate)
+    frequencies = [kind.frequency for kind in kinds]
+    while at < duration:
+        kind = random.choices(kinds, frequencies)[0]
+        head = PREFIX if workload.has_shared_prefix else f"{random.random():<64}"
+        prompt = f"{head}{len(arrivals):05}".ljust(kind.characters, ".")
+        account = random.choice(accounts or SMALL_ACCOUNTS)
+        arrivals.append(Arrival(at, random.randrange(2), account, kind, prompt))
+        at += random.expovariate(rate)
+    return arrivals
+
+
+def offline_bound(arrivals: list[Arrival], slots: int) -> float:
+    """Return a bound on the weighted service that no schedule of the arrivals can pass.
+
+    A fractional knapsack: the requests in the order of weight per slot second fill the slot seconds
+    from the first arrival to the last deadline. It ignores when each request must run.
+    """
+    begin = min(arrival.at for arrival in arrivals)
+    end = max(arrival.at + arrival.kind.deadline for arrival in arrivals)
+    left = slots * (end - begin)
+    served = 0.0
+    ordered = sorted(arrivals, key=lambda item: item.kind.weight / item.work, reverse=True)
+    for arrival in ordered:
+        share = min(left / arrival.work, 1.0)
+        served += share * arrival.kind.weight
+        left -= share * arrival.work
+    return served
--- a/packages/standins/src/jaylatch_standins/caller.py
+++ b/packages/standins/src/jaylatch_standins/caller.py
@@ -39,7 +39,14 @@
         self._client = AsyncHTTPClient(max_clients=CLIENTS)
 
     async def complete(
-        self, model: str, prompt: str, tokens: int, *, is_streamed: bool, timeout: float = 30.0
+        self,
+        model: str,
+        prompt: str,
+        tokens: int,
+        *,
+        is_streamed: bool,
+        timeout: float = 30.0,
+        kind: str = "",
     ) -> CallerOutcome:
         """Ask for a completion and check the answer against what every engine generates."""
         body = {"model": model, "prompt": prompt, "max_tokens": tokens, "stream": is_streamed}
@@ -49,7 +56,7 @@
             "/v1/completions",
             msgspec.json.encode(body),
             timeout,
-            {},
+            {"X-Request-Kind": kind} if kind else {},
             reader if is_streamed else None,
         )
         if not is_streamed or (response.code != 200):
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -5,6 +5,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -16,7 +17,10 @@
 
 @dataclass
 class ClusterPlan:
-    """What to start. ``engines`` and ``services`` are per failure domain."""
+    """What to start. ``engines`` and ``services`` are per failure domain.
+
+    ``entry_policies`` gives each entry its policy in turn; without it all keep the default.
+    """
 
     controls: int = 3
     entries: int = 2
@@ -26,6 +30,7 @@
     engine_options: tuple[str, ...] = ()
     service_options: tuple[str, ...] = ()
     has_fencing: bool = True
+    entry_policies: tuple[str, ...] = ()
 
 
 @dataclass
@@ -168,7 +173,7 @@
         http: str,
         peers: list[dict[str, str]],
     ) -> Node:
-        settings = {
+        settings: dict[str, Any] = {
             "instance": name,
             "failure_domain": f"domain-{domain}",
             "roles": [role],
@@ -181,6 +186,9 @@
         }
         if role == "entry":
             settings["entry"] = {"http": http, "operator_token_hashes": [self._token_hash]}
+            policies = self._plan.entry_policies
+            if policies:
+                settings["entry"]["policy"] = policies[len(self.entries) % len(policies)]
         if role == "agent":
             settings["agent"] = {"http": http}
         path = self.folder / f"{name}.toml"
