Admit requests by deadline, value and expected time

Cause: at twice the capacity about half of it went into answers that came late, because the entries sent whatever found room and refused only at the deadline. Change: each entry keeps a bounded queue in the order of deadlines. When a request would be late, the least weight per second of work gives way at once, out of the accounts above their weighted max-min share if there are any. Work is estimated from the agents' reports (seconds a token and a character) and stretched by what attempts took. Each target has a limit that follows the wait for the first token, and the entries that compete for it have a part each; loads ride on the start of attempts.

--- /dev/null
+++ b/features/policy/limit.feature
@@ -0,0 +1,39 @@
+Feature: The limit of a target follows what the target can do
+
+  Scenario Outline: The limit settles near the slots of an engine
+    Given an engine with <slots> slots and a ceiling of <ceiling>
+    When <attempts> attempts run as many at once as the limit allows
+    Then the limit is between <low> and <high>
+
+    Examples:
+      | slots | ceiling | attempts | low | high |
+      | 4     | 32      | 400      | 4   | 6    |
+      | 16    | 32      | 800      | 14  | 21   |
+      | 1     | 32      | 200      | 1   | 2    |
+      | 64    | 24      | 800      | 24  | 24   |
+
+  Scenario Outline: Retries stay within the budget
+    Given a retry budget with a burst of <burst>
+    When <requests> requests earn <ratio> each and all are retried
+    Then <retries> retries are made
+
+    Examples:
+      | burst | requests | ratio | retries |
+      | 0     | 1000     | 0.1   | 0       |
+      | 10    | 0        | 0.1   | 0       |
+      | 10    | 1000     | 0.1   | 109     |
+      | 10    | 1000     | 0.0   | 10      |
+
+  Scenario Outline: An entry may use its part of a target, and beyond it what is free
+    Given a target with limit <limit> that <entries> entries compete for
+    When <own> own attempts of <total> in flight are known
+    Then an entry has room is <room>
+
+    Examples:
+      | limit | entries | own | total | room |
+      | 4     | 1       | 3   | 3     | yes  |
+      | 4     | 1       | 4   | 4     | no   |
+      | 4     | 2       | 1   | 4     | yes  |
+      | 4     | 2       | 2   | 4     | no   |
+      | 4     | 2       | 3   | 3     | yes  |
+      | 1     | 2       | 0   | 1     | no   |
--- a/packages/core/src/jaylatch_core/messages/requests.py
+++ b/packages/core/src/jaylatch_core/messages/requests.py
@@ -32,7 +32,7 @@
 
     ``budget`` is the time in seconds that is left of the caller's deadline. ``clock`` is that of
     the agent's newest report: an agent refuses an attempt that was sent too long after it, so that
-    it need not remember barred attempts for ever.
+    it need not remember barred attempts for ever. ``has_backlog`` tells that more requests wait.
     """
 
     attempt: AttemptId
@@ -44,6 +44,7 @@
     clock: float
     budget: float
     work: ModelWork | ServiceWork
+    has_backlog: bool = False
 
 
 class CancelAttempt(msgspec.Struct, frozen=True, tag=True):
@@ -63,9 +64,14 @@
 
 
 class AttemptStarted(msgspec.Struct, frozen=True, tag=True):
-    """The work has been handed to the target: from now on it counts as run."""
+    """The work has been handed to the target: from now on it counts as run.
+
+    ``others_in_flight`` is the load by other entries and ``limit`` that of the target; -1: unknown.
+    """
 
     attempt: AttemptId
+    others_in_flight: int = -1
+    limit: int = -1
 
 
 class AttemptChunk(msgspec.Struct, frozen=True, tag=True):
@@ -99,7 +105,10 @@
 class TargetReport(msgspec.Struct, frozen=True, tag=True):
     """Sent by an agent to each connected entry, at once on connection and then regularly.
 
-    ``clock`` is the agent's monotonic clock in seconds.
+    ``clock`` is the agent's monotonic clock in seconds. ``own_in_flight`` counts the attempts of
+    the entry that gets the report, and ``entries`` those that had a backlog of late, and this one.
+    ``token_time`` and ``character_time`` are seconds for a token and for a character of a prompt;
+    0 while unknown.
     """
 
     incarnation: Incarnation
@@ -109,6 +118,10 @@
     is_admitting: bool
     in_flight: int
     limit: int
+    own_in_flight: int = 0
+    entries: int = 1
+    token_time: float = 0.0
+    character_time: float = 0.0
 
 
 class QueryAttempt(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -59,12 +59,16 @@
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role beside one target. ``http`` is where the target announces itself."""
+    """The role beside one target. ``http`` is where the target announces itself.
+
+    Without ``adapts_limit`` the target gets ``target_concurrency`` attempts whatever it can do.
+    """
 
     http: str = "127.0.0.1:7180"
     probe_interval: float = 0.1
     member_timeout: float = 0.8
     attempt_retention: float = 30.0
+    adapts_limit: bool = True
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/admission/__init__.py
@@ -0,0 +1,14 @@
+"""Admission of requests: the bounded queue of an entry and the concurrency limit of a target."""
+
+from jaylatch_decisions.admission.limit import AdaptiveLimit, AttemptSample
+from jaylatch_decisions.admission.queue import AdmissionQueue, Drop, DropReason, Waiting, Width
+
+__all__ = [
+    "AdaptiveLimit",
+    "AdmissionQueue",
+    "AttemptSample",
+    "Drop",
+    "DropReason",
+    "Waiting",
+    "Width",
+]
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/fairness/demand.py
@@ -0,0 +1,38 @@
+"""Measures what each account asks for, as a rate that decays."""
+
+from math import exp
+
+from jaylatch_core.ids import AccountId
+from jaylatch_decisions.fairness.shares import AccountDemand
+
+TIME_CONSTANT = 2.0
+NEGLIGIBLE = 1e-4
+
+
+class DemandMeter:
+    """Offered work of each account in target seconds a second, averaged over ``TIME_CONSTANT``."""
+
+    def __init__(self) -> None:
+        self._rates: dict[AccountId, float] = {}
+        self._shares: dict[AccountId, float] = {}
+        self._at = 0.0
+
+    def offer(self, now: float, account: AccountId, share: float, work: float) -> None:
+        """Count a request of ``work`` target seconds, whether it is admitted or not."""
+        self._decay(now)
+        self._rates[account] = self._rates.get(account, 0.0) + work / TIME_CONSTANT
+        self._shares[account] = share
+
+    def demands(self, now: float) -> list[AccountDemand]:
+        """Return the present demands."""
+        self._decay(now)
+        return [
+            AccountDemand(account, rate, self._shares[account])
+            for account, rate in self._rates.items()
+        ]
+
+    def _decay(self, now: float) -> None:
+        factor = exp(-max(now - self._at, 0.0) / TIME_CONSTANT)
+        self._at = max(now, self._at)
+        rates = {account: rate * factor for account, rate in self._rates.items()}
+        self._rates = {account: rate for account, rate in rates.items() if rate > NEGLIGIBLE}
--- a/packages/decisions/src/jaylatch_decisions/routing/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/routing/__init__.py
@@ -5,6 +5,7 @@
     choose_candidate,
     choose_in_turn,
     choose_least_loaded,
+    has_room,
 )
 
-__all__ = ["Candidate", "choose_candidate", "choose_in_turn", "choose_least_loaded"]
+__all__ = ["Candidate", "choose_candidate", "choose_in_turn", "choose_least_loaded", "has_room"]
--- a/packages/decisions/src/jaylatch_decisions/routing/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/routing/choice.py
@@ -11,7 +11,7 @@
     """A target that may get the attempt.
 
     ``own_in_flight`` counts this entry's attempts; ``reported_in_flight`` is the agent's total as
-    of its latest report.
+    of its latest report. ``entries`` share the limit.
     """
 
     instance: InstanceId
@@ -19,6 +19,7 @@
     own_in_flight: int
     reported_in_flight: int
     limit: int
+    entries: int = 1
 
 
 def choose_candidate(candidates: list[Candidate], random: Random) -> Candidate | None:
@@ -47,4 +48,15 @@
 
 
 def _is_full(candidate: Candidate) -> bool:
-    return max(candidate.own_in_flight, candidate.reported_in_flight) >= candidate.limit
+    """Return whether the target has no room for this entry.
+
+    An entry may always use its part of the limit, so that none starves because the others refill
+    their places first; beyond it, only places that are known to be free.
+    """
+    total = max(candidate.own_in_flight, candidate.reported_in_flight)
+    return not has_room(candidate.own_in_flight, total, candidate.limit, candidate.entries)
+
+
+def has_room(own_in_flight: int, in_flight: int, limit: int, entries: int) -> bool:
+    """Return whether an entry may start an attempt on a target that ``entries`` compete for."""
+    return in_flight < limit or own_in_flight < limit // entries
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -27,6 +27,7 @@
 )
 from jaylatch_core.settings import AgentSettings
 from jaylatch_node.adapters import EngineClient, ServiceClient
+from jaylatch_node.agent.load import LoadController
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
 from jaylatch_node.streams import StreamConnection
 
@@ -68,6 +69,7 @@
         self._settings = settings
         self._admission = admission
         self._client = client
+        self._load = LoadController(board, settings.adapts_limit)
         self._attempts: dict[AttemptId, _Attempt] = {}
         self._connections: set[StreamConnection] = set()
         self._reporter = PeriodicCallback(self.report, REPORT_INTERVAL * MILLISECONDS_PER_SECOND)
@@ -86,17 +88,18 @@
     def open_connection(self, connection: StreamConnection) -> None:
         """Report to a new connection at once."""
         self._connections.add(connection)
-        connection.send(self._target_report(monotonic()))
+        connection.send(self._target_report(monotonic(), connection))
 
     def close_connection(self, connection: StreamConnection) -> None:
         """Stop reporting to a connection; its attempts go on so that they can be resumed."""
         self._connections.discard(connection)
+        self._load.forget(connection)
 
     def report(self) -> None:
         """Send the present load to all connections."""
-        report = self._target_report(monotonic())
+        now = monotonic()
         for connection in self._connections:
-            connection.send(report)
+            connection.send(self._target_report(now, connection))
 
     def abort_all(self) -> None:
         """End all running model attempts because the group is no longer whole."""
@@ -132,16 +135,17 @@
             return
         record = _Attempt(connection, now)
         self._attempts[start.attempt] = record
-        reason = self._reason_against(now, start)
+        reason = self._reason_against(now, connection, start)
         if reason:
             self._refuse(start.attempt, record, reason, Outcome.NOT_RUN, f"refused: {reason}")
+            connection.send(self._target_report(now, connection))
             return
-        self._board.member.in_flight += 1
-        connection.send(AttemptStarted(start.attempt))
+        self._load.begin(now, connection, start)
+        connection.send(self._started(start.attempt, connection))
         self._board.events.record(wall(), "attempt.started", start.attempt, start.request)
         record.task = create_task(self._run(record, start))
 
-    def _reason_against(self, now: float, start: StartAttempt) -> str:
+    def _reason_against(self, now: float, connection: StreamConnection, start: StartAttempt) -> str:
         """Return the code of the reason not to start, or an empty string."""
         member = self._board.member
         if start.incarnation != self._board.identity.incarnation:
@@ -154,7 +158,7 @@
             return "not_admitting"
         if isinstance(start.work, ModelWork) and start.epoch != member.epoch:
             return "epoch_changed"
-        if member.in_flight >= self._board.grant.policy().target_concurrency:
+        if not self._load.has_room(now, connection):
             return "target_full"
         return ""
 
@@ -166,12 +170,13 @@
                 case ServiceWork() as work:
                     await self._run_service(record, start, work)
         finally:
-            self._board.member.in_flight -= 1
+            self._load.end(start.attempt, isinstance(record.end, AttemptEnd))
             record.touched_at = monotonic()
 
     async def _run_model(self, record: _Attempt, start: StartAttempt, work: ModelWork) -> None:
         def on_tokens(tokens: int, text: str) -> None:
             if record.end is None:
+                self._load.count_tokens(monotonic(), start.attempt, tokens)
                 self._emit(start.attempt, record, tokens, text.encode())
 
         engine = EngineClient(self._address(), self._client)
@@ -278,7 +283,7 @@
             if record.end is not None and record.touched_at < oldest:
                 del self._attempts[attempt]
 
-    def _target_report(self, now: float) -> TargetReport:
+    def _target_report(self, now: float, connection: StreamConnection) -> TargetReport:
         assignment = self._board.grant.assignment
         return TargetReport(
             self._board.identity.incarnation,
@@ -287,9 +292,17 @@
             assignment.epoch if assignment is not None else NO_EPOCH,
             self._admission.is_admitting(now),
             self._board.member.in_flight,
-            self._board.grant.policy().target_concurrency,
+            self._load.limit,
+            self._load.in_flight_of(connection),
+            self._load.competing_entries(now, connection),
+            self._load.token_time,
+            self._load.character_time,
         )
 
+    def _started(self, attempt: AttemptId, connection: StreamConnection) -> AttemptStarted:
+        own = self._load.in_flight_of(connection)
+        return AttemptStarted(attempt, self._board.member.in_flight - own, self._load.limit)
+
     def _address(self) -> str:
         announcement = self._board.member.announcement
         return announcement.address if announcement is not None else ""
--- /dev/null
+++ b/packages/node/src/jaylatch_node/agent/load.py
@@ -0,0 +1,108 @@
+"""The load of the target beside this agent: its concurrency limit and who uses it."""
+
+from jaylatch_core.ids import AttemptId
+from jaylatch_core.messages.requests import ModelWork, ServiceWork, StartAttempt
+from jaylatch_decisions.admission import AdaptiveLimit, AttemptSample
+from jaylatch_decisions.routing import has_room
+from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.streams import StreamConnection
+
+BACKLOG_MEMORY = 0.5
+
+
+class _Running:
+    """A running attempt. Times are seconds of the monotonic clock."""
+
+    def __init__(
+        self, now: float, connection: StreamConnection, work: ModelWork | ServiceWork, load: int
+    ) -> None:
+        self.connection = connection
+        self.work = work
+        self.started_at = now
+        self.first_token_at = 0.0
+        self.last_token_at = 0.0
+        self.tokens = 0
+        self.in_flight = load
+
+
+class LoadController:
+    """Follows attempts from their start to their end."""
+
+    def __init__(self, board: Blackboard, adapts_limit: bool) -> None:
+        self._board = board
+        self._adapts_limit = adapts_limit
+        self._limit = AdaptiveLimit()
+        self._running: dict[AttemptId, _Running] = {}
+        self._backlog_at: dict[StreamConnection, float] = {}
+
+    @property
+    def limit(self) -> int:
+        """Return how many attempts the target may run at once."""
+        ceiling = self._board.grant.policy().target_concurrency
+        return self._limit.value(ceiling) if self._adapts_limit else ceiling
+
+    @property
+    def token_time(self) -> float:
+        """Return the seconds between two tokens; 0 while unknown."""
+        return self._limit.token_time
+
+    @property
+    def character_time(self) -> float:
+        """Return the prefill time in seconds for each character of a prompt."""
+        return self._limit.character_time
+
+    def has_room(self, now: float, connection: StreamConnection) -> bool:
+        """Return whether the entry behind ``connection`` may start an attempt."""
+        return has_room(
+            self.in_flight_of(connection),
+            self._board.member.in_flight,
+            self.limit,
+            self.competing_entries(now, connection),
+        )
+
+    def begin(self, now: float, connection: StreamConnection, start: StartAttempt) -> None:
+        """Count an attempt in."""
+        self._board.member.in_flight += 1
+        if start.has_backlog:
+            self._backlog_at[connection] = now
+        self._running[start.attempt] = _Running(
+            now, connection, start.work, self._board.member.in_flight
+        )
+
+    def count_tokens(self, now: float, attempt: AttemptId, tokens: int) -> None:
+        """Count tokens of a running attempt."""
+        record = self._running.get(attempt)
+        if record is None or not tokens:
+            return
+        record.first_token_at = record.first_token_at or now
+        record.last_token_at = now
+        record.tokens += tokens
+
+    def end(self, attempt: AttemptId, is_whole: bool) -> None:
+        """Count an attempt out and learn from it if its answer is whole."""
+        self._board.member.in_flight -= 1
+        record = self._running.pop(attempt, None)
+        if record is None or not is_whole or not isinstance(record.work, ModelWork):
+            return
+        sample = AttemptSample(
+            len(record.work.prompt),
+            record.tokens,
+            record.first_token_at - record.started_at,
+            record.last_token_at - record.started_at,
+            record.in_flight,
+        )
+        self._limit.record(sample, self._board.grant.policy().target_concurrency)
+
+    def forget(self, connection: StreamConnection) -> None:
+        """Forget an entry whose connection has closed."""
+        self._backlog_at.pop(connection, None)
+
+    def competing_entries(self, now: float, connection: StreamConnection) -> int:
+        """Return how many entries want the target: that of ``connection`` and others in need."""
+        oldest = now - BACKLOG_MEMORY
+        others = (at for other, at in self._backlog_at.items() if other is not connection)
+        return 1 + sum(at >= oldest for at in others)
+
+    def in_flight_of(self, connection: StreamConnection) -> int:
+        """Return how many of the running attempts came over ``connection``."""
+        return sum(record.connection is connection for record in self._running.values())
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -19,7 +19,7 @@
     TargetAnnouncement,
     View,
 )
-from jaylatch_core.messages.requests import TargetReport
+from jaylatch_core.messages.requests import AttemptStarted, TargetReport
 from jaylatch_decisions.leases import HeldLease
 from jaylatch_node.observability import Metrics
 
@@ -84,11 +84,36 @@
 
 @dataclass
 class TargetBoard:
-    """An entry's knowledge of one agent."""
+    """An entry's knowledge of one agent.
+
+    ``others_in_flight`` counts the attempts of other entries as of the latest message.
+    ``reserved_until`` holds a time for each route that was chosen but not yet used.
+    """
 
     report: TargetReport | None = None
     received_at: float = 0.0
     own_in_flight: int = 0
+    others_in_flight: int = 0
+    limit: int = 1
+    reserved_until: list[float] = field(default_factory=list)
+
+    def load(self, now: float) -> int:
+        """Return this entry's attempts and reservations."""
+        self.reserved_until = [until for until in self.reserved_until if until > now]
+        return self.own_in_flight + len(self.reserved_until)
+
+    def take_report(self, now: float, report: TargetReport) -> None:
+        """Replace what is known by an agent's report."""
+        self.report = report
+        self.received_at = now
+        self.others_in_flight = report.in_flight - report.own_in_flight
+        self.limit = report.limit
+
+    def take_start(self, started: AttemptStarted) -> None:
+        """Take the load that came with the start of an attempt."""
+        if started.limit >= 0:
+            self.others_in_flight = started.others_in_flight
+            self.limit = started.limit
 
 
 @dataclass
--- a/packages/node/src/jaylatch_node/entry/agents.py
+++ b/packages/node/src/jaylatch_node/entry/agents.py
@@ -56,7 +56,10 @@
         """Send the start of an attempt; the result may already be a refusal."""
         attempt = OpenAttempt(instance, start)
         self._attempts[start.attempt] = attempt
-        self._board.target(instance).own_in_flight += 1
+        target = self._board.target(instance)
+        target.own_in_flight += 1
+        if target.reserved_until:
+            target.reserved_until.pop(0)
         if self._peers.get(self._addresses[instance]).send(start):
             attempt.mark_sent()
         else:
@@ -93,8 +96,8 @@
     def handle(self, connection: StreamConnection, body: Body) -> bool:
         """Handle an agent's message; returns False if the body is not one."""
         match body:
-            case AttemptStarted():
-                pass
+            case AttemptStarted(attempt):
+                self._record_start(attempt, body)
             case AttemptChunk(attempt):
                 self._route_chunk(attempt, body)
             case AttemptEnd(attempt):
@@ -109,8 +112,7 @@
     def record_report(self, instance: InstanceId, report: TargetReport) -> None:
         """Take an agent's report; a new incarnation ends the attempts of the old one."""
         target = self._board.target(instance)
-        target.report = report
-        target.received_at = monotonic()
+        target.take_report(monotonic(), report)
         for attempt in list(self._attempts.values()):
             if attempt.instance != instance or attempt.is_done:
                 continue
@@ -133,6 +135,11 @@
             if attempt.instance == instance and attempt.is_sent and not attempt.is_done:
                 peer.send(attempt.resume_message())
 
+    def _record_start(self, name: AttemptId, started: AttemptStarted) -> None:
+        attempt = self._attempts.get(name)
+        if attempt is not None:
+            self._board.target(attempt.instance).take_start(started)
+
     def _route_chunk(self, name: AttemptId, chunk: AttemptChunk) -> None:
         attempt = self._attempts.get(name)
         if attempt is not None and not attempt.accept_chunk(chunk):
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -1,19 +1,18 @@
 """Sends requests to targets, and repeats those that may be repeated."""
 
-from asyncio import sleep, wait_for
+from asyncio import wait_for
 from collections.abc import AsyncIterator
-from random import Random
 
 import msgspec
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
 from jaylatch_core.clock import monotonic, wall
-from jaylatch_core.enums import EntryPolicy, Outcome
+from jaylatch_core.enums import Outcome
 from jaylatch_core.exceptions import RequestRefused
-from jaylatch_core.ids import Epoch, GroupId, InstanceId
+from jaylatch_core.ids import Epoch, GroupId
 from jaylatch_core.messages.journal import StoredAnswer
-from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
+from jaylatch_core.messages.membership import GroupRoute
 from jaylatch_core.messages.requests import (
     AttemptChunk,
     AttemptEnd,
@@ -21,35 +20,27 @@
     StartAttempt,
     TargetReport,
 )
-from jaylatch_decisions.routing import (
-    Candidate,
-    choose_candidate,
-    choose_in_turn,
-    choose_least_loaded,
-)
+from jaylatch_decisions.admission import Drop
 from jaylatch_node.blackboard import Blackboard
-from jaylatch_node.entry.agents import REPORT_TIMEOUT, AgentLinks
+from jaylatch_node.entry.admission import AdmissionController, refusal_of_drop
+from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.open_attempt import AttemptItem, OpenAttempt
 from jaylatch_node.entry.requests import ModelRequest, ServiceRequest, new_attempt_id
+from jaylatch_node.entry.routes import Route, instance_of
 
-ROUTE_POLL_INTERVAL = 0.02
 CANCEL_VERDICT_TIMEOUT = 0.25
 RETRY_AFTER = 1.0
 
-Route = GroupRoute | ServiceRoute
-
 
 class Dispatcher:
     """Runs requests on targets."""
 
     def __init__(
-        self, board: Blackboard, links: AgentLinks, random: Random, policy: EntryPolicy
+        self, board: Blackboard, links: AgentLinks, admission: AdmissionController
     ) -> None:
         self._board = board
         self._links = links
-        self._random = random
-        self._policy = policy
-        self._turn = 0
+        self._admission = admission
 
     async def complete(
         self, request: ModelRequest
@@ -62,12 +53,13 @@
         delivered = 0
         outcome = Outcome.NOT_RUN
         while True:
-            route = await self._find_route(request.work.model, "", request.caller.deadline)
-            if route is None:
-                yield no_capacity(outcome)
+            verdict = await self._admission.enter(request, delivered)
+            if isinstance(verdict, Drop):
+                yield refusal_of_drop(verdict, outcome)
                 return
             work = msgspec.structs.replace(request.work, resume_from=delivered)
-            attempt = self._open(route, request, work)
+            begun_at, begun_with = monotonic(), delivered
+            attempt = self._open(verdict, request, work)
             try:
                 while True:
                     item = await self._next_item(attempt, request.caller.deadline)
@@ -75,11 +67,16 @@
                         break
                     if isinstance(item, AttemptChunk):
                         delivered += item.tokens
+                    if isinstance(item, AttemptEnd):
+                        self._admission.estimates.learn(
+                            request, begun_with, delivered - begun_with, monotonic() - begun_at
+                        )
                     yield item
                     if isinstance(item, AttemptEnd):
                         return
             finally:
                 self._links.close(attempt)
+                self._admission.pump()
             if item.outcome is not Outcome.NOT_RUN:
                 outcome = Outcome.RAN
             self._record_retry(request, item)
@@ -91,13 +88,15 @@
         """Make a service call; one that is not idempotent is sent to one target only."""
         outcome = Outcome.NOT_RUN
         while True:
-            route = await self.find_service(request)
-            if route is None:
-                return Err(no_capacity(outcome))
-            attempt = self._open(route, request, request.work)
+            verdict = await self._admission.enter(request)
+            if isinstance(verdict, Drop):
+                return Err(refusal_of_drop(verdict, outcome))
+            begun_at = monotonic()
+            attempt = self._open(verdict, request, request.work)
             result = await self.collect(attempt, request.caller.deadline)
             match result:
                 case StoredAnswer():
+                    self._admission.estimates.learn(request, 0, 0, monotonic() - begun_at)
                     return Success(result)
                 case AttemptRefused():
                     if result.outcome is not Outcome.NOT_RUN:
@@ -108,8 +107,9 @@
                 return Err(deadline_passed(outcome))
 
     async def find_service(self, request: ServiceRequest) -> Route | None:
-        """Return a target for a service call, waiting for one until the deadline."""
-        return await self._find_route("", request.work.service, request.caller.deadline)
+        """Return a target for a service call, or None if none can take it in time."""
+        verdict = await self._admission.enter(request)
+        return None if isinstance(verdict, Drop) else verdict
 
     def report_of(self, route: Route) -> TargetReport | None:
         """Return the latest report of the agent that ``route`` leads to."""
@@ -134,6 +134,7 @@
                         return item
         finally:
             self._links.close(attempt)
+            self._admission.pump()
 
     def build_start(
         self, route: Route, request: ModelRequest | ServiceRequest, work: object
@@ -152,6 +153,7 @@
             report.clock,
             request.caller.deadline - monotonic(),
             work,  # type: ignore[arg-type]
+            self._admission.has_backlog(request),
         )
 
     def _open(
@@ -173,58 +175,12 @@
             attempt.fail("deadline_passed", outcome, "the deadline passed without a verdict")
             return await attempt.next_item()
 
-    async def _find_route(self, model: str, service: str, deadline: float) -> Route | None:
-        while True:
-            now = monotonic()
-            if self._board.grant.lease.is_valid(now):
-                route = self._choose(now, model, service)
-                if route is not None:
-                    return route
-            if now >= deadline:
-                return None
-            await sleep(ROUTE_POLL_INTERVAL)
-
-    def _choose(self, now: float, model: str, service: str) -> Route | None:
-        view = self._board.grant.view
-        routes: dict[InstanceId, Route] = {}
-        if model:
-            routes = {route.head: route for route in view.groups if route.model == model}
-        else:
-            routes = {item.instance: item for item in view.services if item.service == service}
-        candidates = [self._candidate(now, instance) for instance in routes]
-        chosen = self._pick(candidates)
-        return routes[chosen.instance] if chosen is not None else None
-
-    def _pick(self, candidates: list[Candidate]) -> Candidate | None:
-        match self._policy:
-            case EntryPolicy.ROUND_ROBIN:
-                self._turn += 1
-                return choose_in_turn(candidates, self._turn)
-            case EntryPolicy.LEAST_LOADED:
-                return choose_least_loaded(candidates)
-            case _:
-                return choose_candidate(candidates, self._random)
-
-    def _candidate(self, now: float, instance: InstanceId) -> Candidate:
-        target = self._board.target(instance)
-        report = target.report
-        if report is None or now - target.received_at > REPORT_TIMEOUT:
-            return Candidate(instance, False, target.own_in_flight, 0, 1)
-        return Candidate(
-            instance, report.is_admitting, target.own_in_flight, report.in_flight, report.limit
-        )
-
     def _record_retry(self, request: ModelRequest, refusal: AttemptRefused) -> None:
         self._board.events.record(
             wall(), "request.retried", refusal.attempt, request.caller.id, refusal.code
         )
 
 
-def instance_of(route: Route) -> InstanceId:
-    """Return the instance that a route leads to."""
-    return route.head if isinstance(route, GroupRoute) else route.instance
-
-
 def no_capacity(outcome: Outcome) -> RequestRefused:
     """Return the refusal of a request for which no target was found in time."""
     return RequestRefused(
--- a/packages/node/src/jaylatch_node/entry/handlers.py
+++ b/packages/node/src/jaylatch_node/entry/handlers.py
@@ -86,6 +86,7 @@
                 kind.name,
                 monotonic() + timeout,
                 IdempotencyKey(key) if key else None,
+                kind.weight,
             )
         )
 
--- a/packages/node/src/jaylatch_node/entry/orders.py
+++ b/packages/node/src/jaylatch_node/entry/orders.py
@@ -32,14 +32,13 @@
 from jaylatch_node.entry.dispatcher import (
     RETRY_AFTER,
     Dispatcher,
-    Route,
     deadline_passed,
-    instance_of,
     no_capacity,
     refusal_of,
 )
 from jaylatch_node.entry.open_attempt import OpenAttempt
 from jaylatch_node.entry.requests import ServiceRequest
+from jaylatch_node.entry.routes import Route, instance_of
 
 QUERY_TIMEOUT = 1.0
 COMPLETE_TIMEOUT = 10.0
--- a/packages/node/src/jaylatch_node/entry/requests.py
+++ b/packages/node/src/jaylatch_node/entry/requests.py
@@ -12,13 +12,17 @@
 
 @dataclass(frozen=True)
 class CallerRequest:
-    """A request that has passed the checks. ``deadline`` is on the monotonic clock."""
+    """A request that has passed the checks. ``deadline`` is on the monotonic clock.
+
+    ``weight`` is that of its kind in the measure of service.
+    """
 
     id: RequestId
     account: AccountSpecification
     kind: str
     deadline: float
     key: IdempotencyKey | None
+    weight: float = 1.0
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -18,6 +18,7 @@
     StatusHandler,
     TimelineHandler,
 )
+from jaylatch_node.entry.admission import AdmissionController
 from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.handlers import (
@@ -30,6 +31,7 @@
     ServiceHandler,
 )
 from jaylatch_node.entry.orders import OrderController
+from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.streams import PeerPool, StreamConnection
 
 
@@ -47,7 +49,10 @@
         self._settings = settings
         self._board = board
         self._links = AgentLinks(board, peers)
-        dispatcher = Dispatcher(board, self._links, random, settings.entry.policy)
+        policy = settings.entry.policy
+        routes = RouteController(board, random, policy)
+        self._admission = AdmissionController(board, routes, policy)
+        dispatcher = Dispatcher(board, self._links, self._admission)
         orders = OrderController(client, dispatcher, self._links)
         callers = {"services": EntryServices(board, dispatcher, orders)}
         operators = {
@@ -79,11 +84,13 @@
         host, port = split_address(self._settings.entry.http)
         self._http.listen(port, host)
         self._links.start()
+        self._admission.start()
 
     def stop(self) -> None:
         """Stop listening."""
         self._http.stop()
         self._links.stop()
+        self._admission.stop()
 
     def on_grant(self) -> None:
         """Connect to the agents of the granted view."""
--- a/packages/standins/src/jaylatch_standins/bench/policy.py
+++ b/packages/standins/src/jaylatch_standins/bench/policy.py
@@ -68,9 +68,12 @@
                 for seed in options.seeds
                 for policy in options.policies
             ]
-            # A fault outlives its trial, so each of its trials has a deployment of its own.
-            batches = [trials] if fault == "none" else [[trial] for trial in trials]
-            for batch in batches:
+            # A fault outlives its trial, so each of its trials has a deployment of its own. The
+            # baselines have another one because its agents keep to a fixed limit.
+            adaptive = [trial for trial in trials if trial.policy == "adaptive"]
+            baselines = [trial for trial in trials if trial.policy != "adaptive"]
+            batches = [adaptive, baselines] if fault == "none" else [[trial] for trial in trials]
+            for batch in filter(None, batches):
                 with TemporaryDirectory() as folder:
                     run(self._run_batch(Path(folder), batch))
 
@@ -87,6 +90,7 @@
                 *("--prefill-per-character", str(PREFILL_PER_CHARACTER)),
             ),
             entry_policies=policies,
+            adapts_limit=policies == ("adaptive",),
         )
         cluster = Cluster(folder, plan, policy_configuration(), hash_key(OPERATOR_TOKEN))
         cluster.start()
--- a/packages/standins/src/jaylatch_standins/bench/policy_workload.py
+++ b/packages/standins/src/jaylatch_standins/bench/policy_workload.py
@@ -1,5 +1,6 @@
 """Seeded workloads of the policy benchmark, and the offline bound on their service."""
 
+from bisect import bisect_left
 from dataclasses import dataclass
 from random import Random
 
@@ -117,16 +118,17 @@
 def offline_bound(arrivals: list[Arrival], slots: int) -> float:
     """Return a bound on the weighted service that no schedule of the arrivals can pass.
 
-    A fractional knapsack: the requests in the order of weight per slot second fill the slot seconds
-    from the first arrival to the last deadline. It ignores when each request must run.
+    The requests are taken in the order of weight per slot second, in part if need be, as long as
+    for each deadline the work that is due by then fits into the slot seconds since the first
+    arrival. It ignores when each request arrived, and it uses the times of an idle engine.
     """
     begin = min(arrival.at for arrival in arrivals)
-    end = max(arrival.at + arrival.kind.deadline for arrival in arrivals)
-    left = slots * (end - begin)
+    due = sorted(arrival.at + arrival.kind.deadline for arrival in arrivals)
+    left = [slots * (deadline - begin) for deadline in due]
     served = 0.0
-    ordered = sorted(arrivals, key=lambda item: item.kind.weight / item.work, reverse=True)
-    for arrival in ordered:
-        share = min(left / arrival.work, 1.0)
-        served += share * arrival.kind.weight
-        left -= share * arrival.work
+    for arrival in sorted(arrivals, key=lambda item: item.kind.weight / item.work, reverse=True):
+        first = bisect_left(due, arrival.at + arrival.kind.deadline)
+        work = min(arrival.work, min(left[first:]))
+        served += arrival.kind.weight * work / arrival.work
+        left[first:] = [capacity - work for capacity in left[first:]]
     return served
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -31,6 +31,7 @@
     service_options: tuple[str, ...] = ()
     has_fencing: bool = True
     entry_policies: tuple[str, ...] = ()
+    adapts_limit: bool = True
 
 
 @dataclass
@@ -190,7 +191,7 @@
             if policies:
                 settings["entry"]["policy"] = policies[len(self.entries) % len(policies)]
         if role == "agent":
-            settings["agent"] = {"http": http}
+            settings["agent"] = {"http": http, "adapts_limit": self._plan.adapts_limit}
         path = self.folder / f"{name}.toml"
         path.write_bytes(msgspec.toml.encode(settings))
         node = Node(name, f"domain-{domain}", stream, http, path)
