--- a/packages/node/src/jaylatch_node/entry/admission.py
+++ b/packages/node/src/jaylatch_node/entry/admission.py
@@ -8,6 +8,7 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.enums import EntryPolicy, Outcome
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.ids import RequestId
 from jaylatch_core.messages.requests import ModelWork
@@ -130,7 +131,7 @@
             self._decisions.labels(drop.reason.value).inc()
             self._board.events.record(
                 wall(),
-                "request.dropped",
+                EventName.REQUEST_DROPPED,
                 drop.reason.value,
                 drop.id,
                 f"retry_after={drop.retry_after:.2f}",
