Stop a request that ends its targets before the third one; bound retries

Ruled out: the digest and the exchange between entries. Curl silently sent the request a second time when a kept connection ended, and the second failure (connection refused) hid the first. Change: the agent tells all entries which requests ran when its target ended, before it refuses them; a request with one death is a suspect that runs only where no other suspect runs, two deaths quarantine it, a whole answer clears it. Completions use a fresh connection, a refused connection counts as not run, and a target that ended admits nothing until it is seen again. Each request earns a tenth of a retry and an entry saves ten at most. Each route and each drop is an event with what was compared. Copies of one request that start at the same time on three targets are not covered.

--- /dev/null
+++ b/features/policy/quarantine.feature
@@ -0,0 +1,26 @@
+Feature: A request that ends its targets is stopped before the third one
+
+  # Evidence: TARGET:REQUESTS that ran on it when it ended, or "+REQUEST" for one answered whole.
+  Scenario Outline: What the evidence says of a request
+    Given the evidence "<evidence>"
+    When <age> s have passed of a quarantine of 60 s
+    Then the quarantined requests are "<quarantined>" and the suspects are "<suspects>"
+
+    Examples:
+      | evidence             | age | quarantined | suspects |
+      |                      | 0   |             |          |
+      | t1:p,a               | 1   |             | a p      |
+      | t1:p,a t2:p          | 1   | p           | a        |
+      | t1:p,a t1:p,a        | 1   |             | a p      |
+      | t1:p,a +a t2:p,b     | 1   | p           | b        |
+      | t1:p,a +a t1:p,a     | 1   |             | p        |
+      | t1:p,a +a t2:p,a     | 1   | p           | a        |
+      | t1:p,a t2:p          | 61  |             |          |
+
+  Scenario: A poisonous request is resent through both entries
+    Given a deployment of 5 engines for the quarantine
+    When 6 innocent completions run and a poisonous one is sent 6 times through both entries
+    Then at most 2 engines have ended
+    And the poisonous request was at last refused as quarantined with outcome not_run
+    And all innocent completions are whole
+    And the time line tells why each request was sent to its target and why the last was refused
--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -52,13 +52,21 @@
 
 
 class PresetPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Policy values of one preset."""
+    """Policy values of one preset.
+
+    ``target_concurrency`` bounds the attempts of one target, and ``queue_limit`` the requests that
+    wait in one entry for a model. Each request earns ``retry_budget`` retries, of which an entry
+    saves ``retry_burst`` at most. A request that ended two targets is refused for
+    ``quarantine_time`` seconds.
+    """
 
     spares_per_domain: int = 1
     target_concurrency: int = 16
     queue_limit: int = 256
     retry_budget: float = 0.1
     drain_timeout: float = 60.0
+    retry_burst: float = 10.0
+    quarantine_time: float = 600.0
 
 
 class GroupWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -40,6 +40,10 @@
         "request.dropped",
         "Admission gave a request up; the subject is the reason, the detail what it knew.",
     )
+    REQUEST_QUARANTINED = (
+        "request.quarantined",
+        "A request that ended its targets was refused; the subject is its digest.",
+    )
     TARGET_DIED = (
         "target.died",
         "A target ended while it ran a request; the subject is that request's digest.",
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -78,9 +78,13 @@
 
 
 class TargetFailed(Failure, frozen=True):
-    """A back end answered wrongly or not at all; ``has_run`` is True unless proven otherwise."""
+    """A back end answered wrongly or not at all; ``has_run`` is True unless proven otherwise.
+
+    ``has_died`` tells that the back end ended while it ran the request.
+    """
 
     has_run: bool
+    has_died: bool = False
 
 
 class JaylatchError(Exception):
--- a/packages/core/src/jaylatch_core/ids.py
+++ b/packages/core/src/jaylatch_core/ids.py
@@ -43,3 +43,9 @@
 
 Term = NewType("Term", int)
 """Election number of a replicated log."""
+
+RequestDigest = NewType("RequestDigest", str)
+"""Digest of an account's request, the same for each resend."""
+
+TargetDeathId = NewType("TargetDeathId", str)
+"""One unplanned end of a target."""
--- a/packages/core/src/jaylatch_core/messages/requests.py
+++ b/packages/core/src/jaylatch_core/messages/requests.py
@@ -3,7 +3,16 @@
 import msgspec
 
 from jaylatch_core.enums import Outcome
-from jaylatch_core.ids import AccountId, AttemptId, Epoch, GroupId, Incarnation, RequestId
+from jaylatch_core.ids import (
+    AccountId,
+    AttemptId,
+    Epoch,
+    GroupId,
+    Incarnation,
+    RequestDigest,
+    RequestId,
+    TargetDeathId,
+)
 
 
 class ModelWork(msgspec.Struct, frozen=True, tag=True):
@@ -33,6 +42,7 @@
     ``budget`` is the time in seconds that is left of the caller's deadline. ``clock`` is that of
     the agent's newest report: an agent refuses an attempt that was sent too long after it, so that
     it need not remember barred attempts for ever. ``has_backlog`` tells that more requests wait.
+    ``digest`` is the same for each resend, and a suspect runs only where no other suspect runs.
     """
 
     attempt: AttemptId
@@ -45,6 +55,8 @@
     budget: float
     work: ModelWork | ServiceWork
     has_backlog: bool = False
+    digest: RequestDigest = RequestDigest("")
+    is_suspect: bool = False
 
 
 class CancelAttempt(msgspec.Struct, frozen=True, tag=True):
@@ -102,13 +114,21 @@
     detail: str
 
 
+class TargetDeath(msgspec.Struct, frozen=True):
+    """An unplanned end of a target, and the requests that it ran at that time."""
+
+    id: TargetDeathId
+    digests: tuple[RequestDigest, ...]
+
+
 class TargetReport(msgspec.Struct, frozen=True, tag=True):
     """Sent by an agent to each connected entry, at once on connection and then regularly.
 
     ``clock`` is the agent's monotonic clock in seconds. ``own_in_flight`` counts the attempts of
     the entry that gets the report, and ``entries`` those that had a backlog of late, and this one.
     ``token_time`` and ``character_time`` are seconds for a token and for a character of a prompt;
-    0 while unknown.
+    0 while unknown. ``deaths`` are the newest ones of the target, and ``cleared`` the suspects that
+    it has answered whole of late.
     """
 
     incarnation: Incarnation
@@ -122,6 +142,8 @@
     entries: int = 1
     token_time: float = 0.0
     character_time: float = 0.0
+    deaths: tuple[TargetDeath, ...] = ()
+    cleared: tuple[RequestDigest, ...] = ()
 
 
 class QueryAttempt(msgspec.Struct, frozen=True, tag=True):
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/quarantine/__init__.py
@@ -0,0 +1,5 @@
+"""Recognition of requests that end the targets which run them."""
+
+from jaylatch_decisions.quarantine.evidence import DeathRecorder, EvidenceTable, Standing
+
+__all__ = ["DeathRecorder", "EvidenceTable", "Standing"]
--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import msgspec
+import pycurl
 from returns.result import Failure as Err
 from returns.result import Result, Success
 from tornado.curl_httpclient import CurlError
@@ -19,6 +20,8 @@
 EVENT_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
 
+TORN_CONNECTION = {pycurl.E_GOT_NOTHING, pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR}
+
 TokenHandler = Callable[[int, str], None]
 """Gets a count of tokens and their text."""
 
@@ -122,10 +125,15 @@
                     connect_timeout=CONNECT_TIMEOUT,
                     request_timeout=budget,
                     streaming_callback=reader.feed,
+                    prepare_curl_callback=_use_fresh_connection,
                 )
             )
         except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
-            return Err(TargetFailed(f"engine: {error}", has_run=True))
+            return Err(
+                TargetFailed(
+                    f"engine: {error}", has_run=_has_connected(error), has_died=_is_torn(error)
+                )
+            )
         if not reader.is_complete:
             return Err(TargetFailed("engine: the stream ended before its end mark", has_run=True))
         return Success(None)
@@ -153,6 +161,21 @@
             return Err(TargetFailed(f"engine {path}: {error}", has_run=True))
 
 
+def _use_fresh_connection(curl: pycurl.Curl) -> None:
+    """Keep curl from sending the request again by itself when a kept connection has ended."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
+def _has_connected(error: Exception) -> bool:
+    """Return False if the engine cannot have received the request."""
+    return not (isinstance(error, CurlError) and error.errno == pycurl.E_COULDNT_CONNECT)
+
+
+def _is_torn(error: Exception) -> bool:
+    """Return whether the engine closed the connection in the middle of its answer."""
+    return isinstance(error, CurlError) and error.errno in TORN_CONNECTION
+
+
 class _EventReader:
     """Splits a server-sent event stream into tokens."""
 
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -27,6 +27,7 @@
     TargetReport,
 )
 from jaylatch_core.settings import AgentSettings
+from jaylatch_decisions.quarantine import DeathRecorder
 from jaylatch_node.adapters import EngineClient, ServiceClient
 from jaylatch_node.agent.load import LoadController
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
@@ -71,6 +72,7 @@
         self._admission = admission
         self._client = client
         self._load = LoadController(board, settings.adapts_limit)
+        self._deaths = DeathRecorder(f"{board.identity.instance}/{board.identity.incarnation}")
         self._attempts: dict[AttemptId, _Attempt] = {}
         self._connections: set[StreamConnection] = set()
         self._reporter = PeriodicCallback(self.report, REPORT_INTERVAL * MILLISECONDS_PER_SECOND)
@@ -166,6 +168,8 @@
             return "not_admitting"
         if isinstance(start.work, ModelWork) and start.epoch != member.epoch:
             return "epoch_changed"
+        if start.is_suspect and self._load.has_suspect():
+            return "suspect_apart"
         if not self._load.has_room(now, connection):
             return "target_full"
         return ""
@@ -191,11 +195,24 @@
         result = await engine.complete(start.attempt, work, start.budget, on_tokens)
         if is_successful(result):
             self._finish(start.attempt, record, 200, "text/plain")
+            if start.is_suspect:
+                self._deaths.record_answer(start.digest)
+                self.report()
         else:
             detail = result.failure().detail
-            self._refuse(start.attempt, record, "target_failed", Outcome.RAN, detail)
+            if result.failure().has_died:
+                self._record_death(start)
+            outcome = Outcome.RAN if result.failure().has_run else Outcome.NOT_RUN
+            self._refuse(start.attempt, record, "target_failed", outcome, detail)
             await self._cancel_at_target(start.attempt)
 
+    def _record_death(self, start: StartAttempt) -> None:
+        """Tell all entries before the refusal can make the request run elsewhere."""
+        self._board.member.healthy_at = 0.0
+        self._deaths.record_failure(monotonic(), start.digest)
+        self._board.events.record(wall(), EventName.TARGET_DIED, start.digest, start.request)
+        self.report()
+
     async def _run_service(self, record: _Attempt, start: StartAttempt, work: ServiceWork) -> None:
         service = ServiceClient(self._address(), self._client)
         result = await service.call(start.attempt, work, start.budget)
@@ -305,6 +322,8 @@
             self._load.competing_entries(now, connection),
             self._load.token_time,
             self._load.character_time,
+            self._deaths.deaths,
+            self._deaths.cleared,
         )
 
     def _started(self, attempt: AttemptId, connection: StreamConnection) -> AttemptStarted:
--- a/packages/node/src/jaylatch_node/agent/load.py
+++ b/packages/node/src/jaylatch_node/agent/load.py
@@ -1,7 +1,7 @@
 """The load of the target beside this agent: its concurrency limit and who uses it."""
 
 from jaylatch_core.ids import AttemptId
-from jaylatch_core.messages.requests import ModelWork, ServiceWork, StartAttempt
+from jaylatch_core.messages.requests import ModelWork, StartAttempt
 from jaylatch_decisions.admission import AdaptiveLimit, AttemptSample
 from jaylatch_decisions.routing import has_room
 from jaylatch_node.blackboard import Blackboard
@@ -14,15 +14,16 @@
     """A running attempt. Times are seconds of the monotonic clock."""
 
     def __init__(
-        self, now: float, connection: StreamConnection, work: ModelWork | ServiceWork, load: int
+        self, now: float, connection: StreamConnection, start: StartAttempt, load: int
     ) -> None:
         self.connection = connection
-        self.work = work
+        self.work = start.work
         self.started_at = now
         self.first_token_at = 0.0
         self.last_token_at = 0.0
         self.tokens = 0
         self.in_flight = load
+        self.is_suspect = start.is_suspect
 
 
 class LoadController:
@@ -66,7 +67,7 @@
         if start.has_backlog:
             self._backlog_at[connection] = now
         self._running[start.attempt] = _Running(
-            now, connection, start.work, self._board.member.in_flight
+            now, connection, start, self._board.member.in_flight
         )
 
     def count_tokens(self, now: float, attempt: AttemptId, tokens: int) -> None:
@@ -93,6 +94,10 @@
         )
         self._limit.record(sample, self._board.grant.policy().target_concurrency)
 
+    def has_suspect(self) -> bool:
+        """Return whether a suspect of the quarantine runs."""
+        return any(record.is_suspect for record in self._running.values())
+
     def forget(self, connection: StreamConnection) -> None:
         """Forget an entry whose connection has closed."""
         self._backlog_at.pop(connection, None)
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -140,4 +140,6 @@
         queue_limit=min(first.queue_limit, second.queue_limit),
         retry_budget=min(first.retry_budget, second.retry_budget),
         drain_timeout=max(first.drain_timeout, second.drain_timeout),
+        retry_burst=min(first.retry_burst, second.retry_burst),
+        quarantine_time=max(first.quarantine_time, second.quarantine_time),
     )
--- a/packages/node/src/jaylatch_node/entry/admission.py
+++ b/packages/node/src/jaylatch_node/entry/admission.py
@@ -16,7 +16,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.entry.estimates import Estimates
 from jaylatch_node.entry.requests import ModelRequest, ServiceRequest
-from jaylatch_node.entry.routes import Route, RouteController
+from jaylatch_node.entry.routes import Route, RouteController, instance_of
 
 PUMP_INTERVAL = 0.02
 DEADLINE_MARGIN = 0.03
@@ -123,9 +123,19 @@
             if route is None:
                 return
             queue.remove(waiting.id)
-            self._decisions.labels("admitted").inc()
+            self._record_route(now, waiting, route)
             self._resolve(waiting.id, route)
 
+    def _record_route(self, now: float, waiting: Waiting, route: Route) -> None:
+        self._decisions.labels("admitted").inc()
+        instance = instance_of(route)
+        target = self._board.target(instance)
+        detail = (
+            f"own={target.load(now)} others={target.others_in_flight} limit={target.limit}"
+            f" left={waiting.deadline - now:.3f} work={waiting.work:.3f}"
+        )
+        self._board.events.record(wall(), EventName.REQUEST_ROUTED, instance, waiting.id, detail)
+
     def _settle(self, drops: list[Drop]) -> None:
         for drop in drops:
             self._decisions.labels(drop.reason.value).inc()
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -1,6 +1,6 @@
 """Sends requests to targets, and repeats those that may be repeated."""
 
-from asyncio import wait_for
+from asyncio import sleep, wait_for
 from collections.abc import AsyncIterator
 
 import msgspec
@@ -11,7 +11,7 @@
 from jaylatch_core.enums import Outcome
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
-from jaylatch_core.ids import Epoch, GroupId
+from jaylatch_core.ids import Epoch, GroupId, RequestDigest
 from jaylatch_core.messages.journal import StoredAnswer
 from jaylatch_core.messages.membership import GroupRoute
 from jaylatch_core.messages.requests import (
@@ -22,26 +22,37 @@
     TargetReport,
 )
 from jaylatch_decisions.admission import Drop
+from jaylatch_decisions.quarantine import Standing
+from jaylatch_decisions.retry import RetryBudget
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.entry.admission import AdmissionController, refusal_of_drop
 from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.open_attempt import AttemptItem, OpenAttempt
+from jaylatch_node.entry.quarantine import QuarantineController, digest_of_model
 from jaylatch_node.entry.requests import ModelRequest, ServiceRequest, new_attempt_id
 from jaylatch_node.entry.routes import Route, instance_of
 
 CANCEL_VERDICT_TIMEOUT = 0.25
 RETRY_AFTER = 1.0
+SUSPECT_INTERVAL = 0.05
+NO_DIGEST = RequestDigest("")
 
 
 class Dispatcher:
     """Runs requests on targets."""
 
     def __init__(
-        self, board: Blackboard, links: AgentLinks, admission: AdmissionController
+        self,
+        board: Blackboard,
+        links: AgentLinks,
+        admission: AdmissionController,
+        quarantine: QuarantineController,
     ) -> None:
         self._board = board
         self._links = links
         self._admission = admission
+        self._quarantine = quarantine
+        self._retries = RetryBudget(board.grant.policy().retry_burst)
 
     async def complete(
         self, request: ModelRequest
@@ -53,14 +64,19 @@
         """
         delivered = 0
         outcome = Outcome.NOT_RUN
+        digest = digest_of_model(request)
+        self._retries.earn(self._board.grant.policy().retry_budget)
         while True:
+            if self._quarantine.standing(monotonic(), digest) is Standing.QUARANTINED:
+                yield self._quarantine.refuse(monotonic(), request, digest, outcome)
+                return
             verdict = await self._admission.enter(request, delivered)
             if isinstance(verdict, Drop):
                 yield refusal_of_drop(verdict, outcome)
                 return
             work = msgspec.structs.replace(request.work, resume_from=delivered)
             begun_at, begun_with = monotonic(), delivered
-            attempt = self._open(verdict, request, work)
+            attempt = self._open(verdict, request, work, digest)
             try:
                 while True:
                     item = await self._next_item(attempt, request.caller.deadline)
@@ -84,6 +100,11 @@
             if monotonic() >= request.caller.deadline:
                 yield deadline_passed(outcome)
                 return
+            if item.outcome is not Outcome.NOT_RUN and not self._retries.spend():
+                yield retries_spent(item)
+                return
+            if item.code == "suspect_apart":
+                await sleep(SUSPECT_INTERVAL)
 
     async def call_service(self, request: ServiceRequest) -> Result[StoredAnswer, RequestRefused]:
         """Make a service call; one that is not idempotent is sent to one target only."""
@@ -158,10 +179,17 @@
         )
 
     def _open(
-        self, route: Route, request: ModelRequest | ServiceRequest, work: object
+        self,
+        route: Route,
+        request: ModelRequest | ServiceRequest,
+        work: object,
+        digest: RequestDigest = NO_DIGEST,
     ) -> OpenAttempt:
         start = self.build_start(route, request, work)
         assert start is not None, "routes are chosen among agents that have reported"
+        if digest:
+            is_suspect = self._quarantine.standing(monotonic(), digest) is Standing.SUSPECT
+            start = msgspec.structs.replace(start, digest=digest, is_suspect=is_suspect)
         return self.open_start(route, start)
 
     async def _next_item(self, attempt: OpenAttempt, deadline: float) -> AttemptItem:
@@ -193,6 +221,17 @@
     )
 
 
+def retries_spent(refused: AttemptRefused) -> RequestRefused:
+    """Return the refusal of a request that failed when the retry budget was used up."""
+    return RequestRefused(
+        f"the attempt failed and the retry budget is used up: {refused.detail}",
+        503,
+        "retries_spent",
+        Outcome.RAN,
+        RETRY_AFTER,
+    )
+
+
 def deadline_passed(outcome: Outcome) -> RequestRefused:
     """Return the refusal of a request whose deadline has passed."""
     return RequestRefused(
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -5,6 +5,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
 from jaylatch_core.settings import NodeSettings, split_address
@@ -31,6 +32,7 @@
     ServiceHandler,
 )
 from jaylatch_node.entry.orders import OrderController
+from jaylatch_node.entry.quarantine import QuarantineController
 from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.streams import PeerPool, StreamConnection
 
@@ -50,9 +52,10 @@
         self._board = board
         self._links = AgentLinks(board, peers)
         policy = settings.entry.policy
+        self._quarantine = QuarantineController(board)
         routes = RouteController(board, random, policy)
         self._admission = AdmissionController(board, routes, policy)
-        dispatcher = Dispatcher(board, self._links, self._admission)
+        dispatcher = Dispatcher(board, self._links, self._admission, self._quarantine)
         orders = OrderController(client, dispatcher, self._links)
         callers = {"services": EntryServices(board, dispatcher, orders)}
         operators = {
@@ -101,6 +104,7 @@
         match body:
             case TargetReport():
                 instance = self._links.instance_at(address)
+                self._quarantine.take_report(monotonic(), body)
                 if instance is not None:
                     self._links.record_report(instance, body)
                 return True
--- a/packages/standins/src/jaylatch_standins/engine.py
+++ b/packages/standins/src/jaylatch_standins/engine.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import os
 from argparse import ArgumentParser, Namespace
 from asyncio import Event, create_task, run, sleep
 from collections import OrderedDict
@@ -21,6 +22,8 @@
 from jaylatch_standins.ledger import Ledger
 
 PREFIX_CHARACTERS = 64
+POISON = "<poison>"
+"""A prompt that holds this ends the engine which runs it."""
 
 
 class Order(msgspec.Struct):
@@ -194,6 +197,9 @@
         epoch = engine.state.epoch
         engine.ledger.record("start", request, detail=str(epoch))
         await sleep(engine.prefill_time(body.prompt))
+        if POISON in body.prompt:
+            engine.ledger.record("death", request)
+            os._exit(1)
         self.set_header("Content-Type", "text/event-stream")
         for position in range(body.resume_from, body.max_tokens):
             await sleep(engine.options.token_time)
