--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -32,6 +32,22 @@
         "request.torn",
         "A streamed answer ended unfinished and the caller was told; the subject is the code.",
     )
+    REQUEST_ROUTED = (
+        "request.routed",
+        "An entry chose a target; the subject is the instance, the detail what it compared.",
+    )
+    REQUEST_DROPPED = (
+        "request.dropped",
+        "Admission gave a request up; the subject is the reason, the detail what it knew.",
+    )
+    REQUEST_QUARANTINED = (
+        "request.quarantined",
+        "A request that ended its targets was refused; the subject is its digest.",
+    )
+    TARGET_DIED = (
+        "target.died",
+        "A target ended while it ran a request; the subject is that request's digest.",
+    )
     REQUEST_RETRIED = (
         "request.retried",
         "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 
 from jaylatch_core.documents import parse_document
-from jaylatch_core.enums import Role
+from jaylatch_core.enums import EntryPolicy, Role
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
@@ -68,22 +68,27 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role that faces callers and operators."""
+    """The role that faces callers and operators. ``policy`` is ``adaptive`` but for comparisons."""
 
     http: str = "127.0.0.1:8080"
     body_limit: Size = 4 * MEBIBYTE
     answer_limit: Size = 16 * MEBIBYTE
     default_deadline: Duration = 30.0
     operator_token_hashes: tuple[str, ...] = ()
+    policy: EntryPolicy = EntryPolicy.ADAPTIVE
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role beside one target. ``http`` is where the target announces itself."""
+    """The role beside one target. ``http`` is where the target announces itself.
+
+    Without ``adapts_limit`` the target gets ``target_concurrency`` attempts whatever it can do.
+    """
 
     http: str = "127.0.0.1:7180"
     probe_interval: Interval = 0.1
     member_timeout: Interval = 0.8
     attempt_retention: Duration = 30.0
+    adapts_limit: bool = True
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/node/src/jaylatch_node/entry/handlers.py
+++ b/packages/node/src/jaylatch_node/entry/handlers.py
@@ -87,6 +87,7 @@
                 kind.name,
                 monotonic() + timeout,
                 IdempotencyKey(key) if key else None,
+                kind.weight,
             )
         )
 
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -5,6 +5,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
 from jaylatch_core.settings import NodeSettings, split_address
@@ -18,6 +19,7 @@
     StatusHandler,
     TimelineHandler,
 )
+from jaylatch_node.entry.admission import AdmissionController
 from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.handlers import (
@@ -30,6 +32,8 @@
     ServiceHandler,
 )
 from jaylatch_node.entry.orders import OrderController
+from jaylatch_node.entry.quarantine import QuarantineController
+from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.streams import PeerPool, StreamConnection
 
 
@@ -47,7 +51,11 @@
         self._settings = settings
         self._board = board
         self._links = AgentLinks(board, peers)
-        dispatcher = Dispatcher(board, self._links, random)
+        policy = settings.entry.policy
+        self._quarantine = QuarantineController(board)
+        routes = RouteController(board, random, policy)
+        self._admission = AdmissionController(board, routes, policy)
+        dispatcher = Dispatcher(board, self._links, self._admission, self._quarantine)
         orders = OrderController(client, dispatcher, self._links)
         callers = {"services": EntryServices(board, dispatcher, orders)}
         operators = {
@@ -79,11 +87,13 @@
         host, port = split_address(self._settings.entry.http)
         self._http.listen(port, host)
         self._links.start()
+        self._admission.start()
 
     def stop(self) -> None:
         """Stop listening."""
         self._http.stop()
         self._links.stop()
+        self._admission.stop()
 
     def on_grant(self) -> None:
         """Connect to the agents of the granted view."""
@@ -94,6 +104,7 @@
         match body:
             case TargetReport():
                 instance = self._links.instance_at(address)
+                self._quarantine.take_report(monotonic(), body)
                 if instance is not None:
                     self._links.record_report(instance, body)
                 return True
