--- /dev/null
+++ b/features/membership/faults.feature
@@ -0,0 +1,16 @@
+Feature: Groups serve only whole and heal, whatever happens to their members
+
+  Scenario Outline: Each failure domain meets a fault of its own under load
+    Given engines that <fencing> fencing numbers, in a failure domain for each of "<faults>"
+    When each fault happens in its failure domain under load
+    Then every failure domain serves again
+    And no group served with a member missing for longer than the bound
+    And no request started at a group whose member had joined another
+    And no engine was given an order during another, nor went back to an older epoch
+    And every answer was whole or truthfully refused
+
+    Examples:
+      | fencing | faults                                                                                     |
+      | check   | a member's engine dies; the head dies; a member dies and its successor too; the head gets no grants |
+      | ignore  | a member dies; a joining agent restarts mid-order; a member's agent pauses; the head's agent pauses |
+      | ignore  | the head's renewals are lost; the domain goes dark and returns; the head's agent pauses; a member dies and its successor too |
--- a/packages/standins/src/jaylatch_standins/engine.py
+++ b/packages/standins/src/jaylatch_standins/engine.py
@@ -109,6 +109,8 @@
         if self.options.fencing and order.epoch < self._highest_epoch:
             return False
         self._highest_epoch = max(self._highest_epoch, order.epoch)
+        detail = f"{order.group} {order.epoch} {order.rank} {order.size}"
+        self.ledger.record(order.order, "", detail=detail)
         create_task(self._carry_out(order))
         return True
 
@@ -132,6 +134,7 @@
         is_resident = self._resident_model == order.model
         await sleep(self.options.join_time if is_resident else self.options.load_time)
         self._resident_model = order.model
+        self.ledger.record("loaded", "", detail=f"{order.group} {order.epoch}")
         self.state = EngineState(order.group, order.epoch, order.model, True, False)
 
 
@@ -154,9 +157,11 @@
 class OrdersHandler(EngineHandler):
     """``POST /orders``."""
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Begin to load or release; 409 for an old fencing number."""
         order = msgspec.json.decode(self.request.body, type=Order)
+        self._engine.ledger.record("order_received", "", detail=f"{order.group} {order.epoch}")
+        await sleep(self._engine.options.order_delay)
         self.set_status(202 if self._engine.give_order(order) else 409)
 
 
@@ -199,6 +204,8 @@
             await sleep(engine.options.token_time)
             if request in engine.cancelled or engine.state.epoch != epoch:
                 return
+            if engine.options.ledger_tokens:
+                engine.ledger.record("token", request, detail=f"{engine.state.group} {epoch}")
             choice = {"text": token_at(body.prompt, body.seed, position), "tokens": 1}
             self.write(b"data: " + msgspec.json.encode({"choices": [choice]}) + b"\n\n")
             await self.flush()
@@ -237,6 +244,8 @@
     parser.add_argument("--prefill-per-character", type=float, default=0.0001, help="seconds")
     parser.add_argument("--load-time", type=float, default=0.5, help="seconds")
     parser.add_argument("--join-time", type=float, default=0.05, help="seconds, model in memory")
+    parser.add_argument("--order-delay", type=float, default=0.0, help="seconds an order travels")
+    parser.add_argument("--ledger-tokens", action="store_true", help="record each token")
     parser.add_argument("--fencing", action="store_true", help="refuse old epochs")
     run(serve(parser.parse_args()))
 
--- a/packages/standins/src/jaylatch_standins/ledger.py
+++ b/packages/standins/src/jaylatch_standins/ledger.py
@@ -8,7 +8,12 @@
 
 
 class LedgerLine(msgspec.Struct):
-    """One thing that happened at a stand-in. ``what`` is ``start``, ``end`` or ``cancel``."""
+    """One thing that happened at a stand-in.
+
+    ``what`` is ``start``, ``end``, ``cancel`` or ``token`` for a request. For an engine's order it is
+    ``order_received``, ``load``, ``loaded`` or ``release``, with group, epoch, rank and size in
+    ``detail``. The harness adds ``killed`` and ``started`` for the processes that it handles.
+    """
 
     at: float
     target: str
