Fence engine orders, judge groups by the engines' ledger, let the weights decide the plan

Cause: a head that got no grants for longer than its lease stayed assigned, so its group was down until the cut ended; a restarted agent ordered engines that ignore fencing numbers while its predecessor's order could still arrive; a member answered its old head until the moment at which it joined another; broken groups without a spare stranded their survivors; weights were not used. Change: OrderGate (waits out orders of unknown fate), heartbeats that carry the age of the engine's health, reports that say whether the lease is valid, the orders settled and the drain known; the planner mends fewest losses first, gives up a broken group to mend another after a patience that the weights set, retires surplus groups, keeps spares only where they protect a group and cost less than downtime; permits to load keep the weight store's limit. The planner row 'a b c, 2 spares, no group' now forms a group: a spare without a group to protect serves nothing, so leaving three healthy instances idle was wrong. Proof: features/membership (cut head: no group within 40 s before, repaired now), features/groups with 150 random histories.

--- a/features/steps/groups_steps.py
+++ b/features/steps/groups_steps.py
@@ -7,7 +7,6 @@
 from jaylatch_core.enums import GroupState
 from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import (
-    ControlCommand,
     DissolveGroup,
     FormGroup,
     Group,
@@ -57,6 +56,8 @@
             Epoch(7 if name in taken else 0),
             name in taken and name not in context.idle,
             0,
+            draining_epoch=Epoch(7 if name in context.idle else 0),
+            unusable_for=60.0,
         )
         for name in context.names
     )
@@ -71,7 +72,7 @@
     assert found == expected, f"{found!r} is not {expected!r}"
 
 
-def describe(command: ControlCommand) -> str:
+def describe(command: object) -> str:
     match command:
         case FormGroup():
             return f"form {' '.join(command.members)}"
@@ -80,7 +81,7 @@
         case DissolveGroup():
             return "dissolve"
         case _:
-            return type(command).__name__
+            return str(command)
 
 
 use_step_matcher("parse")
--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -62,6 +62,12 @@
     stranded_accelerator: float = 1.0
 
 
+class WeightStoreLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the weight store bears. ``loads_in_parallel`` counts instances (0: no limit)."""
+
+    loads_in_parallel: int = 0
+
+
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole configuration document."""
 
@@ -70,6 +76,7 @@
     accounts: tuple[AccountSpecification, ...] = ()
     kinds: tuple[KindSpecification, ...] = ()
     weights: GroupWeights = GroupWeights()
+    weight_store: WeightStoreLimits = WeightStoreLimits()
     ordinary: PresetPolicy = PresetPolicy()
     peak: PresetPolicy = PresetPolicy(spares_per_domain=0, target_concurrency=24)
     maintenance: PresetPolicy = PresetPolicy(spares_per_domain=2)
@@ -131,6 +138,13 @@
                 f"model {model.name!r}: instances_per_group is {model.instances_per_group};"
                 " give at least 1"
             )
+    if configuration.weights.group_downtime < 0 or configuration.weights.stranded_accelerator < 0:
+        faults.append(f"weights {configuration.weights}: give numbers of at least 0")
+    if configuration.weight_store.loads_in_parallel < 0:
+        faults.append(
+            f"weight_store.loads_in_parallel is {configuration.weight_store.loads_in_parallel};"
+            " give at least 0"
+        )
     for preset in Preset:
         policy = configuration.policy(preset)
         if policy.target_concurrency < 1 or policy.queue_limit < 0 or policy.spares_per_domain < 0:
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -26,7 +26,12 @@
 
 
 class MemberReport(msgspec.Struct, frozen=True):
-    """An agent's report of its instance. ``epoch`` 0 means that it is in no group."""
+    """An agent's report of its instance. ``epoch`` 0 means that it is in no group.
+
+    ``is_acting``: its lease is valid by its own clock. ``is_settled``: no order of this agent or
+    its predecessor can still reach the engine. ``draining_epoch``: the epoch under which it knows
+    that it must start no new work, so that ``in_flight`` can only fall (0: none).
+    """
 
     announcement: TargetAnnouncement | None
     is_target_healthy: bool
@@ -35,6 +40,9 @@
     is_loaded: bool
     is_serving: bool
     in_flight: int
+    is_acting: bool = True
+    is_settled: bool = True
+    draining_epoch: Epoch = Epoch(0)
 
 
 class RenewLease(msgspec.Struct, frozen=True, tag=True):
@@ -54,7 +62,8 @@
 class Assignment(msgspec.Struct, frozen=True):
     """An instance's place in a group; the first of ``members`` is the head.
 
-    ``addresses`` are the members' stream addresses in the same order.
+    ``addresses`` are the members' stream addresses in the same order. ``may_load`` is the permit
+    to read the model from the weight store.
     """
 
     group: GroupId
@@ -63,6 +72,7 @@
     members: tuple[InstanceId, ...]
     addresses: tuple[str, ...]
     is_draining: bool
+    may_load: bool = True
 
 
 class GroupRoute(msgspec.Struct, frozen=True):
@@ -132,8 +142,12 @@
 
 
 class MemberPong(msgspec.Struct, frozen=True, tag=True):
-    """A member's answer. ``is_ready`` is True if its engine has loaded for this epoch."""
+    """A member's answer. ``is_ready`` is True if its engine has loaded for this epoch.
+
+    ``age`` is the number of seconds since the engine last proved to be healthy.
+    """
 
     group: GroupId
     epoch: Epoch
     is_ready: bool
+    age: float = 0.0
--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -1,5 +1,19 @@
 """Formation, repair and dissolution of replica groups."""
 
-from jaylatch_decisions.groups.planner import InstanceFacts, PlanInput, plan_groups
+from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
+from jaylatch_decisions.groups.loads import LoadRequest, Permit, grant_permits
+from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
+from jaylatch_decisions.groups.planner import plan_groups
+from jaylatch_decisions.groups.retirement import retiring_groups
 
-__all__ = ["InstanceFacts", "PlanInput", "plan_groups"]
+__all__ = [
+    "InstanceFacts",
+    "LoadRequest",
+    "OrderGate",
+    "OrderTiming",
+    "Permit",
+    "PlanInput",
+    "grant_permits",
+    "plan_groups",
+    "retiring_groups",
+]
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -0,0 +1,38 @@
+"""What the planner decides by."""
+
+import msgspec
+
+from jaylatch_core.configuration import Configuration, PresetPolicy
+from jaylatch_core.ids import Epoch, FailureDomainId, InstanceId
+from jaylatch_core.messages.control import Group
+
+
+class InstanceFacts(msgspec.Struct, frozen=True):
+    """What the leader knows of one instance with a model engine.
+
+    ``is_usable``: it renewed its lease of late, acts under it, and its engine is healthy;
+    ``unusable_for`` is the number of seconds since it was. ``epoch`` is the one it last reported
+    (0: in no group). ``is_settled``: no earlier order can still reach its engine.
+    ``draining_epoch``: the epoch under which it knows that it must start no new work.
+    """
+
+    instance: InstanceId
+    failure_domain: FailureDomainId
+    is_usable: bool
+    is_drained: bool
+    epoch: Epoch
+    is_serving: bool
+    in_flight: int
+    is_settled: bool = True
+    draining_epoch: Epoch = Epoch(0)
+    unusable_for: float = 0.0
+
+
+class PlanInput(msgspec.Struct, frozen=True):
+    """Everything the planner decides by."""
+
+    configuration: Configuration
+    policy: PresetPolicy
+    groups: tuple[Group, ...]
+    occupied: dict[InstanceId, Epoch]
+    instances: tuple[InstanceFacts, ...]
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/groups/loads.py
@@ -0,0 +1,36 @@
+"""Permits to load models, so that the weight store's limit is respected, most useful first."""
+
+import msgspec
+
+from jaylatch_core.ids import Epoch, InstanceId
+from jaylatch_core.messages.control import Group
+
+Permit = tuple[InstanceId, Epoch]
+"""Permits an instance to load for an epoch."""
+
+
+class LoadRequest(msgspec.Struct, frozen=True):
+    """A group and its members that have not loaded for its epoch yet."""
+
+    group: Group
+    waiting: tuple[InstanceId, ...]
+
+
+def grant_permits(
+    requests: list[LoadRequest], held: frozenset[Permit], limit: int
+) -> frozenset[Permit]:
+    """Return the permits that are in force now, at most ``limit`` (0: no limit).
+
+    Permits already held are kept until the load is done. Then come the groups that fewest loads
+    separate from serving, so a repair goes before a new group.
+    """
+    wanted = [
+        (member, request.group.epoch)
+        for request in sorted(requests, key=lambda item: (len(item.waiting), item.group.epoch))
+        for member in request.waiting
+    ]
+    if limit == 0:
+        return frozenset(wanted)
+    kept = [permit for permit in wanted if permit in held]
+    fresh = [permit for permit in wanted if permit not in held]
+    return frozenset(kept + fresh[: max(limit - len(kept), 0)])
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -4,12 +4,10 @@
 one call do not depend on each other.
 """
 
-from collections import defaultdict
+from collections import Counter, defaultdict
 
-import msgspec
-
-from jaylatch_core.configuration import Configuration, ModelSpecification, PresetPolicy
-from jaylatch_core.ids import Epoch, FailureDomainId, InstanceId
+from jaylatch_core.configuration import ModelSpecification
+from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_core.messages.control import (
     ConfirmRelease,
     ControlCommand,
@@ -18,128 +16,219 @@
     Group,
     RepairGroup,
 )
-
-
-class InstanceFacts(msgspec.Struct, frozen=True):
-    """What the leader knows of one instance with a model engine.
-
-    ``is_usable``: it renewed its lease of late and its engine is healthy. ``epoch`` is the one it
-    last reported (0: in no group).
-    """
-
-    instance: InstanceId
-    failure_domain: FailureDomainId
-    is_usable: bool
-    is_drained: bool
-    epoch: Epoch
-    is_serving: bool
-    in_flight: int
-
-
-class PlanInput(msgspec.Struct, frozen=True):
-    """Everything the planner decides by."""
-
-    configuration: Configuration
-    policy: PresetPolicy
-    groups: tuple[Group, ...]
-    occupied: dict[InstanceId, Epoch]
-    instances: tuple[InstanceFacts, ...]
+from jaylatch_decisions.groups.facts import PlanInput
+from jaylatch_decisions.groups.retirement import retiring_groups
+from jaylatch_decisions.groups.weighing import kept_spares, patience
 
 
 def plan_groups(facts: PlanInput) -> list[ControlCommand]:
     """Return the commands that bring the groups closer to what the configuration wants."""
     planner = _Planner(facts)
-    commands: list[ControlCommand] = planner.confirm_releases()
-    commands += planner.mend_groups()
-    commands += planner.form_groups()
-    return commands
+    planner.confirm_releases()
+    planner.retire_groups()
+    planner.mend_groups()
+    planner.form_groups()
+    planner.give_up_groups()
+    return planner.commands
 
 
 class _Planner:
+    """One call's working state: what is still free, and the commands so far."""
+
     def __init__(self, facts: PlanInput) -> None:
+        self.commands: list[ControlCommand] = []
         self._facts = facts
         self._known = {item.instance: item for item in facts.instances}
+        self._lost = frozenset(
+            member
+            for group in facts.groups
+            for member in group.members
+            if member not in self._known or not self._known[member].is_usable
+        )
+        self._retiring = retiring_groups(facts.configuration, facts.groups, self._lost)
+        self._broken: dict[FailureDomainId, list[Group]] = defaultdict(list)
         self._free: dict[FailureDomainId, list[InstanceId]] = defaultdict(list)
-        taken = {member for group in facts.groups for member in group.members}
-        for item in sorted(facts.instances, key=lambda item: item.instance):
-            is_available = item.is_usable and not item.is_drained
-            is_unassigned = item.instance not in taken and item.instance not in facts.occupied
-            if is_available and is_unassigned and item.epoch == 0:
-                self._free[item.failure_domain].append(item.instance)
-
-    def confirm_releases(self) -> list[ControlCommand]:
+        self._leaving: Counter[FailureDomainId] = Counter()
+        self._groups_in: Counter[FailureDomainId] = Counter()
+        self._existing: Counter[str] = Counter()
+        self._existing_in: Counter[tuple[str, FailureDomainId]] = Counter()
+        self._sort_instances()
+        for group in facts.groups:
+            self._count(group.model, self._domain_of(group), 1)
+
+    def confirm_releases(self) -> None:
         """Free the instances that reported, under a live lease, to be in no group."""
-        commands: list[ControlCommand] = []
         for instance, epoch in self._facts.occupied.items():
             item = self._known.get(instance)
-            if item is not None and item.is_usable and item.epoch == 0:
-                commands.append(ConfirmRelease(instance, epoch))
-        return commands
+            if item is not None and item.is_usable and item.is_settled and item.epoch == 0:
+                self.commands.append(ConfirmRelease(instance, epoch))
 
-    def mend_groups(self) -> list[ControlCommand]:
-        """Replace lost or drained members; dissolve what cannot be mended and is not wanted."""
-        commands: list[ControlCommand] = []
+    def retire_groups(self) -> None:
+        """Dissolve the groups that are not wanted, once nothing is in flight."""
         for group in self._facts.groups:
-            command = self._mend(group)
-            if command is not None:
-                commands.append(command)
-        return commands
-
-    def form_groups(self) -> list[ControlCommand]:
-        """Form the wanted groups from free instances of one failure domain, leaving spares."""
-        commands: list[ControlCommand] = []
-        for model in self._facts.configuration.models:
-            existing = sum(group.model == model.name for group in self._facts.groups)
-            for domain in sorted(self._free):
-                formed = self._form_in_domain(model, domain, existing)
-                existing += len(formed)
-                commands += formed
-        return commands
-
-    def _mend(self, group: Group) -> ControlCommand | None:
-        if self._facts.configuration.model(group.model) is None:
-            return self._dissolve_when_idle(group)
-        lost = [member for member in group.members if self._is_lost(member)]
-        if lost:
-            return self._replace(group, lost)
-        drained = [member for member in group.members if self._known[member].is_drained]
-        if drained and self._is_idle(group):
-            return self._replace(group, drained) or DissolveGroup(group.id, group.epoch)
-        return None
-
-    def _replace(self, group: Group, leaving: list[InstanceId]) -> ControlCommand | None:
+            if group.id in self._retiring and (self._is_broken(group) or self._is_idle(group)):
+                self._dissolve(group)
+
+    def mend_groups(self) -> None:
+        """Replace lost members, fewest first so that most groups serve; then drained members."""
+        groups = [group for group in self._facts.groups if group.id not in self._retiring]
+        for group in sorted(groups, key=lambda group: len(self._lost & set(group.members))):
+            if self._is_broken(group):
+                self._mend(group)
+            elif self._drained_members(group) and self._is_idle(group):
+                self._replace_drained(group)
+
+    def form_groups(self) -> None:
+        """Form wanted groups, evenly over models and domains, leaving the spares that are kept."""
+        while (choice := self._next_to_form()) is not None:
+            model, domain = choice
+            free = self._free[domain]
+            members = tuple(free[: model.instances_per_group])
+            del free[: model.instances_per_group]
+            self._count(model.name, domain, 1)
+            self.commands.append(FormGroup(model.name, members))
+
+    def give_up_groups(self) -> None:
+        """Dissolve broken groups whose survivors complete another group of the domain."""
+        for domain, broken in self._broken.items():
+            self._give_up(domain, broken)
+
+    # Mending
+
+    def _mend(self, group: Group) -> None:
+        lost = [member for member in group.members if member in self._lost]
+        if len(lost) == len(group.members):
+            if self._is_patience_over(group):
+                self._dissolve(group)
+            return
+        if not self._replace(group, lost):
+            self._broken[self._domain_of(group)].append(group)
+
+    def _replace_drained(self, group: Group) -> None:
+        if not self._replace(group, self._drained_members(group)):
+            self._dissolve(group)
+
+    def _replace(self, group: Group, leaving: list[InstanceId]) -> bool:
         staying = [member for member in group.members if member not in leaving]
-        if not staying:
-            return DissolveGroup(group.id, group.epoch)
-        spares = self._free[self._known[staying[0]].failure_domain]
-        if len(spares) < len(leaving):
+        free = self._free[self._domain_of(group)]
+        if not staying or len(free) < len(leaving):
+            return False
+        joining = [free.pop(0) for _ in leaving]
+        self.commands.append(RepairGroup(group.id, group.epoch, tuple(staying + joining)))
+        return True
+
+    def _give_up(self, domain: FailureDomainId, broken: list[Group]) -> None:
+        """Dissolve the fewest groups, from the least whole one, that complete another."""
+        pool = len(self._free[domain]) + self._leaving[domain]
+        donors = [group for group in broken if self._is_patience_over(group)]
+        donors.sort(key=lambda group: -len(self._lost & set(group.members)))
+        chosen: list[Group] = []
+        while donors and not self._is_pool_useful(domain, broken, chosen, pool):
+            chosen.append(donors.pop(0))
+            pool += self._survivors(chosen[-1])
+        if chosen and self._is_pool_useful(domain, broken, chosen, pool):
+            for group in chosen:
+                self._dissolve(group)
+
+    def _is_pool_useful(
+        self, domain: FailureDomainId, broken: list[Group], chosen: list[Group], pool: int
+    ) -> bool:
+        """Return whether ``pool`` instances mend a group or form one in place of ``chosen``."""
+        if pool == 0:
+            return False
+        kept = [group for group in broken if group not in chosen]
+        if any(len(self._lost & set(group.members)) <= pool for group in kept):
+            return True
+        has_group = self._groups_in[domain] > len(chosen)
+        return any(
+            self._needed(model, has_group) <= pool
+            and self._is_wanted(model, sum(group.model == model.name for group in chosen))
+            for model in self._facts.configuration.models
+        )
+
+    def _survivors(self, group: Group) -> int:
+        return sum(
+            member not in self._lost and not self._known[member].is_drained
+            for member in group.members
+        )
+
+    # Forming
+
+    def _next_to_form(self) -> tuple[ModelSpecification, FailureDomainId] | None:
+        choices = [
+            (model, domain)
+            for model in self._facts.configuration.models
+            for domain in sorted(self._free)
+            if self._is_wanted(model, self._hopeless(model)) and self._fits(model, domain)
+        ]
+        if not choices:
             return None
-        joining = [spares.pop(0) for _ in leaving]
-        return RepairGroup(group.id, group.epoch, tuple(staying + joining))
+        return min(
+            choices,
+            key=lambda choice: (
+                self._existing[choice[0].name],
+                self._existing_in[choice[0].name, choice[1]],
+            ),
+        )
+
+    def _fits(self, model: ModelSpecification, domain: FailureDomainId) -> bool:
+        return len(self._free[domain]) >= self._needed(model, self._groups_in[domain] > 0)
+
+    def _needed(self, model: ModelSpecification, has_group: bool) -> int:
+        """Return how many free instances a new group takes, counting those to be kept free."""
+        # A spare protects the groups of its domain; where there is none, it is of no use.
+        spares = kept_spares(self._facts.configuration.weights, self._facts.policy)
+        return model.instances_per_group + (spares if has_group else 0)
+
+    def _is_wanted(self, model: ModelSpecification, given_up: int) -> bool:
+        return model.groups == 0 or self._existing[model.name] - given_up < model.groups
+
+    def _hopeless(self, model: ModelSpecification) -> int:
+        """Return how many broken groups of the model cannot be mended at present."""
+        return sum(
+            group.model == model.name and self._is_patience_over(group)
+            for broken in self._broken.values()
+            for group in broken
+        )
+
+    # Facts
+
+    def _sort_instances(self) -> None:
+        taken = {member for group in self._facts.groups for member in group.members}
+        for item in sorted(self._facts.instances, key=lambda item: item.instance):
+            if not item.is_usable or item.is_drained or item.instance in taken:
+                continue
+            if item.instance in self._facts.occupied:
+                self._leaving[item.failure_domain] += 1
+            elif item.epoch == 0 and item.is_settled:
+                self._free[item.failure_domain].append(item.instance)
+
+    def _count(self, model: str, domain: FailureDomainId, change: int) -> None:
+        self._groups_in[domain] += change
+        self._existing[model] += change
+        self._existing_in[model, domain] += change
 
-    def _dissolve_when_idle(self, group: Group) -> ControlCommand | None:
-        return DissolveGroup(group.id, group.epoch) if self._is_idle(group) else None
+    def _dissolve(self, group: Group) -> None:
+        self._count(group.model, self._domain_of(group), -1)
+        self.commands.append(DissolveGroup(group.id, group.epoch))
 
-    def _is_lost(self, member: InstanceId) -> bool:
-        item = self._known.get(member)
-        return item is None or not item.is_usable
+    def _domain_of(self, group: Group) -> FailureDomainId:
+        known = [self._known[member] for member in group.members if member in self._known]
+        return known[0].failure_domain if known else FailureDomainId("")
+
+    def _is_broken(self, group: Group) -> bool:
+        return not self._lost.isdisjoint(group.members)
+
+    def _is_patience_over(self, group: Group) -> bool:
+        limit = patience(self._facts.configuration.weights)
+        lost = [self._known[member] for member in group.members if member in self._known]
+        waits = [item.unusable_for for item in lost if item.instance in self._lost]
+        return not waits or max(waits) >= limit
+
+    def _drained_members(self, group: Group) -> list[InstanceId]:
+        return [member for member in group.members if self._known[member].is_drained]
 
     def _is_idle(self, group: Group) -> bool:
+        """Return whether the head knows that it must start no new work and has none left."""
         head = self._known.get(group.head)
-        if head is None or head.epoch != group.epoch:
-            return False
-        return not head.is_serving and head.in_flight == 0
-
-    def _form_in_domain(
-        self, model: ModelSpecification, domain: FailureDomainId, existing: int
-    ) -> list[ControlCommand]:
-        commands: list[ControlCommand] = []
-        free = self._free[domain]
-        size = model.instances_per_group
-        needed = size + self._facts.policy.spares_per_domain
-        while len(free) >= needed and (model.groups == 0 or existing < model.groups):
-            members = tuple(free[:size])
-            del free[:size]
-            existing += 1
-            commands.append(FormGroup(model.name, members))
-        return commands
+        return head is not None and head.draining_epoch == group.epoch and head.in_flight == 0
--- /dev/null
+++ b/packages/node/src/jaylatch_node/agent/engine_owner.py
@@ -0,0 +1,95 @@
+"""The only writer of orders to the engine beside this agent; it gives one order at a time."""
+
+from collections.abc import Callable
+
+from returns.pipeline import is_successful
+
+from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.membership import Assignment
+from jaylatch_core.settings import AgentSettings, LeaseSettings
+from jaylatch_decisions.groups import OrderGate, OrderTiming
+from jaylatch_node.adapters import EngineClient, EngineState
+from jaylatch_node.adapters.engine import ORDER_TIMEOUT
+from jaylatch_node.blackboard import NO_EPOCH, Blackboard
+
+
+class EngineOwner:
+    """Keeps the engine in step with the assignment on the blackboard.
+
+    ``on_leave`` is called before each order that ends the engine's present membership.
+    """
+
+    def __init__(
+        self,
+        board: Blackboard,
+        settings: AgentSettings,
+        lease: LeaseSettings,
+        on_leave: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._on_leave = on_leave
+        timing = OrderTiming(ORDER_TIMEOUT, settings.member_timeout, lease.drift)
+        self._gate = OrderGate(timing, monotonic())
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether no earlier order can still change the engine's state."""
+        announcement = self._board.member.announcement
+        checks_fencing = announcement is not None and announcement.checks_fencing
+        return self._gate.is_settled(now, checks_fencing)
+
+    def record_ready_answer(self, now: float, head: InstanceId) -> None:
+        """Record that this member told ``head`` that it is ready."""
+        self._gate.record_ready_answer(now, head)
+
+    async def probe(self, engine: EngineClient) -> None:
+        """Read the engine's state back, and give the order that it needs, if any."""
+        sent_at = monotonic()
+        state = await engine.read_state()
+        if not is_successful(state):
+            return
+        self._record_state(sent_at, state.unwrap())
+        if not state.unwrap().is_busy:
+            await self._order_if_needed(engine, state.unwrap())
+
+    def _record_state(self, sent_at: float, state: EngineState) -> None:
+        member = self._board.member
+        member.healthy_at = sent_at
+        member.group = state.group
+        member.epoch = state.epoch
+        member.is_loaded = state.is_loaded
+
+    async def _order_if_needed(self, engine: EngineClient, state: EngineState) -> None:
+        assignment = self._board.grant.assignment
+        is_placed = state.epoch != NO_EPOCH
+        if not self._may_order(assignment, is_placed):
+            return
+        if assignment is None:
+            if is_placed:
+                await self._release(engine, state)
+            return
+        is_current = (state.group, state.epoch) == (assignment.group, assignment.epoch)
+        if assignment.may_load and not (is_current and state.is_loaded):
+            await self._load(engine, assignment)
+
+    def _may_order(self, assignment: Assignment | None, is_placed: bool) -> bool:
+        now = monotonic()
+        announcement = self._board.member.announcement
+        if announcement is None or not self._board.grant.lease.is_valid(now):
+            return False
+        head = assignment.members[0] if assignment is not None else None
+        return self._gate.may_order(now, announcement.checks_fencing, head, is_placed)
+
+    async def _release(self, engine: EngineClient, state: EngineState) -> None:
+        self._on_leave()
+        if not is_successful(await engine.order_release(state.group, state.epoch)):
+            self._gate.record_unknown_order(monotonic())
+
+    async def _load(self, engine: EngineClient, assignment: Assignment) -> None:
+        self._on_leave()
+        rank = assignment.members.index(self._board.identity.instance)
+        if not is_successful(await engine.order_load(assignment, rank)):
+            self._gate.record_unknown_order(monotonic())
+        self._board.events.record(
+            wall(), "engine.load_ordered", assignment.group, detail=str(assignment.epoch)
+        )
--- a/packages/node/src/jaylatch_node/agent/membership.py
+++ b/packages/node/src/jaylatch_node/agent/membership.py
@@ -1,14 +1,14 @@
-"""Keeps the target in step with its assignment, and the group's members in sight of its head."""
+"""Decides whether this agent may start new work, and tells of its instance."""
 
-from asyncio import create_task, gather, sleep
+from asyncio import Task, create_task, sleep
 from collections.abc import Callable
 
-from returns.pipeline import is_successful
 from tornado.httpclient import AsyncHTTPClient
+from tornado.ioloop import PeriodicCallback
 
-from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.enums import TargetKind
-from jaylatch_core.ids import InstanceId
+from jaylatch_core.ids import Epoch
 from jaylatch_core.messages.membership import (
     Assignment,
     MemberPing,
@@ -16,21 +16,26 @@
     MemberReport,
     TargetAnnouncement,
 )
-from jaylatch_core.settings import AgentSettings
-from jaylatch_node.adapters import EngineClient, EngineState, ServiceClient
+from jaylatch_core.settings import AgentSettings, LeaseSettings
+from jaylatch_node.adapters import EngineClient, ServiceClient
+from jaylatch_node.agent.engine_owner import EngineOwner
+from jaylatch_node.agent.heartbeats import HeartbeatController
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
 from jaylatch_node.streams import PeerPool
 
+WATCH_INTERVAL = 0.05
+
 LossHandler = Callable[[], None]
 
 
 class MembershipController:
-    """The only writer of orders to the engine; it gives one order at a time."""
+    """Admits new work only while the target is healthy and its group is whole."""
 
     def __init__(
         self,
         board: Blackboard,
         settings: AgentSettings,
+        lease: LeaseSettings,
         peers: PeerPool,
         client: AsyncHTTPClient,
         on_loss: LossHandler,
@@ -38,20 +43,29 @@
     ) -> None:
         self._board = board
         self._settings = settings
-        self._peers = peers
         self._client = client
         self._on_loss = on_loss
         self._on_change = on_change
+        self._owner = EngineOwner(board, settings, lease, on_loss)
+        self._heartbeats = HeartbeatController(board, settings, peers)
+        self._watch = PeriodicCallback(
+            self._watch_wholeness, WATCH_INTERVAL * MILLISECONDS_PER_SECOND
+        )
+        self._probe: Task[None] | None = None
         self._was_whole = False
 
     def start(self) -> None:
-        """Begin to probe the target."""
-        self._tasks = [create_task(self._run_probe()), create_task(self._run_pings())]
+        """Begin to probe the target and the other members."""
+        self._probe = create_task(self._run_probe())
+        self._heartbeats.start()
+        self._watch.start()
 
     def stop(self) -> None:
         """Stop all probes."""
-        for task in self._tasks:
-            task.cancel()
+        if self._probe is not None:
+            self._probe.cancel()
+        self._heartbeats.stop()
+        self._watch.stop()
 
     def announce(self, announcement: TargetAnnouncement) -> None:
         """Take a target's announcement; a repeated one changes nothing."""
@@ -70,18 +84,20 @@
             member.is_loaded,
             self.is_admitting(now),
             member.in_flight,
+            self._board.grant.lease.is_valid(now),
+            self._owner.is_settled(now),
+            self._draining_epoch(),
         )
 
     def is_admitting(self, now: float) -> bool:
         """Return whether this agent may start new work at ``now``."""
         grant = self._board.grant
         announcement = self._board.member.announcement
-        if announcement is None or grant.is_drained or not grant.lease.is_valid(now):
+        if announcement is None or self._is_leaving() or not grant.lease.is_valid(now):
             return False
         if announcement.kind is TargetKind.SERVICE:
             return self._is_target_fresh(now)
-        assignment = grant.assignment
-        return assignment is not None and not assignment.is_draining and self.is_whole(now)
+        return self.is_whole(now)
 
     def is_whole(self, now: float) -> bool:
         """Return whether this is a head whose group has all members ready under its epoch."""
@@ -97,20 +113,16 @@
     def answer_ping(self, now: float, ping: MemberPing) -> MemberPong:
         """Tell a head whether this member is ready under the head's epoch."""
         assignment = self._board.grant.assignment
-        is_same = (
-            assignment is not None
-            and assignment.group == ping.group
-            and assignment.epoch == ping.epoch
-        )
         is_ready = (
-            is_same
-            and assignment is not None
+            assignment is not None
+            and (assignment.group, assignment.epoch) == (ping.group, ping.epoch)
             and self._board.grant.lease.is_valid(now)
             and self._is_ready(now, assignment)
         )
-        return MemberPong(ping.group, ping.epoch, is_ready)
-
-    # The target
+        if assignment is not None and is_ready:
+            self._owner.record_ready_answer(now, assignment.members[0])
+        age = now - self._board.member.healthy_at
+        return MemberPong(ping.group, ping.epoch, is_ready, age)
 
     async def _run_probe(self) -> None:
         while True:
@@ -118,10 +130,9 @@
             if announcement is not None:
                 match announcement.kind:
                     case TargetKind.ENGINE:
-                        await self._probe_engine(EngineClient(announcement.address, self._client))
+                        await self._owner.probe(EngineClient(announcement.address, self._client))
                     case TargetKind.SERVICE:
                         await self._probe_service(ServiceClient(announcement.address, self._client))
-            self._watch_wholeness()
             await sleep(self._settings.probe_interval)
 
     async def _probe_service(self, service: ServiceClient) -> None:
@@ -129,40 +140,15 @@
         if await service.is_healthy():
             self._board.member.healthy_at = sent_at
 
-    async def _probe_engine(self, engine: EngineClient) -> None:
-        sent_at = monotonic()
-        state = await engine.read_state()
-        if not is_successful(state):
-            return
-        self._record_state(sent_at, state.unwrap())
-        if not state.unwrap().is_busy:
-            await self._order_if_needed(engine, state.unwrap())
-
-    def _record_state(self, sent_at: float, state: EngineState) -> None:
-        member = self._board.member
-        member.healthy_at = sent_at
-        member.group = state.group
-        member.epoch = state.epoch
-        member.is_loaded = state.is_loaded
+    def _draining_epoch(self) -> Epoch:
+        assignment = self._board.grant.assignment
+        is_draining = assignment is not None and assignment.is_draining
+        return assignment.epoch if assignment is not None and is_draining else NO_EPOCH
 
-    async def _order_if_needed(self, engine: EngineClient, state: EngineState) -> None:
+    def _is_leaving(self) -> bool:
         grant = self._board.grant
-        if not grant.lease.is_valid(monotonic()):
-            return
         assignment = grant.assignment
-        if assignment is None:
-            if state.epoch != NO_EPOCH:
-                self._on_loss()
-                await engine.order_release(state.group, state.epoch)
-            return
-        is_current = (state.group, state.epoch) == (assignment.group, assignment.epoch)
-        if not is_current or not state.is_loaded:
-            self._on_loss()
-            rank = assignment.members.index(self._board.identity.instance)
-            await engine.order_load(assignment, rank)
-            self._board.events.record(
-                wall(), "engine.load_ordered", assignment.group, detail=str(assignment.epoch)
-            )
+        return grant.is_drained or (assignment is not None and assignment.is_draining)
 
     def _is_target_fresh(self, now: float) -> bool:
         return self._board.member.healthy_at > now - self._settings.member_timeout
@@ -170,31 +156,8 @@
     def _is_ready(self, now: float, assignment: Assignment) -> bool:
         member = self._board.member
         is_current = (member.group, member.epoch) == (assignment.group, assignment.epoch)
-        return is_current and member.is_loaded and self._is_target_fresh(now)
-
-    # The other members
-
-    async def _run_pings(self) -> None:
-        while True:
-            assignment = self._board.grant.assignment
-            if assignment is None:
-                self._board.member.member_heard_at.clear()
-            elif assignment.members[0] == self._board.identity.instance:
-                others = zip(assignment.members[1:], assignment.addresses[1:], strict=True)
-                pings = [self._ping(assignment, *other) for other in others if other[1]]
-                await gather(*pings)
-            self._watch_wholeness()
-            await sleep(self._settings.probe_interval)
-
-    async def _ping(self, assignment: Assignment, member: InstanceId, address: str) -> None:
-        sent_at = monotonic()
-        result = await self._peers.get(address).call(
-            MemberPing(assignment.group, assignment.epoch), self._settings.member_timeout
-        )
-        pong = result.unwrap() if is_successful(result) else None
-        is_same = self._board.grant.assignment == assignment
-        if isinstance(pong, MemberPong) and pong.is_ready and is_same:
-            self._board.member.member_heard_at[member] = sent_at
+        is_trusted = self._owner.is_settled(now) and self._is_target_fresh(now)
+        return is_current and member.is_loaded and is_trusted
 
     def _watch_wholeness(self) -> None:
         is_whole = self.is_whole(monotonic())
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -24,7 +24,13 @@
         client = AsyncHTTPClient()
         self._settings = settings
         self._membership = MembershipController(
-            board, settings.agent, peers, client, self._abort_attempts, self._report
+            board,
+            settings.agent,
+            settings.lease,
+            peers,
+            client,
+            self._abort_attempts,
+            self._report,
         )
         self._attempts = AttemptsController(board, settings.agent, self._membership, client)
         server.on_open(self._attempts.open_connection)
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -8,7 +8,7 @@
 from jaylatch_core.clock import wall
 from jaylatch_core.enums import DrainScope, TargetKind
 from jaylatch_core.exceptions import Unavailable
-from jaylatch_core.ids import Epoch, FailureDomainId, Generation, InstanceId, Term
+from jaylatch_core.ids import Epoch, FailureDomainId, Generation, GroupId, InstanceId, Term
 from jaylatch_core.messages.administration import NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
@@ -23,7 +23,15 @@
 )
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
-from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups
+from jaylatch_decisions.groups import (
+    InstanceFacts,
+    LoadRequest,
+    Permit,
+    PlanInput,
+    grant_permits,
+    plan_groups,
+    retiring_groups,
+)
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.streams import StreamConnection
@@ -62,6 +70,9 @@
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._renewed_at: dict[InstanceId, float] = {}
+        self._usable_at: dict[InstanceId, float] = {}
+        self._retiring: frozenset[GroupId] = frozenset()
+        self._permits: frozenset[Permit] = frozenset()
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
         self._announced: object = None
@@ -93,7 +104,10 @@
 
     def tick(self, now: float) -> None:
         """Measure, tell the nodes of changes, and propose what the plan asks for."""
-        self._measure(now)
+        facts = self._facts(now)
+        self._measure(now, facts)
+        self._retire(facts)
+        self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
         if not self._is_proposing:
@@ -186,10 +200,11 @@
             group.members,
             addresses,
             self._is_draining(group),
+            (instance, group.epoch) in self._permits,
         )
 
     def _is_draining(self, group: Group) -> bool:
-        if self._state.configuration.model(group.model) is None:
+        if group.id in self._retiring or self._state.configuration.model(group.model) is None:
             return True
         if (DrainScope.GROUP, group.id) in self._state.drains:
             return True
@@ -213,6 +228,8 @@
             self._state.preset,
             tuple(self._state.groups.values()),
             frozenset(self._state.drains),
+            self._retiring,
+            self._permits,
         )
         if current == self._announced:
             return
@@ -242,25 +259,55 @@
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
-        facts = []
-        for holder in self._leases.all():
-            renewal = holder.renewal
-            member = renewal.member
-            if member is None or not _is_engine(member):
-                continue
-            is_heard = now < self._renewed_at[renewal.instance] + self._suspect_after
-            facts.append(
-                InstanceFacts(
-                    renewal.instance,
-                    renewal.failure_domain,
-                    is_heard and member.is_target_healthy,
-                    self._is_instance_leaving(renewal.instance, renewal.failure_domain),
-                    member.epoch,
-                    member.is_serving,
-                    member.in_flight,
-                )
-            )
-        return facts
+        return [
+            self._instance_facts(now, holder.renewal, holder.renewal.member)
+            for holder in self._leases.all()
+            if holder.renewal.member is not None and _is_engine(holder.renewal.member)
+        ]
+
+    def _instance_facts(
+        self, now: float, renewal: RenewLease, member: MemberReport
+    ) -> InstanceFacts:
+        instance = renewal.instance
+        is_heard = now < self._renewed_at[instance] + self._suspect_after
+        is_usable = is_heard and member.is_target_healthy and member.is_acting
+        if is_usable:
+            self._usable_at[instance] = now
+        return InstanceFacts(
+            instance,
+            renewal.failure_domain,
+            is_usable,
+            self._is_instance_leaving(instance, renewal.failure_domain),
+            member.epoch,
+            member.is_serving,
+            member.in_flight,
+            member.is_settled,
+            member.draining_epoch,
+            now - self._usable_at.setdefault(instance, now),
+        )
+
+    def _retire(self, facts: list[InstanceFacts]) -> None:
+        """Keep the retiring groups up to date, so that their heads admit no new work."""
+        usable = {item.instance for item in facts if item.is_usable}
+        groups = tuple(self._state.groups.values())
+        lost = frozenset(item for group in groups for item in group.members if item not in usable)
+        self._retiring = retiring_groups(self._state.configuration, groups, lost)
+
+    def _permit_loads(self, now: float) -> None:
+        requests = []
+        for group in self._state.groups.values():
+            waiting = tuple(item for item in group.members if self._is_waiting(now, group, item))
+            if waiting:
+                requests.append(LoadRequest(group, waiting))
+        limit = self._state.configuration.weight_store.loads_in_parallel
+        self._permits = grant_permits(requests, self._permits, limit)
+
+    def _is_waiting(self, now: float, group: Group, instance: InstanceId) -> bool:
+        holder = self._leases.holder(now, instance)
+        member = holder.renewal.member if holder is not None else None
+        if member is None:
+            return False
+        return member.epoch != group.epoch or not member.is_loaded
 
     def _is_instance_leaving(self, instance: InstanceId, domain: FailureDomainId) -> bool:
         group = self._state.group_of(instance)
@@ -278,12 +325,11 @@
 
     # Measures
 
-    def _measure(self, now: float) -> None:
+    def _measure(self, now: float, facts: list[InstanceFacts]) -> None:
         elapsed = now - self._measures.measured_at
         self._measures.measured_at = now
         if now < self._plan_from:
             return
-        facts = self._facts(now)
         serving = {
             item.instance: item.epoch for item in facts if item.is_usable and item.is_serving
         }
--- a/packages/standins/src/jaylatch_standins/domain_faults.py
+++ b/packages/standins/src/jaylatch_standins/domain_faults.py
@@ -14,6 +14,7 @@
 
 WAIT = 40.0
 PAST_LEASE = 5.0
+CUT_TIME = 7.0
 DARK_TIME = 3.0
 
 Fault = Callable[["DomainFaults"], Awaitable[None]]
@@ -164,7 +165,7 @@
         proxies = self._proxies[group["members"][0]]
         for proxy in proxies:
             setattr(proxy, direction, True)
-        await sleep(PAST_LEASE)
+        await sleep(CUT_TIME)
         for proxy in proxies:
             setattr(proxy, direction, False)
         await self.wait_for_group(group["epoch"])
--- a/packages/standins/src/jaylatch_standins/group_judge.py
+++ b/packages/standins/src/jaylatch_standins/group_judge.py
@@ -87,7 +87,7 @@
                             f" {busy[line.target]}"
                         )
                     busy[line.target] = line.detail
-                case "loaded" | "killed" | "started":
+                case "loaded" | "killed":
                     busy.pop(line.target, None)
         return faults
 
--- a/packages/standins/src/jaylatch_standins/ledger.py
+++ b/packages/standins/src/jaylatch_standins/ledger.py
@@ -10,9 +10,9 @@
 class LedgerLine(msgspec.Struct):
     """One thing that happened at a stand-in.
 
-    ``what`` is ``start``, ``end``, ``cancel`` or ``token`` for a request. For an engine's order it is
-    ``order_received``, ``load``, ``loaded`` or ``release``, with group, epoch, rank and size in
-    ``detail``. The harness adds ``killed`` and ``started`` for the processes that it handles.
+    ``what`` is ``start``, ``end``, ``cancel`` or ``token`` for a request, and ``order_received``,
+    ``load``, ``loaded`` or ``release`` for an engine's order, with group, epoch, rank and size in
+    ``detail``. The harness adds ``killed`` for the engines that it ends.
     """
 
     at: float
