--- /dev/null
+++ b/features/control/in_force.feature
@@ -0,0 +1,35 @@
+Feature: A change is in force everywhere or nowhere, and never reverts
+
+  Scenario: Presets switched by racing operators and configurations applied, through pauses and kills
+    Given a deployment of 3 control instances, 3 entries and 4 agents
+    When 200 configurations are applied and presets switched by racing operators, while an entry is paused, an agent is killed and the control leader is killed
+    Then at no instant were two presets in force at two processes
+    And no generation ever went back at any process
+    And the last configuration and the last preset are in force everywhere
+
+  Scenario Outline: A lease as its holder and as its grantor see it, with clocks that drift
+    Given a lease of 4 s with a drift bound of <bound> and a holder whose clock runs at <rate>
+    When the renewal is sent at 0 s, granted at <granted> s and the answer comes at <answered> s
+    Then at <time> s the holder <acts> and the grantor says that it <lapsed>
+
+    Examples:
+      | bound | rate | granted | answered | time | acts     | lapsed          |
+      | 0.01  | 1    | 0.5     | 1        | 3.9  | acts     | may still hold  |
+      | 0.01  | 1    | 0.5     | 1        | 4.0  | does not | may still hold  |
+      | 0.01  | 1    | 0.5     | 1        | 4.6  | does not | has lapsed      |
+      | 0.01  | 0.99 | 0.0     | 1        | 3.99 | acts     | may still hold  |
+      | 0.01  | 0.99 | 0.0     | 1        | 4.05 | does not | has lapsed      |
+      | 0.01  | 1.01 | 0.0     | 1        | 3.95 | does not | may still hold  |
+      | 0.1   | 0.9  | 0.0     | 1        | 4.3  | does not | may still hold  |
+
+  Scenario Outline: A new leader reports nothing as in force or lapsed that it cannot know
+    Given a leader elected at 100 s with leases of 4 s and no drift
+    And holders "<holders>" that renewed at 101 s having acknowledged "<acknowledged>"
+    Then at <time> s generation 2 is <verdict> and instance "z" <lapsed>
+
+    Examples:
+      | holders | acknowledged | time | verdict       | lapsed          |
+      | a b     | 2 2          | 102  | not in force  | may still hold  |
+      | a b     | 2 2          | 104  | in force      | has lapsed      |
+      | a b     | 2 1          | 104  | not in force  | has lapsed      |
+      | a b     | 2 1          | 105  | in force      | has lapsed      |
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -32,6 +32,7 @@
         self._client = client
         self._report_member = report_member
         self._wake = Event()
+        self._had_lease = False
         self._grant_handlers: list[Callable[[], None]] = []
 
     def start(self) -> None:
@@ -53,6 +54,7 @@
     async def _run(self) -> None:
         while True:
             self._wake.clear()
+            self._record_lapse()
             has_changed = await self._renew()
             if has_changed:
                 # Acknowledges the new generations without waiting for the next interval.
@@ -95,19 +97,42 @@
             # A grant older than what this process acts under must not set it back.
             return False
         has_changed = grant.generation > board.generation or grant.preset != board.preset
+        self._record_lapse()
+        self._record_changes(grant)
         if grant.configuration is not None:
             board.configuration = grant.configuration
             board.generation = grant.generation
-        if grant.preset != board.preset:
-            self._board.events.record(
-                wall(), "preset.changed", grant.preset.preset.value, detail=str(latest_preset)
-            )
         board.preset = grant.preset
         if grant.view is not None:
             board.view = grant.view
         board.assignment = grant.assignment
         board.is_drained = grant.is_drained
         board.lease.extend(sent_at, grant.duration)
+        if not self._had_lease and board.lease.is_valid(monotonic()):
+            self._had_lease = True
+            self._board.events.record(wall(), "lease.held")
         for handler in self._grant_handlers:
             handler()
         return has_changed
+
+    def _record_lapse(self) -> None:
+        """Record that the lease has lapsed, with the wall-clock time at which it did."""
+        now = monotonic()
+        lease = self._board.grant.lease
+        if self._had_lease and not lease.is_valid(now):
+            self._had_lease = False
+            lapsed_at = wall() - (now - lease.expires_at)
+            self._board.events.record(wall(), "lease.lapsed", detail=f"{lapsed_at:.6f}")
+
+    def _record_changes(self, grant: LeaseGrant) -> None:
+        known = self._board.grant
+        events = self._board.events
+        preset = grant.preset
+        if grant.configuration is not None and grant.generation != known.generation:
+            events.record(wall(), "configuration.changed", detail=str(grant.generation))
+        if preset.prepared_generation > known.preset.prepared_generation:
+            detail = str(preset.prepared_generation)
+            events.record(wall(), "preset.prepared", preset.prepared.value, detail=detail)
+        if preset.generation != known.preset.generation:
+            detail = str(preset.generation)
+            events.record(wall(), "preset.changed", preset.preset.value, detail=detail)
