--- a/packages/cli/src/jaylatch_cli/management/commands/checks.py
+++ b/packages/cli/src/jaylatch_cli/management/commands/checks.py
@@ -19,9 +19,9 @@
 
 
 class Command(BaseCommand):
-    """Checks files without a running deployment; all faults are shown at once."""
+    """Checks files without a running deployment, or without files the settings of an entry."""
 
-    help = "check settings files and configuration documents"
+    help = "check settings files and configuration documents, or the settings of an entry"
 
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the files."""
@@ -30,6 +30,8 @@
 
     def handle(self, client: AdministrationClient, options: Namespace) -> int:
         """Print the findings; exits with 1 if one of them is an error."""
+        if not options.settings and not options.configuration:
+            return self._check_entry(client, options)
         findings = [item for path in options.settings for item in _check_settings(path)]
         findings += [item for path in options.configuration for item in _check_configuration(path)]
         for item in findings:
@@ -38,6 +40,17 @@
         is_refused = any(item.level >= Level.ERROR for item in findings)
         return EXIT_REFUSED if is_refused else EXIT_OK
 
+    def _check_entry(self, client: AdministrationClient, options: Namespace) -> int:
+        """Print the findings on the settings of the entry that answers."""
+        result = client.get("checks")
+        if options.json or not is_successful(result):
+            return self.print_answer(options, result)
+        self.print_table(
+            ("LEVEL", "ID", "SUBJECT", "TEXT", "HINT"),
+            [tuple(finding.values()) for finding in result.unwrap().json()],
+        )
+        return EXIT_OK
+
 
 def _check_settings(path: Path) -> list[CheckMessage]:
     loaded = load_settings(path)
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -52,10 +52,6 @@
         "request.retried",
         "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
     )
-    REQUEST_DROPPED = (
-        "request.dropped",
-        "Admission gave up a waiting request; the subject is the reason, the detail the advice.",
-    )
     STORAGE_SET_ASIDE = (
         "storage.set_aside",
         "A control instance set a damaged log file aside; the subject is the file.",
@@ -84,6 +80,15 @@
         "group.broken",
         "The head's agent misses a member and admits no work; the subject is the group.",
     )
+    LEASE_HELD = ("lease.held", "A process holds a lease, for the first time or again.")
+    LEASE_LAPSED = (
+        "lease.lapsed",
+        "A process noticed that its lease had lapsed; the detail is the time at which it did.",
+    )
+    PRESET_PREPARED = (
+        "preset.prepared",
+        "A process acts under the stricter of two presets; the subject is the next one.",
+    )
     PRESET_CHANGED = (
         "preset.changed",
         "A process acts under another preset; the subject is the preset, the detail its number.",
--- a/packages/core/src/jaylatch_core/messages/administration.py
+++ b/packages/core/src/jaylatch_core/messages/administration.py
@@ -5,7 +5,7 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.events import Event, EventFilter
 from jaylatch_core.ids import FailureDomainId, Generation, InstanceId
-from jaylatch_core.messages.control import Group
+from jaylatch_core.messages.control import ConfigurationRecord, Group
 from jaylatch_core.messages.membership import MemberReport, PresetState
 
 
@@ -30,6 +30,7 @@
     """The answer to ``ReadStatus``. ``not_in_force`` lists holders behind the log.
 
     ``silent`` are the instances whose lease has lapsed since the leader was elected.
+    ``knows_all_holders`` is False while a lease of an earlier leader may be in use unseen.
     """
 
     leader: InstanceId
@@ -43,6 +44,17 @@
     group_downtime: float
     stranded_seconds: float
     silent: tuple[InstanceId, ...] = ()
+    knows_all_holders: bool = True
+
+
+class ReadHistory(msgspec.Struct, frozen=True, tag=True):
+    """Asks for the latest accepted configurations, after a confirmed read."""
+
+
+class HistoryReport(msgspec.Struct, frozen=True, tag=True):
+    """The answer to ``ReadHistory``, oldest first."""
+
+    records: tuple[ConfigurationRecord, ...]
 
 
 class ReadEvents(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -12,8 +12,10 @@
 )
 from jaylatch_core.messages.administration import (
     EventReport,
+    HistoryReport,
     MetricsReport,
     ReadEvents,
+    ReadHistory,
     ReadMetrics,
     ReadStatus,
     StatusReport,
@@ -97,6 +99,8 @@
     | QueryAttempt
     | ReadStatus
     | StatusReport
+    | ReadHistory
+    | HistoryReport
     | ReadEvents
     | EventReport
     | ReadMetrics
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 
 from jaylatch_core.documents import parse_document
-from jaylatch_core.enums import EntryPolicy, Role
+from jaylatch_core.enums import EntryPolicy, OperatorRole, Role
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
@@ -67,8 +67,19 @@
     drift: Annotated[float, Meta(ge=0, le=0.1)] = 0.01
 
 
+class OperatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator. ``token_hash`` is the SHA-256 hex digest of the operator's token."""
+
+    name: str
+    token_hash: str
+    role: OperatorRole = OperatorRole.READ
+
+
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role that faces callers and operators. ``policy`` is ``adaptive`` but for comparisons."""
+    """The role that faces callers and operators. ``policy`` is ``adaptive`` but for comparisons.
+
+    A token in ``operator_token_hashes`` may do everything; ``operators`` names people and roles.
+    """
 
     http: str = "127.0.0.1:8080"
     body_limit: Size = 4 * MEBIBYTE
@@ -76,6 +87,7 @@
     default_deadline: Duration = 30.0
     operator_token_hashes: tuple[str, ...] = ()
     policy: EntryPolicy = EntryPolicy.ADAPTIVE
+    operators: tuple[OperatorSettings, ...] = ()
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -10,8 +10,8 @@
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
-from jaylatch_core.ids import Epoch, FailureDomainId, Generation, InstanceId, Term
-from jaylatch_core.messages.administration import NodeStatus, StatusReport
+from jaylatch_core.ids import Epoch, FailureDomainId, Generation, GroupId, InstanceId, Term
+from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
     Assignment,
@@ -25,7 +25,15 @@
 )
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
-from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups
+from jaylatch_decisions.groups import (
+    InstanceFacts,
+    LoadRequest,
+    Permit,
+    PlanInput,
+    grant_permits,
+    plan_groups,
+    retiring_groups,
+)
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.streams import StreamConnection
@@ -50,6 +58,7 @@
     view: int = 0
     shared: object = None
     groups: frozenset[Group] = frozenset()
+    permits: frozenset[Permit] = frozenset()
 
 
 class LeaderController:
@@ -72,6 +81,9 @@
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._renewed_at: dict[InstanceId, float] = {}
+        self._usable_at: dict[InstanceId, float] = {}
+        self._retiring: frozenset[GroupId] = frozenset()
+        self._permits: frozenset[Permit] = frozenset()
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
         self._announced = _Announced()
@@ -104,6 +116,8 @@
         """Measure, tell the nodes of changes, and propose what the plan asks for."""
         facts = self._facts(now)
         self._measure(now, facts)
+        self._retire(facts)
+        self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
         if not self._is_proposing:
@@ -141,8 +155,13 @@
             tuple(
                 holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
             ),
+            self._leases.knows_all(now),
         )
 
+    def history(self) -> HistoryReport:
+        """Return the latest configurations for operators."""
+        return HistoryReport(tuple(self._state.history))
+
     def is_in_force_everywhere(self, now: float) -> bool:
         """Return whether every holder acts under the latest generations."""
         return self._leases.knows_all(now) and not self._behind(now)
@@ -199,10 +218,11 @@
             group.members,
             addresses,
             self._is_draining(group),
+            (instance, group.epoch) in self._permits,
         )
 
     def _is_draining(self, group: Group) -> bool:
-        if self._state.configuration.model(group.model) is None:
+        if group.id in self._retiring or self._state.configuration.model(group.model) is None:
             return True
         if (DrainScope.GROUP, group.id) in self._state.drains:
             return True
@@ -223,8 +243,14 @@
         """Tell the nodes that a change concerns, so that a repair does not make all renew."""
         current = _Announced(
             self._view.version,
-            (self._state.generation, self._state.preset, frozenset(self._state.drains)),
+            (
+                self._state.generation,
+                self._state.preset,
+                frozenset(self._state.drains),
+                self._retiring,
+            ),
             frozenset(self._state.groups.values()),
+            self._permits,
         )
         announced, self._announced = self._announced, current
         if current == announced:
@@ -232,6 +258,7 @@
         members = {
             member for group in current.groups ^ announced.groups for member in group.members
         }
+        members |= {instance for instance, _ in current.permits ^ announced.permits}
         is_for_all = current.shared != announced.shared
         is_for_entries = current.view != announced.view
         for instance, connection in self._connections.items():
@@ -264,27 +291,56 @@
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
-        facts = []
         leaving = self._members_of_drained_groups()
-        for holder in self._leases.all():
-            renewal = holder.renewal
-            member = renewal.member
-            if member is None or not _is_engine(member):
-                continue
-            is_heard = now < self._renewed_at[renewal.instance] + self._suspect_after
-            facts.append(
-                InstanceFacts(
-                    renewal.instance,
-                    renewal.failure_domain,
-                    is_heard and member.is_target_healthy,
-                    renewal.instance in leaving
-                    or self._is_drained(renewal.instance, renewal.failure_domain),
-                    member.epoch,
-                    member.is_serving,
-                    member.in_flight,
-                )
-            )
-        return facts
+        return [
+            self._instance_facts(now, holder.renewal, holder.renewal.member, leaving)
+            for holder in self._leases.all()
+            if holder.renewal.member is not None and _is_engine(holder.renewal.member)
+        ]
+
+    def _instance_facts(
+        self, now: float, renewal: RenewLease, member: MemberReport, leaving: set[InstanceId]
+    ) -> InstanceFacts:
+        instance = renewal.instance
+        is_heard = now < self._renewed_at[instance] + self._suspect_after
+        is_usable = is_heard and member.is_target_healthy and member.is_acting
+        if is_usable:
+            self._usable_at[instance] = now
+        return InstanceFacts(
+            instance,
+            renewal.failure_domain,
+            is_usable,
+            instance in leaving or self._is_drained(instance, renewal.failure_domain),
+            member.epoch,
+            member.is_serving,
+            member.in_flight,
+            member.is_settled,
+            member.draining_epoch,
+            now - self._usable_at.setdefault(instance, now),
+        )
+
+    def _retire(self, facts: list[InstanceFacts]) -> None:
+        """Keep the retiring groups up to date, so that their heads admit no new work."""
+        usable = {item.instance for item in facts if item.is_usable}
+        groups = tuple(self._state.groups.values())
+        lost = frozenset(item for group in groups for item in group.members if item not in usable)
+        self._retiring = retiring_groups(self._state.configuration, groups, lost)
+
+    def _permit_loads(self, now: float) -> None:
+        requests = []
+        for group in self._state.groups.values():
+            waiting = tuple(item for item in group.members if self._is_waiting(now, group, item))
+            if waiting:
+                requests.append(LoadRequest(group, waiting))
+        limit = self._state.configuration.weight_store.loads_in_parallel
+        self._permits = grant_permits(requests, self._permits, limit)
+
+    def _is_waiting(self, now: float, group: Group, instance: InstanceId) -> bool:
+        holder = self._leases.holder(now, instance)
+        member = holder.renewal.member if holder is not None else None
+        if member is None:
+            return False
+        return member.epoch != group.epoch or not member.is_loaded
 
     def _members_of_drained_groups(self) -> set[InstanceId]:
         return {
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -100,7 +100,9 @@
             if monotonic() >= request.caller.deadline:
                 yield deadline_passed(outcome)
                 return
-            if item.outcome is not Outcome.NOT_RUN and not self._retries.spend():
+            # An attempt that delivered tokens is continued from there, so it adds no load.
+            is_repeated = item.outcome is not Outcome.NOT_RUN and delivered == begun_with
+            if is_repeated and not self._retries.spend():
                 yield retries_spent(item)
                 return
             if item.code == "suspect_apart":
