--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -20,12 +20,7 @@
     ReadStatus,
     StatusReport,
 )
-from jaylatch_core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
-    VoteReply,
-    VoteRequest,
-)
+from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
@@ -37,6 +32,7 @@
     ClaimOrder,
     CompleteOrder,
     DispatchOrder,
+    LookupOrder,
     OrderVerdict,
     ReleaseOrder,
 )
@@ -69,15 +65,13 @@
 )
 
 Body = (
-    VoteRequest
-    | VoteReply
-    | AppendRequest
-    | AppendReply
+    ConsensusBatch
     | ApplyConfiguration
     | PreparePreset
     | SetDrain
     | CommandAccepted
     | ClaimOrder
+    | LookupOrder
     | DispatchOrder
     | ReleaseOrder
     | CompleteOrder
