Tell a prepared preset from one in force, and end a switch without waiting for configurations

Change: renewals carry the newest known and the newest preset in force; the end of a switch asks for the first alone, 'in force' for the second.

--- a/features/control/in_force.feature
+++ b/features/control/in_force.feature
@@ -3,9 +3,9 @@
   Scenario: Presets switched by racing operators and configurations applied, through pauses and kills
     Given a deployment of 3 control instances, 3 entries and 4 agents
     When 200 configurations are applied and presets switched by racing operators, while an entry is paused, an agent is killed and the control leader is killed
-    Then at no instant were two presets in force at two processes
+    Then the last configuration and the last preset are in force everywhere
+    And at no instant were two presets in force at two processes
     And no generation ever went back at any process
-    And the last configuration and the last preset are in force everywhere
 
   Scenario Outline: A lease as its holder and as its grantor see it, with clocks that drift
     Given a lease of 4 s with a drift bound of <bound> and a holder whose clock runs at <rate>
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -23,6 +23,7 @@
         Generation(0),
         0,
         None,
+        Generation(0),
     )
 
 
@@ -31,12 +32,12 @@
     context.rate = rate
     context.held = HeldLease(bound)
     # The grantor has led for long, so it knows every holder.
-    context.table = LeaseTable(DURATION, bound, leader_since=-100.0)
+    context.lease_table = LeaseTable(DURATION, bound, leader_since=-100.0)
 
 
 @when("the renewal is sent at 0 s, granted at {granted:g} s and the answer comes at {answered:g} s")
 def step_grant(context: Context, granted: float, answered: float) -> None:
-    context.table.grant(granted, renewal(HOLDER, 1))
+    context.lease_table.grant(granted, renewal(HOLDER, 1))
     assert not context.held.is_valid(answered * context.rate)
     context.held.extend(0.0, DURATION)
 
@@ -44,25 +45,25 @@
 @then("at {time:g} s the holder {acts} and the grantor says that it {lapsed}")
 def step_verdict(context: Context, time: float, acts: str, lapsed: str) -> None:
     found = "acts" if context.held.is_valid(time * context.rate) else "does not"
-    is_gone = context.table.is_gone(time, HOLDER)
+    is_gone = context.lease_table.is_gone(time, HOLDER)
     assert (found, is_gone) == (acts, lapsed == "has lapsed"), (found, is_gone)
     assert not (context.held.is_valid(time * context.rate) and is_gone)
 
 
 @given("a leader elected at 100 s with leases of 4 s and no drift")
 def step_leader(context: Context) -> None:
-    context.table = LeaseTable(DURATION, 0.0, leader_since=100.0)
+    context.lease_table = LeaseTable(DURATION, 0.0, leader_since=100.0)
 
 
 @given('holders "{holders}" that renewed at 101 s having acknowledged "{acknowledged}"')
 def step_holders(context: Context, holders: str, acknowledged: str) -> None:
     for name, generation in zip(holders.split(), acknowledged.split(), strict=True):
-        context.table.grant(101.0, renewal(name, int(generation)))
+        context.lease_table.grant(101.0, renewal(name, int(generation)))
 
 
 @then('at {time:g} s generation 2 is {verdict} and instance "z" {lapsed}')
 def step_in_force(context: Context, time: float, verdict: str, lapsed: str) -> None:
-    behind = context.table.behind(time, Generation(2), Generation(0))
-    is_in_force = context.table.knows_all(time) and not behind
+    behind = context.lease_table.behind(time, Generation(2), Generation(0))
+    is_in_force = context.lease_table.knows_all(time) and not behind
     assert is_in_force == (verdict == "in force"), behind
-    assert context.table.is_gone(time, InstanceId("z")) == (lapsed == "has lapsed")
+    assert context.lease_table.is_gone(time, InstanceId("z")) == (lapsed == "has lapsed")
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -46,7 +46,11 @@
 
 
 class RenewLease(msgspec.Struct, frozen=True, tag=True):
-    """Asks for a lease and acknowledges the generations that the node acts under."""
+    """Asks for a lease and acknowledges the generations that the node acts under.
+
+    ``preset`` is the newest preset generation that the node knows, prepared or in force;
+    ``preset_in_force`` is the one that it knows to be in force.
+    """
 
     instance: InstanceId
     incarnation: Incarnation
@@ -57,6 +61,7 @@
     preset: Generation
     view: int
     member: MemberReport | None
+    preset_in_force: Generation = Generation(0)
 
 
 class Assignment(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/jaylatch_decisions/leases/table.py
+++ b/packages/decisions/src/jaylatch_decisions/leases/table.py
@@ -63,9 +63,16 @@
         return self.knows_all(now) and self.holder(now, instance) is None
 
     def behind(self, now: float, configuration: Generation, preset: Generation) -> list[InstanceId]:
-        """Return the holders that have not acknowledged both generations."""
+        """Return the holders that do not act under both generations yet."""
         return [
             holder.renewal.instance
             for holder in self.live(now)
-            if holder.renewal.configuration < configuration or holder.renewal.preset < preset
+            if holder.renewal.configuration < configuration
+            or holder.renewal.preset_in_force < preset
         ]
+
+    def has_prepared_everywhere(self, now: float, preset: Generation) -> bool:
+        """Return whether every holder knows of the preset switch ``preset``."""
+        return self.knows_all(now) and all(
+            holder.renewal.preset >= preset for holder in self.live(now)
+        )
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -8,7 +8,7 @@
 from jaylatch_core.clock import wall
 from jaylatch_core.enums import DrainScope, TargetKind
 from jaylatch_core.exceptions import Unavailable
-from jaylatch_core.ids import Epoch, FailureDomainId, Generation, GroupId, InstanceId, Term
+from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
@@ -125,7 +125,7 @@
                 holder.renewal.failure_domain,
                 holder.renewal.stream,
                 holder.renewal.configuration,
-                holder.renewal.preset,
+                holder.renewal.preset_in_force,
                 holder.lapses_at - now,
                 holder.renewal.member,
             )
@@ -149,10 +149,6 @@
         """Return the latest configurations for operators."""
         return HistoryReport(tuple(self._state.history))
 
-    def is_in_force_everywhere(self, now: float) -> bool:
-        """Return whether every holder acts under the latest generations."""
-        return self._leases.knows_all(now) and not self._behind(now)
-
     # Views and assignments
 
     def _refresh_view(self, now: float) -> None:
@@ -247,8 +243,9 @@
     def _wanted_commands(self, now: float) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
-        if preset.prepared_generation and self.is_in_force_everywhere(now):
-            commands.append(CommitPreset(preset.prepared_generation))
+        prepared = preset.prepared_generation
+        if prepared and self._leases.has_prepared_everywhere(now, prepared):
+            commands.append(CommitPreset(prepared))
         if now >= self._plan_from:
             commands += plan_groups(self._plan_input(now))
         return commands
@@ -347,9 +344,7 @@
         self._measures.stranded_seconds += elapsed * len(healthy)
 
     def _behind(self, now: float) -> list[InstanceId]:
-        preset = self._state.preset
-        latest = Generation(max(preset.generation, preset.prepared_generation))
-        return self._leases.behind(now, self._state.generation, latest)
+        return self._leases.behind(now, self._state.generation, self._state.preset.generation)
 
 
 def _is_engine(member: MemberReport) -> bool:
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -88,6 +88,7 @@
             grant.preset_generation,
             grant.view.version,
             self._report_member(monotonic()),
+            grant.preset.generation,
         )
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
