--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -14,6 +14,7 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.configuration import parse_configuration
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import JaylatchError, NotLeader, StorageFailed, Unavailable
 from jaylatch_core.ids import CommandId, InstanceId
 from jaylatch_core.messages.administration import ReadHistory, ReadStatus
@@ -138,9 +139,9 @@
     def _report_logs(self) -> None:
         for log in self._logs.values():
             if log.set_aside is not None:
-                self._board.events.record(wall(), "storage.set_aside", str(log.set_aside))
+                self._board.events.record(wall(), EventName.STORAGE_SET_ASIDE, str(log.set_aside))
             if log.is_recovering:
-                self._board.events.record(wall(), "storage.recovering", log.name)
+                self._board.events.record(wall(), EventName.STORAGE_RECOVERING, log.name)
 
     def _send(self, peer: InstanceId, batch: ConsensusBatch) -> None:
         address = self._addresses.get(peer)
