--- a/features/docs/docs.feature
+++ b/features/docs/docs.feature
@@ -22,3 +22,20 @@
       | docs/how-to/configure.md  |
       | docs/how-to/install.md    |
       | CONTRIBUTING.md           |
+
+  Scenario Outline: the fit of the capacity table finds slopes that are known
+    Given measurements of base <base> and slopes <slopes> with an error of <error>
+    When the capacity table fits them
+    Then the fit has base <base> and slopes <slopes> within <tolerance>
+
+    Examples:
+      | base | slopes   | error | tolerance |
+      | 5    | 2        | 0     | 0.000001  |
+      | 0    | 0.25     | 0     | 0.000001  |
+      | 1    | 3,0.5    | 0     | 0.000001  |
+      | 5    | 2        | 0.1   | 0.2       |
+
+  Scenario: too few sizes make no fit
+    Given 2 measurements of one size
+    When the capacity table fits them
+    Then there is no fit
--- /dev/null
+++ b/tools/capacity_table.py
@@ -0,0 +1,369 @@
+"""Makes the tables of docs/CAPACITY.md from docs/capacity/measurements.jsonl.
+
+``--record`` takes the output of the benchmark into that file, with the commit and the command.
+``--check`` only says whether the page is up to date.
+"""
+
+import json
+import sys
+from argparse import ArgumentParser
+from dataclasses import dataclass
+from pathlib import Path
+
+import numpy
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "CAPACITY.md"
+MEASUREMENTS = ROOT / "docs" / "capacity" / "measurements.jsonl"
+END = "<!-- end -->"
+
+SECONDS_PER_DAY = 86_400
+NODES = 360
+AGENTS = 1_300
+GROUPS = AGENTS // 4
+HOLDERS = NODES + AGENTS
+CHANGES = 3_200 / SECONDS_PER_DAY
+REQUESTS = 1_700
+TOKENS = 670_000
+ORDER_SHARE = 0.1
+
+PROCESSOR_BOUND = 0.03
+MEMORY_BOUND = 64 * 1024 * 1024
+TRAFFIC_BOUND = 16 * 1024
+IN_FORCE_BOUND = 18.0
+
+UNITS = {"core": (100.0, "% of a core"), "B": (2.0**-20, "MiB"), "B/s": (2.0**-10, "KiB/s")}
+SINGULAR = {
+    "agents": "agent",
+    "groups": "group",
+    "entries": "entry",
+    "changes": "change/s",
+    "requests": "request/s",
+    "tokens": "token/s",
+    "orders": "order/s",
+}
+NEGLIGIBLE = 1e-9
+FIGURES = (
+    "processor",
+    "memory",
+    "sent_bytes",
+    "received_bytes",
+    "sent_messages",
+    "received_messages",
+    "disk_bytes",
+)
+CONTROL_BOUNDS = {"processor": PROCESSOR_BOUND, "memory": MEMORY_BOUND}
+
+
+@dataclass(frozen=True)
+class Forecast:
+    """A role at the letter's size: the series that was measured and the sizes to put into its fit.
+
+    ``is_control`` tells whether the bounds of control apply to a process of this role.
+    """
+
+    title: str
+    series: str
+    role: str
+    sizes: dict[str, float]
+    is_control: bool
+    figures: tuple[str, ...] = FIGURES
+
+
+FORECASTS = (
+    Forecast("control leader, leases", "agents", "leader", {"agents": HOLDERS}, False),
+    Forecast("control follower, leases", "agents", "follower", {"agents": HOLDERS}, False),
+    Forecast("control leader, changes", "changes", "leader", {"changes": CHANGES}, False),
+    Forecast("entry, control", "agents", "entry", {"groups": GROUPS}, True),
+    Forecast("head's agent, control", "entries", "head agent", {"entries": NODES}, True),
+    Forecast("member's agent, control", "entries", "member agent", {"entries": NODES}, True),
+    Forecast(
+        "entry, serving",
+        "completions",
+        "entry",
+        {"requests": REQUESTS / NODES, "tokens": TOKENS / NODES},
+        False,
+    ),
+    Forecast(
+        "head's agent, serving",
+        "completions",
+        "head agent",
+        {"requests": REQUESTS / GROUPS, "tokens": TOKENS / GROUPS},
+        False,
+    ),
+    Forecast(
+        "control leader, orders", "orders", "leader", {"orders": ORDER_SHARE * REQUESTS}, False
+    ),
+    Forecast(
+        "control follower, orders", "orders", "follower", {"orders": ORDER_SHARE * REQUESTS}, False
+    ),
+    Forecast(
+        "groups all formed",
+        "agents",
+        "all",
+        {"agents": HOLDERS},
+        False,
+        ("seconds_to_form",),
+    ),
+    Forecast(
+        "change in force everywhere",
+        "agents",
+        "all",
+        {"agents": HOLDERS},
+        False,
+        ("seconds_to_force",),
+    ),
+)
+
+
+RELAYS = 8
+WATCHED_GROUPS = 16
+LISTENERS = NODES * WATCHED_GROUPS / GROUPS
+REGIONS = 4
+
+PLANNED = (
+    Forecast(
+        "relay of one failure domain", "agents", "leader", {"agents": HOLDERS / RELAYS}, False
+    ),
+    Forecast("control leader above the relays", "agents", "leader", {"agents": RELAYS}, False),
+    Forecast(
+        "entry that watches 16 groups, control",
+        "agents",
+        "entry",
+        {"groups": WATCHED_GROUPS},
+        True,
+    ),
+    Forecast(
+        "head's agent that 18 entries watch, control",
+        "entries",
+        "head agent",
+        {"entries": LISTENERS},
+        True,
+    ),
+    Forecast(
+        "control leader, orders of one region",
+        "orders",
+        "leader",
+        {"orders": ORDER_SHARE * REQUESTS / REGIONS},
+        False,
+    ),
+)
+
+
+@dataclass(frozen=True)
+class Fit:
+    """A least-squares plane: ``base`` plus each size times its slope.
+
+    ``error`` is the root mean square of the residuals; ``points`` is how many sizes were measured.
+    """
+
+    base: float
+    slopes: dict[str, float]
+    error: float
+    points: int
+    largest: dict[str, float]
+    unit: str
+
+    def at(self, sizes: dict[str, float]) -> float:
+        """Return the value at ``sizes``."""
+        return self.base + sum(self.slopes[name] * value for name, value in sizes.items())
+
+    @property
+    def is_nothing(self) -> bool:
+        """Return whether the figure is 0 at every size."""
+        return not any(abs(value) > NEGLIGIBLE for value in (self.base, *self.slopes.values()))
+
+    def reach(self, bound: float) -> float | None:
+        """Return the size at which the bound is met, if there is one size and it grows."""
+        (slope,) = self.slopes.values()
+        return (bound - self.base) / slope if slope > 0 else None
+
+
+def read_lines() -> list[dict]:
+    """Return the committed measurements."""
+    return [json.loads(line) for line in MEASUREMENTS.read_text().splitlines()]
+
+
+def fit(lines: list[dict], forecast: Forecast, figure: str) -> Fit | None:
+    """Fit a figure of a role against the sizes of the forecast."""
+    names = list(forecast.sizes)
+    chosen = [
+        line
+        for line in lines
+        if line["name"] == figure
+        and (line["labels"]["series"], line["labels"]["role"]) == (forecast.series, forecast.role)
+    ]
+    if len(chosen) < len(names) + 2:
+        return None
+    sizes = numpy.array([[1.0, *(line["labels"][name] for name in names)] for line in chosen])
+    values = numpy.array([line["value"] for line in chosen])
+    solution = numpy.linalg.lstsq(sizes, values, rcond=None)[0]
+    error = float(numpy.sqrt(numpy.mean((sizes @ solution - values) ** 2)))
+    largest = dict(zip(names, sizes[:, 1:].max(axis=0), strict=True))
+    slopes = dict(zip(names, map(float, solution[1:]), strict=True))
+    return Fit(float(solution[0]), slopes, error, len(chosen), largest, chosen[0]["unit"])
+
+
+def number(value: float) -> str:
+    """Return a number with three significant digits."""
+    if value == 0 or abs(value) < NEGLIGIBLE:
+        return "0"
+    return f"{value:,.0f}" if abs(value) >= 1000 else f"{value:.3g}"
+
+
+def scaled(value: float, unit: str) -> str:
+    """Return a value in the unit that people read."""
+    factor, _ = UNITS.get(unit, (1.0, unit))
+    return number(value * factor)
+
+
+def unit_name(unit: str) -> str:
+    """Return the unit that people read."""
+    return UNITS.get(unit, (1.0, unit))[1]
+
+
+def slopes_table(lines: list[dict]) -> str:
+    """Return the table of all fits."""
+    rows = [
+        "| role | figure | at size 0 | slope | fit error | sizes | largest |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
+    for forecast in FORECASTS:
+        for figure in forecast.figures:
+            found = fit(lines, forecast, figure)
+            if found is None:
+                continue
+            if found.is_nothing:
+                continue
+            slopes = ", ".join(
+                f"{scaled(slope, found.unit)} per {SINGULAR[name]}"
+                for name, slope in found.slopes.items()
+            )
+            largest = ", ".join(f"{number(size)} {name}" for name, size in found.largest.items())
+            rows.append(
+                f"| {forecast.title} | {figure}, {unit_name(found.unit)}"
+                f" | {scaled(found.base, found.unit)} | {slopes}"
+                f" | {scaled(found.error, found.unit)} | {found.points} | {largest} |"
+            )
+    return "\n".join(rows) + "\n"
+
+
+def sizes_table(lines: list[dict], forecasts: tuple[Forecast, ...] = FORECASTS) -> str:
+    """Return the table of the roles at the sizes of ``forecasts``."""
+    heads = [
+        "role",
+        "processor, % of a core",
+        "memory, MiB",
+        "sent, KiB/s",
+        "received, KiB/s",
+        "messages/s, both ways",
+        "disk, KiB/s",
+    ]
+    rows = [f"| {' | '.join(heads)} |", "|" + " --- |" * len(heads)]
+    for forecast in forecasts:
+        if "processor" not in forecast.figures:
+            continue
+        cells = [forecast.title]
+        values = {}
+        for figure in forecast.figures:
+            found = fit(lines, forecast, figure)
+            if found is not None:
+                values[figure] = (found.at(forecast.sizes), found.unit)
+        if not values:
+            continue
+        for figure in ("processor", "memory", "sent_bytes", "received_bytes"):
+            value, unit = values[figure]
+            cells.append(marked(forecast, figure, value, scaled(value, unit)))
+        messages = values["sent_messages"][0] + values["received_messages"][0]
+        cells += [number(messages), scaled(*values["disk_bytes"])]
+        rows.append(f"| {' | '.join(cells)} |")
+    return "\n".join(rows) + "\n"
+
+
+def marked(forecast: Forecast, figure: str, value: float, text: str) -> str:
+    """Return the text in bold if the value is over the bound of control for a node."""
+    bound = CONTROL_BOUNDS.get(figure, TRAFFIC_BOUND)
+    return f"**{text}**" if forecast.is_control and value > bound else text
+
+
+def limits_table(lines: list[dict]) -> str:
+    """Return at which size each bound is met by today's design."""
+    bounds = {**CONTROL_BOUNDS, "sent_bytes": TRAFFIC_BOUND, "received_bytes": TRAFFIC_BOUND}
+    rows = ["| role | bound | met at | the letter asks for |", "| --- | --- | --- | --- |"]
+    found: list[tuple[float, str]] = []
+    for forecast in FORECASTS:
+        if len(forecast.sizes) != 1 or forecast.series not in ("agents", "entries"):
+            continue
+        (size_name, size), *_ = forecast.sizes.items()
+        if forecast.figures == ("seconds_to_force",):
+            wanted = {"seconds_to_force": IN_FORCE_BOUND}
+        elif forecast.is_control:
+            wanted = bounds
+        else:
+            wanted = {"processor": 1.0}
+        for figure, bound in wanted.items():
+            line = fit(lines, forecast, figure)
+            reach = line.reach(bound) if line is not None else None
+            if line is None or reach is None or reach > 10 * size:
+                continue
+            text = (
+                f"| {forecast.title} | {figure} {scaled(bound, line.unit)} {unit_name(line.unit)}"
+                f" | {number(max(reach, 0))} {size_name} | {number(size)} {size_name} |"
+            )
+            found.append((reach / size, text))
+    return "\n".join(rows + [text for _, text in sorted(found)]) + "\n"
+
+
+def planned_table(lines: list[dict]) -> str:
+    """Return the table of the planned design at the letter's size."""
+    return sizes_table(lines, PLANNED)
+
+
+TABLES = {
+    "slopes": slopes_table,
+    "sizes": sizes_table,
+    "limits": limits_table,
+    "planned": planned_table,
+}
+
+
+def fill(page: str, lines: list[dict]) -> str:
+    """Return the page with its tables made anew."""
+    for name, make in TABLES.items():
+        begin = f"<!-- begin {name} -->\n"
+        before, _, rest = page.partition(begin)
+        _, _, after = rest.partition(END)
+        page = before + begin + make(lines) + END + after
+    return page
+
+
+def record(raw: Path, commit: str, command: str) -> None:
+    """Put the output of the benchmark in the place of the same series' earlier measurements."""
+    taken = [json.loads(line) for line in raw.read_text().splitlines()]
+    taken = [{**line, "commit": commit, "command": command} for line in taken]
+    series = {line["labels"]["series"] for line in taken}
+    kept = [line for line in read_lines() if line["labels"]["series"] not in series]
+    MEASUREMENTS.write_text("".join(json.dumps(line) + "\n" for line in kept + taken))
+
+
+def main() -> int:
+    """Make or check the tables; returns 1 if the page is not up to date."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    parser.add_argument("--record", type=Path, help="output of the benchmark")
+    parser.add_argument("--commit", default="", help="that the benchmark ran on")
+    parser.add_argument("--command", default='make bench BENCH="capacity"')
+    options = parser.parse_args()
+    if options.record is not None:
+        record(options.record, options.commit, options.command)
+    page = PAGE.read_text()
+    made = fill(page, read_lines())
+    if options.check and made != page:
+        print("docs/CAPACITY.md is not up to date; run: make reference", file=sys.stderr)
+        return 1
+    PAGE.write_text(made)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
