--- a/features/steps/timeline_steps.py
+++ b/features/steps/timeline_steps.py
@@ -160,3 +160,15 @@
     labels = [text.text or "" for text in root.iter(f"{SVG}text")]
     assert sum("unreachable" in label for label in labels) == 1, labels
     assert list(root.iter(f"{SVG}circle"))
+
+
+@then('a time line since "{text}" is refused')
+def step_refused(context: Context, text: str) -> None:
+    answer = context.runner.run(operator_of(context.cluster).get(f"timeline?since={text}"))
+    assert "must be numbers" in answer["detail"], answer
+
+
+@then('the time line of the node "{node}" holds only events of "{same}"')
+def step_one_node(context: Context, node: str, same: str) -> None:
+    events, _ = read_json_lines(run_timeline(context, "--node", node, "--format", "json"))
+    assert events and {event.node for event in events} == {same}, events
--- a/features/timeline/gather.feature
+++ b/features/timeline/gather.feature
@@ -8,3 +8,5 @@
     And the time line as text says that "engine-1-3" could not be reached
     And the time line of the request as JSON lines holds only that request's events
     And the time line as a picture has a lane for each process and one marked unreachable
+    And a time line since "yesterday" is refused
+    And the time line of the node "entry-1" holds only events of "entry-1"
