--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -12,7 +12,11 @@
 )
 from jaylatch_core.messages.administration import (
     EventReport,
+    HistoryReport,
+    MetricsReport,
     ReadEvents,
+    ReadHistory,
+    ReadMetrics,
     ReadStatus,
     StatusReport,
 )
@@ -89,8 +93,12 @@
     | QueryAttempt
     | ReadStatus
     | StatusReport
+    | ReadHistory
+    | HistoryReport
     | ReadEvents
     | EventReport
+    | ReadMetrics
+    | MetricsReport
     | FailureBody
 )
 
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -14,9 +14,10 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.configuration import parse_configuration
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import JaylatchError, NotLeader, StorageFailed, Unavailable
 from jaylatch_core.ids import CommandId, InstanceId
-from jaylatch_core.messages.administration import ReadStatus
+from jaylatch_core.messages.administration import ReadHistory, ReadStatus
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
@@ -99,6 +100,8 @@
                 connection.reply(call, self._renew(body, connection))
             case ReadStatus():
                 connection.reply(call, self._status())
+            case ReadHistory():
+                connection.reply(call, self._history())
             case ApplyConfiguration() | PreparePreset() | SetDrain():
                 create_task(_answer(connection, call, self._propose_control(body)))
             case _ if isinstance(body, JournalCommand):
@@ -136,9 +139,9 @@
     def _report_logs(self) -> None:
         for log in self._logs.values():
             if log.set_aside is not None:
-                self._board.events.record(wall(), "storage.set_aside", str(log.set_aside))
+                self._board.events.record(wall(), EventName.STORAGE_SET_ASIDE, str(log.set_aside))
             if log.is_recovering:
-                self._board.events.record(wall(), "storage.recovering", log.name)
+                self._board.events.record(wall(), EventName.STORAGE_RECOVERING, log.name)
 
     def _send(self, peer: InstanceId, batch: ConsensusBatch) -> None:
         address = self._addresses.get(peer)
@@ -184,6 +187,10 @@
         leader = self._current_leader(now)
         return leader.status(now) if isinstance(leader, LeaderController) else leader
 
+    def _history(self) -> Body:
+        leader = self._current_leader(monotonic())
+        return leader.history() if isinstance(leader, LeaderController) else leader
+
     def _current_leader(self, now: float) -> LeaderController | NotLeader | Unavailable:
         if not self._control.is_leader:
             return NotLeader("ask the leader of the control log", self._control.leader)
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -18,8 +18,10 @@
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed, Unavailable
 from jaylatch_core.messages.frames import Body, Frame, decode_frame, encode_frame
+from jaylatch_node.streams.traffic import Traffic
 
 READ_SIZE = 64 * 1024
+INITIAL_BUFFER_SIZE = 4 * 1024
 MAXIMUM_FRAME_SIZE = 32 * 1024 * 1024
 
 BodyHandler = Callable[["StreamConnection", int, Body], None]
@@ -32,14 +34,22 @@
     """A connected stream. ``run`` reads until the stream closes."""
 
     def __init__(
-        self, stream: IOStream, events: EventLog, handler: BodyHandler, address: str = ""
+        self,
+        stream: IOStream,
+        events: EventLog,
+        traffic: Traffic,
+        handler: BodyHandler,
+        address: str = "",
     ) -> None:
         self._address = address
         self._stream = stream
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._packer = Packer()
-        self._unpacker = Unpacker(max_buffer_size=MAXIMUM_FRAME_SIZE)
+        # The unpacker walks through its whole first buffer before it reuses it, and a process may
+        # hold a thousand connections that carry small frames.
+        self._unpacker = Unpacker(max_buffer_size=MAXIMUM_FRAME_SIZE, read_size=INITIAL_BUFFER_SIZE)
         self._last_call = 0
         self._calls: dict[int, Future[CallResult]] = {}
         self._outgoing: list[bytes] = []
@@ -86,8 +96,11 @@
             while True:
                 data = await self._stream.read_bytes(READ_SIZE, partial=True)
                 self._unpacker.feed(data)
+                messages = 0
                 for payload in self._unpacker:
+                    messages += 1
                     self._receive(decode_frame(payload))
+                self._traffic.count_received(messages, len(data))
         except (StreamClosedError, BufferFull, UnpackException, msgspec.DecodeError, TypeError):
             pass
         finally:
@@ -120,6 +133,7 @@
 
     def _flush(self) -> None:
         data = b"".join(self._outgoing)
+        self._traffic.count_sent(len(self._outgoing), len(data))
         self._outgoing.clear()
         try:
             self._stream.write(data)
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -68,7 +68,9 @@
         result = step.get("result", {})
         if result.get("status") not in ("passed", None):
             lines.append(f"  {step['keyword']} {step['name']}: {result.get('status')}")
-            lines += [f"    {line}" for line in result.get("error_message", [])]
+            message = result.get("error_message", [])
+            text = message if isinstance(message, str) else "\n".join(message)
+            lines += [f"    {line}" for line in text.splitlines()]
     return "\n".join(lines)
 
 
