--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -56,7 +56,7 @@
     voters: tuple[InstanceId, ...] = ()
     data_folder: Name = "var/control"
     journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
-    heartbeat_interval: Interval = 0.2
+    heartbeat_interval: Interval = 0.18
     election_timeout: Interval = 0.6
     initial_configuration: str = ""
 
