--- a/packages/standins/src/jaylatch_standins/bench/quorum.py
+++ b/packages/standins/src/jaylatch_standins/bench/quorum.py
@@ -68,7 +68,7 @@
     return [
         Figure(NAME, "change_p50", percentile(times, 0.5) * 1000, "ms", None, labels),
         Figure(NAME, "change_p99", percentile(times, 0.99) * 1000, "ms", None, labels),
-        Figure(NAME, "restart_until_confirmed_read", restart, "s", None, labels),
+        Figure(NAME, "restart_until_confirmed_read", restart, "s", TARGET_RESTART_SECONDS, labels),
         Figure(NAME, "wrong_after_restart", wrong, "changes", 0, labels),
     ]
 
