--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -3,12 +3,10 @@
 from asyncio import create_task
 from collections.abc import Awaitable, Callable
 
-import msgspec
-
 from jaylatch_core.clock import wall
 from jaylatch_core.enums import DrainScope, TargetKind
 from jaylatch_core.exceptions import Unavailable
-from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, Term
+from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
@@ -17,7 +15,6 @@
     LeaseGrant,
     MemberReport,
     RenewLease,
-    ServiceRoute,
     View,
     ViewChanged,
 )
@@ -34,6 +31,8 @@
 )
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.control.measures import GroupMeasures
+from jaylatch_node.control.routes import group_route, service_routes
 from jaylatch_node.streams import StreamConnection
 
 MISSED_RENEWALS_BEFORE_SUSPICION = 3
@@ -42,14 +41,6 @@
 Proposer = Callable[[ControlCommand], Awaitable[object]]
 
 
-class _Measures(msgspec.Struct):
-    """Sums since the leader's election: seconds of groups that did not serve, and accelerators."""
-
-    group_downtime: float = 0.0
-    stranded_seconds: float = 0.0
-    measured_at: float = 0.0
-
-
 class LeaderController:
     """Exists for one term of leadership of the control log."""
 
@@ -77,7 +68,7 @@
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
         self._announced: object = None
         self._is_proposing = False
-        self._measures = _Measures(measured_at=now)
+        self._measures = GroupMeasures(now)
 
     @property
     def term(self) -> Term:
@@ -157,36 +148,19 @@
             for group in self._state.groups.values()
             if not self._is_draining(group) and (route := self._route(now, group)) is not None
         )
-        services = tuple(self._service_routes(now))
+        services = service_routes(self._serving_renewals(now))
         if (groups, services) != (self._view.groups, self._view.services):
             self._view = View(self._view.version + 1, groups, services)
 
     def _route(self, now: float, group: Group) -> GroupRoute | None:
         holder = self._leases.holder(now, group.head)
-        if holder is None:
-            return None
-        renewal = holder.renewal
-        return GroupRoute(
-            group.id, group.epoch, group.model, group.head, renewal.stream, renewal.failure_domain
-        )
+        return group_route(group, holder.renewal) if holder is not None else None
 
-    def _service_routes(self, now: float) -> list[ServiceRoute]:
-        routes = []
-        for holder in self._leases.live(now):
-            renewal = holder.renewal
-            announcement = renewal.member.announcement if renewal.member is not None else None
-            if announcement is None or announcement.kind is not TargetKind.SERVICE:
-                continue
-            if not self._is_drained(renewal.instance, renewal.failure_domain):
-                routes.append(
-                    ServiceRoute(
-                        announcement.service,
-                        renewal.instance,
-                        renewal.stream,
-                        renewal.failure_domain,
-                    )
-                )
-        return sorted(routes, key=lambda route: route.instance)
+    def _serving_renewals(self, now: float) -> list[RenewLease]:
+        renewals = [holder.renewal for holder in self._leases.live(now)]
+        return [
+            item for item in renewals if not self._is_drained(item.instance, item.failure_domain)
+        ]
 
     def _assignment(self, now: float, instance: InstanceId) -> Assignment | None:
         group = self._state.group_of(instance)
@@ -328,20 +302,10 @@
     # Measures
 
     def _measure(self, now: float, facts: list[InstanceFacts]) -> None:
-        elapsed = now - self._measures.measured_at
-        self._measures.measured_at = now
         if now < self._plan_from:
-            return
-        serving = {
-            item.instance: item.epoch for item in facts if item.is_usable and item.is_serving
-        }
-        healthy = {item.instance for item in facts if item.is_usable}
-        for group in self._state.groups.values():
-            if serving.get(group.head, Epoch(0)) == group.epoch:
-                healthy -= set(group.members)
-            else:
-                self._measures.group_downtime += elapsed
-        self._measures.stranded_seconds += elapsed * len(healthy)
+            self._measures.skip_to(now)
+        else:
+            self._measures.add(now, facts, self._state.groups.values())
 
     def _behind(self, now: float) -> list[InstanceId]:
         return self._leases.behind(now, self._state.generation, self._state.preset.generation)
--- a/packages/standins/src/jaylatch_standins/bench/control_plane.py
+++ b/packages/standins/src/jaylatch_standins/bench/control_plane.py
@@ -56,12 +56,16 @@
 async def _measure_changes(folder: Path, size: int) -> list[Figure]:
     plan = ClusterPlan(controls=3, entries=3, domains=3, engines=(size - 6) // 3)
     cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
-    cluster.start()
+    operator = operator_of(cluster)
+    # Only the daemons: the stand-in engines would take the memory that the size needs.
+    for name in cluster.nodes:
+        cluster.start_node(name)
     try:
-        await wait_for_groups(cluster, 3, WAIT)
+        await _wait_for_nodes(operator, size - plan.controls)
         await sleep(SETTLING_TIME)
-        costs = await _costs_at_rest(cluster, size)
-        operator = operator_of(cluster)
+        leader = (await operator.get("status"))["leader"]
+        names = {"control leader": leader, "entry": "entry-1"}
+        costs = await _costs_at_rest(cluster, size, names)
         times = [await _time_change(operator, number) for number in range(CHANGES)]
     finally:
         cluster.stop()
@@ -90,9 +94,15 @@
             return monotonic() - started_at
 
 
-async def _costs_at_rest(cluster: Cluster, size: int) -> list[Figure]:
-    leader = (await operator_of(cluster).get("status"))["leader"]
-    names = {"control leader": leader, "entry": "entry-1", "agent": "engine-1-1"}
+async def _wait_for_nodes(operator: Operator, number: int) -> None:
+    async def are_known() -> bool:
+        status = await operator.get("status")
+        return bool(status and "nodes" in status and len(status["nodes"]) >= number)
+
+    await wait_until(are_known, WAIT, f"{number} lease holders")
+
+
+async def _costs_at_rest(cluster: Cluster, size: int, names: dict[str, str]) -> list[Figure]:
     costs = {role: ProcessCost(cluster.processes[name].pid) for role, name in names.items()}
     await sleep(REST_TIME)
     figures = []
@@ -111,6 +121,8 @@
     try:
         await wait_for_groups(cluster, 1, WAIT)
         domain = DomainFaults(cluster, "domain-1", {})
+        await sleep(SETTLING_TIME)
+        costs = await _costs_at_rest(cluster, len(cluster.nodes), {"agent": "engine-1-1"})
         load = SteadyLoad(cluster.entries, callers=4, tokens=40)
         load.start()
         await sleep(SETTLING_TIME)
@@ -126,6 +138,7 @@
     first_new = min(line.at for line in lines if int(line.detail.split()[1]) > group["epoch"])
     serve_target = SERVE_TARGET + LOAD_TIME
     return [
+        *costs,
         Figure(NAME, "stop_after_loss", max(last_old - lost_at, 0.0), "s", STOP_TARGET),
         Figure(NAME, "serve_again_after_loss", first_new - lost_at, "s", serve_target),
     ]
--- /dev/null
+++ b/packages/standins/src/jaylatch_standins/bench/cut_off.py
@@ -0,0 +1,90 @@
+"""What an entry that is cut off from control does: missed answers against staleness.
+
+A short lease makes the entry refuse soon; a lease longer than the cut makes it serve stale.
+"""
+
+from argparse import Namespace
+from asyncio import run, sleep
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from time import monotonic
+
+import msgspec
+
+from jaylatch_standins.bench.base import Benchmark as BaseBenchmark
+from jaylatch_standins.bench.base import Figure
+from jaylatch_standins.caller import Caller
+from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
+from jaylatch_standins.deployment import (
+    ACCOUNT_KEYS,
+    MODEL,
+    configuration_text,
+    hash_key,
+    operator_of,
+    wait_for_groups,
+)
+from jaylatch_standins.domain_faults import put_proxies_before_control
+
+NAME = "cut_off"
+CUT_TIME = 15.0
+CALL_PAUSE = 0.1
+TOKENS = 5
+DURATIONS = {"refuse after the lease": 4.0, "serve stale": 60.0}
+"""Seconds of the lease for each way."""
+
+
+class Benchmark(BaseBenchmark):
+    """Cuts one entry off while a configuration is applied through the other."""
+
+    help = "missed answers and staleness of an entry that is cut off from control"
+
+    def handle(self, options: Namespace) -> None:
+        """Emit the figures of each way."""
+        for way, duration in DURATIONS.items():
+            with TemporaryDirectory() as folder:
+                for name, value, unit in run(_measure(Path(folder), duration)):
+                    labels: dict[str, str | int | float] = {"way": way, "cut": CUT_TIME}
+                    self.emit(Figure(NAME, name, value, unit, labels=labels))
+
+
+async def _measure(folder: Path, duration: float) -> list[tuple[str, float, str]]:
+    plan = ClusterPlan(controls=1, domains=1)
+    cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
+    for node in cluster.nodes.values():
+        settings = msgspec.toml.decode(node.settings.read_bytes())
+        settings["lease"] = {"duration": duration}
+        node.settings.write_bytes(msgspec.toml.encode(settings))
+    proxies = put_proxies_before_control(cluster, "entry-2")
+    cluster.start()
+    try:
+        await wait_for_groups(cluster, 1, 2 * duration + CUT_TIME)
+        for proxy in proxies:
+            proxy.is_cut_forward = proxy.is_cut_back = True
+        return await _call_during_cut(cluster)
+    finally:
+        cluster.stop()
+
+
+async def _call_during_cut(cluster: Cluster) -> list[tuple[str, float, str]]:
+    operator = operator_of(cluster)
+    status = await operator.get("status")
+    headers = {"X-Expected-Generation": str(status["generation"])}
+    document = configuration_text() + "[peak]\nqueue_limit = 7\n"
+    await operator.put("configuration", document.encode(), headers)
+    caller = Caller(cluster.entries[1], ACCOUNT_KEYS["skarvik"])
+    started_at = monotonic()
+    calls, missed, stale_for, in_force_after = 0, 0, 0.0, CUT_TIME
+    while (elapsed := monotonic() - started_at) < CUT_TIME:
+        outcome = await caller.complete(MODEL, f"prompt {calls}", TOKENS, is_streamed=False)
+        calls += 1
+        missed += not outcome.is_whole
+        stale_for = elapsed if outcome.is_whole else stale_for
+        status = await operator.get("status")
+        is_in_force = status["knows_all_holders"] and not status["not_in_force"]
+        in_force_after = min(in_force_after, elapsed) if is_in_force else in_force_after
+        await sleep(CALL_PAUSE)
+    return [
+        ("missed_answers", 100 * missed / calls, "%"),
+        ("answered_under_old_configuration", stale_for, "s"),
+        ("change_in_force_everywhere", in_force_after, "s"),
+    ]
