Check that joining instances act for no group, with slow instances in the random histories

Proof: mutations of the planner on a scratch copy: no giving up of groups and spares kept without a group fail the tables; unassigned instances used whatever they report fails the histories.

--- a/features/steps/planner_history_steps.py
+++ b/features/steps/planner_history_steps.py
@@ -13,14 +13,15 @@
     PresetPolicy,
 )
 from jaylatch_core.ids import Epoch, FailureDomainId, InstanceId
-from jaylatch_core.messages.control import FormGroup
+from jaylatch_core.messages.control import ControlCommand, FormGroup, RepairGroup
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups
 
 DOMAINS = 3
 INSTANCES = 6
 ROUND = 0.5
-ROUNDS_TO_REST = 40
+ROUNDS_TO_REST = 60
+SLOW_ROUNDS = 3
 SEED = 4
 
 instances = st.integers(0, DOMAINS * INSTANCES - 1)
@@ -29,6 +30,7 @@
     st.tuples(st.just("return"), instances),
     st.tuples(st.just("drain"), instances),
     st.tuples(st.just("undrain"), instances),
+    st.tuples(st.just("slow"), instances),
     st.tuples(st.just("dark"), st.integers(0, DOMAINS - 1)),
     st.tuples(st.just("rounds"), st.integers(1, 6)),
     st.tuples(st.just("wish"), st.integers(0, 3)),
@@ -56,6 +58,8 @@
         self.lost_for: dict[InstanceId, float] = {}
         self.drained: set[InstanceId] = set()
         self.epochs = dict.fromkeys(self.names, Epoch(0))
+        self.slow: set[InstanceId] = set()
+        self.round = 0
         self.faults: list[str] = []
 
     def act(self, event: tuple[str, int]) -> None:
@@ -70,6 +74,8 @@
                 self.drained.add(self.names[number])
             case "undrain":
                 self.drained.discard(self.names[number])
+            case "slow":
+                self.slow ^= {self.names[number]}
             case "dark":
                 for name in self.names[number * INSTANCES : (number + 1) * INSTANCES]:
                     self.lost_for.setdefault(name, 0.0)
@@ -87,11 +93,15 @@
         """Plan, apply the commands and let the instances obey; returns how many there were."""
         commands = plan_groups(self.input())
         for command in commands:
+            self._check_joining(command)
             result = self.state.apply(command)
             if not is_successful(result):
                 self.faults.append(f"refused: {command}: {result.failure().detail}")
         self._check()
+        self.round += 1
         for name in self.names:
+            if name in self.slow and self.round % SLOW_ROUNDS:
+                continue
             if name not in self.lost_for:
                 group = self.state.group_of(name)
                 self.epochs[name] = group.epoch if group is not None else Epoch(0)
@@ -127,6 +137,15 @@
             unusable_for=self.lost_for.get(name, 0.0),
         )
 
+    def _check_joining(self, command: ControlCommand) -> None:
+        if not isinstance(command, FormGroup | RepairGroup):
+            return
+        group = self.state.groups.get(getattr(command, "group", None))
+        staying = group.members if group is not None else ()
+        acting = [name for name in command.members if name not in staying and self.epochs[name] > 0]
+        if acting:
+            self.faults.append(f"two groups: {acting} still act for another: {command}")
+
     def _check(self) -> None:
         members = [member for group in self.state.groups.values() for member in group.members]
         if len(members) != len(set(members)):
