--- a/features/steps/drain_steps.py
+++ b/features/steps/drain_steps.py
@@ -22,13 +22,25 @@
 NO_NEW_WORK_BOUND = 3.0
 """Seconds after which a target that is leaving gets no new work."""
 WAIT = 40.0
+LEADER_CHANGE_TIME = 6.0
 CALLERS = 8
 TOKENS = 150
 
 
 @given("two failure domains with groups and long completions under way")
 def step_domains(context: Context) -> None:
-    plan = ClusterPlan(controls=1, domains=2, engine_options=("--ledger-tokens",))
+    start_domains(context, 1)
+
+
+@given(
+    "two failure domains with groups, {controls:d} control instances and long completions under way"
+)
+def step_controlled_domains(context: Context, controls: int) -> None:
+    start_domains(context, controls)
+
+
+def start_domains(context: Context, controls: int) -> None:
+    plan = ClusterPlan(controls=controls, domains=2, engine_options=("--ledger-tokens",))
     context.cluster = Cluster(context.folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
     context.cluster.start()
     context.runner.run(wait_for_groups(context.cluster, 2))
@@ -71,6 +83,34 @@
     context.targets = {node["instance"]: node["member"] for node in await operator.get("targets")}
 
 
+@when("the control leader is killed under load")
+def step_kill_leader(context: Context) -> None:
+    async def run() -> None:
+        cluster = context.cluster
+        operator = operator_of(cluster)
+        load = SteadyLoad(cluster.entries, CALLERS, TOKENS)
+        load.start()
+        await sleep(1.0)
+        context.killed_at = time()
+        cluster.kill((await operator.get("status"))["leader"])
+        await sleep(LEADER_CHANGE_TIME)
+        await load.stop()
+        context.outcomes = load.outcomes
+        context.events = (await operator.get("timeline"))["events"]
+
+    context.runner.run(run())
+
+
+@then("no group was broken")
+def step_none_broken(context: Context) -> None:
+    broken = [
+        event
+        for event in context.events
+        if event["name"] == "group.broken" and event["at"] > context.killed_at
+    ]
+    assert not broken, broken
+
+
 @then("every answer was whole")
 def step_all_whole(context: Context) -> None:
     assert len(context.outcomes) >= CALLERS
--- a/packages/node/src/jaylatch_node/agent/heartbeats.py
+++ b/packages/node/src/jaylatch_node/agent/heartbeats.py
@@ -19,6 +19,7 @@
         self._board = board
         self._timeout = settings.member_timeout
         self._peers = peers
+        self._addresses: dict[InstanceId, str] = {}
         self._pings: dict[InstanceId, Task[None]] = {}
         self._timer = PeriodicCallback(
             self._tick, settings.probe_interval * MILLISECONDS_PER_SECOND
@@ -40,7 +41,10 @@
             self._board.member.member_heard_at.clear()
             return
         others = zip(assignment.members[1:], assignment.addresses[1:], strict=True)
-        for member, address in others:
+        for member, granted in others:
+            # A new control leader does not know the addresses of all members at once.
+            address = granted or self._addresses.get(member, "")
+            self._addresses[member] = address
             task = self._pings.get(member)
             if address and (task is None or task.done()):
                 self._pings[member] = create_task(self._ping(assignment, member, address))
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -37,6 +37,7 @@
 
 MISSED_RENEWALS_BEFORE_SUSPICION = 3
 VIEW_VERSIONS_PER_TERM = 1 << 32
+NO_VIEW = 0
 
 Proposer = Callable[[ControlCommand], Awaitable[object]]
 
@@ -60,6 +61,7 @@
         self._leases = LeaseTable(settings.duration, settings.drift, now)
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
+        self._view_from = now + self._suspect_after
         self._renewed_at: dict[InstanceId, float] = {}
         self._usable_at: dict[InstanceId, float] = {}
         self._retiring: frozenset[GroupId] = frozenset()
@@ -80,9 +82,10 @@
         self._leases.grant(now, renewal)
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
-        self._refresh_view(now)
+        if not self._view.groups:
+            self._refresh_view(now)
         has_configuration = renewal.configuration == self._state.generation
-        has_view = renewal.view == self._view.version
+        has_view = renewal.view == self._view.version or self._must_keep_view(now, renewal)
         return LeaseGrant(
             self._leases.duration,
             self._state.generation,
@@ -142,6 +145,10 @@
 
     # Views and assignments
 
+    def _must_keep_view(self, now: float, renewal: RenewLease) -> bool:
+        """Return whether the node's view is better than one of a leader that knows few heads."""
+        return renewal.view != NO_VIEW and now < self._view_from
+
     def _refresh_view(self, now: float) -> None:
         groups = tuple(
             route
