--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -13,17 +13,14 @@
 from jaylatch_core.messages.administration import (
     EventReport,
     HistoryReport,
+    MetricsReport,
     ReadEvents,
     ReadHistory,
+    ReadMetrics,
     ReadStatus,
     StatusReport,
 )
-from jaylatch_core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
-    VoteReply,
-    VoteRequest,
-)
+from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
@@ -35,6 +32,7 @@
     ClaimOrder,
     CompleteOrder,
     DispatchOrder,
+    LookupOrder,
     OrderVerdict,
     ReleaseOrder,
 )
@@ -67,15 +65,13 @@
 )
 
 Body = (
-    VoteRequest
-    | VoteReply
-    | AppendRequest
-    | AppendReply
+    ConsensusBatch
     | ApplyConfiguration
     | PreparePreset
     | SetDrain
     | CommandAccepted
     | ClaimOrder
+    | LookupOrder
     | DispatchOrder
     | ReleaseOrder
     | CompleteOrder
@@ -101,6 +97,8 @@
     | HistoryReport
     | ReadEvents
     | EventReport
+    | ReadMetrics
+    | MetricsReport
     | FailureBody
 )
 
--- a/packages/node/src/jaylatch_node/agent/engine_owner.py
+++ b/packages/node/src/jaylatch_node/agent/engine_owner.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 
 from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.membership import Assignment
 from jaylatch_core.settings import AgentSettings, LeaseSettings
@@ -112,5 +113,10 @@
             self._gate.record_unknown_order(monotonic())
         self._ordered_at = monotonic()
         self._board.events.record(
-            wall(), "engine.load_ordered", assignment.group, detail=str(assignment.epoch)
+            wall(),
+            EventName.ENGINE_LOAD_ORDERED,
+            assignment.group,
+            detail=str(assignment.epoch),
+            group=assignment.group,
+            epoch=assignment.epoch,
         )
--- a/packages/node/src/jaylatch_node/agent/membership.py
+++ b/packages/node/src/jaylatch_node/agent/membership.py
@@ -8,6 +8,7 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.enums import TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import Epoch
 from jaylatch_core.messages.membership import (
     Assignment,
@@ -72,7 +73,7 @@
         """Take a target's announcement; a repeated one changes nothing."""
         if announcement != self._board.member.announcement:
             self._board.member.announcement = announcement
-            self._board.events.record(wall(), "target.announced", announcement.target)
+            self._board.events.record(wall(), EventName.TARGET_ANNOUNCED, announcement.target)
 
     def report(self, now: float) -> MemberReport:
         """Return what the lease renewal says of this instance."""
@@ -167,8 +168,9 @@
         self._was_whole = is_whole
         assignment = self._board.grant.assignment
         subject = assignment.group if assignment is not None else NO_GROUP
-        name = "group.whole" if is_whole else "group.broken"
-        self._board.events.record(wall(), name, subject)
+        name = EventName.GROUP_WHOLE if is_whole else EventName.GROUP_BROKEN
+        epoch = assignment.epoch if assignment is not None else NO_EPOCH
+        self._board.events.record(wall(), name, subject, group=subject, epoch=epoch)
         if not is_whole:
             self._on_loss()
         self._on_change()
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -2,9 +2,11 @@
 
 from asyncio import create_task
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 from jaylatch_core.clock import wall
-from jaylatch_core.enums import DrainScope, TargetKind
+from jaylatch_core.enums import DrainScope, Role, TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
@@ -42,6 +44,15 @@
 Proposer = Callable[[ControlCommand], Awaitable[object]]
 
 
+class _Announced(NamedTuple):
+    """What the nodes have been told of. ``shared`` concerns all of them."""
+
+    view: int = 0
+    shared: object = None
+    groups: frozenset[Group] = frozenset()
+    permits: frozenset[Permit] = frozenset()
+
+
 class LeaderController:
     """Exists for one term of leadership of the control log."""
 
@@ -68,7 +79,7 @@
         self._permits: frozenset[Permit] = frozenset()
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
-        self._announced: object = None
+        self._announced = _Announced()
         self._is_proposing = False
         self._measures = GroupMeasures(now)
 
@@ -82,16 +93,13 @@
         self._leases.grant(now, renewal)
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
-        if not self._view.groups:
-            self._refresh_view(now)
         has_configuration = renewal.configuration == self._state.generation
-        has_view = renewal.view == self._view.version or self._must_keep_view(now, renewal)
         return LeaseGrant(
             self._leases.duration,
             self._state.generation,
             self._state.preset,
             None if has_configuration else self._state.configuration,
-            None if has_view else self._view,
+            self._view if self._needs_view(now, renewal) else None,
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
         )
@@ -105,7 +113,7 @@
         self._refresh_view(now)
         self._announce_changes()
         if not self._is_proposing:
-            commands = self._wanted_commands(now)
+            commands = self._wanted_commands(now, facts)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
@@ -136,6 +144,9 @@
             tuple(self._behind(now)),
             self._measures.group_downtime,
             self._measures.stranded_seconds,
+            tuple(
+                holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
+            ),
             self._leases.knows_all(now),
         )
 
@@ -145,9 +156,14 @@
 
     # Views and assignments
 
-    def _must_keep_view(self, now: float, renewal: RenewLease) -> bool:
-        """Return whether the node's view is better than one of a leader that knows few heads."""
-        return renewal.view != NO_VIEW and now < self._view_from
+    def _needs_view(self, now: float, renewal: RenewLease) -> bool:
+        """Return whether the node is an entry whose view is older than this leader's.
+
+        A leader that knows few heads yet leaves an entry the view that it has.
+        """
+        if Role.ENTRY not in renewal.roles or renewal.view == self._view.version:
+            return False
+        return renewal.view == NO_VIEW or now >= self._view_from
 
     def _refresh_view(self, now: float) -> None:
         groups = tuple(
@@ -204,52 +220,67 @@
         return holder.renewal.failure_domain if holder is not None else FailureDomainId("")
 
     def _announce_changes(self) -> None:
-        current = (
+        """Tell the nodes that a change concerns, so that a repair does not make all renew."""
+        current = _Announced(
             self._view.version,
-            self._state.generation,
-            self._state.preset,
-            tuple(self._state.groups.values()),
-            frozenset(self._state.drains),
-            self._retiring,
+            (
+                self._state.generation,
+                self._state.preset,
+                frozenset(self._state.drains),
+                self._retiring,
+            ),
+            frozenset(self._state.groups.values()),
             self._permits,
         )
-        if current == self._announced:
+        announced, self._announced = self._announced, current
+        if current == announced:
             return
-        self._announced = current
-        for connection in self._connections.values():
-            connection.send(ViewChanged(self._view.version))
+        members = {
+            member for group in current.groups ^ announced.groups for member in group.members
+        }
+        members |= {instance for instance, _ in current.permits ^ announced.permits}
+        is_for_all = current.shared != announced.shared
+        is_for_entries = current.view != announced.view
+        for instance, connection in self._connections.items():
+            if is_for_all or instance in members or (is_for_entries and self._is_entry(instance)):
+                connection.send(ViewChanged(self._view.version))
+
+    def _is_entry(self, instance: InstanceId) -> bool:
+        holder = self._leases.known(instance)
+        return holder is not None and Role.ENTRY in holder.renewal.roles
 
     # Proposals
 
-    def _wanted_commands(self, now: float) -> list[ControlCommand]:
+    def _wanted_commands(self, now: float, facts: list[InstanceFacts]) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
         prepared = preset.prepared_generation
         if prepared and self._leases.has_prepared_everywhere(now, prepared):
             commands.append(CommitPreset(prepared))
         if now >= self._plan_from:
-            commands += plan_groups(self._plan_input(now))
+            commands += plan_groups(self._plan_input(facts))
         return commands
 
-    def _plan_input(self, now: float) -> PlanInput:
+    def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
         state = self._state
         return PlanInput(
             state.configuration,
             state.configuration.policy(state.preset.preset),
             tuple(state.groups.values()),
             dict(state.occupied),
-            tuple(self._facts(now)),
+            tuple(facts),
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
+        leaving = self._members_of_drained_groups()
         return [
-            self._instance_facts(now, holder.renewal, holder.renewal.member)
+            self._instance_facts(now, holder.renewal, holder.renewal.member, leaving)
             for holder in self._leases.all()
             if holder.renewal.member is not None and _is_engine(holder.renewal.member)
         ]
 
     def _instance_facts(
-        self, now: float, renewal: RenewLease, member: MemberReport
+        self, now: float, renewal: RenewLease, member: MemberReport, leaving: set[InstanceId]
     ) -> InstanceFacts:
         instance = renewal.instance
         is_heard = now < self._renewed_at[instance] + self._suspect_after
@@ -260,7 +291,7 @@
             instance,
             renewal.failure_domain,
             is_usable,
-            self._is_instance_leaving(instance, renewal.failure_domain),
+            instance in leaving or self._is_drained(instance, renewal.failure_domain),
             member.epoch,
             member.is_serving,
             member.in_flight,
@@ -292,17 +323,21 @@
             return False
         return member.epoch != group.epoch or not member.is_loaded
 
-    def _is_instance_leaving(self, instance: InstanceId, domain: FailureDomainId) -> bool:
-        group = self._state.group_of(instance)
-        is_group_drained = group is not None and (DrainScope.GROUP, group.id) in self._state.drains
-        return is_group_drained or self._is_drained(instance, domain)
+    def _members_of_drained_groups(self) -> set[InstanceId]:
+        return {
+            member
+            for group in self._state.groups.values()
+            if (DrainScope.GROUP, group.id) in self._state.drains
+            for member in group.members
+        }
 
     async def _propose_all(self, commands: list[ControlCommand]) -> None:
         try:
             for command in commands:
                 await self._propose(command)
                 subject = str(getattr(command, "group", getattr(command, "members", "")))
-                self._board.events.record(wall(), f"plan.{type(command).__name__}", subject)
+                name = EventName(f"plan.{type(command).__name__}")
+                self._board.events.record(wall(), name, subject)
         finally:
             self._is_proposing = False
 
--- a/packages/node/src/jaylatch_node/entry/administration_handlers.py
+++ b/packages/node/src/jaylatch_node/entry/administration_handlers.py
@@ -1,6 +1,5 @@
 """The administration API's resources. Operators' commands go to the control leader as messages."""
 
-from asyncio import gather
 from typing import Any
 
 import msgspec
@@ -8,11 +7,8 @@
 
 from jaylatch_core.checks import run_checks
 from jaylatch_core.enums import DrainScope, Preset
-from jaylatch_core.events import Event
 from jaylatch_core.exceptions import CommandRefused
 from jaylatch_core.messages.administration import (
-    EventReport,
-    ReadEvents,
     ReadStatus,
 )
 from jaylatch_core.messages.control import (
@@ -31,6 +27,7 @@
     GenerationHandler,
     HistoryHandler,
 )
+from jaylatch_node.entry.timeline_handlers import TimelineHandler
 
 EVENTS_TIMEOUT = 1.0
 
@@ -128,30 +125,6 @@
         )
 
 
-class TimelineHandler(AdministrationHandler):
-    """``GET /admin/v1/timeline``: the recent events of all processes, merged."""
-
-    async def get(self) -> None:
-        """Return the events in the order of their hybrid logical clocks."""
-        status = await self.read_status()
-        if status is None:
-            return
-        events: list[Event] = []
-        unreachable = []
-        calls = [
-            self._services.peers.get(node.stream).call(ReadEvents(), EVENTS_TIMEOUT)
-            for node in status.nodes
-        ]
-        for node, result in zip(status.nodes, await gather(*calls), strict=True):
-            body = result.unwrap() if is_successful(result) else None
-            if isinstance(body, EventReport):
-                events += body.events
-            else:
-                unreachable.append(node.instance)
-        events.sort(key=lambda event: (event.at, event.counter, event.node))
-        self.write_json({"events": events, "unreachable": unreachable})
-
-
 class UnknownHandler(AdministrationHandler):
     """Everything else under ``/admin``."""
 
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -7,6 +7,8 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Role
+from jaylatch_core.event_names import EventName
+from jaylatch_core.ids import Generation
 from jaylatch_core.messages.membership import LeaseGrant, MemberReport, RenewLease
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_node.blackboard import Blackboard
@@ -93,7 +95,7 @@
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
         board = self._board.grant
-        latest_preset = max(grant.preset.generation, grant.preset.prepared_generation)
+        latest_preset = Generation(max(grant.preset.generation, grant.preset.prepared_generation))
         if grant.generation < board.generation or latest_preset < board.preset_generation:
             # A grant older than what this process acts under must not set it back.
             return False
@@ -111,7 +113,7 @@
         board.lease.extend(sent_at, grant.duration)
         if not self._had_lease and board.lease.is_valid(monotonic()):
             self._had_lease = True
-            self._board.events.record(wall(), "lease.held")
+            self._board.events.record(wall(), EventName.LEASE_HELD)
         for handler in self._grant_handlers:
             handler()
         return has_changed
@@ -123,17 +125,34 @@
         if self._had_lease and not lease.is_valid(now):
             self._had_lease = False
             lapsed_at = wall() - (now - lease.expires_at)
-            self._board.events.record(wall(), "lease.lapsed", detail=f"{lapsed_at:.6f}")
+            self._board.events.record(wall(), EventName.LEASE_LAPSED, detail=f"{lapsed_at:.6f}")
 
     def _record_changes(self, grant: LeaseGrant) -> None:
         known = self._board.grant
         events = self._board.events
         preset = grant.preset
         if grant.configuration is not None and grant.generation != known.generation:
-            events.record(wall(), "configuration.changed", detail=str(grant.generation))
+            events.record(
+                wall(),
+                EventName.CONFIGURATION_CHANGED,
+                detail=str(grant.generation),
+                generation=grant.generation,
+            )
         if preset.prepared_generation > known.preset.prepared_generation:
             detail = str(preset.prepared_generation)
-            events.record(wall(), "preset.prepared", preset.prepared.value, detail=detail)
+            events.record(
+                wall(),
+                EventName.PRESET_PREPARED,
+                preset.prepared.value,
+                detail=detail,
+                generation=preset.prepared_generation,
+            )
         if preset.generation != known.preset.generation:
             detail = str(preset.generation)
-            events.record(wall(), "preset.changed", preset.preset.value, detail=detail)
+            events.record(
+                wall(),
+                EventName.PRESET_CHANGED,
+                preset.preset.value,
+                detail=detail,
+                generation=preset.generation,
+            )
