--- a/packages/node/src/jaylatch_node/entry/administration.py
+++ b/packages/node/src/jaylatch_node/entry/administration.py
@@ -1,6 +1,5 @@
 """The administration API: operators' HTTP calls, passed to the control leader as typed commands."""
 
-from asyncio import gather
 from dataclasses import dataclass
 from uuid import uuid4
 
@@ -10,7 +9,6 @@
 
 from jaylatch_core.configuration import Configuration, parse_configuration
 from jaylatch_core.enums import DrainScope, Preset
-from jaylatch_core.events import Event, EventFilter, EventGap, merge_events
 from jaylatch_core.exceptions import (
     CommandRefused,
     ConfigurationInvalid,
@@ -20,9 +18,6 @@
 )
 from jaylatch_core.ids import CommandId, Generation
 from jaylatch_core.messages.administration import (
-    EventReport,
-    NodeStatus,
-    ReadEvents,
     ReadStatus,
     StatusReport,
 )
@@ -34,10 +29,10 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 from jaylatch_node.entry.accounts import BEARER, hash_key
+from jaylatch_node.entry.timeline import gather_timeline, parse_filter
 from jaylatch_node.streams import PeerPool
 
 CALL_TIMEOUT = 5.0
-EVENTS_TIMEOUT = 1.0
 COMMAND_HEADER = "X-Command-Id"
 GENERATION_HEADER = "X-Expected-Generation"
 
@@ -165,44 +160,15 @@
 
     async def get(self) -> None:
         """Return the wanted events in causal order, and what is missing among them."""
-        wanted = self._wanted()
-        if wanted is None:
-            return self._write(CommandRefused("since and until must be numbers of seconds"))
+        names = self.request.query_arguments
+        wanted = parse_filter({name: self.get_query_argument(name) for name in names})
+        if not is_successful(wanted):
+            return self._write(wanted.failure())
         status = await self._call(ReadStatus())
         if not isinstance(status, StatusReport):
             return self._write(status)
-        nodes = [item for item in status.nodes if wanted.node in ("", item.instance)]
-        reports = await gather(*(self._read(node, wanted) for node in nodes))
-        events: list[Event] = []
-        gaps = [EventGap(instance, is_unreachable=True) for instance in status.silent]
-        for node, report in zip(nodes, reports, strict=True):
-            if report is None:
-                gaps.append(EventGap(node.instance, is_unreachable=True))
-                continue
-            events += report.events
-            if report.dropped:
-                gaps.append(EventGap(node.instance, report.dropped))
-        self._write_json(
-            {
-                "events": merge_events(events),
-                "gaps": gaps,
-                "unreachable": [gap.node for gap in gaps if gap.is_unreachable],
-            }
-        )
-        return None
-
-    async def _read(self, node: NodeStatus, wanted: EventFilter) -> EventReport | None:
-        peer = self._services.peers.get(node.stream)
-        result = await peer.call(ReadEvents(wanted), EVENTS_TIMEOUT)
-        body = result.unwrap() if is_successful(result) else None
-        return body if isinstance(body, EventReport) else None
-
-    def _wanted(self) -> EventFilter | None:
-        arguments = {name: self.get_query_argument(name) for name in self.request.query_arguments}
-        try:
-            return msgspec.convert(arguments, EventFilter, strict=False)
-        except msgspec.ValidationError:
-            return None
+        timeline = await gather_timeline(self._services.peers, status, wanted.unwrap())
+        return self._write_json(timeline)
 
 
 def _to_toml(configuration: Configuration) -> bytes:
