--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -52,13 +52,21 @@
 
 
 class PresetPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Policy values of one preset."""
+    """Policy values of one preset.
+
+    ``target_concurrency`` bounds the attempts of one target, and ``queue_limit`` the requests that
+    wait in one entry for a model. Each request earns ``retry_budget`` retries, of which an entry
+    saves ``retry_burst`` at most. A request that ended two targets is refused for
+    ``quarantine_time`` seconds.
+    """
 
     spares_per_domain: int = 1
     target_concurrency: int = 16
     queue_limit: int = 256
     retry_budget: float = 0.1
     drain_timeout: float = 60.0
+    retry_burst: float = 10.0
+    quarantine_time: float = 600.0
 
 
 class GroupWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -68,6 +76,12 @@
     stranded_accelerator: float = 1.0
 
 
+class WeightStoreLimits(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What the weight store bears. ``loads_in_parallel`` counts instances (0: no limit)."""
+
+    loads_in_parallel: int = 0
+
+
 class Configuration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The whole configuration document."""
 
@@ -76,6 +90,7 @@
     accounts: tuple[AccountSpecification, ...] = ()
     kinds: tuple[KindSpecification, ...] = ()
     weights: GroupWeights = GroupWeights()
+    weight_store: WeightStoreLimits = WeightStoreLimits()
     ordinary: PresetPolicy = PresetPolicy()
     peak: PresetPolicy = PresetPolicy(spares_per_domain=0, target_concurrency=24)
     maintenance: PresetPolicy = PresetPolicy(spares_per_domain=2)
@@ -142,6 +157,13 @@
                 f"model {model.name!r}: instances_per_group is {model.instances_per_group};"
                 " give at least 1"
             )
+    if configuration.weights.group_downtime < 0 or configuration.weights.stranded_accelerator < 0:
+        faults.append(f"weights {configuration.weights}: give numbers of at least 0")
+    if configuration.weight_store.loads_in_parallel < 0:
+        faults.append(
+            f"weight_store.loads_in_parallel is {configuration.weight_store.loads_in_parallel};"
+            " give at least 0"
+        )
     for preset in Preset:
         policy = configuration.policy(preset)
         if policy.target_concurrency < 1 or policy.queue_limit < 0 or policy.spares_per_domain < 0:
@@ -159,7 +181,4 @@
             faults.append(
                 f"kind {kind.name!r}: give a deadline above 0 s and a weight of 0 or more"
             )
-    weights = configuration.weights
-    if weights.group_downtime < 0 or weights.stranded_accelerator < 0:
-        faults.append("weights must not be negative")
     return faults
--- a/packages/core/src/jaylatch_core/enums.py
+++ b/packages/core/src/jaylatch_core/enums.py
@@ -59,6 +59,16 @@
     COMPLETED = "completed"
     KEY_REUSED = "key_reused"
     UNKNOWN = "unknown"
+    ABSENT = "absent"
+    EXPIRED = "expired"
+
+
+class OperatorRole(str, Enum):
+    """What an operator's token permits; each role includes the ones before it."""
+
+    READ = "read"
+    OPERATE = "operate"
+    ADMINISTER = "administer"
 
 
 class DrainScope(str, Enum):
@@ -67,3 +77,12 @@
     INSTANCE = "instance"
     GROUP = "group"
     FAILURE_DOMAIN = "failure_domain"
+
+
+class EntryPolicy(Enum):
+    """How an entry chooses targets; all but ``ADAPTIVE`` are baselines without admission."""
+
+    ADAPTIVE = "adaptive"
+    NO_ADMISSION = "no_admission"
+    ROUND_ROBIN = "round_robin"
+    LEAST_LOADED = "least_loaded"
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -32,13 +32,25 @@
         "request.torn",
         "A streamed answer ended unfinished and the caller was told; the subject is the code.",
     )
-    REQUEST_RETRIED = (
-        "request.retried",
-        "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
+    REQUEST_ROUTED = (
+        "request.routed",
+        "An entry chose a target; the subject is the instance, the detail what it compared.",
     )
     REQUEST_DROPPED = (
         "request.dropped",
-        "Admission gave up a waiting request; the subject is the reason, the detail the advice.",
+        "Admission gave a request up; the subject is the reason, the detail what it knew.",
+    )
+    REQUEST_QUARANTINED = (
+        "request.quarantined",
+        "A request that ended its targets was refused; the subject is its digest.",
+    )
+    TARGET_DIED = (
+        "target.died",
+        "A target ended while it ran a request; the subject is that request's digest.",
+    )
+    REQUEST_RETRIED = (
+        "request.retried",
+        "An attempt ended without a whole answer; the subject is the attempt, the detail the code.",
     )
     STORAGE_SET_ASIDE = (
         "storage.set_aside",
@@ -68,6 +80,15 @@
         "group.broken",
         "The head's agent misses a member and admits no work; the subject is the group.",
     )
+    LEASE_HELD = ("lease.held", "A process holds a lease, for the first time or again.")
+    LEASE_LAPSED = (
+        "lease.lapsed",
+        "A process noticed that its lease had lapsed; the detail is the time at which it did.",
+    )
+    PRESET_PREPARED = (
+        "preset.prepared",
+        "A process acts under the stricter of two presets; the subject is the next one.",
+    )
     PRESET_CHANGED = (
         "preset.changed",
         "A process acts under another preset; the subject is the preset, the detail its number.",
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -33,9 +33,13 @@
 
 
 class GenerationConflict(Failure, frozen=True):
-    """Another change won the race; ``current`` is the generation in the log."""
+    """Another change won the race; ``current`` is the generation in the log.
+
+    ``won`` tells which change made it, for a person.
+    """
 
     current: Generation
+    won: str = ""
 
 
 class NotLeader(Failure, frozen=True):
@@ -78,9 +82,13 @@
 
 
 class TargetFailed(Failure, frozen=True):
-    """A back end answered wrongly or not at all; ``has_run`` is True unless proven otherwise."""
+    """A back end answered wrongly or not at all; ``has_run`` is True unless proven otherwise.
+
+    ``has_died`` tells that the back end ended while it ran the request.
+    """
 
     has_run: bool
+    has_died: bool = False
 
 
 class JaylatchError(Exception):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -13,7 +13,7 @@
 from returns.result import Result
 
 from jaylatch_core.documents import parse_document
-from jaylatch_core.enums import Role
+from jaylatch_core.enums import EntryPolicy, OperatorRole, Role
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
@@ -47,11 +47,13 @@
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The control quorum, known to every process.
 
-    ``journal_shards`` must be the same on every process. ``data_folder`` is used by the control
-    role only.
+    ``peers`` holds every control instance; ``voters`` names those of the first start (none: all).
+    From then on the logs say who votes. ``journal_shards`` must be the same on every process.
+    ``data_folder`` is used by the control role only.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
+    voters: tuple[InstanceId, ...] = ()
     data_folder: Name = "var/control"
     journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
     heartbeat_interval: Interval = 0.1
@@ -67,23 +69,40 @@
     drift: Annotated[float, Meta(ge=0, le=0.1)] = 0.01
 
 
+class OperatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An operator. ``token_hash`` is the SHA-256 hex digest of the operator's token."""
+
+    name: str
+    token_hash: str
+    role: OperatorRole = OperatorRole.READ
+
+
 class EntrySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role that faces callers and operators."""
+    """The role that faces callers and operators. ``policy`` is ``adaptive`` but for comparisons.
+
+    A token in ``operator_token_hashes`` may do everything; ``operators`` names people and roles.
+    """
 
     http: str = "127.0.0.1:8080"
     body_limit: Size = 4 * MEBIBYTE
     answer_limit: Size = 16 * MEBIBYTE
     default_deadline: Duration = 30.0
     operator_token_hashes: tuple[str, ...] = ()
+    policy: EntryPolicy = EntryPolicy.ADAPTIVE
+    operators: tuple[OperatorSettings, ...] = ()
 
 
 class AgentSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The role beside one target. ``http`` is where the target announces itself."""
+    """The role beside one target. ``http`` is where the target announces itself.
+
+    Without ``adapts_limit`` the target gets ``target_concurrency`` attempts whatever it can do.
+    """
 
     http: str = "127.0.0.1:7180"
     probe_interval: Interval = 0.1
     member_timeout: Interval = 0.8
     attempt_retention: Duration = 30.0
+    adapts_limit: bool = True
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -5,19 +5,15 @@
 from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
 from jaylatch_core.settings import NodeSettings, split_address
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import ControlClient
-from jaylatch_node.entry.administration import (
-    AdministrationServices,
-    ConfigurationHandler,
-    DrainsHandler,
-    PresetHandler,
-    StatusHandler,
-    TimelineHandler,
-)
+from jaylatch_node.entry.administration import AdministrationServices
+from jaylatch_node.entry.administration_handlers import administration_routes
+from jaylatch_node.entry.admission import AdmissionController
 from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.handlers import (
@@ -30,6 +26,8 @@
     ServiceHandler,
 )
 from jaylatch_node.entry.orders import OrderController
+from jaylatch_node.entry.quarantine import QuarantineController
+from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.streams import PeerPool, StreamConnection
 
 
@@ -47,12 +45,14 @@
         self._settings = settings
         self._board = board
         self._links = AgentLinks(board, peers)
-        dispatcher = Dispatcher(board, self._links, random)
+        policy = settings.entry.policy
+        self._quarantine = QuarantineController(board)
+        routes = RouteController(board, random, policy)
+        self._admission = AdmissionController(board, routes, policy)
+        dispatcher = Dispatcher(board, self._links, self._admission, self._quarantine)
         orders = OrderController(client, dispatcher, self._links)
         callers = {"services": EntryServices(board, dispatcher, orders)}
-        operators = {
-            "services": AdministrationServices(client, peers, settings.entry.operator_token_hashes)
-        }
+        operators = AdministrationServices(client, peers, settings)
         self._http = HTTPServer(
             Application(
                 [
@@ -63,11 +63,7 @@
                     ("/healthz", HealthHandler, {"board": board, "needs_lease": False}),
                     ("/readyz", HealthHandler, {"board": board, "needs_lease": True}),
                     ("/metrics", MetricsHandler, {"board": board}),
-                    ("/admin/v1/status", StatusHandler, operators),
-                    ("/admin/v1/configuration", ConfigurationHandler, operators),
-                    ("/admin/v1/preset", PresetHandler, operators),
-                    ("/admin/v1/drains", DrainsHandler, operators),
-                    ("/admin/v1/timeline", TimelineHandler, operators),
+                    *administration_routes(operators),
                 ],
                 log_function=lambda handler: None,
             ),
@@ -79,11 +75,13 @@
         host, port = split_address(self._settings.entry.http)
         self._http.listen(port, host)
         self._links.start()
+        self._admission.start()
 
     def stop(self) -> None:
         """Stop listening."""
         self._http.stop()
         self._links.stop()
+        self._admission.stop()
 
     def on_grant(self) -> None:
         """Connect to the agents of the granted view."""
@@ -94,6 +92,7 @@
         match body:
             case TargetReport():
                 instance = self._links.instance_at(address)
+                self._quarantine.take_report(monotonic(), body)
                 if instance is not None:
                     self._links.record_report(instance, body)
                 return True
--- /dev/null
+++ b/packages/node/src/jaylatch_node/entry/timeline_handlers.py
@@ -0,0 +1,22 @@
+"""The operators' time line: the recent events of all processes, merged."""
+
+from returns.pipeline import is_successful
+
+from jaylatch_node.entry.administration import AdministrationHandler
+from jaylatch_node.entry.timeline import gather_timeline, parse_filter
+
+
+class TimelineHandler(AdministrationHandler):
+    """``GET /admin/v1/timeline``: the recent events of all processes, merged."""
+
+    async def get(self) -> None:
+        """Return the wanted events in causal order, and what is missing among them."""
+        names = self.request.query_arguments
+        wanted = parse_filter({name: self.get_query_argument(name) for name in names})
+        if not is_successful(wanted):
+            return self.write_body(wanted.failure())
+        status = await self.read_status()
+        if status is not None:
+            timeline = await gather_timeline(self._services.peers, status, wanted.unwrap())
+            self.write_json(timeline)
+        return None
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -16,12 +16,7 @@
     ReadEvents,
     ReadMetrics,
 )
-from jaylatch_core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
-    VoteReply,
-    VoteRequest,
-)
+from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import MemberReport, ViewChanged
 from jaylatch_core.settings import NodeSettings, split_address
@@ -104,7 +99,7 @@
 
     def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
         match body:
-            case VoteRequest() | VoteReply() | AppendRequest() | AppendReply():
+            case ConsensusBatch():
                 if self._control is not None:
                     self._control.handle_consensus(body)
             case ViewChanged():
