--- a/tools/reference.py
+++ b/tools/reference.py
@@ -15,6 +15,7 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.event_names import EventName
 from jaylatch_core.settings import NodeSettings
+from jaylatch_node.entry.admission import STATUS
 
 ROOT = Path(__file__).resolve().parent.parent
 DOCS = ROOT / "docs"
@@ -160,7 +161,8 @@
             if not is_metric or not isinstance(call.args[0], ast.Constant):
                 continue
             labels = ", ".join(ast.literal_eval(call.args[2])) if len(call.args) > 2 else ""
-            full = f"`jaylatch_{text_of(call.args[0])}{METRIC_SUFFIXES[name]}`"
+            suffix = METRIC_SUFFIXES[name]
+            full = f"`jaylatch_{text_of(call.args[0]).removesuffix(suffix)}{suffix}`"
             rows.append((full, METRIC_KINDS[name], labels, text_of(call.args[1])))
     intro = (
         "An entry serves its metrics at `/metrics` in the Prometheus text form; every process\n"
@@ -244,6 +246,8 @@
                 case "_refuse" if len(values) >= 4 and literal[2]:
                     yield f"`{values[2]}`", "502", outcome_of(values[3])
     yield from not_started_rows()
+    for reason, status in STATUS.items():
+        yield f"`{reason.value}`", str(status), "as proven"
 
 
 def not_started_rows() -> Iterator[tuple[str, ...]]:
