--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -15,6 +15,7 @@
 from jaylatch_core.exceptions import ConfigurationInvalid
 from jaylatch_core.findings import CheckMessage, error, format_finding
 from jaylatch_core.ids import AccountId
+from jaylatch_core.units import Seconds
 
 SHA256_PATTERN = re.compile("[0-9a-f]{64}")
 
@@ -48,7 +49,7 @@
 
     name: str
     weight: float = 1.0
-    deadline: float = 30.0
+    deadline: Seconds = 30.0
 
 
 class PresetPolicy(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -64,9 +65,9 @@
     target_concurrency: int = 16
     queue_limit: int = 256
     retry_budget: float = 0.1
-    drain_timeout: float = 60.0
+    drain_timeout: Seconds = 60.0
     retry_burst: float = 10.0
-    quarantine_time: float = 600.0
+    quarantine_time: Seconds = 600.0
 
 
 class GroupWeights(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -17,21 +17,7 @@
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
-
-KIBIBYTE = 1024
-MEBIBYTE = 1024 * KIBIBYTE
-
-SECONDS = {"unit": "seconds"}
-BYTES = {"unit": "bytes"}
-
-Interval = Annotated[float, Meta(gt=0, le=60, extra=SECONDS)]
-"""A period of background work, or a timeout of it: above 60 s it is a value in a wrong unit."""
-
-Duration = Annotated[float, Meta(gt=0, le=86_400, extra=SECONDS)]
-"""A time for which something is kept or waited for."""
-
-Size = Annotated[int, Meta(ge=KIBIBYTE, le=1024 * MEBIBYTE, extra=BYTES)]
-"""A bound of memory."""
+from jaylatch_core.units import MEBIBYTE, Duration, Interval, Size
 
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 """A name that must not be empty."""
