--- a/features/steps/docs_steps.py
+++ b/features/steps/docs_steps.py
@@ -10,7 +10,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 LINK = re.compile(r"\]\((?!https?://)([^)#]+)")
-TIMEOUT = 300.0
+TIMEOUT = 600.0
 
 
 @when('the tool "{command}" is run')
