--- a/packages/node/src/jaylatch_node/entry/administration_handlers.py
+++ b/packages/node/src/jaylatch_node/entry/administration_handlers.py
@@ -29,8 +29,6 @@
 )
 from jaylatch_node.entry.timeline_handlers import TimelineHandler
 
-EVENTS_TIMEOUT = 1.0
-
 
 class _PresetBody(msgspec.Struct, forbid_unknown_fields=True):
     preset: Preset
