--- /dev/null
+++ b/features/bad_input/bad_input.feature
@@ -0,0 +1,54 @@
+Feature: Bad input and bad callers cost a bounded amount and get a clear refusal
+
+  Scenario: Each malformed request is refused as a problem, and nothing runs
+    Given a small deployment with an order service
+    When these malformed requests are sent
+      | request                           | status | code            | outcome |
+      | a body that is not JSON           | 400    | request_invalid | not_run |
+      | a body that is not UTF-8          | 400    | request_invalid | not_run |
+      | a body of another shape           | 400    | request_invalid | not_run |
+      | an absurd max_tokens              | 400    | request_invalid | not_run |
+      | a negative max_tokens             | 400    | request_invalid | not_run |
+      | an unknown model                  | 404    | not_found       | not_run |
+      | an unknown path                   | 404    | not_found       | not_run |
+      | an unknown service                | 404    | not_found       | not_run |
+      | a method that is not allowed      | 405    | request_invalid | not_run |
+      | a body above the limit            | 413    | body_too_large  | not_run |
+      | a chunked body above the limit    | 413    | body_too_large  | not_run |
+      | a timeout that is not a number    | 400    | request_invalid | not_run |
+      | a timeout of NaN                  | 400    | request_invalid | not_run |
+      | a timeout of infinity             | 400    | request_invalid | not_run |
+      | a timeout of 1e300 s              | 400    | request_invalid | not_run |
+      | a negative timeout                | 400    | request_invalid | not_run |
+      | a key of 5000 characters          | 400    | request_invalid | not_run |
+      | a kind of 5000 characters         | 400    | request_invalid | not_run |
+      | a wrong bearer key                | 401    | key_unknown     | not_run |
+      | no bearer key                     | 401    | key_unknown     | not_run |
+      | a header block above the limit    | 0      |                 |         |
+    Then each got its refusal
+    And the ledger holds no run
+    And the entry's memory has grown by less than 32 MiB
+    And a streamed completion through entry 1 is whole
+
+  Scenario: Keys belong to an account and to one order
+    Given a small deployment with an order service
+    When an order is sent, then another body under its key, then its key by another account
+    Then the second is refused as key_reused with outcome not_run
+    And the first and the third ran, each once
+
+  Scenario: An answer above the limit is refused after it ran
+    Given a small deployment with an order service
+    When an order's answer is larger than the agent's limit
+    Then it is refused with outcome unknown and runs once
+    And a resend of it is refused with outcome unknown and runs nothing
+
+  Scenario: A caller that disconnects has its work cancelled at the engine
+    Given a small deployment with an order service
+    When a caller leaves in the middle of a long streamed completion
+    Then the engine records that it was cancelled
+
+  Scenario: A slow reader does not make the entry buffer
+    Given a small deployment with an order service
+    When 20 callers ask for long streamed completions and do not read
+    Then the entry's memory has grown by less than 32 MiB
+    And a whole completion through entry 1 is whole
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -46,6 +46,7 @@
 )
 from jaylatch_core.messages.requests import (
     AttemptChunk,
+    AttemptCredit,
     AttemptEnd,
     AttemptRefused,
     AttemptStarted,
@@ -91,6 +92,7 @@
     | ResumeAttempt
     | AttemptStarted
     | AttemptChunk
+    | AttemptCredit
     | AttemptEnd
     | AttemptRefused
     | TargetReport
--- a/packages/core/src/jaylatch_core/messages/requests.py
+++ b/packages/core/src/jaylatch_core/messages/requests.py
@@ -62,6 +62,13 @@
     next_chunk: int
 
 
+class AttemptCredit(msgspec.Struct, frozen=True, tag=True):
+    """The entry has handed on the chunks before ``next_chunk``; the agent may send more."""
+
+    attempt: AttemptId
+    next_chunk: int
+
+
 class AttemptStarted(msgspec.Struct, frozen=True, tag=True):
     """The work has been handed to the target: from now on it counts as run."""
 
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -27,13 +27,17 @@
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The control quorum, known to every process.
 
-    ``journal_shards`` must be the same on every process. ``data_folder`` is used by the control
-    role only.
+    ``journal_shards``, ``answer_retention`` and ``key_retention`` must be the same on every
+    process. A resent order gets its stored answer within ``answer_retention`` of its completion,
+    and runs at most once within ``key_retention``. ``data_folder`` is used by the control role
+    only.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
     data_folder: str = "var/control"
     journal_shards: int = 2
+    answer_retention: float = 86_400.0
+    key_retention: float = 604_800.0
     heartbeat_interval: float = 0.1
     election_timeout: float = 0.6
     initial_configuration: str = ""
@@ -53,6 +57,7 @@
     http: str = "127.0.0.1:8080"
     body_limit: int = 4 * MEBIBYTE
     answer_limit: int = 16 * MEBIBYTE
+    token_limit: int = 32_768
     default_deadline: float = 30.0
     operator_token_hashes: tuple[str, ...] = ()
 
@@ -64,6 +69,7 @@
     probe_interval: float = 0.1
     member_timeout: float = 0.8
     attempt_retention: float = 30.0
+    answer_limit: int = 16 * MEBIBYTE
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -74,12 +80,17 @@
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one process."""
+    """All settings of one process.
+
+    ``stream`` is the address at which others reach the process; ``stream_listen`` is where it
+    listens if that is another one (behind a port mapping).
+    """
 
     instance: InstanceId = InstanceId("instance-1")
     failure_domain: FailureDomainId = FailureDomainId("domain-1")
     roles: tuple[Role, ...] = (Role.CONTROL, Role.ENTRY, Role.AGENT)
     stream: str = "127.0.0.1:7100"
+    stream_listen: str = ""
     control: ControlSettings = ControlSettings()
     lease: LeaseSettings = LeaseSettings()
     entry: EntrySettings = EntrySettings()
--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -165,6 +165,8 @@
     def feed(self, data: bytes) -> None:
         """Take the next bytes of the response body."""
         *lines, self._rest = (self._rest + data).split(b"\n")
+        tokens = 0
+        texts = []
         for line in lines:
             if not line.startswith(EVENT_PREFIX):
                 continue
@@ -173,4 +175,7 @@
                 self.is_complete = True
                 continue
             choice = self._decoder.decode(payload).choices[0]
-            self._on_tokens(choice.tokens, choice.text)
+            tokens += choice.tokens
+            texts.append(choice.text)
+        if texts:
+            self._on_tokens(tokens, "".join(texts))
--- a/packages/node/src/jaylatch_node/adapters/service.py
+++ b/packages/node/src/jaylatch_node/adapters/service.py
@@ -1,6 +1,7 @@
 """Plain services, called over HTTP as they are."""
 
 import msgspec
+import pycurl
 from returns.result import Failure as Err
 from returns.result import Result, Success
 from tornado.curl_httpclient import CurlError
@@ -13,6 +14,7 @@
 CONNECT_TIMEOUT = 0.5
 HEALTH_TIMEOUT = 0.5
 METHODS_WITHOUT_BODY = ("GET", "HEAD")
+NO_RESPONSE = 599
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
@@ -45,11 +47,46 @@
         return True
 
     async def call(
-        self, attempt: AttemptId, work: ServiceWork, budget: float
+        self, attempt: AttemptId, work: ServiceWork, budget: float, answer_limit: int
     ) -> Result[ServiceAnswer, TargetFailed]:
-        """Make the call once. Every failure after the connection counts as run."""
+        """Make the call once; fails if the answer is larger than ``answer_limit`` bytes.
+
+        Every failure after the connection was made counts as run.
+        """
+        body = _BoundedBody(answer_limit)
+        try:
+            response = await self._client.fetch(
+                self._request(attempt, work, budget, answer_limit, body), raise_error=False
+            )
+        except (HTTPError, CurlError, OSError) as error:
+            return Err(TargetFailed(f"service: {error}", has_run=True))
+        if response.code == NO_RESPONSE:
+            has_run = getattr(response.error, "errno", None) != pycurl.E_COULDNT_CONNECT
+            return Err(TargetFailed(f"service: {response.error}", has_run=has_run))
+        if body.is_over:
+            detail = f"service: the answer is larger than {answer_limit} bytes"
+            return Err(TargetFailed(detail, has_run=True))
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return Success(ServiceAnswer(response.code, content_type, body.data))
+
+    def _request(
+        self,
+        attempt: AttemptId,
+        work: ServiceWork,
+        budget: float,
+        answer_limit: int,
+        body: "_BoundedBody",
+    ) -> HTTPRequest:
         has_body = work.method not in METHODS_WITHOUT_BODY
-        request = HTTPRequest(
+
+        def prepare(curl: pycurl.Curl) -> None:
+            curl.setopt(pycurl.MAXFILESIZE, answer_limit)
+            # libcurl sends a request a second time if a connection that it has used before
+            # closes without a response. Only a new connection is free of that.
+            curl.setopt(pycurl.FRESH_CONNECT, has_body)
+            curl.setopt(pycurl.FORBID_REUSE, has_body)
+
+        return HTTPRequest(
             f"http://{self._address}{work.path}",
             method=work.method,
             headers={"X-Request-Id": attempt, "Content-Type": work.content_type},
@@ -58,12 +95,30 @@
             follow_redirects=False,
             connect_timeout=CONNECT_TIMEOUT,
             request_timeout=budget,
+            streaming_callback=body.feed,
+            prepare_curl_callback=prepare,
         )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except (HTTPError, CurlError, OSError) as error:
-            return Err(TargetFailed(f"service: {error}", has_run=True))
-        if response.code == 599 or response.error is not None and response.code >= 599:
-            return Err(TargetFailed(f"service: {response.error}", has_run=True))
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return Success(ServiceAnswer(response.code, content_type, response.body))
+
+
+class _BoundedBody:
+    """Collects a response body up to a limit and drops the rest."""
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._parts: list[bytes] = []
+        self._size = 0
+        self.is_over = False
+
+    @property
+    def data(self) -> bytes:
+        """Return what was collected."""
+        return b"".join(self._parts)
+
+    def feed(self, data: bytes) -> None:
+        """Take the next bytes."""
+        self._size += len(data)
+        if self._size > self._limit:
+            self.is_over = True
+            self._parts.clear()
+        else:
+            self._parts.append(data)
--- /dev/null
+++ b/packages/node/src/jaylatch_node/agent/attempt_record.py
@@ -0,0 +1,138 @@
+"""What an agent keeps of one attempt, and what it has sent of it to each entry that asked."""
+
+from asyncio import Task
+from collections import deque
+from zlib import crc32
+
+from jaylatch_core.enums import Outcome
+from jaylatch_core.ids import AttemptId
+from jaylatch_core.messages.requests import (
+    AttemptChunk,
+    AttemptEnd,
+    AttemptRefused,
+    AttemptStarted,
+)
+from jaylatch_node.streams import StreamConnection
+
+WINDOW_BYTES = 256 * 1024
+
+
+class _Watcher:
+    """How far one connection has been served. ``credit`` counts the chunks it has handed on."""
+
+    def __init__(self, connection: StreamConnection, next_chunk: int) -> None:
+        self.connection = connection
+        self.next_chunk = next_chunk
+        self.credit = next_chunk
+        self.outstanding = 0
+        self.has_end = False
+
+
+class AttemptRecord:
+    """One attempt. ``end`` is None while it runs; a barred attempt never ran.
+
+    Each watching connection gets at most ``WINDOW_BYTES`` that its entry has not handed on. With
+    ``keeps_chunks`` all chunks are kept for a resume from the start; otherwise those that every
+    watcher has handed on are dropped.
+    """
+
+    def __init__(self, attempt: AttemptId, now: float, *, keeps_chunks: bool = True) -> None:
+        self._attempt = attempt
+        self._keeps_chunks = keeps_chunks
+        self._chunks: deque[AttemptChunk] = deque()
+        self._first_chunk = 0
+        self._checksum = 0
+        self._watchers: dict[StreamConnection, _Watcher] = {}
+        self.end: AttemptEnd | AttemptRefused | None = None
+        self.task: Task[None] | None = None
+        self.touched_at = now
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Return whether this is a running completion that no entry listens to."""
+        return self.end is None and self.is_model and not self._watchers
+
+    @property
+    def is_model(self) -> bool:
+        """Return whether this is a completion, which may be run again elsewhere."""
+        return not self._keeps_chunks
+
+    @property
+    def total(self) -> int:
+        """Return the number of chunks so far."""
+        return self._first_chunk + len(self._chunks)
+
+    def watch(self, connection: StreamConnection, next_chunk: int, now: float) -> None:
+        """Send everything from ``next_chunk`` on to a connection, now and as it comes."""
+        self.touched_at = now
+        if next_chunk < self._first_chunk:
+            detail = f"chunk {next_chunk} is no longer kept; continue in a new attempt"
+            connection.send(AttemptRefused(self._attempt, "forgotten", Outcome.RAN, detail))
+            return
+        watcher = _Watcher(connection, next_chunk)
+        self._watchers[connection] = watcher
+        if self.end is None:
+            connection.send(AttemptStarted(self._attempt))
+        self._pump(watcher)
+
+    def unwatch(self, connection: StreamConnection, now: float) -> None:
+        """Stop sending to a connection."""
+        if self._watchers.pop(connection, None) is not None:
+            self.touched_at = now
+
+    def credit(self, connection: StreamConnection, next_chunk: int) -> None:
+        """Note that an entry has handed on the chunks before ``next_chunk``."""
+        watcher = self._watchers.get(connection)
+        if watcher is None:
+            return
+        next_chunk = min(next_chunk, watcher.next_chunk)
+        for number in range(watcher.credit, next_chunk):
+            watcher.outstanding -= len(self._chunks[number - self._first_chunk].data)
+        watcher.credit = max(watcher.credit, next_chunk)
+        self._drop_chunks()
+        self._pump(watcher)
+
+    def emit(self, tokens: int, data: bytes) -> None:
+        """Add a chunk."""
+        if self.end is not None:
+            return
+        self._chunks.append(AttemptChunk(self._attempt, self.total, tokens, data))
+        self._checksum = crc32(data, self._checksum)
+        for watcher in self._watchers.values():
+            self._pump(watcher)
+
+    def finish(self, status: int, content_type: str) -> None:
+        """End the attempt with a whole answer."""
+        if self.end is None:
+            self.end = AttemptEnd(self._attempt, self.total, self._checksum, status, content_type)
+            for watcher in self._watchers.values():
+                self._pump(watcher)
+
+    def refuse(self, code: str, outcome: Outcome, detail: str) -> None:
+        """End the attempt without a whole answer; its chunks are no longer of use."""
+        if self.end is None:
+            self.end = AttemptRefused(self._attempt, code, outcome, detail)
+            for watcher in self._watchers.values():
+                watcher.connection.send(self.end)
+
+    def _pump(self, watcher: _Watcher) -> None:
+        connection = watcher.connection
+        if isinstance(self.end, AttemptRefused):
+            connection.send(self.end)
+            return
+        while watcher.next_chunk < self.total and watcher.outstanding < WINDOW_BYTES:
+            chunk = self._chunks[watcher.next_chunk - self._first_chunk]
+            watcher.next_chunk += 1
+            watcher.outstanding += len(chunk.data)
+            connection.send(chunk)
+        if watcher.next_chunk == self.total and self.end is not None and not watcher.has_end:
+            watcher.has_end = True
+            connection.send(self.end)
+
+    def _drop_chunks(self) -> None:
+        if self._keeps_chunks:
+            return
+        keep_from = min(watcher.credit for watcher in self._watchers.values())
+        while self._first_chunk < keep_from:
+            self._chunks.popleft()
+            self._first_chunk += 1
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -1,8 +1,8 @@
 """Runs attempts on the target, each at most once, and keeps their answers for a while."""
 
 from asyncio import Task, create_task
+from functools import partial
 from typing import Protocol
-from zlib import crc32
 
 from returns.pipeline import is_successful
 from tornado.httpclient import AsyncHTTPClient
@@ -13,8 +13,7 @@
 from jaylatch_core.ids import AttemptId
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import (
-    AttemptChunk,
-    AttemptEnd,
+    AttemptCredit,
     AttemptRefused,
     AttemptStarted,
     CancelAttempt,
@@ -27,12 +26,15 @@
 )
 from jaylatch_core.settings import AgentSettings
 from jaylatch_node.adapters import EngineClient, ServiceClient
+from jaylatch_node.agent.attempt_record import AttemptRecord
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
 from jaylatch_node.streams import StreamConnection
 
 MAXIMUM_START_AGE = 5.0
 REPORT_INTERVAL = 0.25
 SWEEP_INTERVAL = 1.0
+UNWATCHED_TIMEOUT = 5.0
+ANSWER_CHUNK_BYTES = 64 * 1024
 
 
 class Admission(Protocol):
@@ -42,18 +44,6 @@
         """Return whether an attempt may start at ``now``."""
 
 
-class _Attempt:
-    """One attempt. ``end`` is None while it runs; a barred attempt never ran."""
-
-    def __init__(self, connection: StreamConnection, now: float) -> None:
-        self.connection = connection
-        self.chunks: list[AttemptChunk] = []
-        self.checksum = 0
-        self.end: AttemptEnd | AttemptRefused | None = None
-        self.task: Task[None] | None = None
-        self.touched_at = now
-
-
 class AttemptsController:
     """All attempts of this run of the agent."""
 
@@ -68,7 +58,7 @@
         self._settings = settings
         self._admission = admission
         self._client = client
-        self._attempts: dict[AttemptId, _Attempt] = {}
+        self._attempts: dict[AttemptId, AttemptRecord] = {}
         self._connections: set[StreamConnection] = set()
         self._reporter = PeriodicCallback(self.report, REPORT_INTERVAL * MILLISECONDS_PER_SECOND)
         self._sweeper = PeriodicCallback(self._sweep, SWEEP_INTERVAL * MILLISECONDS_PER_SECOND)
@@ -91,6 +81,9 @@
     def close_connection(self, connection: StreamConnection) -> None:
         """Stop reporting to a connection; its attempts go on so that they can be resumed."""
         self._connections.discard(connection)
+        now = monotonic()
+        for record in self._attempts.values():
+            record.unwatch(connection, now)
 
     def report(self) -> None:
         """Send the present load to all connections."""
@@ -101,10 +94,8 @@
     def abort_all(self) -> None:
         """End all running model attempts because the group is no longer whole."""
         for attempt, record in self._attempts.items():
-            if record.end is None and record.task is not None:
-                self._refuse(attempt, record, "group_lost", Outcome.RAN, "the group lost a member")
-                record.task.cancel()
-                create_task(self._cancel_at_target(attempt))
+            if record.end is None and record.is_model:
+                self._stop(attempt, record, "group_lost", "the group lost a member")
 
     def handle(self, connection: StreamConnection, call: int, body: Body) -> bool:
         """Handle an entry's message; returns False if the body is not one."""
@@ -112,6 +103,9 @@
         match body:
             case StartAttempt():
                 self._start(now, connection, body)
+            case AttemptCredit(attempt, next_chunk):
+                if attempt in self._attempts:
+                    self._attempts[attempt].credit(connection, next_chunk)
             case CancelAttempt():
                 self._cancel(now, connection, body)
             case ResumeAttempt():
@@ -127,19 +121,22 @@
     def _start(self, now: float, connection: StreamConnection, start: StartAttempt) -> None:
         known = self._attempts.get(start.attempt)
         if known is not None:
-            if known.end is not None:
-                connection.send(known.end)
+            known.watch(connection, 0, now)
             return
-        record = _Attempt(connection, now)
+        is_model = isinstance(start.work, ModelWork)
+        record = AttemptRecord(start.attempt, now, keeps_chunks=not is_model)
         self._attempts[start.attempt] = record
         reason = self._reason_against(now, start)
         if reason:
-            self._refuse(start.attempt, record, reason, Outcome.NOT_RUN, f"refused: {reason}")
+            record.refuse(reason, Outcome.NOT_RUN, f"refused: {reason}")
+            record.watch(connection, 0, now)
             return
         self._board.member.in_flight += 1
-        connection.send(AttemptStarted(start.attempt))
+        record.watch(connection, 0, now)
         self._board.events.record(wall(), "attempt.started", start.attempt, start.request)
         record.task = create_task(self._run(record, start))
+        # A task that is cancelled before its first step runs none of its own clean-up.
+        record.task.add_done_callback(partial(self._leave, record))
 
     def _reason_against(self, now: float, start: StartAttempt) -> str:
         """Return the code of the reason not to start, or an empty string."""
@@ -158,96 +155,79 @@
             return "target_full"
         return ""
 
-    async def _run(self, record: _Attempt, start: StartAttempt) -> None:
-        try:
-            match start.work:
-                case ModelWork() as work:
-                    await self._run_model(record, start, work)
-                case ServiceWork() as work:
-                    await self._run_service(record, start, work)
-        finally:
-            self._board.member.in_flight -= 1
-            record.touched_at = monotonic()
-
-    async def _run_model(self, record: _Attempt, start: StartAttempt, work: ModelWork) -> None:
+    async def _run(self, record: AttemptRecord, start: StartAttempt) -> None:
+        match start.work:
+            case ModelWork() as work:
+                await self._run_model(record, start, work)
+            case ServiceWork() as work:
+                await self._run_service(record, start, work)
+
+    def _leave(self, record: AttemptRecord, task: Task[None]) -> None:
+        self._board.member.in_flight -= 1
+        record.touched_at = monotonic()
+
+    async def _run_model(self, record: AttemptRecord, start: StartAttempt, work: ModelWork) -> None:
         def on_tokens(tokens: int, text: str) -> None:
-            if record.end is None:
-                self._emit(start.attempt, record, tokens, text.encode())
+            record.emit(tokens, text.encode())
 
         engine = EngineClient(self._address(), self._client)
         result = await engine.complete(start.attempt, work, start.budget, on_tokens)
         if is_successful(result):
-            self._finish(start.attempt, record, 200, "text/plain")
+            record.finish(200, "text/plain")
         else:
-            detail = result.failure().detail
-            self._refuse(start.attempt, record, "target_failed", Outcome.RAN, detail)
+            record.refuse("target_failed", Outcome.RAN, result.failure().detail)
             await self._cancel_at_target(start.attempt)
 
-    async def _run_service(self, record: _Attempt, start: StartAttempt, work: ServiceWork) -> None:
-        service = ServiceClient(self._address(), self._client)
-        result = await service.call(start.attempt, work, start.budget)
-        if is_successful(result):
-            answer = result.unwrap()
-            self._emit(start.attempt, record, 0, answer.body)
-            self._finish(start.attempt, record, answer.status, answer.content_type)
-        else:
-            detail = result.failure().detail
-            self._refuse(start.attempt, record, "target_failed", Outcome.UNKNOWN, detail)
-
-    def _emit(self, attempt: AttemptId, record: _Attempt, tokens: int, data: bytes) -> None:
-        chunk = AttemptChunk(attempt, len(record.chunks), tokens, data)
-        record.chunks.append(chunk)
-        record.checksum = crc32(data, record.checksum)
-        record.connection.send(chunk)
-
-    def _finish(self, attempt: AttemptId, record: _Attempt, status: int, content_type: str) -> None:
-        if record.end is None:
-            record.end = AttemptEnd(
-                attempt, len(record.chunks), record.checksum, status, content_type
-            )
-            record.connection.send(record.end)
-
-    def _refuse(
-        self, attempt: AttemptId, record: _Attempt, code: str, outcome: Outcome, detail: str
+    async def _run_service(
+        self, record: AttemptRecord, start: StartAttempt, work: ServiceWork
     ) -> None:
-        if record.end is None:
-            record.end = AttemptRefused(attempt, code, outcome, detail)
-            record.connection.send(record.end)
+        service = ServiceClient(self._address(), self._client)
+        result = await service.call(start.attempt, work, start.budget, self._settings.answer_limit)
+        if not is_successful(result):
+            failure = result.failure()
+            outcome = Outcome.UNKNOWN if failure.has_run else Outcome.NOT_RUN
+            record.refuse("target_failed", outcome, failure.detail)
+            return
+        answer = result.unwrap()
+        for begin in range(0, len(answer.body), ANSWER_CHUNK_BYTES):
+            record.emit(0, answer.body[begin : begin + ANSWER_CHUNK_BYTES])
+        record.finish(answer.status, answer.content_type)
 
     # Cancelling, resuming, asking
 
     def _cancel(self, now: float, connection: StreamConnection, cancel: CancelAttempt) -> None:
         attempt = cancel.attempt
-        record = self._bar_unknown(now, connection, attempt, cancel.clock)
+        record = self._bar_unknown(now, attempt, cancel.clock)
         if record.end is not None:
             connection.send(record.end)
-            return
-        self._refuse(attempt, record, "cancelled", Outcome.RAN, "cancelled after the start")
-        if record.task is not None and self._is_engine():
+        elif record.is_model:
+            self._stop(attempt, record, "cancelled", "cancelled after the start")
+        else:
+            # A service cannot take back what it has begun. The answer is kept for a resend.
+            record.unwatch(connection, now)
+            detail = "the call goes on after it was cancelled"
+            connection.send(AttemptRefused(attempt, "cancelled", Outcome.UNKNOWN, detail))
+
+    def _stop(self, attempt: AttemptId, record: AttemptRecord, code: str, detail: str) -> None:
+        record.refuse(code, Outcome.RAN, detail)
+        if record.task is not None:
             record.task.cancel()
-            create_task(self._cancel_at_target(attempt))
+        create_task(self._cancel_at_target(attempt))
 
     def _resume(self, now: float, connection: StreamConnection, resume: ResumeAttempt) -> None:
         if resume.incarnation != self._board.identity.incarnation:
             connection.send(_forgotten(resume.attempt))
             return
-        record = self._bar_unknown(now, connection, resume.attempt, resume.clock)
-        record.connection = connection
-        record.touched_at = now
-        for chunk in record.chunks[resume.next_chunk :]:
-            connection.send(chunk)
-        if record.end is not None:
-            connection.send(record.end)
+        record = self._bar_unknown(now, resume.attempt, resume.clock)
+        record.watch(connection, resume.next_chunk, now)
 
     def _query(self, now: float, connection: StreamConnection, query: QueryAttempt) -> Body:
         if query.incarnation != self._board.identity.incarnation:
             return _forgotten(query.attempt)
-        record = self._bar_unknown(now, connection, query.attempt, query.clock)
+        record = self._bar_unknown(now, query.attempt, query.clock)
         return record.end if record.end is not None else AttemptStarted(query.attempt)
 
-    def _bar_unknown(
-        self, now: float, connection: StreamConnection, attempt: AttemptId, clock: float
-    ) -> _Attempt:
+    def _bar_unknown(self, now: float, attempt: AttemptId, clock: float) -> AttemptRecord:
         """Return the attempt's record; an attempt that never arrived is barred from starting.
 
         A record that is missing although the attempt is old may have been swept, which is no
@@ -256,15 +236,13 @@
         record = self._attempts.get(attempt)
         if record is not None:
             return record
-        record = _Attempt(connection, now)
+        record = AttemptRecord(attempt, now)
         if now - clock < self._settings.attempt_retention:
-            record.end = AttemptRefused(
-                attempt, "barred", Outcome.NOT_RUN, "the attempt had not started and never will"
-            )
+            detail = "the attempt had not started and never will"
+            record.refuse("barred", Outcome.NOT_RUN, detail)
         else:
-            record.end = AttemptRefused(
-                attempt, "forgotten", Outcome.UNKNOWN, "the attempt is too old to be on record"
-            )
+            detail = "the attempt is too old to be on record"
+            record.refuse("forgotten", Outcome.UNKNOWN, detail)
         self._attempts[attempt] = record
         return record
 
@@ -273,10 +251,13 @@
             await EngineClient(self._address(), self._client).cancel(attempt)
 
     def _sweep(self) -> None:
-        oldest = monotonic() - self._settings.attempt_retention
+        now = monotonic()
         for attempt, record in list(self._attempts.items()):
-            if record.end is not None and record.touched_at < oldest:
+            age = now - record.touched_at
+            if record.end is not None and age > self._settings.attempt_retention:
                 del self._attempts[attempt]
+            elif record.is_abandoned and age > UNWATCHED_TIMEOUT:
+                self._stop(attempt, record, "unwatched", "no entry came back for the answer")
 
     def _target_report(self, now: float) -> TargetReport:
         assignment = self._board.grant.assignment
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -31,7 +31,7 @@
 from jaylatch_decisions.consensus import RaftTiming
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
-from jaylatch_decisions.journal import JournalState, shard_of
+from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ReplicatedLog
 from jaylatch_node.control.client import CONTROL_LOG, journal_log
@@ -54,7 +54,8 @@
         self._peers = peers
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._state = ControlState()
-        self._journals = [JournalState() for _ in range(settings.control.journal_shards)]
+        times = RetentionTimes(settings.control.answer_retention, settings.control.key_retention)
+        self._journals = [JournalState(times) for _ in range(settings.control.journal_shards)]
         self._control: ReplicatedLog[ControlResult] = self._open(CONTROL_LOG, self._apply_control)
         self._shards: list[ReplicatedLog[OrderVerdict]] = [
             self._open(journal_log(number), partial(self._apply_journal, journal))
--- a/packages/node/src/jaylatch_node/entry/agents.py
+++ b/packages/node/src/jaylatch_node/entry/agents.py
@@ -11,6 +11,7 @@
 from jaylatch_core.messages.membership import View
 from jaylatch_core.messages.requests import (
     AttemptChunk,
+    AttemptCredit,
     AttemptEnd,
     AttemptRefused,
     AttemptStarted,
@@ -23,6 +24,8 @@
 from jaylatch_node.streams import Peer, PeerPool, StreamConnection
 
 REPORT_TIMEOUT = 1.0
+ACKNOWLEDGE_TIMEOUT = 1.0
+RESET_INTERVAL = 1.0
 WATCH_INTERVAL = 0.2
 
 
@@ -34,7 +37,16 @@
         self._peers = peers
         self._addresses: dict[InstanceId, str] = {}
         self._instances: dict[str, InstanceId] = {}
-        self._attempts: dict[AttemptId, OpenAttempt] = {}
+        self._attempts: dict[AttemptId, list[OpenAttempt]] = {}
+        self._dropped = board.metrics.counter(
+            "frames_dropped", "Frames of attempts that were late, crossed or doubled."
+        )
+        self._resumes = board.metrics.counter(
+            "attempts_resumed", "Attempts whose missing chunks were asked for again."
+        )
+        self._resets = board.metrics.counter(
+            "agent_connections_reset", "Connections to agents closed because nothing passed."
+        )
         self._watcher = PeriodicCallback(self._watch, WATCH_INTERVAL * MILLISECONDS_PER_SECOND)
 
     def start(self) -> None:
@@ -52,11 +64,11 @@
         for service in view.services:
             self._connect(service.instance, service.address)
 
-    def open(self, instance: InstanceId, start: StartAttempt) -> OpenAttempt:
+    def open(
+        self, instance: InstanceId, start: StartAttempt, *, is_patient: bool = False
+    ) -> OpenAttempt:
         """Send the start of an attempt; the result may already be a refusal."""
-        attempt = OpenAttempt(instance, start)
-        self._attempts[start.attempt] = attempt
-        self._board.target(instance).own_in_flight += 1
+        attempt = self._add(instance, start, is_patient=is_patient)
         if self._peers.get(self._addresses[instance]).send(start):
             attempt.mark_sent()
         else:
@@ -64,44 +76,76 @@
         return attempt
 
     def open_resumed(self, instance: InstanceId, start: StartAttempt) -> OpenAttempt:
-        """Take over an attempt that another entry or connection has started."""
-        attempt = OpenAttempt(instance, start)
+        """Listen to an attempt that another entry or connection has started."""
+        attempt = self._add(instance, start, is_patient=True)
         attempt.mark_sent()
-        self._attempts[start.attempt] = attempt
-        self._board.target(instance).own_in_flight += 1
         self._ask_again(attempt)
         return attempt
 
+    def _add(self, instance: InstanceId, start: StartAttempt, *, is_patient: bool) -> OpenAttempt:
+        attempt = OpenAttempt(
+            instance, start, monotonic(), self._send_credit, is_patient=is_patient
+        )
+        self._attempts.setdefault(start.attempt, []).append(attempt)
+        self._board.target(instance).own_in_flight += 1
+        return attempt
+
+    def _send_credit(self, attempt: OpenAttempt, credit: AttemptCredit) -> None:
+        self._peers.get(self._addresses[attempt.instance]).send(credit)
+
     def close(self, attempt: OpenAttempt) -> None:
         """Forget an attempt; one that still runs is cancelled."""
-        self._attempts.pop(attempt.start.attempt, None)
+        name = attempt.start.attempt
+        listeners = self._attempts[name]
+        listeners.remove(attempt)
+        if not listeners:
+            del self._attempts[name]
         self._board.target(attempt.instance).own_in_flight -= 1
+        self._dropped.inc(attempt.dropped)
         if not attempt.is_done:
-            self.cancel(attempt)
+            if not listeners:
+                self.cancel(attempt)
+            return
+        credit = attempt.final_credit()
+        if credit is not None:
+            self._send_credit(attempt, credit)
 
     def cancel(self, attempt: OpenAttempt) -> None:
-        """Ask the agent to end an attempt; its verdict arrives as the attempt's last item."""
+        """Ask the agent to end an attempt; its verdict arrives as the attempt's last item.
+
+        An attempt that another caller of this entry also waits for goes on.
+        """
+        if len(self._attempts.get(attempt.start.attempt, ())) > 1:
+            return
         start = attempt.start
         peer = self._peers.get(self._addresses[attempt.instance])
         peer.send(CancelAttempt(start.attempt, start.clock))
 
-    def peer(self, instance: InstanceId) -> Peer | None:
-        """Return the peer of a known agent, or None."""
-        address = self._addresses.get(instance)
-        return self._peers.get(address) if address is not None else None
+    def peer_at(self, instance: InstanceId, address: str) -> Peer | None:
+        """Return the peer of an agent; ``address`` helps where this entry does not know it yet."""
+        known = self._addresses.get(instance)
+        if known is None and address:
+            self._connect(instance, address)
+            known = address
+        return self._peers.get(known) if known is not None else None
 
     def handle(self, connection: StreamConnection, body: Body) -> bool:
         """Handle an agent's message; returns False if the body is not one."""
         match body:
             case AttemptStarted():
-                pass
-            case AttemptChunk(attempt):
-                self._route_chunk(attempt, body)
-            case AttemptEnd(attempt):
-                self._route_end(attempt, body)
-            case AttemptRefused(attempt):
-                if attempt in self._attempts:
-                    self._attempts[attempt].accept_refusal(body)
+                for attempt in self._listeners(body.attempt):
+                    attempt.acknowledge()
+            case AttemptChunk():
+                for attempt in self._listeners(body.attempt):
+                    if not attempt.accept_chunk(body):
+                        self._ask_again(attempt)
+            case AttemptEnd():
+                for attempt in self._listeners(body.attempt):
+                    if not attempt.accept_end(body):
+                        self._ask_again(attempt)
+            case AttemptRefused():
+                for attempt in self._listeners(body.attempt):
+                    attempt.accept_refusal(body)
             case _:
                 return False
         return True
@@ -111,7 +155,7 @@
         target = self._board.target(instance)
         target.report = report
         target.received_at = monotonic()
-        for attempt in list(self._attempts.values()):
+        for attempt in self._open_attempts():
             if attempt.instance != instance or attempt.is_done:
                 continue
             if attempt.start.incarnation != report.incarnation:
@@ -129,26 +173,45 @@
         return self._instances.get(address)
 
     def _resume_all(self, instance: InstanceId, peer: Peer) -> None:
-        for attempt in self._attempts.values():
+        for attempt in self._open_attempts():
             if attempt.instance == instance and attempt.is_sent and not attempt.is_done:
-                peer.send(attempt.resume_message())
+                self._ask_again(attempt)
 
-    def _route_chunk(self, name: AttemptId, chunk: AttemptChunk) -> None:
-        attempt = self._attempts.get(name)
-        if attempt is not None and not attempt.accept_chunk(chunk):
-            self._ask_again(attempt)
+    def _listeners(self, name: AttemptId) -> list[OpenAttempt]:
+        listeners = self._attempts.get(name, [])
+        if not listeners:
+            self._dropped.inc()
+        return listeners
 
-    def _route_end(self, name: AttemptId, end: AttemptEnd) -> None:
-        attempt = self._attempts.get(name)
-        if attempt is not None and not attempt.accept_end(end):
-            self._ask_again(attempt)
+    def _open_attempts(self) -> list[OpenAttempt]:
+        return [item for listeners in self._attempts.values() for item in listeners]
 
     def _ask_again(self, attempt: OpenAttempt) -> None:
+        self._resumes.inc()
+        attempt.asked_at = monotonic()
+        attempt.is_acknowledged = False
         self._peers.get(self._addresses[attempt.instance]).send(attempt.resume_message())
 
     def _watch(self) -> None:
-        oldest = monotonic() - REPORT_TIMEOUT
-        for attempt in list(self._attempts.values()):
-            is_silent = self._board.target(attempt.instance).received_at < oldest
-            if is_silent and not attempt.is_done:
+        """Give up on silent agents, and replace connections on which nothing seems to pass."""
+        now = monotonic()
+        suspects = {
+            instance
+            for instance in self._addresses
+            if now - self._board.target(instance).received_at > REPORT_TIMEOUT
+        }
+        silent = frozenset(suspects)
+        for attempt in self._open_attempts():
+            if attempt.is_done:
+                continue
+            is_unread = not attempt.is_acknowledged
+            is_overdue = is_unread and now - attempt.asked_at > ACKNOWLEDGE_TIMEOUT
+            if is_overdue:
+                suspects.add(attempt.instance)
+            if not attempt.is_patient and (is_overdue or attempt.instance in silent):
                 attempt.fail("agent_unreachable", Outcome.UNKNOWN, "the agent has fallen silent")
+        for instance in suspects:
+            peer = self._peers.get(self._addresses[instance])
+            if now - peer.connected_at > RESET_INTERVAL:
+                self._resets.inc()
+                peer.reset()
--- /dev/null
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -0,0 +1,218 @@
+"""What all handlers that face callers share: bounded bodies, identity, and typed refusals."""
+
+from asyncio import CancelledError, create_task
+from collections.abc import Coroutine
+from dataclasses import dataclass
+from typing import Any
+
+from returns.pipeline import is_successful
+from returns.result import Failure as Err
+from returns.result import Result, Success
+from tornado.web import HTTPError, RequestHandler, stream_request_body
+
+from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.enums import Outcome
+from jaylatch_core.exceptions import RequestRefused
+from jaylatch_core.ids import IdempotencyKey
+from jaylatch_core.settings import EntrySettings
+from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.entry.accounts import find_account
+from jaylatch_node.entry.dispatcher import Dispatcher
+from jaylatch_node.entry.metrics import RequestMetrics
+from jaylatch_node.entry.orders import OrderController
+from jaylatch_node.entry.refusals import write_refusal
+from jaylatch_node.entry.requests import CallerRequest, new_request_id
+
+DEADLINE_HEADER = "X-Request-Timeout"
+KIND_HEADER = "X-Request-Kind"
+KEY_HEADER = "Idempotency-Key"
+REQUEST_HEADER = "X-Request-Id"
+DEFAULT_KIND = "draft"
+MAXIMUM_TIMEOUT = 3600.0
+MAXIMUM_KEY_LENGTH = 255
+MAXIMUM_KIND_LENGTH = 64
+UNREAD_BODY_LIMIT = 1 << 40
+
+
+@dataclass(frozen=True)
+class EntryServices:
+    """What the handlers work with."""
+
+    board: Blackboard
+    dispatcher: Dispatcher
+    orders: OrderController
+    settings: EntrySettings
+    metrics: RequestMetrics
+
+
+class ProblemHandler(RequestHandler):
+    """Answers every error as a problem, also those that the framework finds."""
+
+    def write_error(self, status_code: int, **kwargs: Any) -> None:
+        """Refuse; what failed inside this process leaves the outcome unknown."""
+        error = kwargs.get("exc_info", (None, None))[1]
+        if isinstance(error, HTTPError):
+            refusal = RequestRefused(
+                f"{self.request.method} {self.request.path}: {self._reason}",
+                status_code,
+                "request_invalid",
+                Outcome.NOT_RUN,
+            )
+        else:
+            refusal = RequestRefused(
+                "the entry failed; the log of this process tells why",
+                status_code,
+                "internal_error",
+                Outcome.UNKNOWN,
+            )
+        write_refusal(self, refusal, new_request_id())
+
+
+class UnknownPathHandler(ProblemHandler):
+    """Answers every path that no other handler takes."""
+
+    def prepare(self) -> None:
+        """Refuse with 404."""
+        write_refusal(self, not_found(f"path {self.request.path!r} is not known"), new_request_id())
+
+
+@stream_request_body
+class CallerHandler(ProblemHandler):
+    """Base of the handlers that face callers."""
+
+    def initialize(self, services: EntryServices) -> None:
+        """Take what the handler works with."""
+        self._services = services
+        self._request_id = new_request_id()
+        self._started_at = monotonic()
+        self._parts: list[bytes] = []
+        self._size = 0
+        self._is_disconnected = False
+        self._cancel_on_disconnect: Any = None
+
+    def prepare(self) -> None:
+        """Refuse a body that announces itself as too large."""
+        # The handler bounds the body itself, so that the refusal is a problem like any other.
+        self.request.connection.set_max_body_size(UNREAD_BODY_LIMIT)  # type: ignore[union-attr]
+        length = self.request.headers.get("Content-Length", "0")
+        if length.isdigit() and int(length) > self._services.settings.body_limit:
+            self._refuse_body()
+
+    def data_received(self, chunk: bytes) -> None:
+        """Collect the body up to the limit."""
+        if self._finished:
+            return
+        self._size += len(chunk)
+        if self._size > self._services.settings.body_limit:
+            self._parts.clear()
+            self._refuse_body()
+        else:
+            self._parts.append(chunk)
+
+    def on_connection_close(self) -> None:
+        """End the work for a caller that has gone, if the work is of no use without it."""
+        self._is_disconnected = True
+        if self._cancel_on_disconnect is not None:
+            self._cancel_on_disconnect()
+
+    @property
+    def _body(self) -> bytes:
+        return b"".join(self._parts)
+
+    def _refuse_body(self) -> None:
+        limit = self._services.settings.body_limit
+        self.set_header("Connection", "close")
+        self._refuse(
+            RequestRefused(
+                f"the body is larger than {limit} bytes", 413, "body_too_large", Outcome.NOT_RUN
+            )
+        )
+
+    async def _run_while_connected(self, work: Coroutine[Any, Any, None]) -> None:
+        """Run ``work``, and cancel it when the caller disconnects."""
+        task = create_task(work)
+        self._cancel_on_disconnect = task.cancel
+        try:
+            await task
+        except CancelledError:
+            if not self._is_disconnected:
+                raise
+            self._services.metrics.record_disconnect()
+            self._services.board.events.record(wall(), "request.disconnected", "", self._request_id)
+            self._finished = True
+
+    def _identify(self, default_kind: str) -> Result[CallerRequest, RequestRefused]:
+        board = self._services.board
+        if not board.grant.lease.is_valid(monotonic()):
+            return Err(lease_lapsed())
+        configuration = board.grant.configuration
+        headers = self.request.headers
+        account = find_account(configuration, headers.get("Authorization", ""))
+        if not is_successful(account):
+            return Err(account.failure())
+        kind = configuration.kind(headers.get(KIND_HEADER, default_kind))
+        if len(kind.name) > MAXIMUM_KIND_LENGTH:
+            return Err(bad_request(f"{KIND_HEADER} is longer than {MAXIMUM_KIND_LENGTH}"))
+        timeout = _parse_timeout(headers.get(DEADLINE_HEADER), kind.deadline)
+        if timeout is None:
+            return Err(
+                bad_request(
+                    f"{DEADLINE_HEADER} must be a number of seconds above 0 and at most"
+                    f" {MAXIMUM_TIMEOUT:.0f}"
+                )
+            )
+        key = headers.get(KEY_HEADER)
+        if key is not None and not 0 < len(key) <= MAXIMUM_KEY_LENGTH:
+            return Err(bad_request(f"{KEY_HEADER} must have 1 to {MAXIMUM_KEY_LENGTH} characters"))
+        return Success(
+            CallerRequest(
+                self._request_id,
+                account.unwrap(),
+                kind.name,
+                monotonic() + timeout,
+                IdempotencyKey(key) if key else None,
+            )
+        )
+
+    def _refuse(self, refusal: RequestRefused) -> None:
+        self._services.board.events.record(
+            wall(), "request.refused", refusal.code, self._request_id, refusal.outcome.value
+        )
+        self._services.metrics.record_refusal(refusal)
+        if not self._is_disconnected:
+            write_refusal(self, refusal, self._request_id)
+
+    def _record_answer(self) -> None:
+        self._services.metrics.record_answer(monotonic() - self._started_at)
+        self._services.board.events.record(wall(), "request.answered", "", self._request_id)
+
+
+def bad_request(detail: str) -> RequestRefused:
+    """Return the refusal of a request that is not well formed."""
+    return RequestRefused(detail, 400, "request_invalid", Outcome.NOT_RUN)
+
+
+def not_found(detail: str) -> RequestRefused:
+    """Return the refusal of a request for something that does not exist."""
+    return RequestRefused(detail, 404, "not_found", Outcome.NOT_RUN)
+
+
+def lease_lapsed() -> RequestRefused:
+    """Return the refusal of all requests while this entry has no lease."""
+    return RequestRefused(
+        "this entry is cut off from control and takes no new work",
+        503,
+        "lease_lapsed",
+        Outcome.NOT_RUN,
+        1.0,
+    )
+
+
+def _parse_timeout(text: str | None, default: float) -> float | None:
+    if text is None:
+        return default
+    try:
+        timeout = float(text)
+    except ValueError:
+        return None
+    return timeout if 0 < timeout <= MAXIMUM_TIMEOUT else None
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -1,7 +1,7 @@
 """Sends requests to targets, and repeats those that may be repeated."""
 
-from asyncio import sleep, wait_for
-from collections.abc import AsyncIterator
+from asyncio import sleep
+from collections.abc import AsyncGenerator
 from random import Random
 
 import msgspec
@@ -44,7 +44,7 @@
 
     async def complete(
         self, request: ModelRequest
-    ) -> AsyncIterator[AttemptChunk | AttemptEnd | RequestRefused]:
+    ) -> AsyncGenerator[AttemptChunk | AttemptEnd | RequestRefused, None]:
         """Yield the chunks of a completion, then its end or why there is none.
 
         A completion is idempotent: after a failure it continues on another group from the token at
@@ -71,8 +71,7 @@
                         return
             finally:
                 self._links.close(attempt)
-            if item.outcome is not Outcome.NOT_RUN:
-                outcome = Outcome.RAN
+            outcome = stronger_outcome(outcome, item.outcome)
             self._record_retry(request, item)
             if monotonic() >= request.caller.deadline:
                 yield deadline_passed(outcome)
@@ -91,8 +90,7 @@
                 case StoredAnswer():
                     return Success(result)
                 case AttemptRefused():
-                    if result.outcome is not Outcome.NOT_RUN:
-                        outcome = result.outcome
+                    outcome = stronger_outcome(outcome, result.outcome)
                     if outcome is not Outcome.NOT_RUN and not request.is_idempotent:
                         return Err(refusal_of(result))
             if monotonic() >= request.caller.deadline:
@@ -106,9 +104,15 @@
         """Return the latest report of the agent that ``route`` leads to."""
         return self._board.target(instance_of(route)).report
 
-    def open_start(self, route: Route, start: StartAttempt) -> OpenAttempt:
+    def choose_service(self, request: ServiceRequest) -> Route | None:
+        """Return a target for a service call if there is one at this moment."""
+        now = monotonic()
+        is_valid = self._board.grant.lease.is_valid(now)
+        return self._choose(now, "", request.work.service) if is_valid else None
+
+    def open_start(self, route: Route, start: StartAttempt, *, is_patient: bool) -> OpenAttempt:
         """Send a start that the caller has built."""
-        return self._links.open(instance_of(route), start)
+        return self._links.open(instance_of(route), start, is_patient=is_patient)
 
     async def collect(self, attempt: OpenAttempt, deadline: float) -> StoredAnswer | AttemptRefused:
         """Wait for the whole answer of an attempt and close it."""
@@ -150,19 +154,25 @@
     ) -> OpenAttempt:
         start = self.build_start(route, request, work)
         assert start is not None, "routes are chosen among agents that have reported"
-        return self.open_start(route, start)
+        is_patient = isinstance(request, ServiceRequest) and not request.is_idempotent
+        return self.open_start(route, start, is_patient=is_patient)
 
     async def _next_item(self, attempt: OpenAttempt, deadline: float) -> AttemptItem:
         try:
-            return await wait_for(attempt.next_item(), max(deadline - monotonic(), 0))
+            return await attempt.next_item(deadline)
         except TimeoutError:
             self._links.cancel(attempt)
+        outcome = Outcome.UNKNOWN if attempt.is_sent else Outcome.NOT_RUN
+        detail = "the deadline passed without a verdict"
         try:
-            return await wait_for(attempt.next_item(), CANCEL_VERDICT_TIMEOUT)
+            item = await attempt.next_item(monotonic() + CANCEL_VERDICT_TIMEOUT)
+            if not isinstance(item, AttemptRefused):
+                return item
+            outcome, detail = item.outcome, item.detail
         except TimeoutError:
-            outcome = Outcome.UNKNOWN if attempt.is_sent else Outcome.NOT_RUN
-            attempt.fail("deadline_passed", outcome, "the deadline passed without a verdict")
-            return await attempt.next_item()
+            pass
+        name = attempt.start.attempt
+        return AttemptRefused(name, "deadline_passed", outcome, detail)
 
     async def _find_route(self, model: str, service: str, deadline: float) -> Route | None:
         while True:
@@ -201,6 +211,11 @@
         )
 
 
+def stronger_outcome(first: Outcome, second: Outcome) -> Outcome:
+    """Return what two attempts of one request say together: one that ran settles it."""
+    return max(first, second, key=[Outcome.NOT_RUN, Outcome.UNKNOWN, Outcome.RAN].index)
+
+
 def instance_of(route: Route) -> InstanceId:
     """Return the instance that a route leads to."""
     return route.head if isinstance(route, GroupRoute) else route.instance
@@ -230,4 +245,5 @@
 
 def refusal_of(refused: AttemptRefused) -> RequestRefused:
     """Return an agent's refusal in the caller's terms."""
-    return RequestRefused(refused.detail, 502, refused.code, refused.outcome, RETRY_AFTER)
+    status = 504 if refused.code == "deadline_passed" else 502
+    return RequestRefused(refused.detail, status, refused.code, refused.outcome, RETRY_AFTER)
--- a/packages/node/src/jaylatch_node/entry/orders.py
+++ b/packages/node/src/jaylatch_node/entry/orders.py
@@ -1,34 +1,32 @@
 """Orders: non-idempotent calls with a key, run at most once over all entries and restarts."""
 
+from asyncio import sleep
 from hashlib import sha256
 
-from returns.pipeline import is_successful
 from returns.result import Failure as Err
-from returns.result import Result, Success
+from returns.result import Success
 
-from jaylatch_core.clock import monotonic
+from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import ClaimVerdict, Outcome
 from jaylatch_core.exceptions import RequestRefused
-from jaylatch_core.ids import Epoch, GroupId, IdempotencyKey
+from jaylatch_core.ids import IdempotencyKey
 from jaylatch_core.messages.journal import (
     AbandonOrder,
     ClaimOrder,
-    CompleteOrder,
-    JournalCommand,
+    LookupOrder,
     OrderName,
     OrderVerdict,
     ReleaseOrder,
     StoredAnswer,
 )
-from jaylatch_core.messages.requests import (
-    AttemptEnd,
-    AttemptRefused,
-    AttemptStarted,
-    QueryAttempt,
-    StartAttempt,
+from jaylatch_core.messages.requests import AttemptRefused, StartAttempt
+from jaylatch_node.entry.claims import (
+    ClaimResolver,
+    JournalClient,
+    OrderResult,
+    claim_of,
+    order_unknown,
 )
-from jaylatch_node.control.client import ControlClient
-from jaylatch_node.entry.agents import AgentLinks
 from jaylatch_node.entry.dispatcher import (
     RETRY_AFTER,
     Dispatcher,
@@ -38,75 +36,106 @@
     no_capacity,
     refusal_of,
 )
-from jaylatch_node.entry.open_attempt import OpenAttempt
 from jaylatch_node.entry.requests import ServiceRequest
 
-QUERY_TIMEOUT = 1.0
-COMPLETE_TIMEOUT = 10.0
-
-OrderResult = Result[StoredAnswer, RequestRefused]
+RECLAIM_DELAY = 0.05
 
 
 class OrderController:
-    """Claims an order in the journal before it runs, and answers resends from the journal."""
+    """Claims an order in the journal before it runs, and answers resends from the journal.
+
+    Until the journal has said otherwise an order may have run under an earlier send of its key, so
+    ``not_run`` is said only after a lookup or a claim has shown that it has not.
+    """
 
-    def __init__(self, client: ControlClient, dispatcher: Dispatcher, links: AgentLinks) -> None:
-        self._client = client
+    def __init__(
+        self, journal: JournalClient, dispatcher: Dispatcher, resolver: ClaimResolver
+    ) -> None:
+        self._journal = journal
         self._dispatcher = dispatcher
-        self._links = links
+        self._resolver = resolver
 
     async def run(self, request: ServiceRequest, key: IdempotencyKey) -> OrderResult:
         """Run the order or return the answer of its earlier run."""
         order = OrderName(request.caller.account.id, key)
+        digest = digest_of(request)
+        deadline = request.caller.deadline
         while True:
-            route = await self._dispatcher.find_service(request)
-            start = self._build_start(route, request)
-            if route is None or start is None:
-                return Err(no_capacity(Outcome.NOT_RUN))
-            claim = ClaimOrder(
-                order,
-                digest_of(request),
-                start.attempt,
-                instance_of(route),
-                start.incarnation,
-                start.clock,
-            )
-            verdict = await self._commit(claim, request.caller.deadline)
-            if verdict is None:
-                # The claim may still be committed, but its attempt was never sent.
-                return Err(_journal_unavailable(Outcome.NOT_RUN))
-            if verdict.verdict is ClaimVerdict.GRANTED:
-                result = await self._run_claimed(order, request, route, start)
-            else:
+            route = self._dispatcher.choose_service(request)
+            if route is None:
+                verdict = await self._journal.commit(LookupOrder(order, digest), deadline)
+                if verdict is not None and verdict.verdict is ClaimVerdict.ABSENT:
+                    route = await self._dispatcher.find_service(request)
+                    if route is None:
+                        return Err(no_capacity(Outcome.NOT_RUN))
+            if route is not None:
+                result = await self._claim_and_run(order, digest, request, route)
+            elif verdict is not None:
                 result = await self._answer_resend(order, request, verdict)
+            else:
+                result = Err(_journal_unavailable())
             if result is not None:
                 return result
-            if monotonic() >= request.caller.deadline:
-                return Err(deadline_passed(Outcome.NOT_RUN))
+            if monotonic() >= deadline:
+                return Err(deadline_passed(Outcome.UNKNOWN))
+            await sleep(RECLAIM_DELAY)
 
-    def _build_start(self, route: Route | None, request: ServiceRequest) -> StartAttempt | None:
-        if route is None:
-            return None
-        return self._dispatcher.build_start(route, request, request.work)
+    async def _claim_and_run(
+        self, order: OrderName, digest: str, request: ServiceRequest, route: Route
+    ) -> OrderResult | None:
+        start = self._dispatcher.build_start(route, request, request.work)
+        assert start is not None, "routes are chosen among agents that have reported"
+        verdict = await self._claim(order, digest, route, start, request.caller.deadline)
+        if verdict is None:
+            return Err(_journal_unavailable())
+        if verdict.verdict is ClaimVerdict.GRANTED:
+            return await self._run_claimed(order, request, route, start)
+        return await self._answer_resend(order, request, verdict)
+
+    async def _claim(
+        self, order: OrderName, digest: str, route: Route, start: StartAttempt, deadline: float
+    ) -> OrderVerdict | None:
+        claim = ClaimOrder(
+            order,
+            digest,
+            start.attempt,
+            instance_of(route),
+            start.incarnation,
+            start.clock,
+            route.address,
+            wall(),
+        )
+        verdict = await self._journal.commit(claim, deadline)
+        if verdict is None:
+            # The claim may still be committed. Its attempt has not been sent and never will be.
+            self._journal.commit_later(ReleaseOrder(order, start.attempt, start.incarnation))
+        return verdict
 
     async def _run_claimed(
         self, order: OrderName, request: ServiceRequest, route: Route, start: StartAttempt
     ) -> OrderResult | None:
         """Run the attempt that holds the claim; returns None to try again with a new claim."""
-        attempt = self._dispatcher.open_start(route, start)
-        outcome = await self._dispatcher.collect(attempt, request.caller.deadline)
+        deadline = request.caller.deadline
+        attempt = self._dispatcher.open_start(route, start, is_patient=True)
+        outcome = await self._dispatcher.collect(attempt, deadline)
         match outcome:
             case StoredAnswer():
-                await self._commit(
-                    CompleteOrder(order, start.attempt, outcome), monotonic() + COMPLETE_TIMEOUT
+                return Success(
+                    await self._journal.complete(order, start.attempt, outcome, deadline)
                 )
-                return Success(outcome)
             case AttemptRefused() if outcome.outcome is Outcome.NOT_RUN:
-                released = await self._commit(
-                    ReleaseOrder(order, start.attempt, start.incarnation), request.caller.deadline
-                )
-                return None if released is not None else Err(refusal_of(outcome))
+                release = ReleaseOrder(order, start.attempt, start.incarnation)
+                released = await self._journal.commit(release, deadline)
+                if released is None:
+                    self._journal.commit_later(release)
+                    return Err(refusal_of(outcome))
+                return Err(refusal_of(outcome)) if monotonic() >= deadline else None
+            case AttemptRefused() if outcome.code == "deadline_passed":
+                claim = claim_of(start, instance_of(route), route.address)
+                self._resolver.settle_later(order, request, claim)
+                return Err(refusal_of(outcome))
             case AttemptRefused():
+                self._journal.commit_later(AbandonOrder(order, start.attempt, start.incarnation))
                 return Err(refusal_of(outcome))
 
     async def _answer_resend(
@@ -118,73 +147,14 @@
                 return Success(verdict.answer)
             case ClaimVerdict.KEY_REUSED:
                 return Err(_key_reused())
+            case ClaimVerdict.EXPIRED:
+                return Err(_expired())
             case ClaimVerdict.IN_PROGRESS:
-                return await self._resolve(order, request, verdict)
+                return await self._resolver.resolve(order, request, verdict)
+            case ClaimVerdict.UNKNOWN:
+                return Err(order_unknown())
             case _:
-                return Err(_outcome_unknown())
-
-    async def _resolve(
-        self, order: OrderName, request: ServiceRequest, verdict: OrderVerdict
-    ) -> OrderResult | None:
-        """Ask the agent that the claim names what became of the attempt."""
-        peer = self._links.peer(verdict.instance)
-        if peer is None:
-            return Err(_outcome_unknown())
-        query = QueryAttempt(verdict.attempt, verdict.incarnation, verdict.clock)
-        reply = await peer.call(query, QUERY_TIMEOUT)
-        body = reply.unwrap() if is_successful(reply) else None
-        match body:
-            case AttemptStarted():
-                return Err(_in_progress())
-            case AttemptEnd():
-                return await self._fetch_answer(order, request, verdict)
-            case AttemptRefused() if body.outcome is Outcome.NOT_RUN:
-                await self._commit(
-                    ReleaseOrder(order, verdict.attempt, verdict.incarnation),
-                    request.caller.deadline,
-                )
                 return None
-            case AttemptRefused() if body.code == "agent_restarted":
-                await self._commit(
-                    AbandonOrder(order, verdict.attempt, verdict.incarnation),
-                    request.caller.deadline,
-                )
-                return Err(_outcome_unknown())
-            case _:
-                return Err(_outcome_unknown())
-
-    async def _fetch_answer(
-        self, order: OrderName, request: ServiceRequest, verdict: OrderVerdict
-    ) -> OrderResult:
-        attempt = self._resume(request, verdict)
-        outcome = await self._dispatcher.collect(attempt, request.caller.deadline)
-        match outcome:
-            case StoredAnswer():
-                complete = CompleteOrder(order, verdict.attempt, outcome)
-                await self._commit(complete, monotonic() + COMPLETE_TIMEOUT)
-                return Success(outcome)
-            case AttemptRefused():
-                return Err(refusal_of(outcome))
-
-    def _resume(self, request: ServiceRequest, verdict: OrderVerdict) -> OpenAttempt:
-        start = StartAttempt(
-            verdict.attempt,
-            request.caller.id,
-            request.caller.account.id,
-            verdict.incarnation,
-            GroupId(""),
-            Epoch(0),
-            verdict.clock,
-            request.caller.deadline - monotonic(),
-            request.work,
-        )
-        return self._links.open_resumed(verdict.instance, start)
-
-    async def _commit(self, command: JournalCommand, deadline: float) -> OrderVerdict | None:
-        timeout = max(deadline - monotonic(), 0.0)
-        result = await self._client.call_journal(command, timeout)
-        body = result.unwrap() if is_successful(result) else None
-        return body if isinstance(body, OrderVerdict) else None
 
 
 def digest_of(request: ServiceRequest) -> str:
@@ -203,30 +173,18 @@
     )
 
 
-def _in_progress() -> RequestRefused:
+def _expired() -> RequestRefused:
     return RequestRefused(
-        "the order is running; ask again with the same key",
-        409,
-        "order_in_progress",
-        Outcome.UNKNOWN,
-        RETRY_AFTER,
+        "the order ran; its answer is no longer kept", 410, "order_expired", Outcome.RAN
     )
 
 
-def _outcome_unknown() -> RequestRefused:
+def _journal_unavailable() -> RequestRefused:
     return RequestRefused(
-        "nobody can tell whether the order ran; it will not be run again under this key",
-        409,
-        "order_unknown",
-        Outcome.UNKNOWN,
-    )
-
-
-def _journal_unavailable(outcome: Outcome) -> RequestRefused:
-    return RequestRefused(
-        "the order journal has no quorum; nothing was started",
+        "the order journal has no quorum: nothing was started now, and whether the key has run"
+        " before cannot be told; ask again with the same key",
         503,
         "journal_unavailable",
-        outcome,
+        Outcome.UNKNOWN,
         RETRY_AFTER,
     )
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -7,7 +7,7 @@
 
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
-from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.settings import KIBIBYTE, NodeSettings, split_address
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.entry.administration import (
@@ -19,19 +19,25 @@
     TimelineHandler,
 )
 from jaylatch_node.entry.agents import AgentLinks
+from jaylatch_node.entry.base import EntryServices, UnknownPathHandler
+from jaylatch_node.entry.claims import ClaimResolver, JournalClient
+from jaylatch_node.entry.completions import ChatCompletionHandler, CompletionHandler
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.handlers import (
-    ChatCompletionHandler,
-    CompletionHandler,
-    EntryServices,
     HealthHandler,
     MetricsHandler,
     ModelsHandler,
     ServiceHandler,
 )
+from jaylatch_node.entry.metrics import RequestMetrics
 from jaylatch_node.entry.orders import OrderController
 from jaylatch_node.streams import PeerPool, StreamConnection
 
+HEADER_LIMIT = 32 * KIBIBYTE
+CHUNK_SIZE = 64 * KIBIBYTE
+IDLE_CONNECTION_TIMEOUT = 120.0
+BODY_TIMEOUT = 60.0
+
 
 class EntryRole:
     """Wires the controllers and handlers of the entry together."""
@@ -48,8 +54,13 @@
         self._board = board
         self._links = AgentLinks(board, peers)
         dispatcher = Dispatcher(board, self._links, random)
-        orders = OrderController(client, dispatcher, self._links)
-        callers = {"services": EntryServices(board, dispatcher, orders)}
+        journal = JournalClient(client, board.metrics)
+        resolver = ClaimResolver(journal, dispatcher, self._links)
+        orders = OrderController(journal, dispatcher, resolver)
+        services = EntryServices(
+            board, dispatcher, orders, settings.entry, RequestMetrics(board.metrics)
+        )
+        callers = {"services": services}
         operators = {
             "services": AdministrationServices(client, peers, settings.entry.operator_token_hashes)
         }
@@ -69,9 +80,14 @@
                     ("/admin/v1/drains", DrainsHandler, operators),
                     ("/admin/v1/timeline", TimelineHandler, operators),
                 ],
+                default_handler_class=UnknownPathHandler,
                 log_function=lambda handler: None,
             ),
             max_body_size=settings.entry.body_limit,
+            max_header_size=HEADER_LIMIT,
+            chunk_size=CHUNK_SIZE,
+            idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
+            body_timeout=BODY_TIMEOUT,
         )
 
     def start(self) -> None:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -69,7 +69,7 @@
 
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
-        host, port = split_address(self._settings.stream)
+        host, port = split_address(self._settings.stream_listen or self._settings.stream)
         self._server.listen(port, host)
         self._client.connect()
         for role in (self._control, self._agent, self._entry):
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -12,7 +12,7 @@
 from msgpack.exceptions import BufferFull, UnpackException
 from returns.result import Failure as Err
 from returns.result import Result, Success
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
 from jaylatch_core.clock import wall
 from jaylatch_core.events import EventLog
@@ -21,6 +21,7 @@
 
 READ_SIZE = 64 * 1024
 MAXIMUM_FRAME_SIZE = 32 * 1024 * 1024
+MAXIMUM_UNSENT_SIZE = 64 * 1024 * 1024
 
 BodyHandler = Callable[["StreamConnection", int, Body], None]
 """Called for each frame that is no reply, with the number to reply to (0: none is expected)."""
@@ -43,6 +44,8 @@
         self._last_call = 0
         self._calls: dict[int, Future[CallResult]] = {}
         self._outgoing: list[bytes] = []
+        # A peer that stops reading loses its connection before it costs more memory than this.
+        stream.max_write_buffer_size = MAXIMUM_UNSENT_SIZE
         stream.set_nodelay(True)
 
     @property
@@ -123,5 +126,5 @@
         self._outgoing.clear()
         try:
             self._stream.write(data)
-        except StreamClosedError:
+        except (StreamClosedError, StreamBufferFullError):
             self.close()
--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -8,6 +8,7 @@
 from returns.result import Failure as Err
 from tornado.iostream import IOStream, StreamClosedError
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed
 from jaylatch_core.messages.frames import Body
@@ -32,6 +33,7 @@
         self._connect_handlers: list[PeerHandler] = []
         self._disconnect_handlers: list[PeerHandler] = []
         self._is_connected = Event()
+        self._connected_at = 0.0
         self._task: Task[None] = create_task(self._run())
 
     @property
@@ -45,6 +47,16 @@
         connection = self._connection
         return connection if connection is not None and connection.is_open else None
 
+    @property
+    def connected_at(self) -> float:
+        """Return when the present connection was made, in seconds of the monotonic clock."""
+        return self._connected_at
+
+    def reset(self) -> None:
+        """Close a connection that seems to be dead; a new one is made at once."""
+        if self._connection is not None:
+            self._connection.close()
+
     def on_connect(self, handler: PeerHandler) -> None:
         """Call ``handler`` after each connection."""
         self._connect_handlers.append(handler)
@@ -99,6 +111,7 @@
     async def _serve(self, stream: IOStream) -> None:
         connection = StreamConnection(stream, self._events, self._handler, self._address)
         self._connection = connection
+        self._connected_at = monotonic()
         self._is_connected.set()
         for handler in self._connect_handlers:
             handler(self)
--- a/packages/standins/src/jaylatch_standins/caller.py
+++ b/packages/standins/src/jaylatch_standins/caller.py
@@ -1,10 +1,12 @@
 """Callers and operators of a running deployment, as the demo, tests and benchmarks need them."""
 
 from dataclasses import dataclass
+from secrets import token_hex
 from time import monotonic
 from typing import Any
 
 import msgspec
+import pycurl
 from tornado.curl_httpclient import CurlError
 from tornado.httpclient import AsyncHTTPClient, HTTPClientError, HTTPRequest, HTTPResponse
 
@@ -90,10 +92,12 @@
             headers={
                 "Authorization": f"Bearer {self._key}",
                 "X-Request-Timeout": str(timeout),
+                "X-Request-Id": token_hex(8),
                 **headers,
             },
             request_timeout=timeout + GRACE,
             streaming_callback=reader.feed if reader is not None else None,
+            prepare_curl_callback=_use_new_connection if body is not None else None,
         )
         try:
             return await self._client.fetch(request, raise_error=False)
@@ -164,6 +168,11 @@
         return "".join(parts)
 
 
+def _use_new_connection(curl: pycurl.Curl) -> None:
+    """Keep libcurl from sending a request twice, as it does when a reused connection closes."""
+    curl.setopt(pycurl.FRESH_CONNECT, 1)
+
+
 def _text_of(response: HTTPResponse) -> str:
     return str(msgspec.json.decode(response.body)["choices"][0]["text"])
 
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from jaylatch_standins.ports import free_addresses
+from jaylatch_standins.ports import LOOPBACK, free_addresses
+from jaylatch_standins.proxy import FaultProxy
 
 OPERATOR_TOKEN = "operator-token"
 STOP_TIMEOUT = 5.0
@@ -26,6 +27,7 @@
     engine_options: tuple[str, ...] = ()
     service_options: tuple[str, ...] = ()
     has_fencing: bool = True
+    has_proxies: bool = False
 
 
 @dataclass
@@ -37,6 +39,7 @@
     stream: str
     http: str
     settings: Path
+    target: str = ""
     target_command: list[str] | None = None
 
 
@@ -51,10 +54,12 @@
         self.ledger = folder / "ledger.jsonl"
         self.nodes: dict[str, Node] = {}
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self.proxies: dict[str, FaultProxy] = {}
         self._plan = plan
         self._token_hash = token_hash
         self._configuration = folder / "configuration.toml"
         self._configuration.write_text(configuration)
+        self._proxy_routes: dict[str, tuple[str, str]] = {}
         self._lay_out()
 
     @property
@@ -67,6 +72,15 @@
         """Return the names of the control instances."""
         return [name for name in self.nodes if name.startswith("control")]
 
+    def start_proxies(self) -> None:
+        """Start the proxies on the running loop: each forwards only while that loop runs.
+
+        They are named ``AGENT/stream``, ``AGENT/target`` and ``ENTRY/CONTROL``.
+        """
+        for name, (address, target) in self._proxy_routes.items():
+            self.proxies[name] = FaultProxy(target)
+            self.proxies[name].listen(int(address.rpartition(":")[2]), LOOPBACK)
+
     def start(self) -> None:
         """Start every process."""
         for name in self.nodes:
@@ -85,6 +99,10 @@
         if command is not None:
             self._spawn(f"{name}/target", command)
 
+    def target_address(self, name: str) -> str:
+        """Return the address at which the target of an instance listens."""
+        return self.nodes[name].target
+
     def kill(self, name: str) -> None:
         """End a process at once (SIGKILL)."""
         process = self.processes.pop(name)
@@ -152,11 +170,14 @@
             agent_stream, agent_http, listen = next(addresses), next(addresses), next(addresses)
             node = self._add(name, domain, "agent", agent_stream, agent_http, peers)
             command = [sys.executable, "-m", f"jaylatch_standins.{kind}", "--name", name]
+            advertised = self._behind_proxy(f"{name}/target", listen)
+            command += ["--advertise", advertised]
             command += ["--listen", listen, "--agent", agent_http, "--ledger", str(self.ledger)]
             if kind == "engine":
                 command += [*plan.engine_options, *(["--fencing"] if plan.has_fencing else [])]
             else:
                 command += ["--service", service, *plan.service_options]
+            node.target = listen
             node.target_command = command
 
     def _add(
@@ -168,11 +189,21 @@
         http: str,
         peers: list[dict[str, str]],
     ) -> Node:
+        advertised = self._behind_proxy(f"{name}/stream", stream) if role == "agent" else stream
+        if role == "entry":
+            peers = [
+                {
+                    **peer,
+                    "address": self._behind_proxy(f"{name}/{peer['instance']}", peer["address"]),
+                }
+                for peer in peers
+            ]
         settings = {
             "instance": name,
             "failure_domain": f"domain-{domain}",
             "roles": [role],
-            "stream": stream,
+            "stream": advertised,
+            "stream_listen": stream,
             "control": {
                 "peers": peers,
                 "data_folder": str(self.folder / name),
@@ -185,6 +216,14 @@
             settings["agent"] = {"http": http}
         path = self.folder / f"{name}.toml"
         path.write_bytes(msgspec.toml.encode(settings))
-        node = Node(name, f"domain-{domain}", stream, http, path)
+        node = Node(name, f"domain-{domain}", advertised, http, path)
         self.nodes[name] = node
         return node
+
+    def _behind_proxy(self, name: str, address: str) -> str:
+        """Return the address of a new proxy before ``address``, if the plan wants proxies."""
+        if not self._plan.has_proxies:
+            return address
+        (proxy,) = free_addresses(1)
+        self._proxy_routes[name] = (proxy, address)
+        return proxy
--- a/packages/standins/src/jaylatch_standins/engine.py
+++ b/packages/standins/src/jaylatch_standins/engine.py
@@ -192,7 +192,7 @@
     async def _generate(self, request: str, body: Completion) -> None:
         engine = self._engine
         epoch = engine.state.epoch
-        engine.ledger.record("start", request, detail=str(epoch))
+        engine.ledger.record("start", request, detail=str(epoch), prompt=body.prompt)
         await sleep(engine.prefill_time(body.prompt))
         self.set_header("Content-Type", "text/event-stream")
         for position in range(body.resume_from, body.max_tokens):
@@ -220,7 +220,9 @@
         ],
         log_function=lambda handler: None,
     ).listen(int(port), host)
-    announcement = Announcement(options.name, "engine", options.listen, options.fencing)
+    announcement = Announcement(
+        options.name, "engine", options.advertise or options.listen, options.fencing
+    )
     await announce_forever(options.agent, announcement)
 
 
@@ -229,6 +231,7 @@
     parser = ArgumentParser(description="Run a stand-in model engine.")
     parser.add_argument("--name", required=True)
     parser.add_argument("--listen", required=True, help="IP:port")
+    parser.add_argument("--advertise", help="IP:port to announce, if not where it listens")
     parser.add_argument("--agent", required=True, help="IP:port of the agent's HTTP interface")
     parser.add_argument("--ledger", required=True, type=Path)
     parser.add_argument("--slots", type=int, default=8)
--- a/packages/standins/src/jaylatch_standins/ledger.py
+++ b/packages/standins/src/jaylatch_standins/ledger.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+PROMPT_CHARACTERS = 64
+
 
 class LedgerLine(msgspec.Struct):
     """One thing that happened at a stand-in. ``what`` is ``start``, ``end`` or ``cancel``."""
@@ -16,6 +18,7 @@
     request: str
     order: str = ""
     detail: str = ""
+    prompt: str = ""
 
 
 class Ledger:
@@ -25,9 +28,12 @@
         self._target = target
         self._file: IO[bytes] = path.open("ab", buffering=0)
 
-    def record(self, what: str, request: str, order: str = "", detail: str = "") -> None:
-        """Append one line at once."""
-        line = LedgerLine(time(), self._target, what, request, order, detail)
+    def record(
+        self, what: str, request: str, order: str = "", detail: str = "", prompt: str = ""
+    ) -> None:
+        """Append one line at once; of a prompt only the beginning."""
+        prompt = prompt[:PROMPT_CHARACTERS]
+        line = LedgerLine(time(), self._target, what, request, order, detail, prompt)
         self._file.write(msgspec.json.encode(line) + b"\n")
 
 
--- a/packages/standins/src/jaylatch_standins/proxy.py
+++ b/packages/standins/src/jaylatch_standins/proxy.py
@@ -15,7 +15,8 @@
 
     ``delay`` is seconds each way; ``is_cut_forward`` and ``is_cut_back`` hold back all bytes of one
     direction without closing (a one-way partition; both: half-open); ``refuses`` drops new
-    connections; ``cut_after`` closes each connection after so many bytes back (mid-frame).
+    connections; ``cut_after`` closes each connection after so many bytes back (mid-frame);
+    ``cuts_next`` forwards half of the next bytes that come back and closes (mid-frame, once).
     """
 
     def __init__(self, target: str) -> None:
@@ -28,6 +29,16 @@
         self.is_cut_back = False
         self.refuses = False
         self.cut_after: int | None = None
+        self.cuts_next = False
+
+    def heal(self) -> None:
+        """End all faults; what was held back is forwarded, late."""
+        self.delay = 0.0
+        self.is_cut_forward = False
+        self.is_cut_back = False
+        self.refuses = False
+        self.cut_after = None
+        self.cuts_next = False
 
     def drop_connections(self) -> None:
         """Close all present connections."""
@@ -59,11 +70,16 @@
         try:
             while True:
                 data = await source.read_bytes(READ_SIZE, partial=True)
-                await sleep(self.delay)
+                if self.delay:
+                    await sleep(self.delay)
                 while self.is_cut_back if is_back else self.is_cut_forward:
                     await sleep(BLOCK_POLL_INTERVAL)
                 if is_back and self.cut_after is not None and passed + len(data) > self.cut_after:
-                    await sink.write(data[: self.cut_after - passed])
+                    await sink.write(data[: max(self.cut_after - passed, 0)])
+                    return
+                if is_back and self.cuts_next:
+                    self.cuts_next = False
+                    await sink.write(data[: len(data) // 2])
                     return
                 passed += len(data)
                 await sink.write(data)
--- a/packages/standins/src/jaylatch_standins/service.py
+++ b/packages/standins/src/jaylatch_standins/service.py
@@ -19,7 +19,10 @@
 
 
 class OrderHandler(RequestHandler):
-    """``POST /orders``: runs an order; the body is the order's name in the ledger."""
+    """``POST /orders``: runs an order; the body is the order's name in the ledger.
+
+    The parameter ``size`` makes the answer at least so many bytes long.
+    """
 
     def initialize(self, options: Namespace, ledger: Ledger) -> None:
         """Take the parameters and the ledger."""
@@ -33,7 +36,8 @@
         self._ledger.record("start", request, order)
         await sleep(self._options.order_time)
         self._ledger.record("end", request, order)
-        self.finish({"confirmed": order, "by": self._options.name})
+        padding = "x" * int(self.get_query_argument("size", "0"))
+        self.finish({"confirmed": order, "by": self._options.name, "padding": padding})
 
 
 class StockHandler(RequestHandler):
@@ -56,7 +60,9 @@
         ],
         log_function=lambda handler: None,
     ).listen(int(port), host)
-    announcement = Announcement(options.name, "service", options.listen, False, options.service)
+    announcement = Announcement(
+        options.name, "service", options.advertise or options.listen, False, options.service
+    )
     await announce_forever(options.agent, announcement)
 
 
@@ -66,6 +72,7 @@
     parser.add_argument("--name", required=True)
     parser.add_argument("--service", required=True)
     parser.add_argument("--listen", required=True, help="IP:port")
+    parser.add_argument("--advertise", help="IP:port to announce, if not where it listens")
     parser.add_argument("--agent", required=True, help="IP:port of the agent's HTTP interface")
     parser.add_argument("--ledger", required=True, type=Path)
     parser.add_argument("--order-time", type=float, default=0.05, help="seconds an order takes")
