--- a/features/faults/faults.feature
+++ b/features/unkeyed_faults/unkeyed_faults.feature
@@ -1,22 +1,10 @@
-Feature: Whatever fails, callers are told the truth and no order runs twice
+Feature: Orders without a key are never repeated, and completions end whole
 
   Scenario Outline: Faults at a point of a request's life
     Given a deployment behind proxies, with one order service and two groups
     When <kind> meet each of these faults while <point>: <faults>
     Then each caller was told the truth, and nothing ran twice
 
-    Examples: the agent's connection
-      | kind           | point                      | faults                                                                  |
-      | keyed orders   | unsent                     | delay, drop, half-open, agent unreachable, entry unreachable            |
-      | keyed orders   | started                    | delay, drop, cut mid-frame, half-open, agent unreachable                |
-      | keyed orders   | answered but not delivered | delay, drop, half-open, entry unreachable                               |
-
-    Examples: the processes
-      | kind           | point                      | faults                                                                  |
-      | keyed orders   | sent and unread            | none, kill agent, kill entry, pause entry, kill control leader          |
-      | keyed orders   | started                    | kill agent, kill target, kill entry, pause agent, target connection drop |
-      | keyed orders   | answered but not delivered | kill agent, kill entry, pause entry, journal unreachable                |
-
     Examples: orders without a key
       | kind           | point                      | faults                                                                  |
       | keyless orders | sent and unread            | none, drop, half-open, kill agent, pause entry                          |
