Give the agent's probes a client of their own

Cause: probes and answers shared one client of 128 handles, so with more than 128 open answers the probes waited behind them, the target counted as unhealthy and the group was lost: 0 of 500 streams were whole. Change: a client for probes and orders, another with 512 handles for answers. The new scenario fails without the change.

--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -31,6 +31,7 @@
 LONG = 5000
 LONG_COMPLETION = 20_000
 SLOW_READ_TIME = 6.0
+WIDE_TOKEN_TIME = 0.2
 MEBIBYTE = 1 << 20
 COMPLETIONS = "/v1/completions"
 ORDERS = f"/services/{SERVICE}/orders"
@@ -64,17 +65,46 @@
 
 @given("a small deployment with an order service")
 def step_small(context: Context) -> None:
+    start_small(context, 32, 0.002)
+
+
+@given("a small deployment whose engine serves {number:d} requests at once")
+def step_wide(context: Context, number: int) -> None:
+    start_small(context, number, WIDE_TOKEN_TIME)
+
+
+@then("{number:d} streamed completions of {tokens:d} tokens at once are all whole")
+def step_many(context: Context, number: int, tokens: int) -> None:
+    # Too short for a second turn, which answers would need that had to wait for a first.
+    timeout = 1.8 * tokens * WIDE_TOKEN_TIME
+
+    async def send() -> int:
+        calls = [
+            context.caller.complete(
+                MODEL, f"stream {item}", tokens, is_streamed=True, timeout=timeout
+            )
+            for item in range(number)
+        ]
+        return sum(outcome.is_whole for outcome in await gather(*calls))
+
+    assert context.runner.run(send()) == number
+
+
+def start_small(context: Context, concurrency: int, token_time: float) -> None:
     plan = ClusterPlan(
         controls=1,
         entries=1,
         domains=1,
         engines=1,
         services={SERVICE: 1},
-        engine_options=("--token-time", "0.002", "--load-time", "0.3", "--slots", "32"),
+        engine_options=(
+            *("--token-time", str(token_time)),
+            *("--load-time", "0.3", "--slots", str(concurrency)),
+        ),
         service_options=("--order-time", "0"),
     )
     text = configuration_text(instances_per_group=1) + (
-        "[ordinary]\nspares_per_domain = 0\ntarget_concurrency = 32\n"
+        f"[ordinary]\nspares_per_domain = 0\ntarget_concurrency = {concurrency}\n"
     )
     cluster = Cluster(context.folder, plan, text, hash_key(OPERATOR_TOKEN))
     context.cluster = cluster
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -14,6 +14,9 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
 
+PROBE_CLIENTS = 8
+ANSWER_CLIENTS = 512
+
 
 class AgentRole:
     """Wires the controllers of the agent together."""
@@ -21,12 +24,14 @@
     def __init__(
         self, settings: NodeSettings, board: Blackboard, peers: PeerPool, server: StreamServer
     ) -> None:
-        client = AsyncHTTPClient()
+        # Probes and orders have a client of their own: they must not wait behind long answers.
+        client = AsyncHTTPClient(force_instance=True, max_clients=PROBE_CLIENTS)
+        answers = AsyncHTTPClient(force_instance=True, max_clients=ANSWER_CLIENTS)
         self._settings = settings
         self._membership = MembershipController(
             board, settings.agent, peers, client, self._abort_attempts, self._report
         )
-        self._attempts = AttemptsController(board, settings.agent, self._membership, client)
+        self._attempts = AttemptsController(board, settings.agent, self._membership, answers)
         server.on_open(self._attempts.open_connection)
         server.on_close(self._attempts.close_connection)
         self._http = HTTPServer(
--- a/packages/standins/src/jaylatch_standins/bench/request_path.py
+++ b/packages/standins/src/jaylatch_standins/bench/request_path.py
@@ -30,7 +30,7 @@
 SLOTS = 32
 TOKENS = 20
 TOKEN_TIME = 0.02
-HALF_LOAD = ENGINES * SLOTS // 2
+HALF_LOAD = ENGINES * SLOTS / (TOKENS * TOKEN_TIME) / 2
 ORDER_CALLERS = 16
 STREAMS = 500
 STREAM_TOKENS = 60
@@ -171,6 +171,8 @@
         labels: dict[str, str | int | float] = {
             "open_streams": still_open,
             "whole": sum(item.is_whole for item in outcomes),
+            "refused": sum(item.status >= 400 for item in outcomes),
+            "lost": sum(item.status == 0 for item in outcomes),
         }
         self._emit("entry memory", busy / MEBIBYTE, "MiB", MEMORY_TARGET, labels)
         self._emit("entry memory per stream", (busy - idle) / STREAMS / 1024, "KiB", None, labels)
@@ -201,16 +203,16 @@
 
 
 async def load(addresses: list[str], phase: float) -> list[CallerOutcome]:
-    """Keep half of the engines' slots busy through ``addresses`` in turn."""
+    """Send evenly spaced completions at half of the engines' rate through ``addresses``."""
     callers = [Caller(address, ACCOUNT_KEYS["skarvik"]) for address in addresses]
-    numbers = count()
-
-    def complete() -> Awaitable[CallerOutcome]:
-        number = next(numbers)
+    started_at = monotonic()
+    tasks = []
+    for number in range(int(HALF_LOAD * phase)):
+        await sleep(max(started_at + number / HALF_LOAD - monotonic(), 0.0))
         caller = callers[number % len(callers)]
-        return caller.complete(MODEL, f"prompt {number}", TOKENS, is_streamed=True)
-
-    return await drive(complete, HALF_LOAD, phase)
+        work = caller.complete(MODEL, f"prompt {number}", TOKENS, is_streamed=True)
+        tasks.append(create_task(work))
+    return list(await gather(*tasks))
 
 
 async def drive(
