--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -12,16 +12,15 @@
 )
 from jaylatch_core.messages.administration import (
     EventReport,
+    HistoryReport,
+    MetricsReport,
     ReadEvents,
+    ReadHistory,
+    ReadMetrics,
     ReadStatus,
     StatusReport,
 )
-from jaylatch_core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
-    VoteReply,
-    VoteRequest,
-)
+from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
@@ -67,10 +66,7 @@
 )
 
 Body = (
-    VoteRequest
-    | VoteReply
-    | AppendRequest
-    | AppendReply
+    ConsensusBatch
     | ApplyConfiguration
     | PreparePreset
     | SetDrain
@@ -99,8 +95,12 @@
     | QueryAttempt
     | ReadStatus
     | StatusReport
+    | ReadHistory
+    | HistoryReport
     | ReadEvents
     | EventReport
+    | ReadMetrics
+    | MetricsReport
     | FailureBody
 )
 
--- a/packages/node/src/jaylatch_node/agent/attempt_record.py
+++ b/packages/node/src/jaylatch_node/agent/attempt_record.py
@@ -2,6 +2,7 @@
 
 from asyncio import Task
 from collections import deque
+from collections.abc import Callable
 from zlib import crc32
 
 from jaylatch_core.enums import Outcome
@@ -16,6 +17,8 @@
 
 WINDOW_BYTES = 256 * 1024
 
+StartDescriber = Callable[[AttemptId, StreamConnection], AttemptStarted]
+
 
 class _Watcher:
     """How far one connection has been served. ``credit`` counts the chunks it has handed on."""
@@ -36,8 +39,16 @@
     watcher has handed on are dropped.
     """
 
-    def __init__(self, attempt: AttemptId, now: float, *, keeps_chunks: bool = True) -> None:
+    def __init__(
+        self,
+        attempt: AttemptId,
+        now: float,
+        describe_start: StartDescriber,
+        *,
+        keeps_chunks: bool = True,
+    ) -> None:
         self._attempt = attempt
+        self._describe_start = describe_start
         self._keeps_chunks = keeps_chunks
         self._chunks: deque[AttemptChunk] = deque()
         self._first_chunk = 0
@@ -72,7 +83,7 @@
         watcher = _Watcher(connection, next_chunk)
         self._watchers[connection] = watcher
         if self.end is None:
-            connection.send(AttemptStarted(self._attempt))
+            connection.send(self._describe_start(self._attempt, connection))
         self._pump(watcher)
 
     def unwatch(self, connection: StreamConnection, now: float) -> None:
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -10,10 +10,12 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.enums import Outcome, TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import AttemptId
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import (
     AttemptCredit,
+    AttemptEnd,
     AttemptRefused,
     AttemptStarted,
     CancelAttempt,
@@ -25,8 +27,10 @@
     TargetReport,
 )
 from jaylatch_core.settings import AgentSettings
+from jaylatch_decisions.quarantine import DeathRecorder
 from jaylatch_node.adapters import EngineClient, ServiceClient
 from jaylatch_node.agent.attempt_record import AttemptRecord
+from jaylatch_node.agent.load import LoadController
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
 from jaylatch_node.streams import StreamConnection
 
@@ -58,6 +62,8 @@
         self._settings = settings
         self._admission = admission
         self._client = client
+        self._load = LoadController(board, settings.adapts_limit)
+        self._deaths = DeathRecorder(f"{board.identity.instance}/{board.identity.incarnation}")
         self._attempts: dict[AttemptId, AttemptRecord] = {}
         self._connections: set[StreamConnection] = set()
         self._reporter = PeriodicCallback(self.report, REPORT_INTERVAL * MILLISECONDS_PER_SECOND)
@@ -76,20 +82,21 @@
     def open_connection(self, connection: StreamConnection) -> None:
         """Report to a new connection at once."""
         self._connections.add(connection)
-        connection.send(self._target_report(monotonic()))
+        connection.send(self._target_report(monotonic(), connection))
 
     def close_connection(self, connection: StreamConnection) -> None:
         """Stop reporting to a connection; its attempts go on so that they can be resumed."""
         self._connections.discard(connection)
+        self._load.forget(connection)
         now = monotonic()
         for record in self._attempts.values():
             record.unwatch(connection, now)
 
     def report(self) -> None:
         """Send the present load to all connections."""
-        report = self._target_report(monotonic())
+        now = monotonic()
         for connection in self._connections:
-            connection.send(report)
+            connection.send(self._target_report(now, connection))
 
     def abort_all(self) -> None:
         """End all running model attempts because the group is no longer whole."""
@@ -124,21 +131,29 @@
             known.watch(connection, 0, now)
             return
         is_model = isinstance(start.work, ModelWork)
-        record = AttemptRecord(start.attempt, now, keeps_chunks=not is_model)
+        record = AttemptRecord(start.attempt, now, self._started, keeps_chunks=not is_model)
         self._attempts[start.attempt] = record
-        reason = self._reason_against(now, start)
+        reason = self._reason_against(now, connection, start)
         if reason:
             record.refuse(reason, Outcome.NOT_RUN, f"refused: {reason}")
             record.watch(connection, 0, now)
+            connection.send(self._target_report(now, connection))
             return
-        self._board.member.in_flight += 1
+        self._load.begin(now, connection, start)
         record.watch(connection, 0, now)
-        self._board.events.record(wall(), "attempt.started", start.attempt, start.request)
+        self._board.events.record(
+            wall(),
+            EventName.ATTEMPT_STARTED,
+            start.attempt,
+            start.request,
+            group=start.group,
+            epoch=start.epoch,
+        )
         record.task = create_task(self._run(record, start))
         # A task that is cancelled before its first step runs none of its own clean-up.
-        record.task.add_done_callback(partial(self._leave, record))
+        record.task.add_done_callback(partial(self._leave, record, start))
 
-    def _reason_against(self, now: float, start: StartAttempt) -> str:
+    def _reason_against(self, now: float, connection: StreamConnection, start: StartAttempt) -> str:
         """Return the code of the reason not to start, or an empty string."""
         member = self._board.member
         if start.incarnation != self._board.identity.incarnation:
@@ -151,7 +166,9 @@
             return "not_admitting"
         if isinstance(start.work, ModelWork) and start.epoch != member.epoch:
             return "epoch_changed"
-        if member.in_flight >= self._board.grant.policy().target_concurrency:
+        if start.is_suspect and self._load.has_suspect():
+            return "suspect_apart"
+        if not self._load.has_room(now, connection):
             return "target_full"
         return ""
 
@@ -162,22 +179,38 @@
             case ServiceWork() as work:
                 await self._run_service(record, start, work)
 
-    def _leave(self, record: AttemptRecord, task: Task[None]) -> None:
-        self._board.member.in_flight -= 1
+    def _leave(self, record: AttemptRecord, start: StartAttempt, task: Task[None]) -> None:
+        self._load.end(start.attempt, isinstance(record.end, AttemptEnd))
         record.touched_at = monotonic()
 
     async def _run_model(self, record: AttemptRecord, start: StartAttempt, work: ModelWork) -> None:
         def on_tokens(tokens: int, text: str) -> None:
-            record.emit(tokens, text.encode())
+            if record.end is None:
+                self._load.count_tokens(monotonic(), start.attempt, tokens)
+                record.emit(tokens, text.encode())
 
         engine = EngineClient(self._address(), self._client)
         result = await engine.complete(start.attempt, work, start.budget, on_tokens)
         if is_successful(result):
             record.finish(200, "text/plain")
+            if start.is_suspect:
+                self._deaths.record_answer(start.digest)
+                self.report()
         else:
-            record.refuse("target_failed", Outcome.RAN, result.failure().detail)
+            failure = result.failure()
+            if failure.has_died:
+                self._record_death(start)
+            outcome = Outcome.RAN if failure.has_run else Outcome.NOT_RUN
+            record.refuse("target_failed", outcome, failure.detail)
             await self._cancel_at_target(start.attempt)
 
+    def _record_death(self, start: StartAttempt) -> None:
+        """Tell all entries before the refusal can make the request run elsewhere."""
+        self._board.member.healthy_at = 0.0
+        self._deaths.record_failure(monotonic(), start.digest)
+        self._board.events.record(wall(), EventName.TARGET_DIED, start.digest, start.request)
+        self.report()
+
     async def _run_service(
         self, record: AttemptRecord, start: StartAttempt, work: ServiceWork
     ) -> None:
@@ -236,7 +269,7 @@
         record = self._attempts.get(attempt)
         if record is not None:
             return record
-        record = AttemptRecord(attempt, now)
+        record = AttemptRecord(attempt, now, self._started)
         if now - clock < self._settings.attempt_retention:
             detail = "the attempt had not started and never will"
             record.refuse("barred", Outcome.NOT_RUN, detail)
@@ -259,7 +292,7 @@
             elif record.is_abandoned and age > UNWATCHED_TIMEOUT:
                 self._stop(attempt, record, "unwatched", "no entry came back for the answer")
 
-    def _target_report(self, now: float) -> TargetReport:
+    def _target_report(self, now: float, connection: StreamConnection) -> TargetReport:
         assignment = self._board.grant.assignment
         return TargetReport(
             self._board.identity.incarnation,
@@ -268,9 +301,19 @@
             assignment.epoch if assignment is not None else NO_EPOCH,
             self._admission.is_admitting(now),
             self._board.member.in_flight,
-            self._board.grant.policy().target_concurrency,
+            self._load.limit,
+            self._load.in_flight_of(connection),
+            self._load.competing_entries(now, connection),
+            self._load.token_time,
+            self._load.character_time,
+            self._deaths.deaths,
+            self._deaths.cleared,
         )
 
+    def _started(self, attempt: AttemptId, connection: StreamConnection) -> AttemptStarted:
+        own = self._load.in_flight_of(connection)
+        return AttemptStarted(attempt, self._board.member.in_flight - own, self._load.limit)
+
     def _address(self) -> str:
         announcement = self._board.member.announcement
         return announcement.address if announcement is not None else ""
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -29,7 +29,13 @@
         answers = AsyncHTTPClient(force_instance=True, max_clients=ANSWER_CLIENTS)
         self._settings = settings
         self._membership = MembershipController(
-            board, settings.agent, peers, client, self._abort_attempts, self._report
+            board,
+            settings.agent,
+            settings.lease,
+            peers,
+            client,
+            self._abort_attempts,
+            self._report,
         )
         self._attempts = AttemptsController(board, settings.agent, self._membership, answers)
         server.on_open(self._attempts.open_connection)
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -2,14 +2,16 @@
 
 from asyncio import create_task
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 
 from jaylatch_core.clock import wall
-from jaylatch_core.enums import DrainScope, TargetKind
+from jaylatch_core.enums import DrainScope, Role, TargetKind
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
-from jaylatch_core.ids import Epoch, FailureDomainId, Generation, InstanceId, Term
-from jaylatch_core.messages.administration import NodeStatus, StatusReport
+from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, Term
+from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
     Assignment,
@@ -23,7 +25,15 @@
 )
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
-from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups
+from jaylatch_decisions.groups import (
+    InstanceFacts,
+    LoadRequest,
+    Permit,
+    PlanInput,
+    grant_permits,
+    plan_groups,
+    retiring_groups,
+)
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.streams import StreamConnection
@@ -42,6 +52,15 @@
     measured_at: float = 0.0
 
 
+class _Announced(NamedTuple):
+    """What the nodes have been told of. ``shared`` concerns all of them."""
+
+    view: int = 0
+    shared: object = None
+    groups: frozenset[Group] = frozenset()
+    permits: frozenset[Permit] = frozenset()
+
+
 class LeaderController:
     """Exists for one term of leadership of the control log."""
 
@@ -62,9 +81,12 @@
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._renewed_at: dict[InstanceId, float] = {}
+        self._usable_at: dict[InstanceId, float] = {}
+        self._retiring: frozenset[GroupId] = frozenset()
+        self._permits: frozenset[Permit] = frozenset()
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
-        self._announced: object = None
+        self._announced = _Announced()
         self._is_proposing = False
         self._measures = _Measures(measured_at=now)
 
@@ -78,26 +100,28 @@
         self._leases.grant(now, renewal)
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
-        self._refresh_view(now)
         has_configuration = renewal.configuration == self._state.generation
-        has_view = renewal.view == self._view.version
+        needs_view = Role.ENTRY in renewal.roles and renewal.view != self._view.version
         return LeaseGrant(
             self._leases.duration,
             self._state.generation,
             self._state.preset,
             None if has_configuration else self._state.configuration,
-            None if has_view else self._view,
+            self._view if needs_view else None,
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
         )
 
     def tick(self, now: float) -> None:
         """Measure, tell the nodes of changes, and propose what the plan asks for."""
-        self._measure(now)
+        facts = self._facts(now)
+        self._measure(now, facts)
+        self._retire(facts)
+        self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
         if not self._is_proposing:
-            commands = self._wanted_commands(now)
+            commands = self._wanted_commands(now, facts)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
@@ -111,7 +135,7 @@
                 holder.renewal.failure_domain,
                 holder.renewal.stream,
                 holder.renewal.configuration,
-                holder.renewal.preset,
+                holder.renewal.preset_in_force,
                 holder.lapses_at - now,
                 holder.renewal.member,
             )
@@ -128,11 +152,15 @@
             tuple(self._behind(now)),
             self._measures.group_downtime,
             self._measures.stranded_seconds,
+            tuple(
+                holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
+            ),
+            self._leases.knows_all(now),
         )
 
-    def is_in_force_everywhere(self, now: float) -> bool:
-        """Return whether every holder acts under the latest generations."""
-        return self._leases.knows_all(now) and not self._behind(now)
+    def history(self) -> HistoryReport:
+        """Return the latest configurations for operators."""
+        return HistoryReport(tuple(self._state.history))
 
     # Views and assignments
 
@@ -186,10 +214,11 @@
             group.members,
             addresses,
             self._is_draining(group),
+            (instance, group.epoch) in self._permits,
         )
 
     def _is_draining(self, group: Group) -> bool:
-        if self._state.configuration.model(group.model) is None:
+        if group.id in self._retiring or self._state.configuration.model(group.model) is None:
             return True
         if (DrainScope.GROUP, group.id) in self._state.drains:
             return True
@@ -207,83 +236,134 @@
         return holder.renewal.failure_domain if holder is not None else FailureDomainId("")
 
     def _announce_changes(self) -> None:
-        current = (
+        """Tell the nodes that a change concerns, so that a repair does not make all renew."""
+        current = _Announced(
             self._view.version,
-            self._state.generation,
-            self._state.preset,
-            tuple(self._state.groups.values()),
-            frozenset(self._state.drains),
+            (
+                self._state.generation,
+                self._state.preset,
+                frozenset(self._state.drains),
+                self._retiring,
+            ),
+            frozenset(self._state.groups.values()),
+            self._permits,
         )
-        if current == self._announced:
+        announced, self._announced = self._announced, current
+        if current == announced:
             return
-        self._announced = current
-        for connection in self._connections.values():
-            connection.send(ViewChanged(self._view.version))
+        members = {
+            member for group in current.groups ^ announced.groups for member in group.members
+        }
+        members |= {instance for instance, _ in current.permits ^ announced.permits}
+        is_for_all = current.shared != announced.shared
+        is_for_entries = current.view != announced.view
+        for instance, connection in self._connections.items():
+            if is_for_all or instance in members or (is_for_entries and self._is_entry(instance)):
+                connection.send(ViewChanged(self._view.version))
+
+    def _is_entry(self, instance: InstanceId) -> bool:
+        holder = self._leases.known(instance)
+        return holder is not None and Role.ENTRY in holder.renewal.roles
 
     # Proposals
 
-    def _wanted_commands(self, now: float) -> list[ControlCommand]:
+    def _wanted_commands(self, now: float, facts: list[InstanceFacts]) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
-        if preset.prepared_generation and self.is_in_force_everywhere(now):
-            commands.append(CommitPreset(preset.prepared_generation))
+        prepared = preset.prepared_generation
+        if prepared and self._leases.has_prepared_everywhere(now, prepared):
+            commands.append(CommitPreset(prepared))
         if now >= self._plan_from:
-            commands += plan_groups(self._plan_input(now))
+            commands += plan_groups(self._plan_input(facts))
         return commands
 
-    def _plan_input(self, now: float) -> PlanInput:
+    def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
         state = self._state
         return PlanInput(
             state.configuration,
             state.configuration.policy(state.preset.preset),
             tuple(state.groups.values()),
             dict(state.occupied),
-            tuple(self._facts(now)),
+            tuple(facts),
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
-        facts = []
-        for holder in self._leases.all():
-            renewal = holder.renewal
-            member = renewal.member
-            if member is None or not _is_engine(member):
-                continue
-            is_heard = now < self._renewed_at[renewal.instance] + self._suspect_after
-            facts.append(
-                InstanceFacts(
-                    renewal.instance,
-                    renewal.failure_domain,
-                    is_heard and member.is_target_healthy,
-                    self._is_instance_leaving(renewal.instance, renewal.failure_domain),
-                    member.epoch,
-                    member.is_serving,
-                    member.in_flight,
-                )
-            )
-        return facts
+        leaving = self._members_of_drained_groups()
+        return [
+            self._instance_facts(now, holder.renewal, holder.renewal.member, leaving)
+            for holder in self._leases.all()
+            if holder.renewal.member is not None and _is_engine(holder.renewal.member)
+        ]
+
+    def _instance_facts(
+        self, now: float, renewal: RenewLease, member: MemberReport, leaving: set[InstanceId]
+    ) -> InstanceFacts:
+        instance = renewal.instance
+        is_heard = now < self._renewed_at[instance] + self._suspect_after
+        is_usable = is_heard and member.is_target_healthy and member.is_acting
+        if is_usable:
+            self._usable_at[instance] = now
+        return InstanceFacts(
+            instance,
+            renewal.failure_domain,
+            is_usable,
+            instance in leaving or self._is_drained(instance, renewal.failure_domain),
+            member.epoch,
+            member.is_serving,
+            member.in_flight,
+            member.is_settled,
+            member.draining_epoch,
+            now - self._usable_at.setdefault(instance, now),
+        )
 
-    def _is_instance_leaving(self, instance: InstanceId, domain: FailureDomainId) -> bool:
-        group = self._state.group_of(instance)
-        is_group_drained = group is not None and (DrainScope.GROUP, group.id) in self._state.drains
-        return is_group_drained or self._is_drained(instance, domain)
+    def _retire(self, facts: list[InstanceFacts]) -> None:
+        """Keep the retiring groups up to date, so that their heads admit no new work."""
+        usable = {item.instance for item in facts if item.is_usable}
+        groups = tuple(self._state.groups.values())
+        lost = frozenset(item for group in groups for item in group.members if item not in usable)
+        self._retiring = retiring_groups(self._state.configuration, groups, lost)
+
+    def _permit_loads(self, now: float) -> None:
+        requests = []
+        for group in self._state.groups.values():
+            waiting = tuple(item for item in group.members if self._is_waiting(now, group, item))
+            if waiting:
+                requests.append(LoadRequest(group, waiting))
+        limit = self._state.configuration.weight_store.loads_in_parallel
+        self._permits = grant_permits(requests, self._permits, limit)
+
+    def _is_waiting(self, now: float, group: Group, instance: InstanceId) -> bool:
+        holder = self._leases.holder(now, instance)
+        member = holder.renewal.member if holder is not None else None
+        if member is None:
+            return False
+        return member.epoch != group.epoch or not member.is_loaded
+
+    def _members_of_drained_groups(self) -> set[InstanceId]:
+        return {
+            member
+            for group in self._state.groups.values()
+            if (DrainScope.GROUP, group.id) in self._state.drains
+            for member in group.members
+        }
 
     async def _propose_all(self, commands: list[ControlCommand]) -> None:
         try:
             for command in commands:
                 await self._propose(command)
                 subject = str(getattr(command, "group", getattr(command, "members", "")))
-                self._board.events.record(wall(), f"plan.{type(command).__name__}", subject)
+                name = EventName(f"plan.{type(command).__name__}")
+                self._board.events.record(wall(), name, subject)
         finally:
             self._is_proposing = False
 
     # Measures
 
-    def _measure(self, now: float) -> None:
+    def _measure(self, now: float, facts: list[InstanceFacts]) -> None:
         elapsed = now - self._measures.measured_at
         self._measures.measured_at = now
         if now < self._plan_from:
             return
-        facts = self._facts(now)
         serving = {
             item.instance: item.epoch for item in facts if item.is_usable and item.is_serving
         }
@@ -296,9 +376,7 @@
         self._measures.stranded_seconds += elapsed * len(healthy)
 
     def _behind(self, now: float) -> list[InstanceId]:
-        preset = self._state.preset
-        latest = Generation(max(preset.generation, preset.prepared_generation))
-        return self._leases.behind(now, self._state.generation, latest)
+        return self._leases.behind(now, self._state.generation, self._state.preset.generation)
 
 
 def _is_engine(member: MemberReport) -> bool:
--- a/packages/node/src/jaylatch_node/entry/agents.py
+++ b/packages/node/src/jaylatch_node/entry/agents.py
@@ -69,6 +69,9 @@
     ) -> OpenAttempt:
         """Send the start of an attempt; the result may already be a refusal."""
         attempt = self._add(instance, start, is_patient=is_patient)
+        reserved = self._board.target(instance).reserved_until
+        if reserved:
+            reserved.pop(0)
         if self._peers.get(self._addresses[instance]).send(start):
             attempt.mark_sent()
         else:
@@ -135,6 +138,7 @@
             case AttemptStarted():
                 for attempt in self._listeners(body.attempt):
                     attempt.acknowledge()
+                    self._board.target(attempt.instance).take_start(body)
             case AttemptChunk():
                 for attempt in self._listeners(body.attempt):
                     if not attempt.accept_chunk(body):
@@ -153,8 +157,7 @@
     def record_report(self, instance: InstanceId, report: TargetReport) -> None:
         """Take an agent's report; a new incarnation ends the attempts of the old one."""
         target = self._board.target(instance)
-        target.report = report
-        target.received_at = monotonic()
+        target.take_report(monotonic(), report)
         for attempt in self._open_attempts():
             if attempt.instance != instance or attempt.is_done:
                 continue
--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -12,6 +12,7 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Outcome
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.ids import IdempotencyKey
 from jaylatch_core.settings import EntrySettings
@@ -138,7 +139,9 @@
             if not self._is_disconnected:
                 raise
             self._services.metrics.record_disconnect()
-            self._services.board.events.record(wall(), "request.disconnected", "", self._request_id)
+            self._services.board.events.record(
+                wall(), EventName.REQUEST_DISCONNECTED, "", self._request_id
+            )
             self._finished = True
 
     def _identify(self, default_kind: str) -> Result[CallerRequest, RequestRefused]:
@@ -171,12 +174,13 @@
                 kind.name,
                 monotonic() + timeout,
                 IdempotencyKey(key) if key else None,
+                kind.weight,
             )
         )
 
     def _refuse(self, refusal: RequestRefused) -> None:
         self._services.board.events.record(
-            wall(), "request.refused", refusal.code, self._request_id, refusal.outcome.value
+            wall(), EventName.REQUEST_REFUSED, refusal.code, self._request_id, refusal.outcome.value
         )
         self._services.metrics.record_refusal(refusal)
         if not self._is_disconnected:
@@ -184,7 +188,7 @@
 
     def _record_answer(self) -> None:
         self._services.metrics.record_answer(monotonic() - self._started_at)
-        self._services.board.events.record(wall(), "request.answered", "", self._request_id)
+        self._services.board.events.record(wall(), EventName.REQUEST_ANSWERED, "", self._request_id)
 
 
 def bad_request(detail: str) -> RequestRefused:
--- a/packages/node/src/jaylatch_node/entry/completions.py
+++ b/packages/node/src/jaylatch_node/entry/completions.py
@@ -12,6 +12,7 @@
 
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.enums import Outcome
+from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.messages.requests import AttemptChunk, AttemptEnd, ModelWork
 from jaylatch_node.entry.base import (
@@ -120,7 +121,7 @@
         """Tell a streaming caller that its answer is not whole: an error event and no end mark."""
         self._services.metrics.record_torn(refusal)
         self._services.board.events.record(
-            wall(), "request.torn", refusal.code, self._request_id, refusal.outcome.value
+            wall(), EventName.REQUEST_TORN, refusal.code, self._request_id, refusal.outcome.value
         )
         event = msgspec.json.encode({"error": problem_of(refusal, self._request_id)})
         await self._write(b"data: " + event + b"\n\n")
--- a/packages/node/src/jaylatch_node/entry/orders.py
+++ b/packages/node/src/jaylatch_node/entry/orders.py
@@ -30,13 +30,12 @@
 from jaylatch_node.entry.dispatcher import (
     RETRY_AFTER,
     Dispatcher,
-    Route,
     deadline_passed,
-    instance_of,
     no_capacity,
     refusal_of,
 )
 from jaylatch_node.entry.requests import ServiceRequest
+from jaylatch_node.entry.routes import Route, instance_of
 
 RECLAIM_DELAY = 0.05
 
@@ -61,7 +60,9 @@
         digest = digest_of(request)
         deadline = request.caller.deadline
         while True:
-            route = self._dispatcher.choose_service(request)
+            route = None
+            if self._dispatcher.has_target(request):
+                route = await self._dispatcher.find_service(request)
             if route is None:
                 verdict = await self._journal.commit(LookupOrder(order, digest), deadline)
                 if verdict is not None and verdict.verdict is ClaimVerdict.ABSENT:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -5,16 +5,18 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
+from jaylatch_core.clock import wall
 from jaylatch_core.enums import Role
+from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import Incarnation
-from jaylatch_core.messages.administration import EventReport, ReadEvents
-from jaylatch_core.messages.consensus import (
-    AppendReply,
-    AppendRequest,
-    VoteReply,
-    VoteRequest,
+from jaylatch_core.messages.administration import (
+    EventReport,
+    MetricsReport,
+    ReadEvents,
+    ReadMetrics,
 )
+from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import MemberReport, ViewChanged
 from jaylatch_core.settings import NodeSettings, split_address
@@ -25,7 +27,7 @@
 from jaylatch_node.control.role import ControlRole
 from jaylatch_node.entry.role import EntryRole
 from jaylatch_node.leases import LeaseController
-from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
+from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
 INCARNATION_BYTES = 8
 HTTP_CLIENTS = 128
@@ -47,8 +49,9 @@
             self._events,
             GrantBoard(HeldLease(settings.lease.drift)),
         )
-        self._peers = PeerPool(self._events, self._handle_body)
-        self._server = StreamServer(self._events, self._handle_body)
+        traffic = Traffic(self._board.metrics)
+        self._peers = PeerPool(self._events, traffic, self._handle_body)
+        self._server = StreamServer(self._events, traffic, self._handle_body)
         self._client = ControlClient(settings.control, self._peers)
         self._control: ControlRole | None = None
         self._entry: EntryRole | None = None
@@ -69,6 +72,10 @@
 
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
+        roles = ", ".join(role.value for role in self._settings.roles)
+        self._events.record(
+            wall(), EventName.PROCESS_STARTED, self._board.identity.incarnation, detail=roles
+        )
         host, port = split_address(self._settings.stream_listen or self._settings.stream)
         self._server.listen(port, host)
         self._client.connect()
@@ -79,6 +86,7 @@
 
     def stop(self) -> None:
         """Stop all roles and close all streams."""
+        self._events.record(wall(), EventName.PROCESS_STOPPED, self._board.identity.incarnation)
         self._leases.stop()
         for role in (self._entry, self._agent, self._control):
             if role is not None:
@@ -91,13 +99,16 @@
 
     def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
         match body:
-            case VoteRequest() | VoteReply() | AppendRequest() | AppendReply():
+            case ConsensusBatch():
                 if self._control is not None:
                     self._control.handle_consensus(body)
             case ViewChanged():
                 self._leases.renew_now()
-            case ReadEvents():
-                connection.reply(call, EventReport(self._events.recent()))
+            case ReadMetrics():
+                connection.reply(call, MetricsReport(self._board.metrics.text()))
+            case ReadEvents(wanted):
+                report = EventReport(self._events.recent(wanted), self._events.dropped)
+                connection.reply(call, report)
             case _:
                 self._handle_role_body(connection, call, body)
 
--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -14,6 +14,7 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.settings import split_address
 from jaylatch_node.streams.connection import BodyHandler, CallResult, StreamConnection
+from jaylatch_node.streams.traffic import Traffic
 
 CONNECT_TIMEOUT = 1.0
 RECONNECT_DELAY = 0.1
@@ -25,9 +26,12 @@
 class Peer:
     """A process at an address. Reconnects until it is closed."""
 
-    def __init__(self, address: str, events: EventLog, handler: BodyHandler) -> None:
+    def __init__(
+        self, address: str, events: EventLog, traffic: Traffic, handler: BodyHandler
+    ) -> None:
         self._address = address
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._connection: StreamConnection | None = None
         self._connect_handlers: list[PeerHandler] = []
@@ -109,7 +113,9 @@
         return stream
 
     async def _serve(self, stream: IOStream) -> None:
-        connection = StreamConnection(stream, self._events, self._handler, self._address)
+        connection = StreamConnection(
+            stream, self._events, self._traffic, self._handler, self._address
+        )
         self._connection = connection
         self._connected_at = monotonic()
         self._is_connected.set()
@@ -125,8 +131,9 @@
 class PeerPool:
     """One ``Peer`` for each address that this process talks to."""
 
-    def __init__(self, events: EventLog, handler: BodyHandler) -> None:
+    def __init__(self, events: EventLog, traffic: Traffic, handler: BodyHandler) -> None:
         self._events = events
+        self._traffic = traffic
         self._handler = handler
         self._peers: dict[str, Peer] = {}
 
@@ -134,7 +141,7 @@
         """Return the peer at ``address``, connecting to it if it is new."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = Peer(address, self._events, self._handler)
+            peer = Peer(address, self._events, self._traffic, self._handler)
             self._peers[address] = peer
         return peer
 
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -5,6 +5,7 @@
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -17,7 +18,10 @@
 
 @dataclass
 class ClusterPlan:
-    """What to start. ``engines`` and ``services`` are per failure domain."""
+    """What to start. ``engines`` and ``services`` are per failure domain.
+
+    ``entry_policies`` gives each entry its policy in turn; without it all keep the default.
+    """
 
     controls: int = 3
     entries: int = 2
@@ -28,6 +32,8 @@
     service_options: tuple[str, ...] = ()
     has_fencing: bool = True
     has_proxies: bool = False
+    entry_policies: tuple[str, ...] = ()
+    adapts_limit: bool = True
 
 
 @dataclass
@@ -103,6 +109,10 @@
         """Return the address at which the target of an instance listens."""
         return self.nodes[name].target
 
+    def start_helper(self, name: str, command: list[str]) -> None:
+        """Start another process of the deployment, for example a stand-in of many agents."""
+        self._spawn(name, command)
+
     def kill(self, name: str) -> None:
         """End a process at once (SIGKILL)."""
         process = self.processes.pop(name)
@@ -198,7 +208,7 @@
                 }
                 for peer in peers
             ]
-        settings = {
+        settings: dict[str, Any] = {
             "instance": name,
             "failure_domain": f"domain-{domain}",
             "roles": [role],
@@ -212,8 +222,11 @@
         }
         if role == "entry":
             settings["entry"] = {"http": http, "operator_token_hashes": [self._token_hash]}
+            policies = self._plan.entry_policies
+            if policies:
+                settings["entry"]["policy"] = policies[len(self.entries) % len(policies)]
         if role == "agent":
-            settings["agent"] = {"http": http}
+            settings["agent"] = {"http": http, "adapts_limit": self._plan.adapts_limit}
         path = self.folder / f"{name}.toml"
         path.write_bytes(msgspec.toml.encode(settings))
         node = Node(name, f"domain-{domain}", advertised, http, path)
--- a/packages/standins/src/jaylatch_standins/engine.py
+++ b/packages/standins/src/jaylatch_standins/engine.py
@@ -6,6 +6,7 @@
 """
 
 import heapq
+import os
 from argparse import ArgumentParser, Namespace
 from asyncio import Event, create_task, run, sleep
 from collections import OrderedDict
@@ -21,6 +22,8 @@
 from jaylatch_standins.ledger import Ledger
 
 PREFIX_CHARACTERS = 64
+POISON = "<poison>"
+"""A prompt that holds this ends the engine which runs it."""
 
 
 class Order(msgspec.Struct):
@@ -107,8 +110,11 @@
     def give_order(self, order: Order) -> bool:
         """Begin an order; returns False if it carries an old fencing number."""
         if self.options.fencing and order.epoch < self._highest_epoch:
+            self.ledger.record("order_refused", "", detail=f"{order.group} {order.epoch}")
             return False
         self._highest_epoch = max(self._highest_epoch, order.epoch)
+        detail = f"{order.group} {order.epoch} {order.rank} {order.size}"
+        self.ledger.record(order.order, "", detail=detail)
         create_task(self._carry_out(order))
         return True
 
@@ -132,6 +138,7 @@
         is_resident = self._resident_model == order.model
         await sleep(self.options.join_time if is_resident else self.options.load_time)
         self._resident_model = order.model
+        self.ledger.record("loaded", "", detail=f"{order.group} {order.epoch}")
         self.state = EngineState(order.group, order.epoch, order.model, True, False)
 
 
@@ -154,9 +161,11 @@
 class OrdersHandler(EngineHandler):
     """``POST /orders``."""
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """Begin to load or release; 409 for an old fencing number."""
         order = msgspec.json.decode(self.request.body, type=Order)
+        self._engine.ledger.record("order_received", "", detail=f"{order.group} {order.epoch}")
+        await sleep(self._engine.options.order_delay)
         self.set_status(202 if self._engine.give_order(order) else 409)
 
 
@@ -194,11 +203,16 @@
         epoch = engine.state.epoch
         engine.ledger.record("start", request, detail=str(epoch), prompt=body.prompt)
         await sleep(engine.prefill_time(body.prompt))
+        if POISON in body.prompt:
+            engine.ledger.record("death", request)
+            os._exit(1)
         self.set_header("Content-Type", "text/event-stream")
         for position in range(body.resume_from, body.max_tokens):
             await sleep(engine.options.token_time)
             if request in engine.cancelled or engine.state.epoch != epoch:
                 return
+            if engine.options.ledger_tokens:
+                engine.ledger.record("token", request, detail=f"{engine.state.group} {epoch}")
             choice = {"text": token_at(body.prompt, body.seed, position), "tokens": 1}
             self.write(b"data: " + msgspec.json.encode({"choices": [choice]}) + b"\n\n")
             await self.flush()
@@ -240,6 +254,8 @@
     parser.add_argument("--prefill-per-character", type=float, default=0.0001, help="seconds")
     parser.add_argument("--load-time", type=float, default=0.5, help="seconds")
     parser.add_argument("--join-time", type=float, default=0.05, help="seconds, model in memory")
+    parser.add_argument("--order-delay", type=float, default=0.0, help="seconds an order travels")
+    parser.add_argument("--ledger-tokens", action="store_true", help="record each token")
     parser.add_argument("--fencing", action="store_true", help="refuse old epochs")
     run(serve(parser.parse_args()))
 
--- a/packages/standins/src/jaylatch_standins/ledger.py
+++ b/packages/standins/src/jaylatch_standins/ledger.py
@@ -10,7 +10,12 @@
 
 
 class LedgerLine(msgspec.Struct):
-    """One thing that happened at a stand-in. ``what`` is ``start``, ``end`` or ``cancel``."""
+    """One thing that happened at a stand-in.
+
+    ``what`` is ``start``, ``end``, ``cancel`` or ``token`` for a request, and ``order_received``,
+    ``order_refused``, ``load``, ``loaded`` or ``release`` for an engine's order, with group, epoch,
+    rank and size in ``detail``. The harness adds ``killed`` for the engines that it ends.
+    """
 
     at: float
     target: str
