--- /dev/null
+++ b/features/unkeyed_faults/unkeyed_faults.feature
@@ -0,0 +1,17 @@
+Feature: Orders without a key are never repeated, and completions end whole
+
+  Scenario Outline: Faults at a point of a request's life
+    Given a deployment behind proxies, with one order service and two groups
+    When <kind> meet each of these faults while <point>: <faults>
+    Then each caller was told the truth, and nothing ran twice
+
+    Examples: orders without a key
+      | kind           | point                      | faults                                                                  |
+      | keyless orders | sent and unread            | none, drop, half-open, kill agent, pause entry                          |
+      | keyless orders | started                    | drop, cut mid-frame, kill agent, kill target, target connection drop    |
+
+    Examples: completions
+      | kind           | point                      | faults                                                                  |
+      | completions    | unsent                     | delay, drop, half-open, agent unreachable, pause agent                  |
+      | completions    | mid-stream                 | delay, drop, cut mid-frame, half-open, entry unreachable                |
+      | completions    | mid-stream                 | kill agent, kill target, pause agent, pause target, kill control leader |
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -32,6 +32,10 @@
         "request.torn",
         "A streamed answer ended unfinished and the caller was told; the subject is the code.",
     )
+    REQUEST_DISCONNECTED = (
+        "request.disconnected",
+        "A caller closed its connection; its work was cancelled.",
+    )
     REQUEST_ROUTED = (
         "request.routed",
         "An entry chose a target; the subject is the instance, the detail what it compared.",
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -45,6 +45,7 @@
 )
 from jaylatch_core.messages.requests import (
     AttemptChunk,
+    AttemptCredit,
     AttemptEnd,
     AttemptRefused,
     AttemptStarted,
@@ -87,6 +88,7 @@
     | ResumeAttempt
     | AttemptStarted
     | AttemptChunk
+    | AttemptCredit
     | AttemptEnd
     | AttemptRefused
     | TargetReport
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -34,7 +34,9 @@
     """The control quorum, known to every process.
 
     ``peers`` holds every control instance; ``voters`` names those of the first start (none: all).
-    From then on the logs say who votes. ``journal_shards`` must be the same on every process.
+    From then on the logs say who votes. ``journal_shards``, ``answer_retention`` and
+    ``key_retention`` must be the same on every process. A resent order gets its stored answer
+    within ``answer_retention`` of its completion, and runs at most once within ``key_retention``.
     ``data_folder`` is used by the control role only.
     """
 
@@ -42,6 +44,8 @@
     voters: tuple[InstanceId, ...] = ()
     data_folder: Name = "var/control"
     journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
+    answer_retention: Duration = 86_400.0
+    key_retention: Duration = 604_800.0
     heartbeat_interval: Interval = 0.18
     election_timeout: Interval = 0.6
     initial_configuration: str = ""
@@ -72,6 +76,7 @@
     http: str = "127.0.0.1:8080"
     body_limit: Size = 4 * MEBIBYTE
     answer_limit: Size = 16 * MEBIBYTE
+    token_limit: Annotated[int, Meta(ge=1)] = 32_768
     default_deadline: Duration = 30.0
     operator_token_hashes: tuple[str, ...] = ()
     policy: EntryPolicy = EntryPolicy.ADAPTIVE
@@ -89,6 +94,7 @@
     member_timeout: Interval = 0.8
     attempt_retention: Duration = 30.0
     adapts_limit: bool = True
+    answer_limit: Size = 16 * MEBIBYTE
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -99,12 +105,17 @@
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """All settings of one process."""
+    """All settings of one process.
+
+    ``stream`` is the address at which others reach the process; ``stream_listen`` is where it
+    listens if that is another one (behind a port mapping).
+    """
 
     instance: InstanceId = InstanceId("instance-1")
     failure_domain: FailureDomainId = FailureDomainId("domain-1")
     roles: tuple[Role, ...] = (Role.CONTROL, Role.ENTRY, Role.AGENT)
     stream: str = "127.0.0.1:7100"
+    stream_listen: str = ""
     control: ControlSettings = ControlSettings()
     lease: LeaseSettings = LeaseSettings()
     entry: EntrySettings = EntrySettings()
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -32,7 +32,7 @@
 from jaylatch_decisions.consensus import RaftTiming
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
-from jaylatch_decisions.journal import JournalState, shard_of
+from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, journal_log
@@ -57,7 +57,9 @@
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
         self._state = ControlState()
-        self._journals = [JournalState() for _ in range(settings.control.journal_shards)]
+        control = settings.control
+        self._retention = RetentionTimes(control.answer_retention, control.key_retention)
+        self._journals = [JournalState(self._retention) for _ in range(control.journal_shards)]
         self._outbox = ConsensusOutbox(self._send)
         self._control: ReplicatedLog[ControlResult] = self._open(
             CONTROL_LOG, StateMachine(self._apply_control, self._dump_control, self._load_control)
@@ -165,7 +167,7 @@
         return self._journals[number].dump()
 
     def _load_journal(self, number: int, data: bytes) -> None:
-        self._journals[number] = JournalState.load(data)
+        self._journals[number] = JournalState.load(data, self._retention)
 
     async def _propose_control(self, command: ControlCommand) -> Body:
         committed = await self._control.propose(_encoder.encode(command))
--- a/packages/node/src/jaylatch_node/entry/admission.py
+++ b/packages/node/src/jaylatch_node/entry/admission.py
@@ -109,6 +109,13 @@
         queue = self._queues.get(_pool_of(request))
         return queue is not None and len(queue) > 0
 
+    def has_target(self, request: ModelRequest | ServiceRequest) -> bool:
+        """Return whether a target of the request takes new work, be it full or not."""
+        now = monotonic()
+        pool = _pool_of(request)
+        candidates = self._routes.candidates(now, pool.model, pool.service)
+        return any(item.is_admitting for item in candidates)
+
     def pump(self) -> None:
         """Drop what is late and send what has room."""
         now = monotonic()
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -76,7 +76,7 @@
         self._events.record(
             wall(), EventName.PROCESS_STARTED, self._board.identity.incarnation, detail=roles
         )
-        host, port = split_address(self._settings.stream)
+        host, port = split_address(self._settings.stream_listen or self._settings.stream)
         self._server.listen(port, host)
         self._client.connect()
         for role in (self._control, self._agent, self._entry):
