--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -8,7 +8,8 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
-from jaylatch_core.settings import KIBIBYTE, NodeSettings, split_address
+from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.units import KIBIBYTE
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.entry.administration import AdministrationServices
