--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -21,11 +21,15 @@
 
 
 class ModelSpecification(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A model deployment. ``groups`` is the wanted number of copies (0: as many as fit)."""
+    """A model deployment. ``groups`` is the wanted number of copies (0: as many as fit).
+
+    Where several models compete for instances, each gets groups in proportion to its ``share``.
+    """
 
     name: str
     instances_per_group: int = 2
     groups: int = 0
+    share: float = 1.0
 
 
 class ServiceSpecification(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- /dev/null
+++ b/packages/core/src/jaylatch_core/deployment.py
@@ -0,0 +1,214 @@
+"""The deployment document: routes to direct targets, their services, accounts and limits.
+
+A deployment is one whole document with an increasing number; the highest accepted number is in
+force. It stands beside the configuration, which is changed by compare-and-set. Durations are
+seconds, sizes are bytes.
+"""
+
+from collections import Counter
+from enum import Enum
+from typing import NewType
+
+import msgspec
+from returns.result import Failure as Err
+from returns.result import Result, Success
+
+from jaylatch_core.exceptions import ConfigurationInvalid
+from jaylatch_core.findings import CheckMessage, error, format_finding
+from jaylatch_core.ids import AccountId
+from jaylatch_core.units import KIBIBYTE, MEBIBYTE
+
+DeploymentNumber = NewType("DeploymentNumber", int)
+"""Number that the operator gave a deployment document; only a higher one replaces it."""
+
+NO_DEPLOYMENT = DeploymentNumber(0)
+
+UNKNOWN_SERVICE = "deployment.E001"
+SAME_PLACE = "deployment.E002"
+NO_WEIGHT = "deployment.E003"
+NO_TIMEOUT = "deployment.E004"
+SHARED_KEY = "deployment.E005"
+NO_NUMBER = "deployment.E006"
+BAD_PREFIX = "deployment.E007"
+REPEATED_SERVICE = "deployment.E008"
+
+
+class RequestKind(str, Enum):
+    """What may be repeated: ``ONCE`` runs at most once, a ``STREAM`` if it may be resumed."""
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+class ServiceShare(msgspec.Struct, frozen=True):
+    """A part of a route's requests that goes to ``service``."""
+
+    service: str
+    weight: float
+
+
+class RouteSpecification(msgspec.Struct, frozen=True):
+    """A route, selected by host and longest path prefix.
+
+    ``timeout`` is the longest time for which a caller is kept waiting, ``objective`` the latency
+    objective (of a stream: up to its first event) and ``event_gap`` the longest pause between two
+    events of a stream that is still in time. ``attempts`` bounds the targets of one request.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: RequestKind
+    timeout: float
+    objective: float
+    shares: tuple[ServiceShare, ...]
+    priority: int = 0
+    attempts: int = 1
+    is_public: bool = False
+    is_resumable: bool = False
+    event_gap: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Return whether a request may be run by more than one target."""
+        match self.kind:
+            case RequestKind.IDEMPOTENT:
+                return True
+            case RequestKind.STREAM:
+                return self.is_resumable
+            case RequestKind.ONCE:
+                return False
+
+
+class ModelProfile(msgspec.Struct, frozen=True):
+    """A model of an engine service.
+
+    A replica is a group of ``size`` instances. ``share`` is its part of the service's work at the
+    start, ``pace`` a factor on all times of its groups. An instance takes ``load_time`` to load it
+    from the weight store and ``warm_time`` from its own host.
+    """
+
+    name: str
+    size: int
+    share: float = 1.0
+    pace: float = 1.0
+    load_time: float = 0.0
+    warm_time: float = 0.0
+
+
+class EngineProfile(msgspec.Struct, frozen=True):
+    """How the engines of a service behave; per group where a model spans several instances.
+
+    A step takes ``step_time`` and ``sequence_time`` for each request that generates.
+    ``read_rate`` is in prompt tokens a second. ``load_rate`` bounds the loads that may begin in a
+    second, and ``parallel_loads`` those that do not slow each other. A group opens ``form_time``
+    after its head was told to.
+    """
+
+    slots: int
+    models: tuple[ModelProfile, ...] = ()
+    step_time: float = 0.0
+    sequence_time: float = 0.0
+    read_rate: float = 0.0
+    load_rate: float = 0.0
+    parallel_loads: int = 0
+    form_time: float = 0.0
+
+
+class ServiceProfile(msgspec.Struct, frozen=True):
+    """A service of direct targets. Each accepts ``connection_limit`` connections from all callers.
+
+    ``engine`` is None for a plain service.
+    """
+
+    name: str
+    connection_limit: int
+    engine: EngineProfile | None = None
+
+
+class ConnectionLimits(msgspec.Struct, frozen=True):
+    """What a caller may send on a connection, and how long it may take or stay idle."""
+
+    header_bytes: int = 16 * KIBIBYTE
+    body_bytes: int = 4 * MEBIBYTE
+    header_timeout: float = 3.0
+    idle_timeout: float = 15.0
+
+
+class AccountProfile(msgspec.Struct, frozen=True):
+    """An account and its bearer keys. A ``priority`` takes precedence over that of a route."""
+
+    name: AccountId
+    keys: tuple[str, ...]
+    priority: int | None = None
+
+
+class Deployment(msgspec.Struct, frozen=True):
+    """The whole document."""
+
+    number: DeploymentNumber
+    routes: tuple[RouteSpecification, ...] = ()
+    services: tuple[ServiceProfile, ...] = ()
+    limits: ConnectionLimits = ConnectionLimits()
+    accounts: tuple[AccountProfile, ...] = ()
+
+    def service(self, name: str) -> ServiceProfile | None:
+        """Return the service called ``name``, or None."""
+        return next((item for item in self.services if item.name == name), None)
+
+
+def validate_deployment(deployment: Deployment) -> Result[Deployment, ConfigurationInvalid]:
+    """Check what types cannot express; returns the document unchanged if it is usable."""
+    faults = tuple(_faults(deployment))
+    if not faults:
+        return Success(deployment)
+    details = "; ".join(map(format_finding, faults))
+    return Err(ConfigurationInvalid(f"deployment is not valid: {details}", faults))
+
+
+def _faults(deployment: Deployment) -> list[CheckMessage]:
+    faults: list[CheckMessage] = []
+    if deployment.number <= NO_DEPLOYMENT:
+        faults.append(
+            error(NO_NUMBER, "number", f"it is {deployment.number}", "give a number above 0")
+        )
+    services = Counter(item.name for item in deployment.services)
+    faults += [
+        error(REPEATED_SERVICE, name, "the service is defined twice", "keep one")
+        for name, count in services.items()
+        if count > 1
+    ]
+    for route in deployment.routes:
+        faults += _route_faults(route, set(services))
+    places = Counter((route.host, route.path_prefix) for route in deployment.routes)
+    faults += [
+        error(SAME_PLACE, f"{host}{prefix}", "two routes share it", "give each its own prefix")
+        for (host, prefix), count in places.items()
+        if count > 1
+    ]
+    holders = Counter(key for account in deployment.accounts for key in set(account.keys))
+    if any(count > 1 for count in holders.values()):
+        # The key itself is not named: it is a secret.
+        faults.append(
+            error(SHARED_KEY, "accounts", "two accounts share a key", "give each its own")
+        )
+    return faults
+
+
+def _route_faults(route: RouteSpecification, services: set[str]) -> list[CheckMessage]:
+    faults = []
+    for share in route.shares:
+        if share.service not in services:
+            text = f"it names the unknown service {share.service!r}"
+            faults.append(error(UNKNOWN_SERVICE, route.name, text, "define the service"))
+    if sum(share.weight for share in route.shares) <= 0:
+        text = "its weights add up to 0"
+        faults.append(error(NO_WEIGHT, route.name, text, "give a weight above 0"))
+    if route.timeout <= 0:
+        text = f"its timeout is {route.timeout} s"
+        faults.append(error(NO_TIMEOUT, route.name, text, "give a timeout above 0"))
+    if not (route.path_prefix.startswith("/") and route.path_prefix.endswith("/")):
+        text = f"its prefix is {route.path_prefix!r}"
+        faults.append(error(BAD_PREFIX, route.name, text, "begin and end it with a slash"))
+    return faults
--- a/packages/core/src/jaylatch_core/enums.py
+++ b/packages/core/src/jaylatch_core/enums.py
@@ -9,6 +9,7 @@
     CONTROL = "control"
     ENTRY = "entry"
     AGENT = "agent"
+    GATEWAY = "gateway"
 
 
 class Preset(str, Enum):
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -101,6 +101,10 @@
         "configuration.changed",
         "A process acts under another configuration; the generation says which.",
     )
+    GATEWAY_DRAINED = (
+        "gateway.drained",
+        "A gateway stops; the detail says how many requests its grace cut.",
+    )
     PLAN_FORM_GROUP = ("plan.FormGroup", "The leader formed a group; the subject is its members.")
     PLAN_REPAIR_GROUP = (
         "plan.RepairGroup",
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -5,6 +5,7 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.enums import DrainScope, GroupState, Preset
 from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
+from jaylatch_core.messages.targets import PublishDeployment
 
 
 class ApplyConfiguration(msgspec.Struct, frozen=True, tag=True):
@@ -82,6 +83,7 @@
     | DissolveGroup
     | ConfirmRelease
     | SetDrain
+    | PublishDeployment
 )
 
 
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -55,6 +55,14 @@
     StartAttempt,
     TargetReport,
 )
+from jaylatch_core.messages.targets import (
+    DeploymentReport,
+    PublishDeployment,
+    ReadDeployment,
+    TargetAcknowledged,
+    TargetCheckIn,
+    TargetDeparture,
+)
 
 FailureBody = (
     CommandRefused
@@ -101,6 +109,12 @@
     | EventReport
     | ReadMetrics
     | MetricsReport
+    | TargetCheckIn
+    | TargetDeparture
+    | TargetAcknowledged
+    | PublishDeployment
+    | ReadDeployment
+    | DeploymentReport
     | FailureBody
 )
 
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, DeploymentNumber
 from jaylatch_core.enums import Preset, Role, TargetKind
 from jaylatch_core.ids import (
     Epoch,
@@ -62,6 +63,7 @@
     view: int
     member: MemberReport | None
     preset_in_force: Generation = Generation(0)
+    deployment: DeploymentNumber = NO_DEPLOYMENT
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -81,7 +83,11 @@
 
 
 class GroupRoute(msgspec.Struct, frozen=True):
-    """Where an entry sends requests for a model."""
+    """Where an entry sends requests for a model.
+
+    ``service`` and ``slots`` are set where the head is a direct target; ``address`` is then its
+    HTTP address.
+    """
 
     group: GroupId
     epoch: Epoch
@@ -89,15 +95,18 @@
     head: InstanceId
     address: str
     failure_domain: FailureDomainId
+    service: str = ""
+    slots: int = 0
 
 
 class ServiceRoute(msgspec.Struct, frozen=True):
-    """Where an entry sends calls of a plain service."""
+    """Where an entry sends calls of a plain service; ``slots`` is set for a direct target."""
 
     service: str
     instance: InstanceId
     address: str
     failure_domain: FailureDomainId
+    slots: int = 0
 
 
 class PresetState(msgspec.Struct, frozen=True):
@@ -120,7 +129,7 @@
 class LeaseGrant(msgspec.Struct, frozen=True, tag=True):
     """Grants a lease that starts when the renewal was sent.
 
-    ``configuration`` and ``view`` are None where the node already has the newest.
+    ``configuration``, ``deployment`` and ``view`` are None where the node already has the newest.
     ``assignment`` None tells an agent that its instance belongs to no group.
     """
 
@@ -131,6 +140,7 @@
     view: View | None
     assignment: Assignment | None
     is_drained: bool
+    deployment: Deployment | None = None
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -37,7 +37,8 @@
     From then on the logs say who votes. ``journal_shards``, ``answer_retention`` and
     ``key_retention`` must be the same on every process. A resent order gets its stored answer
     within ``answer_retention`` of its completion, and runs at most once within ``key_retention``.
-    ``data_folder`` is used by the control role only.
+    ``data_folder`` is used by the control role only. A direct target that has sent no heartbeat for
+    ``target_silence`` counts as lost.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
@@ -49,6 +50,7 @@
     heartbeat_interval: Interval = 0.18
     election_timeout: Interval = 0.6
     initial_configuration: str = ""
+    target_silence: Interval = 3.0
 
 
 class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -97,6 +99,21 @@
     answer_limit: Size = 16 * MEBIBYTE
 
 
+class GatewaySettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The role that forwards requests of a deployment's routes to direct targets.
+
+    ``http`` is where callers reach it and ``readiness`` where the platform asks whether it takes
+    callers. ``grace`` is the time from SIGTERM until the process has to be gone. ``repeat_ratio``
+    and ``repeat_burst`` are this process's part of the budget of second sends.
+    """
+
+    http: str = "127.0.0.1:8081"
+    readiness: str = "127.0.0.1:8082"
+    grace: Interval = 8.0
+    repeat_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    repeat_burst: Annotated[float, Meta(ge=0)] = 10.0
+
+
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """JSON-lines log. ``file`` empty means standard error."""
 
@@ -120,6 +137,7 @@
     lease: LeaseSettings = LeaseSettings()
     entry: EntrySettings = EntrySettings()
     agent: AgentSettings = AgentSettings()
+    gateway: GatewaySettings = GatewaySettings()
     log: LogSettings = LogSettings()
 
 
--- a/packages/decisions/src/jaylatch_decisions/control/snapshot.py
+++ b/packages/decisions/src/jaylatch_decisions/control/snapshot.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import DrainScope
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
 from jaylatch_core.ids import CommandId, Epoch, Generation, InstanceId
@@ -30,6 +31,8 @@
     results: tuple[RememberedResult, ...]
     history: tuple[ConfigurationRecord, ...] = ()
     preset_operator: str = ""
+    deployment: Deployment = Deployment(NO_DEPLOYMENT)
+    published: bytes = b""
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -2,11 +2,13 @@
 
 from collections import OrderedDict
 
+import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure as Err
 from returns.result import Result, Success
 
-from jaylatch_core.configuration import Configuration
+from jaylatch_core.configuration import Configuration, ModelSpecification
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import DrainScope, GroupState, Preset
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
 from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
@@ -25,6 +27,7 @@
     SetDrain,
 )
 from jaylatch_core.messages.membership import PresetState
+from jaylatch_core.messages.targets import DeploymentReport, PublishDeployment
 from jaylatch_decisions.control.snapshot import (
     ControlSnapshot,
     RememberedResult,
@@ -42,12 +45,15 @@
     """What the control quorum has agreed on.
 
     ``occupied`` holds, for each instance that left a group without a confirmed release, the epoch
-    under which it may still act. Such an instance joins no group.
+    under which it may still act. Such an instance joins no group. ``published`` is the deployment
+    document in force as the operator sent it.
     """
 
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.generation = Generation(0)
+        self.deployment = Deployment(NO_DEPLOYMENT)
+        self.published = DeploymentReport(NO_DEPLOYMENT, b"")
         self.preset = PresetState(Preset.ORDINARY, Generation(0), Preset.ORDINARY, Generation(0))
         self.groups: dict[GroupId, Group] = {}
         self.occupied: dict[InstanceId, Epoch] = {}
@@ -71,6 +77,8 @@
         state.history = list(snapshot.history)
         state._preset_operator = snapshot.preset_operator
         state._last_epoch = snapshot.last_epoch
+        state.deployment = snapshot.deployment
+        state.published = DeploymentReport(snapshot.deployment.number, snapshot.published)
         for item in snapshot.results:
             state._results[item.command] = _to_result(item.result)
         return state
@@ -93,6 +101,8 @@
                 results,
                 tuple(self.history),
                 self._preset_operator,
+                self.deployment,
+                self.published.source,
             )
         )
 
@@ -111,6 +121,26 @@
                 return self._dissolve(command)
             case ConfirmRelease():
                 return self._confirm_release(command)
+            case PublishDeployment():
+                return self._publish(command)
+
+    def planned_configuration(self) -> Configuration:
+        """Return the configuration with the models that the deployment asks for."""
+        profiles = [
+            model
+            for service in self.deployment.services
+            if service.engine is not None
+            for model in service.engine.models
+        ]
+        if not profiles:
+            return self.configuration
+        models = tuple(
+            ModelSpecification(model.name, model.size, 0, model.share * model.pace)
+            for model in profiles
+        )
+        return msgspec.structs.replace(
+            self.configuration, models=self.configuration.models + models
+        )
 
     def group_of(self, instance: InstanceId) -> Group | None:
         """Return the group that ``instance`` is a member of, or None."""
@@ -150,6 +180,16 @@
         self.history = [*self.history, record][-REMEMBERED_CONFIGURATIONS:]
         return Success(CommandAccepted(self.generation))
 
+    def _publish(self, command: PublishDeployment) -> ControlResult:
+        """Put a document in force if its number is the highest; any other changes nothing.
+
+        The answer names the number in force, so a resend is acknowledged like the first.
+        """
+        if command.deployment.number > self.deployment.number:
+            self.deployment = command.deployment
+            self.published = DeploymentReport(command.deployment.number, command.source)
+        return Success(CommandAccepted(self.deployment.number))
+
     def _prepare_preset(self, command: PreparePreset) -> ControlResult:
         latest = max(self.preset.generation, self.preset.prepared_generation)
         if command.expected != latest:
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/events/splitter.py
@@ -0,0 +1,64 @@
+"""Cuts a byte stream of server-sent events into whole events.
+
+Answers a target that ends in the middle of an event: only whole events are passed on, so that the
+stream can go on elsewhere after the last one.
+"""
+
+END_OF_EVENT = b"\n\n"
+ID_FIELD = b"id:"
+
+
+class EventSplitter:
+    """Holds back the part of the stream after the last whole event.
+
+    Events up to ``last_id`` are dropped, so that a resumed stream repeats none.
+    """
+
+    def __init__(self, last_id: int = -1) -> None:
+        self._pending = b""
+        self._last_id = last_id
+
+    @property
+    def last_id(self) -> int:
+        """Return the id of the last whole event, -1 if there was none."""
+        return self._last_id
+
+    @property
+    def has_partial(self) -> bool:
+        """Return whether bytes of an event wait for its end."""
+        return bool(self._pending)
+
+    def restart(self) -> None:
+        """Forget a partial event: another target sends it anew."""
+        self._pending = b""
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the whole events that ``data`` completes, as they came."""
+        self._pending += data
+        end = self._pending.rfind(END_OF_EVENT)
+        if end < 0:
+            return b""
+        whole = self._pending[: end + len(END_OF_EVENT)]
+        self._pending = self._pending[end + len(END_OF_EVENT) :]
+        return b"".join(self._take(event) for event in _split(whole))
+
+    def _take(self, event: bytes) -> bytes:
+        number = _read_id(event)
+        if number is None:
+            return event
+        if number <= self._last_id:
+            return b""
+        self._last_id = number
+        return event
+
+
+def _split(whole: bytes) -> list[bytes]:
+    return [part + END_OF_EVENT for part in whole.split(END_OF_EVENT)[:-1]]
+
+
+def _read_id(event: bytes) -> int | None:
+    for line in event.split(b"\n"):
+        if line.startswith(ID_FIELD):
+            value = line[len(ID_FIELD) :].strip()
+            return int(value) if value.isdigit() else None
+    return None
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -166,7 +166,7 @@
         return min(
             choices,
             key=lambda choice: (
-                self._existing[choice[0].name],
+                self._existing[choice[0].name] / choice[0].share,
                 self._existing_in[choice[0].name, choice[1]],
             ),
         )
--- a/packages/decisions/src/jaylatch_decisions/leases/table.py
+++ b/packages/decisions/src/jaylatch_decisions/leases/table.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jaylatch_core.deployment import NO_DEPLOYMENT, DeploymentNumber
 from jaylatch_core.ids import Generation, InstanceId
 from jaylatch_core.messages.membership import RenewLease
 
@@ -62,13 +63,20 @@
         """Return whether ``instance`` surely holds no lease."""
         return self.knows_all(now) and self.holder(now, instance) is None
 
-    def behind(self, now: float, configuration: Generation, preset: Generation) -> list[InstanceId]:
-        """Return the holders that do not act under both generations yet."""
+    def behind(
+        self,
+        now: float,
+        configuration: Generation,
+        preset: Generation,
+        deployment: DeploymentNumber = NO_DEPLOYMENT,
+    ) -> list[InstanceId]:
+        """Return the holders that do not act under all of these yet."""
         return [
             holder.renewal.instance
             for holder in self.live(now)
             if holder.renewal.configuration < configuration
             or holder.renewal.preset_in_force < preset
+            or holder.renewal.deployment < deployment
         ]
 
     def has_prepared_everywhere(self, now: float, preset: Generation) -> bool:
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -0,0 +1,29 @@
+"""Direct targets: which exist, what to order them, and where a request goes."""
+
+from jaylatch_decisions.targets.choice import TargetLoad, choose_target
+from jaylatch_decisions.targets.orders import (
+    CloseGroup,
+    EngineOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    StageModel,
+    plan_orders,
+)
+from jaylatch_decisions.targets.registry import TargetRecord, TargetRegistry
+from jaylatch_decisions.targets.routes import RouteTable
+
+__all__ = [
+    "CloseGroup",
+    "EngineOrder",
+    "JoinGroup",
+    "LeaveGroup",
+    "OpenGroup",
+    "RouteTable",
+    "StageModel",
+    "TargetLoad",
+    "TargetRecord",
+    "TargetRegistry",
+    "choose_target",
+    "plan_orders",
+]
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -0,0 +1,91 @@
+"""What follows an attempt at a direct target that brought no whole answer.
+
+Answers lost answers, full targets and targets that end under a request: a request that may run only
+once goes to another target only on proof that it did not run, and every second send draws on a
+budget, so that failing targets do not multiply the load.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from jaylatch_core.deployment import RouteSpecification
+
+CONNECTION_TRIES = 3
+"""Targets that are tried for a connection before the request is refused: the view is at most a
+renewal interval old, so more than two dead targets in it mean a fault that is not theirs."""
+
+
+class AttemptOutcome(Enum):
+    """How an attempt ended without a whole answer.
+
+    ``NOT_SENT`` and ``NOT_RUN`` prove that nothing ran. After the others it may have run.
+    """
+
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    BROKEN = "broken"
+    STALLED = "stalled"
+    FAILED = "failed"
+
+
+class Next(Enum):
+    """What to do with the request now."""
+
+    AGAIN = "again"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+@dataclass
+class AttemptHistory:
+    """What has happened to one request. ``sends`` counts the targets that it was sent to."""
+
+    sends: int = 0
+    connection_failures: int = 0
+    may_have_run: bool = False
+
+
+def record_outcome(history: AttemptHistory, outcome: AttemptOutcome) -> None:
+    """Add the outcome of the latest attempt to ``history``."""
+    if outcome is AttemptOutcome.NOT_SENT:
+        history.connection_failures += 1
+        return
+    history.sends += 1
+    if outcome is not AttemptOutcome.NOT_RUN:
+        history.may_have_run = True
+
+
+def decide_next(
+    route: RouteSpecification, history: AttemptHistory, outcome: AttemptOutcome, has_budget: bool
+) -> Next:
+    """Return what to do after ``outcome``, which ``history`` already holds.
+
+    ``has_budget`` tells whether a second send may be made now.
+    """
+    give_up = Next.FAIL if history.may_have_run else Next.REFUSE
+    if outcome is AttemptOutcome.NOT_SENT:
+        may_try = history.connection_failures < CONNECTION_TRIES
+        return Next.AGAIN if may_try else give_up
+    if history.may_have_run and not route.may_repeat:
+        return Next.FAIL
+    return Next.AGAIN if history.sends < route.attempts and has_budget else give_up
+
+
+def first_answer_timeout(route: RouteSpecification) -> float:
+    """Return the seconds after which a silent target is given up for another one."""
+    return max(FIRST_ANSWER_OBJECTIVES * route.objective, LEAST_FIRST_ANSWER)
+
+
+def stall_timeout(route: RouteSpecification) -> float:
+    """Return the seconds without an event after which a stream goes on elsewhere."""
+    return max(STALL_GAPS * route.event_gap, LEAST_STALL)
+
+
+FIRST_ANSWER_OBJECTIVES = 3.0
+"""Latency objectives for which a first answer may take: by then its benefit is long reduced."""
+LEAST_FIRST_ANSWER = 0.8
+"""Seconds; a queue in front of a busy target may take this long on an ordinary day."""
+STALL_GAPS = 3.0
+"""Longest pauses that are still in time after which a stream counts as stalled."""
+LEAST_STALL = 0.6
+"""Seconds; a long prompt that is read between two events takes up to half of this."""
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -0,0 +1,86 @@
+"""Where a request goes among the direct targets that can serve it.
+
+Answers uneven load: a target's own statement of its load, aged by what this node has sent since,
+decides; of equal ones the nearer is taken. A target that has just failed is left out for a time,
+so that a crashed or silent one does not draw requests. Times are seconds of the monotonic clock.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from random import Random
+
+from jaylatch_core.ids import FailureDomainId, InstanceId
+
+FAILURE_PAUSE = 1.0
+"""Seconds for which a target is left out after a failure; doubled for each further one."""
+LONGEST_PAUSE = 8.0
+"""Seconds for which a target is left out at most, so that it wins its share back."""
+REPORT_RETENTION = 1.5
+"""Seconds after which a reported load says nothing of the present: streams last about as long."""
+
+
+@dataclass
+class TargetLoad:
+    """What this node knows of one target.
+
+    ``reported`` is the number of requests that the target said it had, ``own_at_report`` this
+    node's part of them.
+    """
+
+    instance: InstanceId
+    slots: int
+    failure_domain: FailureDomainId
+    own: int = 0
+    reported: int = 0
+    own_at_report: int = 0
+    reported_at: float = 0.0
+    failures: int = 0
+    usable_from: float = 0.0
+
+    def take_report(self, now: float, busy: int) -> None:
+        """Note that the target runs or holds ``busy`` requests."""
+        self.reported = busy
+        self.own_at_report = self.own
+        self.reported_at = now
+
+    def record_failure(self, now: float) -> None:
+        """Leave the target out for a time that doubles with each failure in a row."""
+        pause = min(FAILURE_PAUSE * 2**self.failures, LONGEST_PAUSE)
+        self.failures += 1
+        self.usable_from = now + pause
+
+    def record_success(self) -> None:
+        """Forget the failures."""
+        self.failures = 0
+        self.usable_from = 0.0
+
+    def expected(self, now: float) -> float:
+        """Return how many requests for each slot the target has, as far as is known."""
+        others = 0
+        if now < self.reported_at + REPORT_RETENTION:
+            others = max(self.reported - self.own_at_report, 0)
+        return (self.own + others) / max(self.slots, 1)
+
+
+def choose_target(
+    now: float,
+    candidates: Sequence[TargetLoad],
+    near: FailureDomainId,
+    random: Random,
+    tried: frozenset[InstanceId] = frozenset(),
+) -> TargetLoad | None:
+    """Return the target with the least expected load, or None if none may be asked.
+
+    Targets in ``tried`` are asked again only if there is no other. Where all have failed of late,
+    the one whose pause ends first is asked, since a refusal would be certain otherwise.
+    """
+    untried = [item for item in candidates if item.instance not in tried]
+    if not untried:
+        return None
+    usable = [item for item in untried if item.usable_from <= now]
+    if not usable:
+        return min(untried, key=lambda item: item.usable_from)
+    return min(
+        usable,
+        key=lambda item: (item.expected(now), item.failure_domain != near, random.random()),
+    )
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/targets/orders.py
@@ -0,0 +1,174 @@
+"""Which orders bring the engines of direct targets to the groups that control has agreed on.
+
+A pure comparison of the wanted groups with what the engines report, so that an order that was lost,
+carried out late, or given by an earlier leader is found in the next report and set right. Answers
+these faults: lost answers to orders, orders that are carried out seconds late, a leader that is
+replaced between two orders, and engines that restart.
+"""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from jaylatch_core.ids import Epoch, GroupId, InstanceId
+from jaylatch_core.messages.control import Group
+from jaylatch_core.messages.targets import MemberState, ReportedMembership
+
+
+@dataclass(frozen=True)
+class JoinGroup:
+    """Make an instance a member; the first of ``members`` is the head."""
+
+    group: GroupId
+    epoch: Epoch
+    model: str
+    members: tuple[InstanceId, ...]
+
+
+@dataclass(frozen=True)
+class OpenGroup:
+    """Let the head of a whole group serve."""
+
+    group: GroupId
+    epoch: Epoch
+
+
+@dataclass(frozen=True)
+class CloseGroup:
+    """Let the head stop serving; requests under way are evicted."""
+
+    group: GroupId
+    epoch: Epoch
+
+
+@dataclass(frozen=True)
+class LeaveGroup:
+    """Release an instance from a group at once."""
+
+    group: GroupId
+    epoch: Epoch
+
+
+@dataclass(frozen=True)
+class StageModel:
+    """Load a model on to the host, so that a later join takes its short time."""
+
+    model: str
+
+
+EngineOrder = JoinGroup | OpenGroup | CloseGroup | LeaveGroup | StageModel
+
+
+@dataclass(frozen=True)
+class EngineState:
+    """What a usable engine reports of itself."""
+
+    instance: InstanceId
+    membership: ReportedMembership | None
+    staged_models: tuple[str, ...]
+
+
+def plan_orders(
+    groups: Iterable[Group], engines: Mapping[InstanceId, EngineState]
+) -> dict[InstanceId, EngineOrder]:
+    """Return at most one order for each engine."""
+    orders: dict[InstanceId, EngineOrder] = {}
+    assigned: set[InstanceId] = set()
+    for group in groups:
+        assigned.update(group.members)
+        orders.update(_group_orders(group, engines))
+    for instance, engine in engines.items():
+        if instance not in assigned and engine.membership is not None:
+            orders[instance] = _release(engine.membership)
+    return orders
+
+
+def is_whole(group: Group, engines: Mapping[InstanceId, EngineState]) -> bool:
+    """Return whether every member reports to stand ready under the group's epoch."""
+    return all(
+        member in engines and _stands_in(group, engines[member].membership)
+        for member in group.members
+    )
+
+
+def _group_orders(
+    group: Group, engines: Mapping[InstanceId, EngineState]
+) -> dict[InstanceId, EngineOrder]:
+    orders: dict[InstanceId, EngineOrder] = {}
+    for member in group.members:
+        engine = engines.get(member)
+        if engine is None:
+            continue
+        order = _member_order(group, engine.membership)
+        if order is not None:
+            orders[member] = order
+    if not orders and is_whole(group, engines):
+        head = engines[group.head].membership
+        if head is not None and head.state is MemberState.READY:
+            orders[group.head] = OpenGroup(group.id, group.epoch)
+    return orders
+
+
+def _member_order(group: Group, membership: ReportedMembership | None) -> EngineOrder | None:
+    """Return the order that brings one member into the group, or None if it stands in it."""
+    if membership is not None and membership.group != group.id:
+        # The engine must have left one group before it joins another.
+        return _release(membership)
+    if membership is None or membership.epoch < group.epoch:
+        return JoinGroup(group.id, group.epoch, group.model, group.members)
+    return None
+
+
+def _release(membership: ReportedMembership) -> EngineOrder:
+    is_head = membership.rank == 0
+    if is_head and membership.state in (MemberState.OPEN, MemberState.CLOSING):
+        return CloseGroup(membership.group, membership.epoch)
+    return LeaveGroup(membership.group, membership.epoch)
+
+
+def _stands_in(group: Group, membership: ReportedMembership | None) -> bool:
+    return (
+        membership is not None
+        and (membership.group, membership.epoch) == (group.id, group.epoch)
+        and membership.state in (MemberState.READY, MemberState.OPEN)
+    )
+
+
+def plan_staging(
+    groups: Iterable[Group],
+    engines: Mapping[InstanceId, EngineState],
+    domain_of: Mapping[InstanceId, str],
+) -> dict[InstanceId, StageModel]:
+    """Return which spare engines should load which model on to their hosts.
+
+    Answers a member that is lost: a spare that holds the model replaces it in the short time. Each
+    domain's spares are spread over the models that its groups serve, the most exposed one first.
+    """
+    exposed: dict[tuple[str, str], int] = {}
+    assigned: set[InstanceId] = set()
+    for group in groups:
+        assigned.update(group.members)
+        domain = next((domain_of[item] for item in group.members if item in domain_of), "")
+        key = (domain, group.model)
+        exposed[key] = exposed.get(key, 0) + len(group.members)
+    spares = [item for name, item in sorted(engines.items()) if name not in assigned]
+    covered: dict[tuple[str, str], int] = {}
+    empty: list[EngineState] = []
+    for spare in spares:
+        models = [
+            model for model in spare.staged_models if (domain_of[spare.instance], model) in exposed
+        ]
+        for model in models:
+            key = (domain_of[spare.instance], model)
+            covered[key] = covered.get(key, 0) + 1
+        if not models and spare.membership is None:
+            empty.append(spare)
+    wanted: dict[InstanceId, StageModel] = {}
+    for spare in empty:
+        domain = domain_of[spare.instance]
+        choices = [key for key in exposed if key[0] == domain]
+        if not choices:
+            continue
+        key = min(choices, key=lambda item: (covered.get(item, 0), -exposed[item], item))
+        covered[key] = covered.get(key, 0) + 1
+        wanted[spare.instance] = StageModel(key[1])
+    return wanted
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -0,0 +1,90 @@
+"""Who is a direct target, from heartbeats that come late, out of order or from ended incarnations.
+
+Answers these faults: a heartbeat that a partition delayed until its sender had crashed, an address
+that another target has taken over, an id that starts again, a target that falls silent, and a
+departure that is overtaken by an older heartbeat. Times are seconds of the monotonic clock.
+"""
+
+from dataclasses import dataclass
+
+from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.targets import TargetCheckIn
+
+
+@dataclass
+class TargetRecord:
+    """The newest heartbeat of a target.
+
+    ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves.
+    """
+
+    check_in: TargetCheckIn
+    heard_at: float
+    draining_since: float | None = None
+
+
+class TargetRegistry:
+    """All targets that have reported to this leader. ``silence`` ends a target's usability."""
+
+    def __init__(self, silence: float) -> None:
+        self._silence = silence
+        self._records: dict[InstanceId, TargetRecord] = {}
+        self._departed: dict[InstanceId, int] = {}
+
+    def record(self, instance: InstanceId) -> TargetRecord | None:
+        """Return the record of ``instance``, or None."""
+        return self._records.get(instance)
+
+    def all(self) -> list[TargetRecord]:
+        """Return all records, silent targets included."""
+        return list(self._records.values())
+
+    def check_in(self, now: float, check_in: TargetCheckIn) -> bool:
+        """Take a heartbeat; returns False if a newer incarnation or heartbeat is known."""
+        if self._is_obsolete(check_in):
+            return False
+        known = self._records.get(check_in.instance)
+        is_same_incarnation = known is not None and known.check_in.born_at == check_in.born_at
+        draining_since = known.draining_since if known and is_same_incarnation else None
+        if check_in.is_draining and draining_since is None:
+            draining_since = now
+        self._evict_address(check_in)
+        self._records[check_in.instance] = TargetRecord(check_in, now, draining_since)
+        return True
+
+    def depart(self, instance: InstanceId) -> None:
+        """Forget a target that says it ends; older heartbeats of it are ignored from now on."""
+        record = self._records.pop(instance, None)
+        if record is not None:
+            self._departed[instance] = record.check_in.born_at
+
+    def is_usable(self, now: float, instance: InstanceId) -> bool:
+        """Return whether ``instance`` was heard of late."""
+        record = self._records.get(instance)
+        return record is not None and now < record.heard_at + self._silence
+
+    def forget_silent(self, now: float, retention: float) -> None:
+        """Drop the targets that have been silent for ``retention`` seconds."""
+        for instance, record in list(self._records.items()):
+            if now >= record.heard_at + retention:
+                del self._records[instance]
+
+    def _is_obsolete(self, check_in: TargetCheckIn) -> bool:
+        if self._departed.get(check_in.instance, -1) >= check_in.born_at:
+            return True
+        known = self._records.get(check_in.instance)
+        if known is not None:
+            newest = (known.check_in.born_at, known.check_in.sequence)
+            if (check_in.born_at, check_in.sequence) <= newest:
+                return True
+        return any(
+            record.check_in.address == check_in.address
+            and record.check_in.born_at > check_in.born_at
+            for record in self._records.values()
+        )
+
+    def _evict_address(self, check_in: TargetCheckIn) -> None:
+        """Drop the target that had the address before: one address has one process."""
+        for instance, record in list(self._records.items()):
+            if instance != check_in.instance and record.check_in.address == check_in.address:
+                del self._records[instance]
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -12,13 +12,14 @@
 from jaylatch_node.agent.handlers import AnnounceHandler
 from jaylatch_node.agent.membership import MembershipController
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
 
 PROBE_CLIENTS = 8
 ANSWER_CLIENTS = 512
 
 
-class AgentRole:
+class AgentRole(NodeRole):
     """Wires the controllers of the agent together."""
 
     def __init__(
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from jaylatch_core.configuration import Configuration, PresetPolicy
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import Preset
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import (
@@ -50,6 +51,7 @@
     view: View = View(0, (), ())
     assignment: Assignment | None = None
     is_drained: bool = False
+    deployment: Deployment = Deployment(NO_DEPLOYMENT)
 
     @property
     def preset_generation(self) -> Generation:
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from jaylatch_core.clock import wall
+from jaylatch_core.configuration import Configuration
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
@@ -20,6 +21,12 @@
     View,
     ViewChanged,
 )
+from jaylatch_core.messages.targets import (
+    DeploymentReport,
+    TargetAcknowledged,
+    TargetCheckIn,
+    TargetDeparture,
+)
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.groups import (
@@ -35,6 +42,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.measures import GroupMeasures
 from jaylatch_node.control.routes import group_route, service_routes
+from jaylatch_node.control.targets import TargetController
 from jaylatch_node.streams import StreamConnection
 
 MISSED_RENEWALS_BEFORE_SUSPICION = 3
@@ -64,14 +72,18 @@
         term: Term,
         propose: Proposer,
         now: float,
+        targets: TargetController | None = None,
     ) -> None:
         self._board = board
         self._state = state
         self._term = term
         self._propose = propose
+        self._targets = targets
         self._leases = LeaseTable(settings.duration, settings.drift, now)
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
-        self._plan_from = now + 2 * self._suspect_after
+        # At the first start there is no group that a hasty plan could break.
+        first_plan = self._suspect_after if not state.groups else 2 * self._suspect_after
+        self._plan_from = now + first_plan
         self._view_from = now + self._suspect_after
         self._renewed_at: dict[InstanceId, float] = {}
         self._usable_at: dict[InstanceId, float] = {}
@@ -102,16 +114,37 @@
             self._view if self._needs_view(now, renewal) else None,
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
+            None if renewal.deployment == self._state.deployment.number else self._state.deployment,
         )
 
+    def check_in(self, now: float, body: TargetCheckIn | TargetDeparture) -> TargetAcknowledged:
+        """Take what a direct target says of itself into account."""
+        if self._targets is not None:
+            match body:
+                case TargetCheckIn():
+                    self._targets.check_in(now, body)
+                case TargetDeparture():
+                    self._targets.depart(body)
+            self._refresh_view(now)
+            self._announce_changes()
+        return TargetAcknowledged(body.instance)
+
+    def deployment(self) -> DeploymentReport:
+        """Return the deployment document in force."""
+        return self._state.published
+
     def tick(self, now: float) -> None:
         """Measure, tell the nodes of changes, and propose what the plan asks for."""
+        if self._targets is not None:
+            self._targets.follow(self._state.deployment)
         facts = self._facts(now)
         self._measure(now, facts)
         self._retire(facts)
         self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
+        if self._targets is not None and now >= self._plan_from:
+            self._targets.give_orders(now, self._state.groups.values())
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
             if commands:
@@ -161,7 +194,7 @@
 
         A leader that knows few heads yet leaves an entry the view that it has.
         """
-        if Role.ENTRY not in renewal.roles or renewal.view == self._view.version:
+        if not _wants_view(renewal) or renewal.view == self._view.version:
             return False
         return renewal.view == NO_VIEW or now >= self._view_from
 
@@ -172,9 +205,18 @@
             if not self._is_draining(group) and (route := self._route(now, group)) is not None
         )
         services = service_routes(self._serving_renewals(now))
+        if self._targets is not None:
+            direct = self._targets.group_routes(now, self._admitting_groups())
+            groups += tuple(sorted(direct, key=lambda route: route.group))
+            services += tuple(
+                sorted(self._targets.service_routes(now), key=lambda route: route.instance)
+            )
         if (groups, services) != (self._view.groups, self._view.services):
             self._view = View(self._view.version + 1, groups, services)
 
+    def _admitting_groups(self) -> list[Group]:
+        return [group for group in self._state.groups.values() if not self._is_draining(group)]
+
     def _route(self, now: float, group: Group) -> GroupRoute | None:
         holder = self._leases.holder(now, group.head)
         return group_route(group, holder.renewal) if holder is not None else None
@@ -202,12 +244,16 @@
         )
 
     def _is_draining(self, group: Group) -> bool:
-        if group.id in self._retiring or self._state.configuration.model(group.model) is None:
+        if group.id in self._retiring or self._planned.model(group.model) is None:
             return True
         if (DrainScope.GROUP, group.id) in self._state.drains:
             return True
         return any(self._is_drained(member, self._domain(member)) for member in group.members)
 
+    @property
+    def _planned(self) -> Configuration:
+        return self._state.planned_configuration()
+
     def _is_drained(self, instance: InstanceId, domain: FailureDomainId) -> bool:
         drains = self._state.drains
         return (DrainScope.INSTANCE, instance) in drains or (
@@ -228,6 +274,7 @@
                 self._state.preset,
                 frozenset(self._state.drains),
                 self._retiring,
+                self._state.deployment.number,
             ),
             frozenset(self._state.groups.values()),
             self._permits,
@@ -247,7 +294,7 @@
 
     def _is_entry(self, instance: InstanceId) -> bool:
         holder = self._leases.known(instance)
-        return holder is not None and Role.ENTRY in holder.renewal.roles
+        return holder is not None and _wants_view(holder.renewal)
 
     # Proposals
 
@@ -259,12 +306,21 @@
             commands.append(CommitPreset(prepared))
         if now >= self._plan_from:
             commands += plan_groups(self._plan_input(facts))
+            commands += self._rejoins(now, commands)
         return commands
 
+    def _rejoins(self, now: float, planned: list[ControlCommand]) -> list[ControlCommand]:
+        """Return the repairs of groups whose members are all there but not joined any more."""
+        if self._targets is None:
+            return []
+        changed = {getattr(command, "group", None) for command in planned}
+        broken = self._targets.broken_groups(now, self._state.groups.values())
+        return [command for command in broken if command.group not in changed]
+
     def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
         state = self._state
         return PlanInput(
-            state.configuration,
+            state.planned_configuration(),
             state.configuration.policy(state.preset.preset),
             tuple(state.groups.values()),
             dict(state.occupied),
@@ -273,7 +329,12 @@
 
     def _facts(self, now: float) -> list[InstanceFacts]:
         leaving = self._members_of_drained_groups()
-        return [
+        direct = (
+            self._targets.facts(now, self._state.groups.values())
+            if self._targets is not None
+            else []
+        )
+        return direct + [
             self._instance_facts(now, holder.renewal, holder.renewal.member, leaving)
             for holder in self._leases.all()
             if holder.renewal.member is not None and _is_engine(holder.renewal.member)
@@ -305,7 +366,7 @@
         usable = {item.instance for item in facts if item.is_usable}
         groups = tuple(self._state.groups.values())
         lost = frozenset(item for group in groups for item in group.members if item not in usable)
-        self._retiring = retiring_groups(self._state.configuration, groups, lost)
+        self._retiring = retiring_groups(self._state.planned_configuration(), groups, lost)
 
     def _permit_loads(self, now: float) -> None:
         requests = []
@@ -350,7 +411,16 @@
             self._measures.add(now, facts, self._state.groups.values())
 
     def _behind(self, now: float) -> list[InstanceId]:
-        return self._leases.behind(now, self._state.generation, self._state.preset.generation)
+        return self._leases.behind(
+            now,
+            self._state.generation,
+            self._state.preset.generation,
+            self._state.deployment.number,
+        )
+
+
+def _wants_view(renewal: RenewLease) -> bool:
+    return Role.ENTRY in renewal.roles or Role.GATEWAY in renewal.roles
 
 
 def _is_engine(member: MemberReport) -> bool:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -28,6 +28,12 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.journal import JournalCommand, OrderVerdict
 from jaylatch_core.messages.membership import RenewLease
+from jaylatch_core.messages.targets import (
+    PublishDeployment,
+    ReadDeployment,
+    TargetCheckIn,
+    TargetDeparture,
+)
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.consensus import RaftTiming
 from jaylatch_decisions.control import ControlState
@@ -37,6 +43,8 @@
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, journal_log
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
+from jaylatch_node.control.targets import OrderSender, TargetController
+from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 
 LEADER_TICK = 0.1
@@ -47,10 +55,17 @@
 _journal_decoder: msgspec.msgpack.Decoder[JournalCommand] = msgspec.msgpack.Decoder(JournalCommand)
 
 
-class ControlRole:
+class ControlRole(NodeRole):
     """A voter of the control log and of every journal shard."""
 
-    def __init__(self, settings: NodeSettings, board: Blackboard, peers: PeerPool) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        board: Blackboard,
+        peers: PeerPool,
+        send_order: OrderSender | None = None,
+    ) -> None:
+        self._send_order = send_order
         self._settings = settings
         self._board = board
         self._peers = peers
@@ -104,7 +119,11 @@
                 connection.reply(call, self._status())
             case ReadHistory():
                 connection.reply(call, self._history())
-            case ApplyConfiguration() | PreparePreset() | SetDrain():
+            case TargetCheckIn() | TargetDeparture():
+                connection.reply(call, self._check_in(body))
+            case ReadDeployment():
+                connection.reply(call, self._deployment())
+            case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
@@ -193,6 +212,15 @@
         leader = self._current_leader(monotonic())
         return leader.history() if isinstance(leader, LeaderController) else leader
 
+    def _check_in(self, body: TargetCheckIn | TargetDeparture) -> Body:
+        now = monotonic()
+        leader = self._current_leader(now)
+        return leader.check_in(now, body) if isinstance(leader, LeaderController) else leader
+
+    def _deployment(self) -> Body:
+        leader = self._current_leader(monotonic())
+        return leader.deployment() if isinstance(leader, LeaderController) else leader
+
     def _current_leader(self, now: float) -> LeaderController | NotLeader | Unavailable:
         if not self._control.is_leader:
             return NotLeader("ask the leader of the control log", self._control.leader)
@@ -215,10 +243,18 @@
                 self._control.term,
                 self._propose_control,
                 now,
+                self._make_targets(now),
             )
             self._apply_initial_configuration()
         self._leader.tick(now)
 
+    def _make_targets(self, now: float) -> TargetController | None:
+        if self._send_order is None:
+            return None
+        has_served = bool(self._state.groups)
+        silence = self._settings.control.target_silence
+        return TargetController(silence, self._control.term, self._send_order, has_served, now)
+
     def _apply_initial_configuration(self) -> None:
         path = self._settings.control.initial_configuration
         if not path or self._state.generation:
--- /dev/null
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -0,0 +1,252 @@
+"""The leader's controller of direct targets: their registry, their routes and their orders."""
+
+import logging
+from asyncio import create_task
+from collections.abc import Awaitable, Callable, Iterable
+
+from jaylatch_core.deployment import Deployment, EngineProfile
+from jaylatch_core.ids import Epoch, InstanceId
+from jaylatch_core.messages.control import Group, RepairGroup
+from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
+from jaylatch_core.messages.targets import MemberState, TargetCheckIn, TargetDeparture
+from jaylatch_decisions.groups import InstanceFacts
+from jaylatch_decisions.targets import (
+    EngineOrder,
+    JoinGroup,
+    StageModel,
+    TargetRecord,
+    TargetRegistry,
+    plan_orders,
+)
+from jaylatch_decisions.targets.loads import LoadBudget
+from jaylatch_decisions.targets.orders import EngineState, is_whole, plan_staging
+from jaylatch_node.targets.dialect import OrderOutcome
+
+ORDER_RETRY = 1.0
+"""Seconds after which an order is given again if the target's reports do not show it."""
+STAGING_RETRY = 25.0
+"""Seconds after which staging is ordered again: a load from the store takes up to 16 s."""
+DRAIN_TIME = 1.6
+"""Seconds for which the streams of a group with a leaving member may end before it is regrouped:
+an answer takes about as long, and the member stays for two seconds at least."""
+RECORD_RETENTION = 60.0
+"""Seconds after which a silent target is forgotten."""
+
+OrderSender = Callable[[TargetRecord, EngineOrder, int], Awaitable[OrderOutcome]]
+
+_log = logging.getLogger("jaylatch.targets")
+
+
+class TargetController:
+    """Exists for one term of leadership; ``fence`` marks its orders as the newest."""
+
+    def __init__(
+        self, silence: float, fence: int, send: OrderSender, has_served: bool, now: float
+    ) -> None:
+        self._registry = TargetRegistry(silence)
+        self._fence = fence
+        self._send = send
+        self._deployment: Deployment | None = None
+        self._engines: dict[str, EngineProfile] = {}
+        self._ordered: dict[InstanceId, tuple[EngineOrder, float]] = {}
+        self._in_flight: set[InstanceId] = set()
+        self._loads = LoadBudget(now, is_first_start=not has_served)
+        self._is_fenced = False
+
+    def check_in(self, now: float, check_in: TargetCheckIn) -> None:
+        """Take a heartbeat of a target."""
+        self._registry.check_in(now, check_in)
+
+    def depart(self, departure: TargetDeparture) -> None:
+        """Take a target's word that it ends."""
+        self._registry.depart(departure.instance)
+
+    def follow(self, deployment: Deployment) -> None:
+        """Use the services of ``deployment`` from now on."""
+        if deployment is self._deployment:
+            return
+        self._deployment = deployment
+        self._engines = {
+            service.name: service.engine
+            for service in deployment.services
+            if service.engine is not None
+        }
+
+    def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
+        """Return what the planner needs to know of the engines."""
+        self._registry.forget_silent(now, RECORD_RETENTION)
+        leaving = self._leaving_heads(now, groups)
+        return [
+            self._instance_facts(now, record, leaving)
+            for record in self._registry.all()
+            if record.check_in.service in self._engines
+        ]
+
+    def broken_groups(self, now: float, groups: Iterable[Group]) -> list[RepairGroup]:
+        """Return the groups to be joined anew by the same members, under a new epoch.
+
+        The head reports that it is broken, or a member has lost its place while the head serves.
+        """
+        engines = self._engine_states(now)
+        return [
+            RepairGroup(group.id, group.epoch, group.members)
+            for group in groups
+            if all(member in engines for member in group.members)
+            and self._must_rejoin(group, engines)
+        ]
+
+    def group_routes(self, now: float, groups: Iterable[Group]) -> list[GroupRoute]:
+        """Return the routes to the groups whose head serves and whose members are all there."""
+        engines = self._engine_states(now)
+        routes = []
+        for group in groups:
+            record = self._registry.record(group.head)
+            if record is None or not is_whole(group, engines) or self._is_leaving(group):
+                continue
+            head = engines[group.head].membership
+            if head is None or head.state is not MemberState.OPEN:
+                continue
+            check_in = record.check_in
+            routes.append(
+                GroupRoute(
+                    group.id,
+                    group.epoch,
+                    group.model,
+                    group.head,
+                    check_in.address,
+                    check_in.failure_domain,
+                    check_in.service,
+                    self._engines[check_in.service].slots,
+                )
+            )
+        if routes:
+            self._loads.end_first_start()
+        return routes
+
+    def service_routes(self, now: float) -> list[ServiceRoute]:
+        """Return the routes to the targets of plain services."""
+        if self._deployment is None:
+            return []
+        plain = {item.name for item in self._deployment.services} - set(self._engines)
+        return [
+            ServiceRoute(
+                record.check_in.service,
+                record.check_in.instance,
+                record.check_in.address,
+                record.check_in.failure_domain,
+                record.check_in.slots,
+            )
+            for record in self._registry.all()
+            if record.check_in.service in plain
+            and record.draining_since is None
+            and self._registry.is_usable(now, record.check_in.instance)
+        ]
+
+    def give_orders(self, now: float, groups: Iterable[Group]) -> None:
+        """Give each engine the order that it needs, one at a time."""
+        if self._is_fenced:
+            return
+        engines = self._engine_states(now)
+        orders: dict[InstanceId, EngineOrder] = dict(plan_orders(groups, engines))
+        domains = {
+            record.check_in.instance: record.check_in.failure_domain
+            for record in self._registry.all()
+        }
+        staging = plan_staging(groups, engines, domains)
+        for instance, order in {**staging, **orders}.items():
+            if self._is_due(now, instance, order) and self._may_load(now, instance, order):
+                self._ordered[instance] = (order, now)
+                self._in_flight.add(instance)
+                create_task(self._give(instance, order))
+
+    # Facts
+
+    def _instance_facts(
+        self, now: float, record: TargetRecord, leaving: dict[InstanceId, Epoch]
+    ) -> InstanceFacts:
+        check_in = record.check_in
+        membership = check_in.membership
+        is_serving = membership is not None and membership.state is MemberState.OPEN
+        return InstanceFacts(
+            check_in.instance,
+            check_in.failure_domain,
+            self._registry.is_usable(now, check_in.instance),
+            record.draining_since is not None,
+            membership.epoch if membership is not None else Epoch(0),
+            is_serving,
+            0,
+            draining_epoch=leaving.get(check_in.instance, Epoch(0)),
+            unusable_for=max(now - record.heard_at, 0.0),
+        )
+
+    def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
+        """Return the heads, with their epoch, of groups whose drain has lasted long enough."""
+        heads = {}
+        for group in groups:
+            records = [self._registry.record(member) for member in group.members]
+            since = [item.draining_since for item in records if item is not None]
+            started = [item for item in since if item is not None]
+            if started and now >= min(started) + DRAIN_TIME:
+                heads[group.head] = group.epoch
+        return heads
+
+    def _is_leaving(self, group: Group) -> bool:
+        records = [self._registry.record(member) for member in group.members]
+        return any(item is not None and item.draining_since is not None for item in records)
+
+    def _engine_states(self, now: float) -> dict[InstanceId, EngineState]:
+        return {
+            record.check_in.instance: EngineState(
+                record.check_in.instance,
+                record.check_in.membership,
+                record.check_in.staged_models,
+            )
+            for record in self._registry.all()
+            if record.check_in.service in self._engines
+            and self._registry.is_usable(now, record.check_in.instance)
+        }
+
+    def _must_rejoin(self, group: Group, engines: dict[InstanceId, EngineState]) -> bool:
+        head = engines[group.head].membership
+        if head is None or (head.group, head.epoch) != (group.id, group.epoch):
+            return False
+        if head.state is MemberState.BROKEN:
+            return True
+        return head.state is MemberState.OPEN and not is_whole(group, engines)
+
+    # Orders
+
+    def _is_due(self, now: float, instance: InstanceId, order: EngineOrder) -> bool:
+        if instance in self._in_flight:
+            return False
+        last = self._ordered.get(instance)
+        if last is None or last[0] != order:
+            return True
+        retry = STAGING_RETRY if isinstance(order, StageModel) else ORDER_RETRY
+        return now >= last[1] + retry
+
+    def _may_load(self, now: float, instance: InstanceId, order: EngineOrder) -> bool:
+        """Return whether the weight store bears the load that the order begins, if any."""
+        record = self._registry.record(instance)
+        if record is None or not isinstance(order, (JoinGroup, StageModel)):
+            return True
+        if order.model in record.check_in.staged_models:
+            return True
+        engine = self._engines[record.check_in.service]
+        return self._loads.take(now, engine.load_rate)
+
+    async def _give(self, instance: InstanceId, order: EngineOrder) -> None:
+        record = self._registry.record(instance)
+        try:
+            if record is None:
+                return
+            outcome = await self._send(record, order, self._fence)
+        finally:
+            self._in_flight.discard(instance)
+        _log.info(
+            "engine order",
+            extra={"target": instance, "order": repr(order), "outcome": outcome.value},
+        )
+        if outcome is OrderOutcome.FENCED and not isinstance(order, JoinGroup):
+            # A newer leader has given orders; this one gives none any more.
+            self._is_fenced = True
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -5,18 +5,22 @@
 from argparse import ArgumentParser
 from asyncio import Event, get_running_loop, run
 from pathlib import Path
+from random import Random
 
 from returns.pipeline import is_successful
 
 from jaylatch_core.checks import Level, run_checks
+from jaylatch_core.enums import Role
 from jaylatch_core.exceptions import JaylatchError
 from jaylatch_core.findings import format_finding
 from jaylatch_core.settings import NodeSettings, load_settings
 from jaylatch_node.observability import configure_logs
-from jaylatch_node.process import Process
+from jaylatch_node.process import Process, RoleMaker
+from jaylatch_node.role import NodeRole
 
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
+HTTP_CLIENTS = 128
 
 
 def main() -> int:
@@ -53,12 +57,56 @@
     return all(message.level < Level.ERROR for message in messages)
 
 
+def make_roles(settings: NodeSettings) -> list[RoleMaker]:
+    """Return the makers of the roles that ``settings`` ask for.
+
+    A role's modules are imported only where it is wanted, so that it costs no memory elsewhere.
+    """
+    makers: list[RoleMaker] = []
+    if Role.CONTROL in settings.roles:
+        makers.append(_make_control)
+    if Role.AGENT in settings.roles:
+        makers.append(_make_agent)
+    if Role.ENTRY in settings.roles:
+        makers.append(_make_entry)
+    return makers
+
+
+def _make_control(process: Process) -> NodeRole:
+    from jaylatch_node.control.role import ControlRole
+
+    return ControlRole(process.settings, process.board, process.peers)
+
+
+def _make_agent(process: Process) -> NodeRole:
+    from jaylatch_node.agent.role import AgentRole
+
+    _use_curl()
+    return AgentRole(process.settings, process.board, process.peers, process.server)
+
+
+def _make_entry(process: Process) -> NodeRole:
+    from jaylatch_node.entry.role import EntryRole
+
+    _use_curl()
+    random = Random(process.board.identity.incarnation)
+    return EntryRole(process.settings, process.board, process.peers, process.client, random)
+
+
+def _use_curl() -> None:
+    from tornado.httpclient import AsyncHTTPClient
+
+    AsyncHTTPClient.configure(
+        "tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=HTTP_CLIENTS
+    )
+
+
 async def _serve(settings: NodeSettings) -> None:
     stopped = Event()
     loop = get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    process = Process(settings)
+    process = Process(settings, make_roles(settings))
     process.start()
     await stopped.wait()
     process.stop()
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -30,6 +30,7 @@
 from jaylatch_node.entry.orders import OrderController
 from jaylatch_node.entry.quarantine import QuarantineController
 from jaylatch_node.entry.routes import RouteController
+from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 
 HEADER_LIMIT = 32 * KIBIBYTE
@@ -38,7 +39,7 @@
 BODY_TIMEOUT = 60.0
 
 
-class EntryRole:
+class EntryRole(NodeRole):
     """Wires the controllers and handlers of the entry together."""
 
     def __init__(
@@ -104,11 +105,11 @@
         """Connect to the agents of the granted view."""
         self._links.follow_view(self._board.grant.view)
 
-    def handle_body(self, connection: StreamConnection, body: Body, address: str) -> bool:
+    def handle_call(self, connection: StreamConnection, call: int, body: Body) -> bool:
         """Handle an agent's message; returns False if the body is not one."""
         match body:
             case TargetReport():
-                instance = self._links.instance_at(address)
+                instance = self._links.instance_at(connection.address)
                 self._quarantine.take_report(monotonic(), body)
                 if instance is not None:
                     self._links.record_report(instance, body)
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -0,0 +1,227 @@
+"""One request's way to targets: sends it, reads the answer, and passes on what is whole."""
+
+from asyncio import TimerHandle, get_running_loop
+
+from jaylatch_core.clock import monotonic
+from jaylatch_core.deployment import RequestKind, RouteSpecification
+from jaylatch_core.ids import AccountId
+from jaylatch_decisions.events import EventSplitter
+from jaylatch_decisions.targets import TargetLoad
+from jaylatch_decisions.targets.attempts import (
+    AttemptOutcome,
+    first_answer_timeout,
+    stall_timeout,
+)
+from jaylatch_node.gateway.caller import Caller
+from jaylatch_node.targets import (
+    ExchangeFailed,
+    InboundRequest,
+    ResponseFacts,
+    ResponseHead,
+    TargetConnection,
+    TargetDialect,
+    TargetPool,
+)
+
+SUCCESS = range(200, 300)
+SERVER_ERROR = 500
+
+
+class Attempt:
+    """Keeps, over all sends of a request, what the caller has got."""
+
+    def __init__(
+        self,
+        request: InboundRequest,
+        caller: Caller,
+        route: RouteSpecification,
+        dialect: TargetDialect,
+        pool: TargetPool,
+    ) -> None:
+        self._request = request
+        self._caller = caller
+        self._route = route
+        self._dialect = dialect
+        self._pool = pool
+        resume_after = -1 if request.resume_after is None else request.resume_after
+        self._splitter = EventSplitter(resume_after)
+        self._head: ResponseHead | None = None
+        self._facts: ResponseFacts | None = None
+        self._body: list[bytes] = []
+        self._is_stream = False
+        self._is_spoiled = False
+        self._progress_at = 0.0
+        self._stalled = False
+
+    async def send(
+        self,
+        address: str,
+        target: TargetLoad,
+        account: AccountId | None,
+        deadline: float,
+        may_give_up: bool,
+    ) -> AttemptOutcome | None:
+        """Send to one target; returns None if the caller got its answer.
+
+        ``may_give_up`` tells that a silent target is left for another one.
+        """
+        self._begin()
+        now = monotonic()
+        connection = self._pool.take(now, address) or await self._pool.connect(address)
+        if connection is None:
+            target.record_failure(monotonic())
+            return AttemptOutcome.NOT_SENT
+        resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
+        outbound = self._dialect.write_request(
+            self._request, target.instance, account, deadline - monotonic(), resume_after
+        )
+        watch = self._watch(connection) if may_give_up and self._route.may_repeat else None
+        try:
+            failure = await connection.exchange(outbound, self._take_head, self._take_data)
+        except BaseException:
+            connection.close()
+            raise
+        finally:
+            if watch is not None:
+                watch.cancel()
+        return self._judge(address, connection, target, failure)
+
+    def pass_failure(self) -> bool:
+        """Pass a target's own whole failure on unchanged; returns False if there is none."""
+        if self._caller.has_started or self._head is None or self._is_stream:
+            return False
+        if self._facts is None or not self._facts.has_proof or self._is_spoiled:
+            return False
+        if self._head.status in SUCCESS or self._facts.is_not_run:
+            return False
+        self._send_whole(self._head)
+        return True
+
+    def _begin(self) -> None:
+        self._head = None
+        self._facts = None
+        self._body = []
+        self._is_stream = False
+        self._is_spoiled = False
+        self._stalled = False
+        self._splitter.restart()
+        self._progress_at = monotonic()
+
+    # Reading
+
+    def _take_head(self, head: ResponseHead) -> bool:
+        """Take a response head; returns False if it answers another request."""
+        facts = self._dialect.read_response(head)
+        if facts.attempt is not None and facts.attempt != self._request.attempt:
+            return False
+        self._progress_at = monotonic()
+        self._head, self._facts = head, facts
+        is_success = head.status in SUCCESS and facts.has_proof and not facts.is_encoded
+        self._is_stream = self._route.kind is RequestKind.STREAM and is_success
+        return True
+
+    def _take_data(self, data: bytes) -> None:
+        self._progress_at = monotonic()
+        if not self._is_stream:
+            self._body.append(data)
+            return
+        if self._is_spoiled:
+            return
+        try:
+            events = self._splitter.feed(data)
+        except ValueError:
+            self._is_spoiled = True
+            return
+        if not events:
+            return
+        if self._caller.has_started:
+            self._caller.send(events)
+            return
+        assert self._head is not None
+        headers = self._dialect.write_answer_headers(self._head)
+        self._caller.start_stream(self._head.status, self._head.reason, headers, events)
+
+    # Judging
+
+    def _judge(
+        self,
+        address: str,
+        connection: TargetConnection,
+        target: TargetLoad,
+        failure: ExchangeFailed | None,
+    ) -> AttemptOutcome | None:
+        now = monotonic()
+        facts = self._facts
+        if facts is not None and facts.busy is not None:
+            target.take_report(now, facts.busy)
+        if failure is not None or facts is None or self._head is None:
+            connection.close()
+            target.record_failure(now)
+            return AttemptOutcome.STALLED if self._stalled else AttemptOutcome.BROKEN
+        self._pool.give_back(now, address, connection, facts.keep_alive)
+        if facts.is_not_run:
+            return AttemptOutcome.NOT_RUN
+        if self._is_stream:
+            return self._end_stream(now, target)
+        if not facts.has_proof or facts.is_encoded:
+            target.record_failure(now)
+            return AttemptOutcome.BROKEN
+        target.record_success()
+        if self._head.status >= SERVER_ERROR and self._route.may_repeat:
+            return AttemptOutcome.FAILED
+        self._send_whole(self._head)
+        return None
+
+    def _end_stream(self, now: float, target: TargetLoad) -> AttemptOutcome | None:
+        if self._is_spoiled or self._splitter.has_partial:
+            target.record_failure(now)
+            return AttemptOutcome.BROKEN
+        target.record_success()
+        if not self._caller.has_started:
+            assert self._head is not None
+            self._send_whole(self._head)
+            return None
+        self._caller.finish()
+        return None
+
+    def _send_whole(self, head: ResponseHead) -> None:
+        headers = self._dialect.write_answer_headers(head)
+        self._caller.send_answer(head.status, head.reason, headers, b"".join(self._body))
+
+    # Silence
+
+    def _watch(self, connection: TargetConnection) -> "_SilenceWatch":
+        return _SilenceWatch(self, connection)
+
+    def silence(self, now: float) -> tuple[float, float]:
+        """Return the seconds since the last progress, and after how many it is given up."""
+        limit = first_answer_timeout(self._route)
+        if self._is_stream and self._caller.has_started:
+            limit = stall_timeout(self._route)
+        return now - self._progress_at, limit
+
+    def stall(self) -> None:
+        """Note that the target was given up because it was silent."""
+        self._stalled = True
+
+
+class _SilenceWatch:
+    """Closes a connection on which nothing has come for too long."""
+
+    def __init__(self, attempt: Attempt, connection: TargetConnection) -> None:
+        self._attempt = attempt
+        self._connection = connection
+        self._timer: TimerHandle
+        self._check()
+
+    def cancel(self) -> None:
+        """Stop watching."""
+        self._timer.cancel()
+
+    def _check(self) -> None:
+        silent, limit = self._attempt.silence(monotonic())
+        if silent >= limit:
+            self._attempt.stall()
+            self._connection.close()
+            return
+        self._timer = get_running_loop().call_later(limit - silent, self._check)
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -0,0 +1,66 @@
+"""The caller's side of one request: what has been sent to it, and whether it is still there."""
+
+from collections.abc import Callable
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+
+class Caller:
+    """Writes one answer, whole or as a stream; nothing is written once the caller is gone."""
+
+    def __init__(self, connection: HTTP1Connection, must_close: Callable[[], bool]) -> None:
+        self._connection = connection
+        self._must_close = must_close
+        self.has_started = False
+        self.is_gone = False
+
+    def send_answer(self, status: int, reason: str, headers: HTTPHeaders, body: bytes) -> None:
+        """Send a whole answer."""
+        if self.is_gone:
+            return
+        headers["Content-Length"] = str(len(body))
+        self._start(status, reason, headers, body)
+        self._connection.finish()
+
+    def start_stream(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
+        """Send the head of a stream and its first events."""
+        if not self.is_gone:
+            self._start(status, reason, headers, data)
+
+    def send(self, data: bytes) -> None:
+        """Send further events."""
+        if not self.is_gone:
+            self._ignore_loss(self._connection.write(data))
+
+    def finish(self) -> None:
+        """End a stream that is whole."""
+        if not self.is_gone:
+            self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that what was sent does not look whole."""
+        self.is_gone = True
+        self._connection.close()
+
+    def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
+        self.has_started = True
+        if self._must_close():
+            headers["Connection"] = "close"
+            self._connection.no_keep_alive = True
+            self._connection._disconnect_on_finish = True  # noqa: SLF001
+        start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        self._ignore_loss(self._connection.write_headers(start_line, headers, data or None))
+
+    def _ignore_loss(self, written: object) -> None:
+        """A lost caller is noticed by its connection's end, not by each write."""
+        add_done_callback = getattr(written, "add_done_callback", None)
+        if add_done_callback is not None:
+            add_done_callback(_take_exception)
+
+
+def _take_exception(future: object) -> None:
+    exception = getattr(future, "exception", lambda: None)()
+    if exception is not None and not isinstance(exception, StreamClosedError):
+        raise exception
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -0,0 +1,71 @@
+"""The direct targets that this process may send to, as the granted view names them."""
+
+from dataclasses import dataclass
+
+from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.membership import View
+from jaylatch_decisions.targets import TargetLoad
+
+
+@dataclass
+class KnownTarget:
+    """A target's address and load."""
+
+    address: str
+    load: TargetLoad
+
+
+class TargetDirectory:
+    """Targets by service, and by model where the service has engines."""
+
+    def __init__(self) -> None:
+        self._view: View | None = None
+        self._targets: dict[InstanceId, KnownTarget] = {}
+        self._by_service: dict[str, list[TargetLoad]] = {}
+        self._by_model: dict[tuple[str, str], list[TargetLoad]] = {}
+
+    @property
+    def addresses(self) -> set[str]:
+        """Return the addresses of all targets."""
+        return {target.address for target in self._targets.values()}
+
+    def follow(self, view: View) -> bool:
+        """Take the targets of ``view``; returns False if they are known already.
+
+        What is known of the load of a target stays while its address does.
+        """
+        if view is self._view:
+            return False
+        self._view = view
+        old, self._targets = self._targets, {}
+        self._by_service, self._by_model = {}, {}
+        for group in view.groups:
+            if group.service:
+                load = TargetLoad(group.head, group.slots, group.failure_domain)
+                known = self._add(old, group.address, load)
+                self._by_model.setdefault((group.service, group.model), []).append(known.load)
+        for service in view.services:
+            if service.slots:
+                load = TargetLoad(service.instance, service.slots, service.failure_domain)
+                known = self._add(old, service.address, load)
+                self._by_service.setdefault(service.service, []).append(known.load)
+        return True
+
+    def candidates(self, service: str, model: str | None) -> list[TargetLoad]:
+        """Return the targets that can serve a request."""
+        if model is None:
+            return self._by_service.get(service, [])
+        return self._by_model.get((service, model), [])
+
+    def address(self, instance: InstanceId) -> str:
+        """Return the address of a candidate. Raises KeyError if the view has changed."""
+        return self._targets[instance].address
+
+    def _add(
+        self, old: dict[InstanceId, KnownTarget], address: str, load: TargetLoad
+    ) -> KnownTarget:
+        known = old.get(load.instance)
+        if known is None or known.address != address:
+            known = KnownTarget(address, load)
+        self._targets[load.instance] = known
+        return known
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -0,0 +1,246 @@
+"""Takes a caller's request to a direct target and brings the answer back.
+
+Every second send is decided by ``decide_next``; this module does the sending.
+"""
+
+import logging
+from asyncio import CancelledError, get_running_loop, timeout_at
+from dataclasses import dataclass, field
+from random import Random
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from jaylatch_core.clock import monotonic
+from jaylatch_core.deployment import AccountProfile, RouteSpecification
+from jaylatch_core.ids import InstanceId
+from jaylatch_decisions.retry import RetryBudget
+from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target
+from jaylatch_decisions.targets.attempts import (
+    AttemptHistory,
+    AttemptOutcome,
+    Next,
+    decide_next,
+    record_outcome,
+)
+from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.gateway.attempt import Attempt
+from jaylatch_node.gateway.caller import Caller
+from jaylatch_node.gateway.directory import TargetDirectory
+from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.targets import (
+    InboundRequest,
+    Refusal,
+    RefusalKind,
+    TargetDialect,
+    TargetPool,
+)
+
+NO_TARGET_RETRY = 1.0
+"""Seconds after which a refused caller should return: a group is repaired in about two."""
+FULL_RETRY = 0.4
+"""Seconds after which a caller that met full targets should return: a place is free after the mean
+answer divided by the slots of a target, and the spread below keeps callers apart."""
+RETRY_SPREAD = 0.5
+"""Part by which an advice to return is varied, so that callers do not return together."""
+NO_LEASE_RETRY = 0.5
+"""Seconds after which a node without a lease may have one again: a renewal interval."""
+BUSY_RETRY_LIMIT = 2.0
+"""Seconds that an advice to return never exceeds."""
+
+_log = logging.getLogger("jaylatch.request")
+
+
+@dataclass
+class Job:
+    """One request under way. Times are seconds of the monotonic clock."""
+
+    request: InboundRequest
+    caller: Caller
+    route: RouteSpecification
+    account: AccountProfile | None
+    arrived_at: float
+    deadline: float
+    history: AttemptHistory = field(default_factory=AttemptHistory)
+    tried: set[InstanceId] = field(default_factory=set)
+
+
+class Forwarder:
+    """Handles the requests of one gateway process."""
+
+    def __init__(
+        self,
+        board: Blackboard,
+        dialect: TargetDialect,
+        directory: TargetDirectory,
+        pool: TargetPool,
+        budget: RetryBudget,
+        repeat_ratio: float,
+        metrics: GatewayMetrics,
+        random: Random,
+    ) -> None:
+        self._board = board
+        self._dialect = dialect
+        self._directory = directory
+        self._pool = pool
+        self._budget = budget
+        self._repeat_ratio = repeat_ratio
+        self._metrics = metrics
+        self._random = random
+        self._table = RouteTable(board.grant.deployment)
+
+    def follow_deployment(self) -> None:
+        """Use the routes and keys of the granted deployment."""
+        self._table = RouteTable(self._board.grant.deployment)
+
+    async def handle(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
+    ) -> None:
+        """Answer one request; never raises but for cancellation when the caller goes."""
+        now = monotonic()
+        request = self._dialect.read_request(start_line, headers, body)
+        if isinstance(request, Refusal):
+            self._refuse(caller, None, request, "")
+            return
+        admitted = self._admit(now, request, caller)
+        if isinstance(admitted, Refusal):
+            self._refuse(caller, request, admitted, "")
+            return
+        self._metrics.count_request(admitted.route.name)
+        self._budget.earn(self._repeat_ratio)
+        try:
+            async with timeout_at(self._loop_time(admitted.deadline)):
+                await self._run(admitted)
+        except TimeoutError:
+            self._time_out(admitted)
+        except CancelledError:
+            self._record(admitted, "caller_gone")
+            raise
+
+    def _loop_time(self, moment: float) -> float:
+        return get_running_loop().time() + (moment - monotonic())
+
+    def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
+        """Return the job of a request that may be forwarded, or why it may not."""
+        if not self._board.grant.lease.is_valid(now) or not self._board.grant.deployment.number:
+            return Refusal(RefusalKind.NOT_RUN, "no valid lease", NO_LEASE_RETRY)
+        route = self._table.find_route(request.host, request.path)
+        if route is None:
+            return Refusal(RefusalKind.NO_ROUTE, "no route matches host and path")
+        account = self._table.find_account(request.key)
+        if account is None and self._table.needs_key(route):
+            return Refusal(RefusalKind.UNKNOWN_KEY, "the key is not known")
+        time_left = route.timeout
+        if request.time_left is not None:
+            time_left = min(time_left, request.time_left)
+        return Job(request, caller, route, account, now, now + time_left)
+
+    async def _run(self, job: Job) -> None:
+        """Send the request until it is answered or given up."""
+        attempt = Attempt(job.request, job.caller, job.route, self._dialect, self._pool)
+        while True:
+            target = self._choose(job)
+            if target is None:
+                self._give_up(job, attempt, "no target", NO_TARGET_RETRY)
+                return
+            outcome = await self._send(job, attempt, target)
+            if outcome is None:
+                self._record(job, "answered", target)
+                return
+            record_outcome(job.history, outcome)
+            self._metrics.count_outcome(outcome)
+            has_budget = outcome is AttemptOutcome.NOT_SENT or self._budget.saved >= 1.0
+            step = decide_next(job.route, job.history, outcome, has_budget)
+            if step is Next.AGAIN:
+                if outcome is not AttemptOutcome.NOT_SENT:
+                    self._budget.spend()
+                continue
+            if attempt.pass_failure():
+                self._record(job, "failure_passed", target)
+                return
+            self._give_up(job, attempt, outcome.value, FULL_RETRY)
+            return
+
+    async def _send(self, job: Job, attempt: Attempt, target: TargetLoad) -> AttemptOutcome | None:
+        job.tried.add(target.instance)
+        target.own += 1
+        try:
+            return await attempt.send(
+                self._directory.address(target.instance),
+                target,
+                job.account.name if job.account is not None else None,
+                job.deadline,
+                job.history.sends + 1 < job.route.attempts,
+            )
+        finally:
+            target.own -= 1
+
+    def _choose(self, job: Job) -> TargetLoad | None:
+        service = self._choose_service(job)
+        candidates = self._directory.candidates(service, job.request.model)
+        domain = self._board.identity.failure_domain
+        return choose_target(monotonic(), candidates, domain, self._random, frozenset(job.tried))
+
+    def _choose_service(self, job: Job) -> str:
+        shares = job.route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        weights = [share.weight for share in shares]
+        return self._random.choices(shares, weights)[0].service
+
+    def _give_up(self, job: Job, attempt: Attempt, reason: str, retry_after: float) -> None:
+        """End a request that no target answers."""
+        if job.caller.has_started:
+            job.caller.abort()
+            self._record(job, f"stream_cut:{reason}")
+            return
+        if job.history.may_have_run:
+            refusal = Refusal(RefusalKind.FAILED, reason)
+        else:
+            refusal = Refusal(RefusalKind.NOT_RUN, reason, self._spread(retry_after))
+        self._refuse(job.caller, job.request, refusal, job.route.name)
+
+    def _spread(self, retry_after: float) -> float:
+        factor = 1 + RETRY_SPREAD * (2 * self._random.random() - 1)
+        return min(retry_after * factor, BUSY_RETRY_LIMIT)
+
+    def _time_out(self, job: Job) -> None:
+        """Answer a request whose time is over."""
+        if job.caller.has_started:
+            job.caller.abort()
+            self._record(job, "stream_timed_out")
+            return
+        refusal = Refusal(RefusalKind.TIMED_OUT, "the route's time is over")
+        self._refuse(job.caller, job.request, refusal, job.route.name)
+
+    def _refuse(
+        self, caller: Caller, request: InboundRequest | None, refusal: Refusal, route: str
+    ) -> None:
+        attempt = request.attempt if request is not None else None
+        caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
+        self._metrics.count_refusal(refusal.kind.value)
+        _log.info(
+            "refused",
+            extra={
+                "request": attempt,
+                "route": route,
+                "kind": refusal.kind.value,
+                "reason": refusal.reason,
+                "retry_after": round(refusal.retry_after, 3),
+                "lease_left": round(self._board.grant.lease.expires_at - monotonic(), 3),
+            },
+        )
+
+    def _record(self, job: Job, outcome: str, target: TargetLoad | None = None) -> None:
+        took = monotonic() - job.arrived_at
+        self._metrics.record_time(took)
+        _log.info(
+            "ended",
+            extra={
+                "request": job.request.attempt,
+                "route": job.route.name,
+                "outcome": outcome,
+                "target": target.instance if target is not None else "",
+                "sends": job.history.sends,
+                "ms": round(took * 1000, 1),
+            },
+        )
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/metrics.py
@@ -0,0 +1,36 @@
+"""The metrics of the gateway."""
+
+from jaylatch_decisions.targets.attempts import AttemptOutcome
+from jaylatch_node.observability import Metrics
+
+
+class GatewayMetrics:
+    """Counters of requests, refusals and failed attempts, and the times of whole answers."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._requests = metrics.counter(
+            "gateway_requests", "Requests that were admitted, by route.", ("route",)
+        )
+        self._refusals = metrics.counter(
+            "gateway_refusals", "Requests that the gateway answered itself, by kind.", ("kind",)
+        )
+        self._outcomes = metrics.counter(
+            "gateway_failed_attempts", "Attempts without a whole answer, by outcome.", ("outcome",)
+        )
+        self._times = metrics.timer("gateway_request", "Time from arrival to the end of an answer.")
+
+    def count_request(self, route: str) -> None:
+        """Count an admitted request."""
+        self._requests.labels(route).inc()
+
+    def count_refusal(self, kind: str) -> None:
+        """Count an answer of the gateway's own."""
+        self._refusals.labels(kind).inc()
+
+    def count_outcome(self, outcome: AttemptOutcome) -> None:
+        """Count an attempt that brought no whole answer."""
+        self._outcomes.labels(outcome.value).inc()
+
+    def record_time(self, seconds: float) -> None:
+        """Add the time of an ended request."""
+        self._times.record(seconds)
--- /dev/null
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -0,0 +1,102 @@
+"""The gateway role of a process."""
+
+from asyncio import sleep
+from random import Random
+
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest
+
+from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.deployment import ConnectionLimits, Deployment
+from jaylatch_core.event_names import EventName
+from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_decisions.retry import RetryBudget
+from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.gateway.directory import TargetDirectory
+from jaylatch_node.gateway.forwarder import Forwarder
+from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.gateway.server import GatewayServer
+from jaylatch_node.role import NodeRole
+from jaylatch_node.targets import TargetDialect, TargetPool
+
+ROTATION_TIME = 2.8
+"""Seconds for which a stopping process accepts connections: the platform takes two missed
+readiness checks, a second apart, to send new ones elsewhere."""
+GRACE_MARGIN = 0.4
+"""Seconds before the end of the grace at which what is left is cut."""
+DRAIN_POLL = 0.05
+
+READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+NOT_READY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+
+
+class GatewayRole(NodeRole):
+    """Wires the gateway together and drains it."""
+
+    def __init__(self, settings: NodeSettings, board: Blackboard, dialect: TargetDialect) -> None:
+        self._settings = settings.gateway
+        self._board = board
+        self._directory = TargetDirectory()
+        self._pool = TargetPool()
+        budget = RetryBudget(self._settings.repeat_burst)
+        self._forwarder = Forwarder(
+            board,
+            dialect,
+            self._directory,
+            self._pool,
+            budget,
+            self._settings.repeat_ratio,
+            GatewayMetrics(board.metrics),
+            Random(board.identity.incarnation),
+        )
+        self._deployment: Deployment = board.grant.deployment
+        self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
+        self._readiness = HTTPServer(self._answer_readiness)
+        self._is_stopping = False
+
+    def start(self) -> None:
+        """Listen for callers and for the platform's checks."""
+        host, port = split_address(self._settings.readiness)
+        self._readiness.listen(port, host)
+        host, port = split_address(self._settings.http)
+        self._server.listen(host, port)
+
+    def stop(self) -> None:
+        """Close everything."""
+        self._server.stop()
+        self._readiness.stop()
+        self._pool.close()
+
+    async def drain(self) -> None:
+        """Finish what is under way, while the platform sends new callers elsewhere."""
+        started_at = monotonic()
+        self._is_stopping = True
+        self._server.drain()
+        await sleep(ROTATION_TIME)
+        self._server.stop()
+        until = started_at + self._settings.grace - GRACE_MARGIN
+        while self._server.in_flight and monotonic() < until:
+            await sleep(DRAIN_POLL)
+        self._board.events.record(
+            wall(), EventName.GATEWAY_DRAINED, detail=f"{self._server.in_flight} requests cut"
+        )
+
+    def on_grant(self) -> None:
+        """Follow a new deployment and a new view."""
+        grant = self._board.grant
+        if grant.deployment is not self._deployment:
+            self._deployment = grant.deployment
+            self._forwarder.follow_deployment()
+        if self._directory.follow(grant.view):
+            self._pool.keep(self._directory.addresses)
+
+    def _answer_readiness(self, request: HTTPServerRequest) -> None:
+        connection = request.connection
+        assert connection is not None
+        connection.write(READY if self._is_ready() else NOT_READY)
+        connection.finish()
+
+    def _is_ready(self) -> bool:
+        grant = self._board.grant
+        is_acting = grant.lease.is_valid(monotonic()) and bool(grant.deployment.number)
+        return is_acting and not self._is_stopping
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -91,20 +91,33 @@
             grant.view.version,
             self._report_member(monotonic()),
             grant.preset.generation,
+            grant.deployment.number,
         )
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
         board = self._board.grant
         latest_preset = Generation(max(grant.preset.generation, grant.preset.prepared_generation))
-        if grant.generation < board.generation or latest_preset < board.preset_generation:
+        newest = grant.deployment
+        is_older_deployment = newest is not None and newest.number < board.deployment.number
+        if (
+            grant.generation < board.generation
+            or latest_preset < board.preset_generation
+            or is_older_deployment
+        ):
             # A grant older than what this process acts under must not set it back.
             return False
-        has_changed = grant.generation > board.generation or grant.preset != board.preset
+        has_changed = (
+            grant.generation > board.generation
+            or grant.preset != board.preset
+            or newest is not None
+        )
         self._record_lapse()
         self._record_changes(grant)
         if grant.configuration is not None:
             board.configuration = grant.configuration
             board.generation = grant.generation
+        if newest is not None:
+            board.deployment = newest
         board.preset = grant.preset
         if grant.view is not None:
             board.view = grant.view
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -1,12 +1,9 @@
 """One jaylatch process: its blackboard, its streams and its roles."""
 
-from random import Random
+from collections.abc import Callable
 from secrets import token_hex
 
-from tornado.httpclient import AsyncHTTPClient
-
 from jaylatch_core.clock import wall
-from jaylatch_core.enums import Role
 from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import Incarnation
@@ -21,101 +18,83 @@
 from jaylatch_core.messages.membership import MemberReport, ViewChanged
 from jaylatch_core.settings import NodeSettings, split_address
 from jaylatch_decisions.leases import HeldLease
-from jaylatch_node.agent.role import AgentRole
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
 from jaylatch_node.control.client import ControlClient
-from jaylatch_node.control.role import ControlRole
-from jaylatch_node.entry.role import EntryRole
 from jaylatch_node.leases import LeaseController
+from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
 INCARNATION_BYTES = 8
-HTTP_CLIENTS = 128
+
+
+RoleMaker = Callable[["Process"], NodeRole]
 
 
 class Process:
-    """Builds the roles that the settings ask for and hands each message to its role."""
+    """Hands each message to its role and keeps the lease.
 
-    def __init__(self, settings: NodeSettings) -> None:
+    ``makers`` build the roles, which start in that order; a role may use the attributes of the
+    process that are public.
+    """
+
+    def __init__(self, settings: NodeSettings, makers: list[RoleMaker]) -> None:
         """Build everything. Raises JaylatchError if the files of the logs cannot be used."""
-        AsyncHTTPClient.configure(
-            "tornado.curl_httpclient.CurlAsyncHTTPClient", max_clients=HTTP_CLIENTS
-        )
         incarnation = Incarnation(token_hex(INCARNATION_BYTES))
-        self._settings = settings
+        self.settings = settings
         self._events = EventLog(settings.instance)
-        self._board = Blackboard(
+        self.board = Blackboard(
             Identity(settings.instance, incarnation, settings.failure_domain, settings.stream),
             self._events,
             GrantBoard(HeldLease(settings.lease.drift)),
         )
-        traffic = Traffic(self._board.metrics)
-        self._peers = PeerPool(self._events, traffic, self._handle_body)
-        self._server = StreamServer(self._events, traffic, self._handle_body)
-        self._client = ControlClient(settings.control, self._peers)
-        self._control: ControlRole | None = None
-        self._entry: EntryRole | None = None
-        self._agent: AgentRole | None = None
-        if Role.CONTROL in settings.roles:
-            self._control = ControlRole(settings, self._board, self._peers)
-        if Role.ENTRY in settings.roles:
-            random = Random(incarnation)
-            self._entry = EntryRole(settings, self._board, self._peers, self._client, random)
-        if Role.AGENT in settings.roles:
-            self._agent = AgentRole(settings, self._board, self._peers, self._server)
+        traffic = Traffic(self.board.metrics)
+        self.peers = PeerPool(self._events, traffic, self._handle_body)
+        self.server = StreamServer(self._events, traffic, self._handle_body)
+        self.client = ControlClient(settings.control, self.peers)
+        self._roles = [make(self) for make in makers]
         self._leases = LeaseController(
-            self._board, settings.lease, settings.roles, self._client, self._report_member
+            self.board, settings.lease, settings.roles, self.client, self._report_member
         )
-        for role in (self._entry, self._agent):
-            if role is not None:
-                self._leases.on_grant(role.on_grant)
+        for role in self._roles:
+            self._leases.on_grant(role.on_grant)
 
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
-        roles = ", ".join(role.value for role in self._settings.roles)
+        roles = ", ".join(role.value for role in self.settings.roles)
         self._events.record(
-            wall(), EventName.PROCESS_STARTED, self._board.identity.incarnation, detail=roles
+            wall(), EventName.PROCESS_STARTED, self.board.identity.incarnation, detail=roles
         )
-        host, port = split_address(self._settings.stream_listen or self._settings.stream)
-        self._server.listen(port, host)
-        self._client.connect()
-        for role in (self._control, self._agent, self._entry):
-            if role is not None:
-                role.start()
+        host, port = split_address(self.settings.stream_listen or self.settings.stream)
+        self.server.listen(port, host)
+        self.client.connect()
+        for role in self._roles:
+            role.start()
         self._leases.start()
 
     def stop(self) -> None:
         """Stop all roles and close all streams."""
-        self._events.record(wall(), EventName.PROCESS_STOPPED, self._board.identity.incarnation)
+        self._events.record(wall(), EventName.PROCESS_STOPPED, self.board.identity.incarnation)
         self._leases.stop()
-        for role in (self._entry, self._agent, self._control):
-            if role is not None:
-                role.stop()
-        self._server.stop()
-        self._peers.close()
+        for role in reversed(self._roles):
+            role.stop()
+        self.server.stop()
+        self.peers.close()
 
     def _report_member(self, now: float) -> MemberReport | None:
-        return self._agent.report_member(now) if self._agent is not None else None
+        reports = (role.report_member(now) for role in self._roles)
+        return next((report for report in reports if report is not None), None)
 
     def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
         match body:
             case ConsensusBatch():
-                if self._control is not None:
-                    self._control.handle_consensus(body)
+                for role in self._roles:
+                    role.handle_consensus(body)
             case ViewChanged():
                 self._leases.renew_now()
             case ReadMetrics():
-                connection.reply(call, MetricsReport(self._board.metrics.text()))
+                connection.reply(call, MetricsReport(self.board.metrics.text()))
             case ReadEvents(wanted):
                 report = EventReport(self._events.recent(wanted), self._events.dropped)
                 connection.reply(call, report)
             case _:
-                self._handle_role_body(connection, call, body)
-
-    def _handle_role_body(self, connection: StreamConnection, call: int, body: Body) -> None:
-        if self._control is not None and self._control.handle_call(connection, call, body):
-            return
-        if self._agent is not None and self._agent.handle_call(connection, call, body):
-            return
-        if self._entry is not None:
-            self._entry.handle_body(connection, body, connection.address)
+                any(role.handle_call(connection, call, body) for role in self._roles)
--- /dev/null
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -0,0 +1,199 @@
+"""One HTTP/1.1 connection to a direct target.
+
+tornado's connection class frames the messages on a stream that this module owns, so that a request
+is never sent a second time behind the gateway's back, and bytes that belong to no request are seen.
+"""
+
+import socket
+from asyncio import wait_for
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPInputError,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
+
+from jaylatch_core.settings import split_address
+from jaylatch_core.units import KIBIBYTE, MEBIBYTE
+
+HEADER_LIMIT = 32 * KIBIBYTE
+BODY_LIMIT = 16 * MEBIBYTE
+CHUNK_SIZE = 64 * KIBIBYTE
+STALE_ANSWERS_LIMIT = 2
+"""Answers to earlier requests that are skipped on a connection before it is given up."""
+
+_PARAMETERS = HTTP1ConnectionParameters(
+    max_header_size=HEADER_LIMIT, max_body_size=BODY_LIMIT, chunk_size=CHUNK_SIZE
+)
+
+
+@dataclass(frozen=True)
+class OutboundRequest:
+    """A request as it is sent. ``headers`` hold no framing; the connection adds it."""
+
+    method: str
+    target: str
+    headers: HTTPHeaders
+    body: bytes = b""
+
+
+@dataclass(frozen=True)
+class ResponseHead:
+    """Status line and headers of a response."""
+
+    status: int
+    reason: str
+    headers: HTTPHeaders
+
+
+class ExchangeFailed(Enum):
+    """Why an exchange has no whole answer. Only ``NOT_CONNECTED`` proves that nothing was sent."""
+
+    NOT_CONNECTED = "not_connected"
+    CLOSED = "closed"
+    MALFORMED = "malformed"
+    INCOMPLETE = "incomplete"
+
+
+class TargetStream(IOStream):
+    """A stream that tells whether bytes have been read that nobody asked for."""
+
+    @property
+    def has_unread(self) -> bool:
+        """Return whether received bytes wait in the buffer."""
+        return self._read_buffer_size > 0
+
+
+class Exchange(HTTPMessageDelegate):
+    """One response as it arrives. ``on_head`` says whether it answers the request at all."""
+
+    def __init__(
+        self, on_head: Callable[[ResponseHead], bool], on_data: Callable[[bytes], None]
+    ) -> None:
+        self.head: ResponseHead | None = None
+        self.is_whole = False
+        self.is_skipped = False
+        self._on_head = on_head
+        self._on_data = on_data
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        """Take the head of a response; an interim one is ignored."""
+        assert isinstance(start_line, ResponseStartLine)
+        if 100 <= start_line.code < 200:
+            return
+        head = ResponseHead(start_line.code, start_line.reason, headers)
+        self.is_skipped = not self._on_head(head)
+        if not self.is_skipped:
+            self.head = head
+
+    def data_received(self, chunk: bytes) -> None:
+        """Take a piece of the body."""
+        if not self.is_skipped:
+            self._on_data(chunk)
+
+    def finish(self) -> None:
+        """Note that the response has ended as its framing says."""
+        self.is_whole = True
+
+
+class TargetConnection:
+    """A connection that carries one request at a time."""
+
+    def __init__(self, stream: TargetStream) -> None:
+        self._stream = stream
+        self.idle_since = 0.0
+        self.usable_until = float("inf")
+        self.has_served = False
+
+    @classmethod
+    async def connect(cls, address: str, timeout: float) -> "TargetConnection | None":
+        """Return a new connection, or None if there is none within ``timeout`` seconds."""
+        raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream = TargetStream(raw, max_buffer_size=BODY_LIMIT)
+        try:
+            await wait_for(stream.connect(split_address(address)), timeout)
+        except (StreamClosedError, TimeoutError, OSError):
+            stream.close()
+            return None
+        except BaseException:
+            stream.close()
+            raise
+        return cls(stream)
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether the connection is open and no byte waits on it that nobody asked for."""
+        return not self._stream.closed() and not self._stream.has_unread
+
+    def close(self) -> None:
+        """Close the connection; an exchange under way ends as CLOSED or INCOMPLETE."""
+        self._stream.close()
+
+    def watch(self, on_close: Callable[[], None]) -> None:
+        """Call ``on_close`` when an idle connection ends."""
+        self._stream.set_close_callback(on_close)
+
+    def unwatch(self) -> None:
+        """Stop watching."""
+        self._stream.set_close_callback(None)
+
+    async def exchange(
+        self,
+        request: OutboundRequest,
+        on_head: Callable[[ResponseHead], bool],
+        on_data: Callable[[bytes], None],
+    ) -> ExchangeFailed | None:
+        """Send a request and read its response; returns None if the response came whole.
+
+        ``on_head`` returns False for a response that answers an earlier request; it is skipped.
+        """
+        self.has_served = True
+        headers = request.headers
+        if request.body or request.method not in ("GET", "HEAD", "DELETE"):
+            headers["Content-Length"] = str(len(request.body))
+        try:
+            connection = HTTP1Connection(self._stream, True, _PARAMETERS)
+            sent = connection.write_headers(
+                RequestStartLine(request.method, request.target, "HTTP/1.1"),
+                headers,
+                request.body or None,
+            )
+            sent.add_done_callback(lambda future: future.exception())
+            connection.finish()
+            for _ in range(STALE_ANSWERS_LIMIT):
+                exchange = Exchange(on_head, on_data)
+                await connection.read_response(exchange)
+                if not exchange.is_skipped:
+                    return self._judge(exchange)
+                if self._stream.closed():
+                    return ExchangeFailed.CLOSED
+        except StreamClosedError:
+            return ExchangeFailed.CLOSED
+        except (HTTPInputError, UnsatisfiableReadError, ValueError, UnicodeError):
+            self._stream.close()
+            return ExchangeFailed.MALFORMED
+        except BaseException:
+            self._stream.close()
+            raise
+        self._stream.close()
+        return ExchangeFailed.MALFORMED
+
+    def _judge(self, exchange: Exchange) -> ExchangeFailed | None:
+        if exchange.head is None:
+            return ExchangeFailed.MALFORMED
+        # A body without a length ends with its connection; after a reset it is not whole.
+        was_reset = self._stream.closed() and self._stream.error is not None
+        if not exchange.is_whole or was_reset:
+            return ExchangeFailed.INCOMPLETE
+        if exchange.head.headers.get("Connection", "").lower() == "close":
+            self._stream.close()
+        return None
--- /dev/null
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -0,0 +1,124 @@
+"""What a dialect translates between a platform's HTTP and the gateway's own types.
+
+A dialect only translates: it keeps no state and decides nothing.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from jaylatch_core.ids import AccountId, AttemptId, InstanceId
+from jaylatch_decisions.targets import EngineOrder
+from jaylatch_node.targets.connection import OutboundRequest, ResponseHead
+
+
+@dataclass
+class InboundRequest:
+    """A caller's request. ``time_left`` is the seconds that the caller will wait, if it says so.
+
+    ``model`` is None for a call of a plain service. ``resume_after`` is the id of the last event
+    that the caller has, where it resumes a stream.
+    """
+
+    attempt: AttemptId
+    method: str
+    target: str
+    host: str
+    headers: HTTPHeaders
+    body: bytes
+    time_left: float | None
+    key: str | None
+    model: str | None
+    resume_after: int | None
+
+    @property
+    def path(self) -> str:
+        """Return the path without its query."""
+        return self.target.partition("?")[0]
+
+
+@dataclass(frozen=True)
+class ResponseFacts:
+    """What a target's response head says beside the answer.
+
+    ``has_proof`` tells that it bears the target's signature. ``is_not_run`` is the target's promise
+    that it did not run the request and never will. ``busy`` is the number of requests that it runs
+    or holds, None if it does not say.
+    """
+
+    attempt: AttemptId | None
+    has_proof: bool
+    is_not_run: bool
+    busy: int | None
+    is_encoded: bool
+    keep_alive: float | None
+
+
+class RefusalKind(Enum):
+    """Why the gateway answers by itself. Only ``NOT_RUN`` promises that nothing ran."""
+
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+    BAD_REQUEST = "bad_request"
+    NOT_RUN = "not_run"
+    FAILED = "failed"
+    TIMED_OUT = "timed_out"
+
+
+@dataclass(frozen=True)
+class Refusal:
+    """The gateway's own answer. ``retry_after`` is seconds, 0 for no advice."""
+
+    kind: RefusalKind
+    reason: str
+    retry_after: float = 0.0
+
+
+class OrderOutcome(Enum):
+    """What became of an order to an engine."""
+
+    ACCEPTED = "accepted"
+    DONE = "done"
+    CONFLICT = "conflict"
+    FENCED = "fenced"
+    OTHER_INSTANCE = "other_instance"
+    INVALID = "invalid"
+    UNKNOWN = "unknown"
+
+
+class TargetDialect(Protocol):
+    """Translation of one platform's requests, responses and orders."""
+
+    def read_request(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes
+    ) -> InboundRequest | Refusal:
+        """Return the request that a caller sent, or why it cannot be used."""
+
+    def write_request(
+        self,
+        request: InboundRequest,
+        instance: InstanceId,
+        account: AccountId | None,
+        time_left: float,
+        resume_after: int | None,
+    ) -> OutboundRequest:
+        """Return the request as the target gets it."""
+
+    def read_response(self, head: ResponseHead) -> ResponseFacts:
+        """Return what a response head says."""
+
+    def write_refusal(
+        self, refusal: Refusal, attempt: AttemptId | None
+    ) -> tuple[int, str, HTTPHeaders, bytes]:
+        """Return status, reason phrase, headers and body of the gateway's own answer."""
+
+    def write_answer_headers(self, head: ResponseHead) -> HTTPHeaders:
+        """Return the headers with which a target's answer goes to the caller."""
+
+    def write_order(self, order: EngineOrder, instance: InstanceId, fence: int) -> OutboundRequest:
+        """Return the request that gives ``order`` to an engine."""
+
+    def read_order_outcome(self, head: ResponseHead) -> OrderOutcome:
+        """Return what an engine's answer to an order says."""
