Find a lost member by probes that silent streams ask for; keep the registry on every control instance

Ruled out: shorter silence limits, since heartbeats come each 1.2 s. Change: gateways report a silent head; the leader probes the group's members; check-ins are passed on to all control instances. Spares are chosen by the model that they hold, groups by share of servers.

--- a/packages/core/src/jaylatch_core/configuration.py
+++ b/packages/core/src/jaylatch_core/configuration.py
@@ -23,7 +23,8 @@
 class ModelSpecification(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """A model deployment. ``groups`` is the wanted number of copies (0: as many as fit).
 
-    Where several models compete for instances, each gets groups in proportion to its ``share``.
+    Where several models compete for instances, the number of groups
+    of each is in proportion to its ``share``.
     """
 
     name: str
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -59,6 +59,7 @@
     DeploymentReport,
     PublishDeployment,
     ReadDeployment,
+    SuspectTarget,
     TargetAcknowledged,
     TargetCheckIn,
     TargetDeparture,
@@ -111,6 +112,7 @@
     | MetricsReport
     | TargetCheckIn
     | TargetDeparture
+    | SuspectTarget
     | TargetAcknowledged
     | PublishDeployment
     | ReadDeployment
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -31,14 +31,15 @@
     """A heartbeat of a direct target.
 
     ``born_at`` is the wall-clock millisecond of its start and names the incarnation; ``sequence``
-    grows with each heartbeat of an incarnation, so that a late one is known. ``failure_domain`` is
-    the fabric domain where it has one. ``staged_models`` lie on its host and load in a short time.
+    grows with each heartbeat of an incarnation, so that a late one is known. Only instances of one
+    ``fabric_domain`` form a group. ``staged_models`` lie on its host and load in a short time.
     """
 
     instance: InstanceId
     service: str
     address: str
     failure_domain: FailureDomainId
+    fabric_domain: FailureDomainId
     born_at: int
     sequence: int
     is_draining: bool
@@ -60,6 +61,12 @@
     instance: InstanceId
 
 
+class SuspectTarget(msgspec.Struct, frozen=True, tag=True):
+    """A gateway hears nothing from the head of a group, or cannot connect to a target."""
+
+    instance: InstanceId
+
+
 class PublishDeployment(msgspec.Struct, frozen=True, tag=True):
     """Puts a deployment in force if its number is the highest so far.
 
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -135,7 +135,7 @@
         if not profiles:
             return self.configuration
         models = tuple(
-            ModelSpecification(model.name, model.size, 0, model.share * model.pace)
+            ModelSpecification(model.name, model.size, 0, model.share / model.size)
             for model in profiles
         )
         return msgspec.structs.replace(
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -14,6 +14,7 @@
     ``unusable_for`` is the number of seconds since it was. ``epoch`` is the one it last reported
     (0: in no group). ``is_settled``: no earlier order can still reach its engine.
     ``draining_epoch``: the epoch under which it knows that it must start no new work.
+    ``staged_models`` lie on its host, so that it joins a group of one of them in a short time.
     """
 
     instance: InstanceId
@@ -26,6 +27,7 @@
     is_settled: bool = True
     draining_epoch: Epoch = Epoch(0)
     unusable_for: float = 0.0
+    staged_models: tuple[str, ...] = ()
 
 
 class PlanInput(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -82,9 +82,7 @@
         """Form wanted groups, evenly over models and domains, leaving the spares that are kept."""
         while (choice := self._next_to_form()) is not None:
             model, domain = choice
-            free = self._free[domain]
-            members = tuple(free[: model.instances_per_group])
-            del free[: model.instances_per_group]
+            members = tuple(self._take_free(domain, model.name, model.instances_per_group))
             self._count(model.name, domain, 1)
             self.commands.append(FormGroup(model.name, members))
 
@@ -113,7 +111,7 @@
         free = self._free[self._domain_of(group)]
         if not staying or len(free) < len(leaving):
             return False
-        joining = [free.pop(0) for _ in leaving]
+        joining = self._take_free(self._domain_of(group), group.model, len(leaving))
         self.commands.append(RepairGroup(group.id, group.epoch, tuple(staying + joining)))
         return True
 
@@ -174,6 +172,19 @@
     def _fits(self, model: ModelSpecification, domain: FailureDomainId) -> bool:
         return len(self._free[domain]) >= self._needed(model, self._groups_in[domain] > 0)
 
+    def _take_free(self, domain: FailureDomainId, model: str, count: int) -> list[InstanceId]:
+        """Take free instances, first those that hold the model, last those that hold another."""
+        free = self._free[domain]
+        taken = sorted(free, key=lambda item: self._staging_rank(item, model))[:count]
+        self._free[domain] = [item for item in free if item not in taken]
+        return taken
+
+    def _staging_rank(self, instance: InstanceId, model: str) -> int:
+        staged = self._known[instance].staged_models
+        if model in staged:
+            return 0
+        return 2 if staged else 1
+
     def _needed(self, model: ModelSpecification, has_group: bool) -> int:
         """Return how many free instances a new group takes, counting those to be kept free."""
         # A spare protects the groups of its domain; where there is none, it is of no use.
--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -81,6 +81,19 @@
     return max(STALL_GAPS * route.event_gap, LEAST_STALL)
 
 
+SUSPICION_GAPS = 1.0
+"""Longest pauses that are still in time after which a silent stream is reported to control."""
+SUSPICION_OBJECTIVES = 1.5
+"""Latency objectives without an answer after which a target is reported to control."""
+
+
+def suspicion_timeout(route: RouteSpecification, has_started: bool) -> float:
+    """Return the seconds of silence after which control should look at the target."""
+    if has_started:
+        return SUSPICION_GAPS * route.event_gap
+    return SUSPICION_OBJECTIVES * route.objective
+
+
 FIRST_ANSWER_OBJECTIVES = 3.0
 """Latency objectives for which a first answer may take: by then its benefit is long reduced."""
 LEAST_FIRST_ANSWER = 0.8
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -16,21 +16,33 @@
     """The newest heartbeat of a target.
 
     ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves.
+    ``is_lost`` tells that it has not answered a probe since.
     """
 
     check_in: TargetCheckIn
     heard_at: float
     draining_since: float | None = None
+    is_lost: bool = False
 
 
 class TargetRegistry:
-    """All targets that have reported to this leader. ``silence`` ends a target's usability."""
+    """All targets that have reported to control.
 
-    def __init__(self, silence: float) -> None:
+    ``silence`` ends a target's usability. Every control instance keeps a registry, so that a new
+    leader knows the targets at once; one that has just started knows them after ``silence``.
+    """
+
+    def __init__(self, silence: float, started_at: float) -> None:
         self._silence = silence
+        self._complete_at = started_at + silence
         self._records: dict[InstanceId, TargetRecord] = {}
         self._departed: dict[InstanceId, int] = {}
 
+    @property
+    def complete_at(self) -> float:
+        """Return the time from which a target that is not known surely does not report."""
+        return self._complete_at
+
     def record(self, instance: InstanceId) -> TargetRecord | None:
         """Return the record of ``instance``, or None."""
         return self._records.get(instance)
@@ -61,7 +73,18 @@
     def is_usable(self, now: float, instance: InstanceId) -> bool:
         """Return whether ``instance`` was heard of late."""
         record = self._records.get(instance)
-        return record is not None and now < record.heard_at + self._silence
+        return record is not None and not record.is_lost and now < record.heard_at + self._silence
+
+    def mark_lost(self, instance: InstanceId, asked_at: float) -> bool:
+        """Count a target as lost that did not answer a probe sent at ``asked_at``.
+
+        Returns False if it has reported since, which ends the mark.
+        """
+        record = self._records.get(instance)
+        if record is None or record.heard_at >= asked_at:
+            return False
+        record.is_lost = True
+        return True
 
     def forget_silent(self, now: float, retention: float) -> None:
         """Drop the targets that have been silent for ``retention`` seconds."""
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -1,5 +1,6 @@
 """Duties of the control leader: leases, the view, the plan, preset switches and the measures."""
 
+import logging
 from asyncio import create_task
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
@@ -21,12 +22,7 @@
     View,
     ViewChanged,
 )
-from jaylatch_core.messages.targets import (
-    DeploymentReport,
-    TargetAcknowledged,
-    TargetCheckIn,
-    TargetDeparture,
-)
+from jaylatch_core.messages.targets import DeploymentReport
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.groups import (
@@ -49,6 +45,8 @@
 VIEW_VERSIONS_PER_TERM = 1 << 32
 NO_VIEW = 0
 
+_log = logging.getLogger("jaylatch.control")
+
 Proposer = Callable[[ControlCommand], Awaitable[object]]
 
 
@@ -81,10 +79,10 @@
         self._targets = targets
         self._leases = LeaseTable(settings.duration, settings.drift, now)
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
-        # At the first start there is no group that a hasty plan could break.
-        first_plan = self._suspect_after if not state.groups else 2 * self._suspect_after
-        self._plan_from = now + first_plan
+        self._plan_from = now + 2 * self._suspect_after
         self._view_from = now + self._suspect_after
+        if targets is not None:
+            self._plan_from = self._view_from = targets.plan_from
         self._renewed_at: dict[InstanceId, float] = {}
         self._usable_at: dict[InstanceId, float] = {}
         self._retiring: frozenset[GroupId] = frozenset()
@@ -117,17 +115,15 @@
             None if renewal.deployment == self._state.deployment.number else self._state.deployment,
         )
 
-    def check_in(self, now: float, body: TargetCheckIn | TargetDeparture) -> TargetAcknowledged:
-        """Take what a direct target says of itself into account."""
+    def follow_targets(self, now: float) -> None:
+        """Act at once on what the registry of direct targets has just learnt."""
+        self._refresh_view(now)
+        self._announce_changes()
+
+    def suspect(self, now: float, instance: InstanceId) -> None:
+        """Find out whether a direct target, or a member of its group, is lost."""
         if self._targets is not None:
-            match body:
-                case TargetCheckIn():
-                    self._targets.check_in(now, body)
-                case TargetDeparture():
-                    self._targets.depart(body)
-            self._refresh_view(now)
-            self._announce_changes()
-        return TargetAcknowledged(body.instance)
+            self._targets.suspect(now, instance, self._state.groups.values())
 
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
@@ -213,6 +209,8 @@
             )
         if (groups, services) != (self._view.groups, self._view.services):
             self._view = View(self._view.version + 1, groups, services)
+            names = [f"{route.group}@{route.epoch}" for route in groups]
+            _log.info("view", extra={"version": self._view.version, "groups": names})
 
     def _admitting_groups(self) -> list[Group]:
         return [group for group in self._state.groups.values() if not self._is_draining(group)]
@@ -396,6 +394,7 @@
         try:
             for command in commands:
                 await self._propose(command)
+                _log.info("plan", extra={"command": repr(command)})
                 subject = str(getattr(command, "group", getattr(command, "members", "")))
                 name = EventName(f"plan.{type(command).__name__}")
                 self._board.events.record(wall(), name, subject)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -31,6 +31,8 @@
 from jaylatch_core.messages.targets import (
     PublishDeployment,
     ReadDeployment,
+    SuspectTarget,
+    TargetAcknowledged,
     TargetCheckIn,
     TargetDeparture,
 )
@@ -39,13 +41,15 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
+from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, journal_log
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
-from jaylatch_node.control.targets import OrderSender, TargetController
+from jaylatch_node.control.targets import TargetController
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
+from jaylatch_node.targets.orders import EngineOrders
 
 LEADER_TICK = 0.1
 TICKS_PER_HEARTBEAT = 2
@@ -63,9 +67,10 @@
         settings: NodeSettings,
         board: Blackboard,
         peers: PeerPool,
-        send_order: OrderSender | None = None,
+        engines: EngineOrders | None = None,
     ) -> None:
-        self._send_order = send_order
+        self._engines = engines
+        self._registry = TargetRegistry(settings.control.target_silence, monotonic())
         self._settings = settings
         self._board = board
         self._peers = peers
@@ -120,7 +125,9 @@
             case ReadHistory():
                 connection.reply(call, self._history())
             case TargetCheckIn() | TargetDeparture():
-                connection.reply(call, self._check_in(body))
+                self._check_in(connection, call, body)
+            case SuspectTarget():
+                connection.reply(call, self._suspect(body))
             case ReadDeployment():
                 connection.reply(call, self._deployment())
             case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
@@ -212,10 +219,37 @@
         leader = self._current_leader(monotonic())
         return leader.history() if isinstance(leader, LeaderController) else leader
 
-    def _check_in(self, body: TargetCheckIn | TargetDeparture) -> Body:
+    def _check_in(
+        self, connection: StreamConnection, call: int, body: TargetCheckIn | TargetDeparture
+    ) -> None:
+        """Take what a target says; the leader passes it on to the other control instances.
+
+        A message that expects no reply has been passed on by the leader.
+        """
         now = monotonic()
         leader = self._current_leader(now)
-        return leader.check_in(now, body) if isinstance(leader, LeaderController) else leader
+        if call and not isinstance(leader, LeaderController):
+            connection.reply(call, leader)
+            return
+        match body:
+            case TargetCheckIn():
+                self._registry.check_in(now, body)
+            case TargetDeparture():
+                self._registry.depart(body.instance)
+        if call and isinstance(leader, LeaderController):
+            leader.follow_targets(now)
+            for peer in self._control.voters:
+                if peer != self._board.identity.instance and peer in self._addresses:
+                    self._peers.get(self._addresses[peer]).send(body)
+            connection.reply(call, TargetAcknowledged(body.instance))
+
+    def _suspect(self, body: SuspectTarget) -> Body:
+        now = monotonic()
+        leader = self._current_leader(now)
+        if not isinstance(leader, LeaderController):
+            return leader
+        leader.suspect(now, body.instance)
+        return TargetAcknowledged(body.instance)
 
     def _deployment(self) -> Body:
         leader = self._current_leader(monotonic())
@@ -249,11 +283,16 @@
         self._leader.tick(now)
 
     def _make_targets(self, now: float) -> TargetController | None:
-        if self._send_order is None:
+        if self._engines is None:
             return None
-        has_served = bool(self._state.groups)
-        silence = self._settings.control.target_silence
-        return TargetController(silence, self._control.term, self._send_order, has_served, now)
+        return TargetController(
+            self._registry,
+            self._control.term,
+            self._engines.send,
+            self._engines.probe,
+            bool(self._state.groups),
+            now,
+        )
 
     def _apply_initial_configuration(self) -> None:
         path = self._settings.control.initial_configuration
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -8,7 +8,7 @@
 from jaylatch_core.ids import Epoch, InstanceId
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
-from jaylatch_core.messages.targets import MemberState, TargetCheckIn, TargetDeparture
+from jaylatch_core.messages.targets import MemberState
 from jaylatch_decisions.groups import InstanceFacts
 from jaylatch_decisions.targets import (
     EngineOrder,
@@ -29,9 +29,18 @@
 DRAIN_TIME = 1.6
 """Seconds for which the streams of a group with a leaving member may end before it is regrouped:
 an answer takes about as long, and the member stays for two seconds at least."""
+FIRST_PLAN = 1.6
+"""Seconds from the first leadership until groups are formed: a heartbeat interval of the platforms
+of today and a margin. A hasty plan breaks no group, since there is none."""
 RECORD_RETENTION = 60.0
 """Seconds after which a silent target is forgotten."""
 
+PROBE_INTERVAL = 0.4
+"""Seconds between two rounds of probes of one group; a probe is priced."""
+PROBE_TRIES = 2
+"""Probes that a target must miss to count as lost, so that one lost packet is not a loss."""
+
+TargetProber = Callable[[TargetRecord], Awaitable[bool]]
 OrderSender = Callable[[TargetRecord, EngineOrder, int], Awaitable[OrderOutcome]]
 
 _log = logging.getLogger("jaylatch.targets")
@@ -41,9 +50,19 @@
     """Exists for one term of leadership; ``fence`` marks its orders as the newest."""
 
     def __init__(
-        self, silence: float, fence: int, send: OrderSender, has_served: bool, now: float
+        self,
+        registry: TargetRegistry,
+        fence: int,
+        send: OrderSender,
+        probe: TargetProber,
+        has_served: bool,
+        now: float,
     ) -> None:
-        self._registry = TargetRegistry(silence)
+        self._registry = registry
+        self._probe = probe
+        self._probed_at: dict[InstanceId, float] = {}
+        self._staging: dict[InstanceId, tuple[str, float]] = {}
+        self._has_served = has_served
         self._fence = fence
         self._send = send
         self._deployment: Deployment | None = None
@@ -52,14 +71,21 @@
         self._in_flight: set[InstanceId] = set()
         self._loads = LoadBudget(now, is_first_start=not has_served)
         self._is_fenced = False
+        self._started_at = now
 
-    def check_in(self, now: float, check_in: TargetCheckIn) -> None:
-        """Take a heartbeat of a target."""
-        self._registry.check_in(now, check_in)
+    @property
+    def plan_from(self) -> float:
+        """Return the time from which the targets are known well enough to regroup them."""
+        return self._registry.complete_at if self._has_served else self._started_at + FIRST_PLAN
 
-    def depart(self, departure: TargetDeparture) -> None:
-        """Take a target's word that it ends."""
-        self._registry.depart(departure.instance)
+    def suspect(self, now: float, instance: InstanceId, groups: Iterable[Group]) -> None:
+        """Probe the target that a gateway suspects, and the members of the group that it heads."""
+        group = next((item for item in groups if item.head == instance), None)
+        members = group.members if group is not None else (instance,)
+        for member in members:
+            if now >= self._probed_at.get(member, 0.0) + PROBE_INTERVAL:
+                self._probed_at[member] = now
+                create_task(self._probe_target(now, member))
 
     def follow(self, deployment: Deployment) -> None:
         """Use the services of ``deployment`` from now on."""
@@ -149,13 +175,15 @@
         engines = self._engine_states(now)
         orders: dict[InstanceId, EngineOrder] = dict(plan_orders(groups, engines))
         domains = {
-            record.check_in.instance: record.check_in.failure_domain
+            record.check_in.instance: record.check_in.fabric_domain
             for record in self._registry.all()
         }
-        staging = plan_staging(groups, engines, domains)
+        staging = plan_staging(groups, self._with_staging(now, engines), domains)
         for instance, order in {**staging, **orders}.items():
             if self._is_due(now, instance, order) and self._may_load(now, instance, order):
                 self._ordered[instance] = (order, now)
+                if isinstance(order, StageModel):
+                    self._staging[instance] = (order.model, now)
                 self._in_flight.add(instance)
                 create_task(self._give(instance, order))
 
@@ -169,7 +197,7 @@
         is_serving = membership is not None and membership.state is MemberState.OPEN
         return InstanceFacts(
             check_in.instance,
-            check_in.failure_domain,
+            check_in.fabric_domain,
             self._registry.is_usable(now, check_in.instance),
             record.draining_since is not None,
             membership.epoch if membership is not None else Epoch(0),
@@ -177,6 +205,7 @@
             0,
             draining_epoch=leaving.get(check_in.instance, Epoch(0)),
             unusable_for=max(now - record.heard_at, 0.0),
+            staged_models=check_in.staged_models,
         )
 
     def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
@@ -214,6 +243,20 @@
             return True
         return head.state is MemberState.OPEN and not is_whole(group, engines)
 
+    def _with_staging(
+        self, now: float, engines: dict[InstanceId, EngineState]
+    ) -> dict[InstanceId, EngineState]:
+        """Count a model that is being staged as staged already."""
+        states = dict(engines)
+        for instance, (model, ordered_at) in list(self._staging.items()):
+            state = engines.get(instance)
+            if state is None or model in state.staged_models:
+                del self._staging[instance]
+            elif now < ordered_at + STAGING_RETRY:
+                staged = (*state.staged_models, model)
+                states[instance] = EngineState(instance, state.membership, staged)
+        return states
+
     # Orders
 
     def _is_due(self, now: float, instance: InstanceId, order: EngineOrder) -> bool:
@@ -235,6 +278,14 @@
         engine = self._engines[record.check_in.service]
         return self._loads.take(now, engine.load_rate)
 
+    async def _probe_target(self, asked_at: float, instance: InstanceId) -> None:
+        for _ in range(PROBE_TRIES):
+            record = self._registry.record(instance)
+            if record is None or await self._probe(record):
+                return
+        is_lost = self._registry.mark_lost(instance, asked_at)
+        _log.info("probe", extra={"target": instance, "outcome": "lost" if is_lost else "heard"})
+
     async def _give(self, instance: InstanceId, order: EngineOrder) -> None:
         record = self._registry.record(instance)
         try:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -1,16 +1,18 @@
 """One request's way to targets: sends it, reads the answer, and passes on what is whole."""
 
 from asyncio import TimerHandle, get_running_loop
+from collections.abc import Callable
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
-from jaylatch_core.ids import AccountId
+from jaylatch_core.ids import AccountId, InstanceId
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
 from jaylatch_decisions.targets.attempts import (
     AttemptOutcome,
     first_answer_timeout,
     stall_timeout,
+    suspicion_timeout,
 )
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.targets import (
@@ -23,6 +25,9 @@
     TargetPool,
 )
 
+SuspicionHandler = Callable[[InstanceId], None]
+"""Called with a target that has been silent for longer than it should."""
+
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
 
@@ -37,7 +42,9 @@
         route: RouteSpecification,
         dialect: TargetDialect,
         pool: TargetPool,
+        suspect: SuspicionHandler,
     ) -> None:
+        self._suspect = suspect
         self._request = request
         self._caller = caller
         self._route = route
@@ -52,6 +59,7 @@
         self._is_spoiled = False
         self._progress_at = 0.0
         self._stalled = False
+        self._watch: _SilenceWatch | None = None
 
     async def send(
         self,
@@ -70,18 +78,24 @@
         connection = self._pool.take(now, address) or await self._pool.connect(address)
         if connection is None:
             target.record_failure(monotonic())
+            self._suspect(target.instance)
             return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
             self._request, target.instance, account, deadline - monotonic(), resume_after
         )
-        watch = self._watch(connection) if may_give_up and self._route.may_repeat else None
+        watch = None
+        if self._route.kind is RequestKind.STREAM:
+            may_leave = may_give_up and self._route.may_repeat
+            watch = _SilenceWatch(self, connection, target.instance, may_leave)
+            self._watch = watch
         try:
             failure = await connection.exchange(outbound, self._take_head, self._take_data)
         except BaseException:
             connection.close()
             raise
         finally:
+            self._watch = None
             if watch is not None:
                 watch.cancel()
         return self._judge(address, connection, target, failure)
@@ -190,15 +204,28 @@
 
     # Silence
 
-    def _watch(self, connection: TargetConnection) -> "_SilenceWatch":
-        return _SilenceWatch(self, connection)
+    def leave(self) -> None:
+        """Leave the present target for another one, if the request may be repeated."""
+        if self._watch is not None:
+            self._watch.leave()
+
+    def silence(self, now: float) -> float:
+        """Return the seconds since the last progress."""
+        return now - self._progress_at
+
+    def suspicion_limit(self) -> float:
+        """Return the seconds of silence after which the target is reported."""
+        return suspicion_timeout(self._route, self._is_stream and self._caller.has_started)
 
-    def silence(self, now: float) -> tuple[float, float]:
-        """Return the seconds since the last progress, and after how many it is given up."""
-        limit = first_answer_timeout(self._route)
+    def patience(self) -> float:
+        """Return the seconds of silence after which the target is left for another one."""
         if self._is_stream and self._caller.has_started:
-            limit = stall_timeout(self._route)
-        return now - self._progress_at, limit
+            return stall_timeout(self._route)
+        return first_answer_timeout(self._route)
+
+    def report(self, instance: InstanceId) -> None:
+        """Tell control that a target is silent."""
+        self._suspect(instance)
 
     def stall(self) -> None:
         """Note that the target was given up because it was silent."""
@@ -206,22 +233,43 @@
 
 
 class _SilenceWatch:
-    """Closes a connection on which nothing has come for too long."""
+    """Reports a target on whose connection nothing comes, and later closes the connection."""
 
-    def __init__(self, attempt: Attempt, connection: TargetConnection) -> None:
+    def __init__(
+        self, attempt: Attempt, connection: TargetConnection, instance: InstanceId, may_leave: bool
+    ) -> None:
         self._attempt = attempt
         self._connection = connection
+        self._instance = instance
+        self._may_leave = may_leave
+        self._is_reported = False
         self._timer: TimerHandle
         self._check()
 
     def cancel(self) -> None:
         """Stop watching."""
+        self._may_leave = False
         self._timer.cancel()
 
-    def _check(self) -> None:
-        silent, limit = self._attempt.silence(monotonic())
-        if silent >= limit:
+    def leave(self) -> None:
+        """End the exchange, so that the request goes on elsewhere."""
+        if self._may_leave:
             self._attempt.stall()
             self._connection.close()
+
+    def _check(self) -> None:
+        silent = self._attempt.silence(monotonic())
+        patience = self._attempt.patience()
+        suspicion = self._attempt.suspicion_limit()
+        if silent >= patience and self._may_leave:
+            self.leave()
             return
-        self._timer = get_running_loop().call_later(limit - silent, self._check)
+        if silent < suspicion:
+            self._is_reported = False
+            wait = suspicion - silent
+        else:
+            if not self._is_reported:
+                self._is_reported = True
+                self._attempt.report(self._instance)
+            wait = max(patience - silent, suspicion)
+        self._timer = get_running_loop().call_later(wait, self._check)
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -29,13 +29,19 @@
         """Return the addresses of all targets."""
         return {target.address for target in self._targets.values()}
 
-    def follow(self, view: View) -> bool:
-        """Take the targets of ``view``; returns False if they are known already.
+    def follow(self, view: View) -> set[InstanceId]:
+        """Take the targets of ``view``; returns the heads of groups that serve no more.
 
         What is known of the load of a target stays while its address does.
         """
         if view is self._view:
-            return False
+            return set()
+        serving = {(route.head, route.epoch) for route in view.groups}
+        gone = {
+            route.head
+            for route in (self._view.groups if self._view is not None else ())
+            if (route.head, route.epoch) not in serving
+        }
         self._view = view
         old, self._targets = self._targets, {}
         self._by_service, self._by_model = {}, {}
@@ -49,7 +55,7 @@
                 load = TargetLoad(service.instance, service.slots, service.failure_domain)
                 known = self._add(old, service.address, load)
                 self._by_service.setdefault(service.service, []).append(known.load)
-        return True
+        return gone
 
     def candidates(self, service: str, model: str | None) -> list[TargetLoad]:
         """Return the targets that can serve a request."""
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -5,6 +5,7 @@
 
 import logging
 from asyncio import CancelledError, get_running_loop, timeout_at
+from collections import defaultdict
 from dataclasses import dataclass, field
 from random import Random
 
@@ -23,7 +24,7 @@
     record_outcome,
 )
 from jaylatch_node.blackboard import Blackboard
-from jaylatch_node.gateway.attempt import Attempt
+from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -77,7 +78,10 @@
         repeat_ratio: float,
         metrics: GatewayMetrics,
         random: Random,
+        suspect: SuspicionHandler,
     ) -> None:
+        self._suspect = suspect
+        self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
         self._board = board
         self._dialect = dialect
         self._directory = directory
@@ -92,6 +96,12 @@
         """Use the routes and keys of the granted deployment."""
         self._table = RouteTable(self._board.grant.deployment)
 
+    def leave_targets(self, gone: set[InstanceId]) -> None:
+        """Take the requests that may be repeated away from targets that serve no more."""
+        for instance in gone:
+            for attempt in tuple(self._attempts.pop(instance, ())):
+                attempt.leave()
+
     async def handle(
         self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
     ) -> None:
@@ -136,7 +146,9 @@
 
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or given up."""
-        attempt = Attempt(job.request, job.caller, job.route, self._dialect, self._pool)
+        attempt = Attempt(
+            job.request, job.caller, job.route, self._dialect, self._pool, self._suspect
+        )
         while True:
             target = self._choose(job)
             if target is None:
@@ -163,6 +175,8 @@
     async def _send(self, job: Job, attempt: Attempt, target: TargetLoad) -> AttemptOutcome | None:
         job.tried.add(target.instance)
         target.own += 1
+        running = self._attempts[target.instance]
+        running.add(attempt)
         try:
             return await attempt.send(
                 self._directory.address(target.instance),
@@ -173,6 +187,7 @@
             )
         finally:
             target.own -= 1
+            running.discard(attempt)
 
     def _choose(self, job: Job) -> TargetLoad | None:
         service = self._choose_service(job)
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -1,6 +1,6 @@
 """The gateway role of a process."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
 from random import Random
 
 from tornado.httpserver import HTTPServer
@@ -9,9 +9,12 @@
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.deployment import ConnectionLimits, Deployment
 from jaylatch_core.event_names import EventName
+from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings, split_address
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.forwarder import Forwarder
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -25,6 +28,10 @@
 GRACE_MARGIN = 0.4
 """Seconds before the end of the grace at which what is left is cut."""
 DRAIN_POLL = 0.05
+SUSPICION_INTERVAL = 0.4
+"""Seconds between two reports of one target by this process."""
+SUSPICION_TIMEOUT = 1.0
+"""Seconds after which a report of a target is no longer worth sending."""
 
 READY = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
 NOT_READY = b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
@@ -33,7 +40,15 @@
 class GatewayRole(NodeRole):
     """Wires the gateway together and drains it."""
 
-    def __init__(self, settings: NodeSettings, board: Blackboard, dialect: TargetDialect) -> None:
+    def __init__(
+        self,
+        settings: NodeSettings,
+        board: Blackboard,
+        client: ControlClient,
+        dialect: TargetDialect,
+    ) -> None:
+        self._client = client
+        self._suspected_at: dict[InstanceId, float] = {}
         self._settings = settings.gateway
         self._board = board
         self._directory = TargetDirectory()
@@ -48,6 +63,7 @@
             self._settings.repeat_ratio,
             GatewayMetrics(board.metrics),
             Random(board.identity.incarnation),
+            self._suspect,
         )
         self._deployment: Deployment = board.grant.deployment
         self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
@@ -87,8 +103,17 @@
         if grant.deployment is not self._deployment:
             self._deployment = grant.deployment
             self._forwarder.follow_deployment()
-        if self._directory.follow(grant.view):
-            self._pool.keep(self._directory.addresses)
+        gone = self._directory.follow(grant.view)
+        if gone:
+            self._forwarder.leave_targets(gone)
+        self._pool.keep(self._directory.addresses)
+
+    def _suspect(self, instance: InstanceId) -> None:
+        """Tell the control leader of a silent target, not more often than it looks."""
+        now = monotonic()
+        if now >= self._suspected_at.get(instance, 0.0) + SUSPICION_INTERVAL:
+            self._suspected_at[instance] = now
+            create_task(self._client.call(CONTROL_LOG, SuspectTarget(instance), SUSPICION_TIMEOUT))
 
     def _answer_readiness(self, request: HTTPServerRequest) -> None:
         connection = request.connection
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -120,5 +120,8 @@
     def write_order(self, order: EngineOrder, instance: InstanceId, fence: int) -> OutboundRequest:
         """Return the request that gives ``order`` to an engine."""
 
+    def write_probe(self, instance: InstanceId) -> OutboundRequest:
+        """Return the request that asks a target for a sign of life."""
+
     def read_order_outcome(self, head: ResponseHead) -> OrderOutcome:
         """Return what an engine's answer to an order says."""
--- a/packages/node/src/jaylatch_node/targets/orders.py
+++ b/packages/node/src/jaylatch_node/targets/orders.py
@@ -1,15 +1,18 @@
-"""Gives orders to the engines of direct targets."""
+"""Gives orders to the engines of direct targets, and asks them for signs of life."""
 
 from asyncio import timeout
 
 from jaylatch_core.clock import monotonic
 from jaylatch_decisions.targets import EngineOrder, TargetRecord
-from jaylatch_node.targets.connection import ExchangeFailed, ResponseHead
+from jaylatch_node.targets.connection import OutboundRequest, ResponseHead
 from jaylatch_node.targets.dialect import OrderOutcome, TargetDialect
 from jaylatch_node.targets.pool import TargetPool
 
 ORDER_TIMEOUT = 1.0
 """Seconds after which the fate of an order is unknown; the target's reports show it."""
+PROBE_TIMEOUT = 0.2
+"""Seconds for a sign of life: links take milliseconds, and a report waits for no other work."""
+SUCCESS = 200
 
 
 class EngineOrders:
@@ -23,6 +26,24 @@
         """Give ``order``; returns what the engine answered, UNKNOWN if it did not."""
         check_in = record.check_in
         request = self._dialect.write_order(order, check_in.instance, fence)
+        head = await self._exchange(check_in.address, request, ORDER_TIMEOUT)
+        return OrderOutcome.UNKNOWN if head is None else self._dialect.read_order_outcome(head)
+
+    async def probe(self, record: TargetRecord) -> bool:
+        """Return whether the target, and no other one, answers at its address."""
+        check_in = record.check_in
+        request = self._dialect.write_probe(check_in.instance)
+        head = await self._exchange(check_in.address, request, PROBE_TIMEOUT)
+        return head is not None and head.status == SUCCESS
+
+    def close(self) -> None:
+        """Close all connections."""
+        self._pool.close()
+
+    async def _exchange(
+        self, address: str, request: OutboundRequest, limit: float
+    ) -> ResponseHead | None:
+        """Return the head of a whole answer that comes within ``limit`` seconds, else None."""
         heads: list[ResponseHead] = []
 
         def take_head(head: ResponseHead) -> bool:
@@ -30,23 +51,16 @@
             return True
 
         try:
-            async with timeout(ORDER_TIMEOUT):
-                address = check_in.address
+            async with timeout(limit):
                 connection = self._pool.take(monotonic(), address)
                 connection = connection or await self._pool.connect(address)
                 if connection is None:
-                    return OrderOutcome.UNKNOWN
-                failure: ExchangeFailed | None = await connection.exchange(
-                    request, take_head, lambda data: None
-                )
+                    return None
+                failure = await connection.exchange(request, take_head, lambda data: None)
         except TimeoutError:
-            return OrderOutcome.UNKNOWN
+            return None
         if failure is not None or not heads:
             connection.close()
-            return OrderOutcome.UNKNOWN
+            return None
         self._pool.give_back(monotonic(), address, connection, None)
-        return self._dialect.read_order_outcome(heads[0])
-
-    def close(self) -> None:
-        """Close all connections."""
-        self._pool.close()
+        return heads[0]
