Join groups only by hosts that hold the model; stage what is lacking ahead of its use

Change: the planner takes warm instances only (once a group has served), waits half a second for others to appear, and plan_staging says what free instances load.

--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -5,6 +5,7 @@
 from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
 from jaylatch_decisions.groups.planner import plan_groups
 from jaylatch_decisions.groups.retirement import retiring_groups
+from jaylatch_decisions.groups.staging import plan_staging
 
 __all__ = [
     "InstanceFacts",
@@ -15,5 +16,6 @@
     "PlanInput",
     "grant_permits",
     "plan_groups",
+    "plan_staging",
     "retiring_groups",
 ]
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -14,7 +14,9 @@
     ``unusable_for`` is the number of seconds since it was. ``epoch`` is the one it last reported
     (0: in no group). ``is_settled``: no earlier order can still reach its engine.
     ``draining_epoch``: the epoch under which it knows that it must start no new work.
-    ``staged_models`` lie on its host, so that it joins a group of one of them in a short time.
+    ``staged_models`` lie on its host, so that it joins a group of one of them in a short time; None
+    where that makes no difference or is not known. ``staging_model`` is the one that it loads on to
+    its host at present, ``known_for`` the seconds since it appeared.
     """
 
     instance: InstanceId
@@ -27,14 +29,20 @@
     is_settled: bool = True
     draining_epoch: Epoch = Epoch(0)
     unusable_for: float = 0.0
-    staged_models: tuple[str, ...] = ()
+    staged_models: tuple[str, ...] | None = None
+    staging_model: str = ""
+    known_for: float = 3600.0
 
 
 class PlanInput(msgspec.Struct, frozen=True):
-    """Everything the planner decides by."""
+    """Everything the planner decides by.
+
+    ``may_join_cold`` tells that instances may join groups of models that their hosts do not hold.
+    """
 
     configuration: Configuration
     policy: PresetPolicy
     groups: tuple[Group, ...]
     occupied: dict[InstanceId, Epoch]
     instances: tuple[InstanceFacts, ...]
+    may_join_cold: bool = True
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -20,6 +20,10 @@
 from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.weighing import kept_spares, patience
 
+SETTLING_TIME = 0.5
+"""Seconds after which an instance that has appeared is put into a new group: the instances of a
+domain that comes back report within a third of a second."""
+
 
 def plan_groups(facts: PlanInput) -> list[ControlCommand]:
     """Return the commands that bring the groups closer to what the configuration wants."""
@@ -108,10 +112,10 @@
 
     def _replace(self, group: Group, leaving: list[InstanceId]) -> bool:
         staying = [member for member in group.members if member not in leaving]
-        free = self._free[self._domain_of(group)]
-        if not staying or len(free) < len(leaving):
+        domain = self._domain_of(group)
+        if not staying or len(self._warm(domain, group.model)) < len(leaving):
             return False
-        joining = self._take_free(self._domain_of(group), group.model, len(leaving))
+        joining = self._take_free(domain, group.model, len(leaving))
         self.commands.append(RepairGroup(group.id, group.epoch, tuple(staying + joining)))
         return True
 
@@ -157,7 +161,9 @@
             (model, domain)
             for model in self._facts.configuration.models
             for domain in sorted(self._free)
-            if self._is_wanted(model, self._hopeless(model)) and self._fits(model, domain)
+            if self._is_wanted(model, self._hopeless(model))
+            and self._fits(model, domain)
+            and self._is_settled(domain)
         ]
         if not choices:
             return None
@@ -170,7 +176,19 @@
         )
 
     def _fits(self, model: ModelSpecification, domain: FailureDomainId) -> bool:
-        return len(self._free[domain]) >= self._needed(model, self._groups_in[domain] > 0)
+        needed = self._needed(model, self._groups_in[domain] > 0)
+        has_warm = len(self._warm(domain, model.name)) >= model.instances_per_group
+        return len(self._free[domain]) >= needed and has_warm
+
+    def _is_settled(self, domain: FailureDomainId) -> bool:
+        """Return whether no instance has just appeared: others may follow that fit better."""
+        return all(self._known[item].known_for >= SETTLING_TIME for item in self._free[domain])
+
+    def _warm(self, domain: FailureDomainId, model: str) -> list[InstanceId]:
+        """Return the free instances that may join a group of ``model``."""
+        if self._facts.may_join_cold:
+            return self._free[domain]
+        return [item for item in self._free[domain] if self._staging_rank(item, model) == 0]
 
     def _take_free(self, domain: FailureDomainId, model: str, count: int) -> list[InstanceId]:
         """Take free instances, first those that hold the model, last those that hold another."""
@@ -180,10 +198,11 @@
         return taken
 
     def _staging_rank(self, instance: InstanceId, model: str) -> int:
-        staged = self._known[instance].staged_models
-        if model in staged:
+        item = self._known[instance]
+        staged = item.staged_models
+        if staged is None or (model in staged and not item.staging_model):
             return 0
-        return 2 if staged else 1
+        return 2 if staged or item.staging_model else 1
 
     def _needed(self, model: ModelSpecification, has_group: bool) -> int:
         """Return how many free instances a new group takes, counting those to be kept free."""
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -0,0 +1,118 @@
+"""Which free instances should load which model on to their hosts, ahead of its use.
+
+Answers the loss of members one after the other: a join takes a second where the host holds the model
+and a quarter of a minute where it does not, so the next repair is only as fast as the last staging.
+"""
+
+from collections import Counter, defaultdict
+
+from jaylatch_core.configuration import ModelSpecification
+from jaylatch_core.ids import FailureDomainId, InstanceId
+from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
+
+
+def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
+    """Return the model that each free instance should stage, for those that should stage one.
+
+    In each domain first what a broken group waits for, then what completes a group that is wanted,
+    then spares for the groups that stand.
+    """
+    domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
+    for item in facts.instances:
+        domains[item.failure_domain].append(item)
+    serving = Counter(group.model for group in facts.groups)
+    staging: dict[InstanceId, str] = {}
+    for domain in sorted(domains):
+        staging.update(_Domain(facts, domains[domain], serving).plan())
+    return staging
+
+
+class _Domain:
+    """One domain's free instances, and what its groups lack."""
+
+    def __init__(
+        self, facts: PlanInput, instances: list[InstanceFacts], serving: Counter[str]
+    ) -> None:
+        self._models = facts.configuration.models
+        self._serving = serving
+        known = {item.instance: item for item in instances}
+        self._groups = [
+            group for group in facts.groups if any(member in known for member in group.members)
+        ]
+        taken = {member for group in facts.groups for member in group.members}
+        free = [
+            item
+            for item in instances
+            if item.is_usable
+            and not item.is_drained
+            and item.instance not in taken
+            and item.instance not in facts.occupied
+            and item.staged_models is not None
+        ]
+        self._free = sorted(free, key=lambda item: item.instance)
+        self._warm = Counter(model for item in self._free for model in _models_of(item))
+        self._lacking = Counter[str]()
+        for group in self._groups:
+            self._lacking[group.model] += sum(
+                1 for member in group.members if member not in known or not known[member].is_usable
+            )
+
+    def plan(self) -> dict[InstanceId, str]:
+        """Return the staging of this domain."""
+        staging: dict[InstanceId, str] = {}
+        idle = [item for item in self._free if not self._is_useful(item)]
+        for count, item in enumerate(idle):
+            model = self._next_model(len(idle) - count)
+            if model is None:
+                break
+            self._warm[model] += 1
+            if model not in _models_of(item):
+                staging[item.instance] = model
+        return staging
+
+    def _is_useful(self, item: InstanceFacts) -> bool:
+        """Return whether the host holds a model that a group of this domain serves or lacks."""
+        return any(
+            self._lacking[model] or any(group.model == model for group in self._groups)
+            for model in _models_of(item)
+        ) or self._completes_group(item)
+
+    def _completes_group(self, item: InstanceFacts) -> bool:
+        sizes = {model.name: model.instances_per_group for model in self._models}
+        return any(
+            self._warm[model] >= sizes.get(model, len(self._free) + 1) for model in _models_of(item)
+        )
+
+    def _next_model(self, idle: int) -> str | None:
+        """Return what the next of ``idle`` instances should stage, or None."""
+        lacking = [
+            model for model in self._models if self._lacking[model.name] > self._warm[model.name]
+        ]
+        if lacking:
+            return min(
+                lacking, key=lambda item: self._lacking[item.name] - self._warm[item.name]
+            ).name
+        completable = [model for model in self._models if 0 < self._missing(model) <= idle]
+        if completable:
+            return min(
+                completable,
+                key=lambda item: (self._serving[item.name] / item.share, self._missing(item)),
+            ).name
+        return self._least_protected()
+
+    def _missing(self, model: ModelSpecification) -> int:
+        return model.instances_per_group - (self._warm[model.name] - self._lacking[model.name])
+
+    def _least_protected(self) -> str | None:
+        """Return the model whose groups of this domain have the fewest spares for their size."""
+        exposed = Counter[str]()
+        for group in self._groups:
+            exposed[group.model] += len(group.members)
+        if not exposed:
+            return None
+        return min(exposed, key=lambda model: (self._warm[model] / exposed[model], model))
+
+
+def _models_of(item: InstanceFacts) -> tuple[str, ...]:
+    """Return the models that the host holds, or will hold once it has loaded."""
+    return (item.staging_model,) if item.staging_model else item.staged_models or ()
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -16,13 +16,15 @@
     """The newest heartbeat of a target.
 
     ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves.
-    ``is_lost`` tells that it has not answered a probe since.
+    ``is_lost`` tells that it has not answered a probe since; ``appeared_at`` is when its incarnation
+    was first heard of.
     """
 
     check_in: TargetCheckIn
     heard_at: float
     draining_since: float | None = None
     is_lost: bool = False
+    appeared_at: float = 0.0
 
 
 class TargetRegistry:
@@ -61,7 +63,10 @@
         if check_in.is_draining and draining_since is None:
             draining_since = now
         self._evict_address(check_in)
-        self._records[check_in.instance] = TargetRecord(check_in, now, draining_since)
+        appeared_at = known.appeared_at if known and is_same_incarnation else now
+        self._records[check_in.instance] = TargetRecord(
+            check_in, now, draining_since, appeared_at=appeared_at
+        )
         return True
 
     def depart(self, instance: InstanceId) -> None:
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -32,6 +32,7 @@
     PlanInput,
     grant_permits,
     plan_groups,
+    plan_staging,
     retiring_groups,
 )
 from jaylatch_decisions.leases import LeaseTable
@@ -140,7 +141,8 @@
         self._refresh_view(now)
         self._announce_changes()
         if self._targets is not None and now >= self._plan_from:
-            self._targets.give_orders(now, self._state.groups.values())
+            staging = plan_staging(self._plan_input(facts))
+            self._targets.give_orders(now, self._state.groups.values(), staging)
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
             if commands:
@@ -323,6 +325,7 @@
             tuple(state.groups.values()),
             dict(state.occupied),
             tuple(facts),
+            self._targets is None or not self._targets.has_served,
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -1,5 +1,6 @@
 """The control role of a process: its voters, its state machines, and the calls they answer."""
 
+import logging
 from asyncio import create_task
 from collections.abc import Awaitable
 from functools import partial
@@ -51,6 +52,8 @@
 from jaylatch_node.streams import PeerPool, StreamConnection
 from jaylatch_node.targets.orders import EngineOrders
 
+_log = logging.getLogger("jaylatch.control")
+
 LEADER_TICK = 0.1
 TICKS_PER_HEARTBEAT = 2
 
@@ -233,9 +236,12 @@
             return
         match body:
             case TargetCheckIn():
-                self._registry.check_in(now, body)
+                is_new = self._registry.record(body.instance) is None
+                if self._registry.check_in(now, body) and (is_new or body.is_draining):
+                    _log_target("target draining" if body.is_draining else "target", body)
             case TargetDeparture():
                 self._registry.depart(body.instance)
+                _log.info("target departed", extra={"target": body.instance})
         if call and isinstance(leader, LeaderController):
             leader.follow_targets(now)
             for peer in self._control.voters:
@@ -307,6 +313,19 @@
         create_task(_discard(self._propose_control(command)))
 
 
+def _log_target(what: str, check_in: TargetCheckIn) -> None:
+    _log.info(
+        what,
+        extra={
+            "target": check_in.instance,
+            "service": check_in.service,
+            "address": check_in.address,
+            "fabric_domain": check_in.fabric_domain,
+            "staged": check_in.staged_models,
+        },
+    )
+
+
 async def _answer(connection: StreamConnection, call: int, answer: Awaitable[Body]) -> None:
     connection.reply(call, await answer)
 
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -2,7 +2,7 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from jaylatch_core.deployment import Deployment, EngineProfile
 from jaylatch_core.ids import Epoch, InstanceId
@@ -19,7 +19,7 @@
     plan_orders,
 )
 from jaylatch_decisions.targets.loads import LoadBudget
-from jaylatch_decisions.targets.orders import EngineState, is_whole, plan_staging
+from jaylatch_decisions.targets.orders import EngineState, is_whole
 from jaylatch_node.targets.dialect import OrderOutcome
 
 ORDER_RETRY = 1.0
@@ -73,6 +73,11 @@
         self._is_fenced = False
         self._started_at = now
 
+    @property
+    def has_served(self) -> bool:
+        """Return whether a group has ever served, so that requests may wait for loads."""
+        return self._has_served
+
     @property
     def plan_from(self) -> float:
         """Return the time from which the targets are known well enough to regroup them."""
@@ -146,6 +151,7 @@
                 )
             )
         if routes:
+            self._has_served = True
             self._loads.end_first_start()
         return routes
 
@@ -168,18 +174,19 @@
             and self._registry.is_usable(now, record.check_in.instance)
         ]
 
-    def give_orders(self, now: float, groups: Iterable[Group]) -> None:
-        """Give each engine the order that it needs, one at a time."""
+    def give_orders(
+        self, now: float, groups: Iterable[Group], staging: Mapping[InstanceId, str]
+    ) -> None:
+        """Give each engine the order that it needs, one at a time.
+
+        ``staging`` names the models that free instances should load on to their hosts.
+        """
         if self._is_fenced:
             return
         engines = self._engine_states(now)
         orders: dict[InstanceId, EngineOrder] = dict(plan_orders(groups, engines))
-        domains = {
-            record.check_in.instance: record.check_in.fabric_domain
-            for record in self._registry.all()
-        }
-        staging = plan_staging(groups, self._with_staging(now, engines), domains)
-        for instance, order in {**staging, **orders}.items():
+        loads = {instance: StageModel(model) for instance, model in staging.items()}
+        for instance, order in {**loads, **orders}.items():
             if self._is_due(now, instance, order) and self._may_load(now, instance, order):
                 self._ordered[instance] = (order, now)
                 if isinstance(order, StageModel):
@@ -206,6 +213,8 @@
             draining_epoch=leaving.get(check_in.instance, Epoch(0)),
             unusable_for=max(now - record.heard_at, 0.0),
             staged_models=check_in.staged_models,
+            staging_model=self._staging_model(now, record),
+            known_for=now - record.appeared_at,
         )
 
     def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
@@ -243,19 +252,14 @@
             return True
         return head.state is MemberState.OPEN and not is_whole(group, engines)
 
-    def _with_staging(
-        self, now: float, engines: dict[InstanceId, EngineState]
-    ) -> dict[InstanceId, EngineState]:
-        """Count a model that is being staged as staged already."""
-        states = dict(engines)
-        for instance, (model, ordered_at) in list(self._staging.items()):
-            state = engines.get(instance)
-            if state is None or model in state.staged_models:
-                del self._staging[instance]
-            elif now < ordered_at + STAGING_RETRY:
-                staged = (*state.staged_models, model)
-                states[instance] = EngineState(instance, state.membership, staged)
-        return states
+    def _staging_model(self, now: float, record: TargetRecord) -> str:
+        """Return the model that a host is loading by our order, or an empty name."""
+        instance = record.check_in.instance
+        model, ordered_at = self._staging.get(instance, ("", 0.0))
+        if model and (model in record.check_in.staged_models or now >= ordered_at + STAGING_RETRY):
+            del self._staging[instance]
+            return ""
+        return model
 
     # Orders
 
