--- /dev/null
+++ b/features/clock/clock.feature
@@ -0,0 +1,17 @@
+Feature: Leases end although the machine was suspended
+
+  The steady clock of a machine does not count the time for which it is suspended; a lease that was
+  counted with it would still look valid after the machine has woken up.
+
+  Scenario Outline: a lease of 4 s after <running> s and a suspension of <suspended> s
+    Given a lease of 4 s that was just granted
+    When the machine runs for <running> s and is suspended for <suspended> s
+    Then the lease is <state>
+
+    Examples:
+      | running | suspended | state  |
+      | 1       | 0         | valid  |
+      | 5       | 0         | lapsed |
+      | 1       | 2         | valid  |
+      | 1       | 5         | lapsed |
+      | 0       | 60        | lapsed |
--- a/packages/core/src/jaylatch_core/clock.py
+++ b/packages/core/src/jaylatch_core/clock.py
@@ -6,8 +6,11 @@
 
 
 def monotonic() -> float:
-    """Return seconds of the machine's monotonic clock; use for leases and timeouts."""
-    return time.monotonic()
+    """Return seconds since the machine's start; use for leases and timeouts.
+
+    The time for which the machine was suspended counts, so that a lease ends in it.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 def wall() -> float:
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -32,6 +32,10 @@
     findings: tuple[CheckMessage, ...] = ()
 
 
+class AddressUnusable(Failure, frozen=True):
+    """A process cannot listen at an address of its settings."""
+
+
 class GenerationConflict(Failure, frozen=True):
     """Another change won the race; ``current`` is the generation in the log.
 
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -1,6 +1,6 @@
 """Which free instances should load which model on to their hosts, ahead of its use.
 
-Answers the loss of members one after the other: a join takes a second where the host holds the model
+Answers the loss of members one after the other: a join takes a second where the host has the model
 and a quarter of a minute where it does not, so the next repair is only as fast as the last staging.
 """
 
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -15,9 +15,9 @@
 class TargetRecord:
     """The newest heartbeat of a target.
 
-    ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves.
-    ``is_lost`` tells that it has not answered a probe since; ``appeared_at`` is when its incarnation
-    was first heard of.
+    ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves,
+    ``appeared_at`` when its incarnation was first heard of. ``is_lost`` tells that it has not
+    answered a probe since.
     """
 
     check_in: TargetCheckIn
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -7,11 +7,12 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import MemberPing, MemberReport
-from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.settings import NodeSettings
 from jaylatch_node.agent.attempts import AttemptsController
 from jaylatch_node.agent.handlers import AnnounceHandler
 from jaylatch_node.agent.membership import MembershipController
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
 
@@ -50,8 +51,7 @@
 
     def start(self) -> None:
         """Listen for the target and begin to probe it."""
-        host, port = split_address(self._settings.agent.http)
-        self._http.listen(port, host)
+        listen_at(self._http, self._settings.agent.http, "agent.http")
         self._membership.start()
         self._attempts.start()
 
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -11,7 +11,7 @@
 
 from jaylatch_core.checks import Level, run_checks
 from jaylatch_core.enums import Role
-from jaylatch_core.exceptions import JaylatchError
+from jaylatch_core.exceptions import AddressUnusable, JaylatchError
 from jaylatch_core.findings import format_finding
 from jaylatch_core.settings import NodeSettings, load_settings
 from jaylatch_node.observability import configure_logs
@@ -20,6 +20,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
+EXIT_ADDRESS = 4
 HTTP_CLIENTS = 128
 
 
@@ -45,10 +46,15 @@
         run(_serve(settings))
     except JaylatchError as error:
         print(error.failure.detail, file=sys.stderr)
-        return EXIT_STORAGE
+        return exit_code(error)
     return 0
 
 
+def exit_code(error: JaylatchError) -> int:
+    """Return the exit code that tells why the process ended."""
+    return EXIT_ADDRESS if isinstance(error.failure, AddressUnusable) else EXIT_STORAGE
+
+
 def _report_checks(settings: NodeSettings) -> bool:
     """Print the findings of the checks; returns whether the process may start."""
     messages = run_checks(settings)
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -8,7 +8,7 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
-from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.settings import NodeSettings
 from jaylatch_core.units import KIBIBYTE
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import ControlClient
@@ -30,6 +30,7 @@
 from jaylatch_node.entry.orders import OrderController
 from jaylatch_node.entry.quarantine import QuarantineController
 from jaylatch_node.entry.routes import RouteController
+from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 
@@ -90,8 +91,7 @@
 
     def start(self) -> None:
         """Listen for callers."""
-        host, port = split_address(self._settings.entry.http)
-        self._http.listen(port, host)
+        listen_at(self._http, self._settings.entry.http, "entry.http")
         self._links.start()
         self._admission.start()
 
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -11,7 +11,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.targets import SuspectTarget
-from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
@@ -19,6 +19,7 @@
 from jaylatch_node.gateway.forwarder import Forwarder
 from jaylatch_node.gateway.metrics import GatewayMetrics
 from jaylatch_node.gateway.server import GatewayServer
+from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
 from jaylatch_node.targets import TargetDialect, TargetPool
 
@@ -72,10 +73,8 @@
 
     def start(self) -> None:
         """Listen for callers and for the platform's checks."""
-        host, port = split_address(self._settings.readiness)
-        self._readiness.listen(port, host)
-        host, port = split_address(self._settings.http)
-        self._server.listen(host, port)
+        listen_at(self._readiness, self._settings.readiness, "gateway.readiness")
+        listen_at(self._server, self._settings.http, "gateway.http")
 
     def stop(self) -> None:
         """Close everything."""
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -44,9 +44,9 @@
         """Return the number of requests that have no whole answer yet."""
         return len(self._messages)
 
-    def listen(self, host: str, port: int) -> None:
+    def listen(self, port: int, address: str) -> None:
         """Accept connections."""
-        self._http.listen(port, host)
+        self._http.listen(port, address)
 
     def drain(self) -> None:
         """Let each connection end with its next answer."""
@@ -71,8 +71,7 @@
     def begin(self, message: "_InboundMessage") -> Task[None]:
         """Start to handle a whole request."""
         self._messages.add(message)
-        task = create_task(self._run(message))
-        return task
+        return create_task(self._run(message))
 
     async def _run(self, message: "_InboundMessage") -> None:
         try:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -16,11 +16,12 @@
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import MemberReport, ViewChanged
-from jaylatch_core.settings import NodeSettings, split_address
+from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.leases import HeldLease
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.leases import LeaseController
+from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
@@ -64,8 +65,7 @@
         self._events.record(
             wall(), EventName.PROCESS_STARTED, self.board.identity.incarnation, detail=roles
         )
-        host, port = split_address(self.settings.stream_listen or self.settings.stream)
-        self.server.listen(port, host)
+        listen_at(self.server, self.settings.stream_listen or self.settings.stream, "stream")
         self.client.connect()
         for role in self._roles:
             role.start()
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -14,6 +14,12 @@
 
 OPERATOR_TOKEN = "operator-token"
 STOP_TIMEOUT = 5.0
+LOG_TAIL = 2000
+"""Characters of a log that are shown when its process has ended by itself."""
+
+
+class ProcessEnded(RuntimeError):
+    """A process of the deployment has ended although nobody ended it."""
 
 
 @dataclass
@@ -125,6 +131,15 @@
             if process in self.processes:
                 self.kill(process)
 
+    def raise_if_ended(self) -> None:
+        """Raise ProcessEnded if a process has ended by itself, with the end of its log."""
+        for name, process in self.processes.items():
+            if process.poll():
+                log = (self.folder / f"{name.replace('/', '-')}.log").read_text(errors="replace")
+                raise ProcessEnded(
+                    f"{name} ended with code {process.returncode}:\n{log[-LOG_TAIL:]}"
+                )
+
     def pause(self, name: str) -> None:
         """Stop a process without ending it (SIGSTOP)."""
         self.processes[name].send_signal(signal.SIGSTOP)
--- a/packages/standins/src/jaylatch_standins/deployment.py
+++ b/packages/standins/src/jaylatch_standins/deployment.py
@@ -67,6 +67,7 @@
     found: dict[str, Any] = {}
 
     async def is_reported() -> bool:
+        cluster.raise_if_ended()
         report = await operator.get("status")
         found.update(report if report and "leader" in report else {})
         return bool(found)
@@ -80,6 +81,7 @@
     operator = operator_of(cluster)
 
     async def are_serving() -> bool:
+        cluster.raise_if_ended()
         status = await operator.get("status")
         return bool(status and "groups" in status and len(serving_groups(status)) >= number)
 
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -17,10 +17,11 @@
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PARALLEL_SUITES = 3
 SOURCES = sorted(str(path) for path in ROOT.glob("packages/*/src"))
+SOURCES.append(str(ROOT / "platform" / "src"))
 TRACEBACK = re.compile(r"^ *Traceback .*?(?=\n *\n|\Z)", re.M | re.S)
 CHECKS = {
-    "formatter": ["-m", "black", "--check", "--quiet", "packages", "features", "tools"],
-    "linter": ["-m", "ruff", "check", "--quiet", "packages", "features", "tools"],
+    "formatter": ["-m", "black", "--check", "--quiet", "packages", "platform", "features", "tools"],
+    "linter": ["-m", "ruff", "check", "--quiet", "packages", "platform", "features", "tools"],
     "types": ["-m", "mypy", "--no-error-summary", *SOURCES],
     "imports": ["-c", "from importlinter.cli import lint_imports_command as c; c()", "--no-logo"],
 }
