Replace a control instance that is lost for good; end a process whose disk fails; notice silent connections

Cause: voters could change only by code that nobody called, a voter whose disk had refused a write stayed up without a vote for good, and a connection that went silent without closing was used on. Change: an instance without a vote asks for one (JoinControl); plan_admission decides in whose place; grants carry the addresses of the voters; ids may be addresses. A failed log ends the process after a second. Streams close after an unanswered call, and the kernel's keep-alive and user time-out are set.

--- /dev/null
+++ b/features/steps/replacement_steps.py
@@ -0,0 +1,145 @@
+"""Steps on control instances that are replaced at another address."""
+
+from typing import Any
+
+import msgspec
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from jaylatch_core.ids import InstanceId
+from jaylatch_decisions.consensus.membership import plan_admission
+from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
+from jaylatch_standins.deployment import (
+    configuration_text,
+    hash_key,
+    operator_of,
+    read_status,
+    wait_until,
+)
+
+JOINING = "control-4"
+LOGS = {"control", "journal-0", "journal-1"}
+WAIT = 30.0
+
+use_step_matcher("re")
+
+
+@given(r"a quorum of 3 control instances that are named by their addresses")
+def step_quorum(context: Context) -> None:
+    plan = ClusterPlan(controls=3, entries=1, engines=0, names_controls_by_address=True)
+    context.cluster = Cluster(context.folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
+    context.cluster.start()
+    context.runner.run(wait_for_generation(context.cluster, 1))
+
+
+@when(r"(?P<lost>.+) ends for good and an empty instance that knows (?P<known>.+) starts")
+def step_replace(context: Context, lost: str, known: str) -> None:
+    context.lost = find_control(context, lost)
+    context.cluster.kill(context.lost)
+    names = known.split(", ")
+    if known == "the others":
+        names = [name for name in context.cluster.controls if name != context.lost]
+    peers = [context.cluster.nodes[name].stream for name in names]
+    context.cluster.add_control(JOINING, 3, peers)
+    context.cluster.start_node(JOINING)
+
+
+@then(r"the new instance votes in the place of .+ within (?P<limit>\d+) s")
+def step_votes(context: Context, limit: str) -> None:
+    stream = context.cluster.nodes[JOINING].stream
+    log = context.folder / f"{JOINING}.log"
+    context.runner.run(wait_for_vote(context, stream, float(limit)))
+    assert log.exists()
+
+
+@then(r"a change is accepted and read back after (?P<second>.+) has ended too")
+def step_change_accepted(context: Context, second: str) -> None:
+    context.cluster.kill(find_control(context, second))
+    context.runner.run(change_configuration(context.cluster))
+
+
+@given(
+    r'the voters "(?P<voters>[^"]*)" of which "(?P<silent>[^"]*)" are silent,'
+    r" and (?P<wanted>\d+) are wanted"
+)
+def step_voters(context: Context, voters: str, silent: str, wanted: str) -> None:
+    context.voters = tuple(InstanceId(item) for item in voters.split())
+    context.silent = [InstanceId(item) for item in silent.split()]
+    context.wanted = int(wanted)
+
+
+@when(r"(?P<joining>\w) asks for a vote")
+def step_asks(context: Context, joining: str) -> None:
+    context.steps = plan_admission(
+        context.voters, InstanceId(joining), context.wanted, context.silent
+    )
+
+
+@then(r'the voters become, step by step, "(?P<steps>[^"]*)"')
+def step_voters_become(context: Context, steps: str) -> None:
+    assert "/".join(" ".join(item) for item in context.steps) == steps, context.steps
+
+
+def find_control(context: Context, which: str) -> str:
+    """Return the name of a running control instance: itself, the leader, or a follower."""
+    if which.startswith("control-"):
+        return which
+    status = context.runner.run(read_status(context.cluster, WAIT))
+    names = {context.cluster.nodes[name].stream: name for name in context.cluster.controls}
+    leader = names[status["leader"]]
+    if which == "the leader":
+        return leader
+    running = [name for name in context.cluster.controls if name in context.cluster.processes]
+    return next(name for name in running if name not in (leader, JOINING))
+
+
+async def wait_for_generation(cluster: Cluster, generation: int) -> None:
+    """Wait until a configuration of at least ``generation`` is in force."""
+    operator = operator_of(cluster)
+
+    async def has_generation() -> bool:
+        cluster.raise_if_ended()
+        status = await operator.get("status")
+        return bool(status and status.get("generation", 0) >= generation)
+
+    await wait_until(has_generation, WAIT, f"generation {generation}")
+
+
+async def wait_for_vote(context: Context, stream: str, limit: float) -> None:
+    """Wait until the log of a control instance says that the new one has its vote."""
+
+    lost = context.cluster.nodes[context.lost].stream
+
+    async def votes() -> bool:
+        changes = [change for change in read_voter_changes(context) if lost not in change["voters"]]
+        changed = {change["log"] for change in changes if stream in change["voters"]}
+        return changed == LOGS
+
+    await wait_until(votes, limit, "a vote of the new instance")
+
+
+def read_voter_changes(context: Context) -> list[dict[str, Any]]:
+    """Return the changes of voters that the logs of the running control instances tell of."""
+    changes = []
+    for name in context.cluster.controls:
+        if name in context.cluster.processes:
+            log = (context.folder / f"{name}.log").read_text(errors="replace")
+            lines = [line for line in log.splitlines() if '"message": "voters"' in line]
+            changes += [msgspec.json.decode(line) for line in lines]
+    return changes
+
+
+async def change_configuration(cluster: Cluster) -> None:
+    """Apply a change and wait until it is in force."""
+    status = await read_status(cluster, WAIT)
+    operator = operator_of(cluster)
+    generation = status["generation"]
+    text = configuration_text(instances_per_group=3).encode()
+    headers = {"X-Command-Id": "change-after-loss", "X-Expected-Generation": str(generation)}
+
+    async def is_accepted() -> bool:
+        answer = await operator.put("configuration", text, headers)
+        return bool(answer and answer.get("type") == "CommandAccepted")
+
+    await wait_until(is_accepted, WAIT, "an accepted change")
+    await wait_for_generation(cluster, generation + 1)
--- a/packages/core/src/jaylatch_core/checks/addresses.py
+++ b/packages/core/src/jaylatch_core/checks/addresses.py
@@ -1,14 +1,11 @@
 """Checks of the addresses."""
 
-from ipaddress import ip_address
-
 from jaylatch_core.checks.registry import register
+from jaylatch_core.control_peers import is_address
 from jaylatch_core.enums import Role
 from jaylatch_core.findings import CheckMessage, error
 from jaylatch_core.settings import NodeSettings
 
-HIGHEST_PORT = 65535
-
 
 def own_addresses(settings: NodeSettings) -> dict[str, str]:
     """Return the addresses at which this process listens, by setting."""
@@ -17,6 +14,9 @@
         found["entry.http"] = settings.entry.http
     if Role.AGENT in settings.roles:
         found["agent.http"] = settings.agent.http
+    if Role.GATEWAY in settings.roles:
+        found["gateway.http"] = settings.gateway.http
+        found["gateway.readiness"] = settings.gateway.readiness
     return found
 
 
@@ -34,7 +34,7 @@
             "give an IP address and a port from 1 to 65535, such as '10.0.0.1:7100'",
         )
         for subject, address in addresses.items()
-        if not _is_address(address)
+        if not is_address(address)
     ]
 
 
@@ -55,12 +55,3 @@
             )
         seen[address] = subject
     return found
-
-
-def _is_address(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    try:
-        ip_address(host)
-        return 1 <= int(port) <= HIGHEST_PORT
-    except ValueError:
-        return False
--- /dev/null
+++ b/packages/core/src/jaylatch_core/control_peers.py
@@ -0,0 +1,34 @@
+"""Control instances and their addresses."""
+
+from ipaddress import ip_address
+
+import msgspec
+
+from jaylatch_core.ids import InstanceId
+
+HIGHEST_PORT = 65535
+
+
+class ControlPeer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A control instance: its instance id and its stream address."""
+
+    instance: InstanceId
+    address: str
+
+
+def is_address(value: str) -> bool:
+    """Return whether ``value`` is an IP number and a port from 1 to 65535."""
+    host, _, port = value.rpartition(":")
+    try:
+        ip_address(host)
+        return 1 <= int(port) <= HIGHEST_PORT
+    except ValueError:
+        return False
+
+
+def named_by_address(instance: InstanceId) -> ControlPeer | None:
+    """Return the peer of an instance whose id is its stream address, None for any other id.
+
+    Where control instances come and go at new addresses, naming them so needs no list of them.
+    """
+    return ControlPeer(instance, instance) if is_address(instance) else None
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -87,6 +87,13 @@
 )
 
 
+class JoinControl(msgspec.Struct, frozen=True, tag=True):
+    """A control instance without a vote in ``log`` asks the leader of that log for one."""
+
+    log: str
+    instance: InstanceId
+
+
 class ConfigurationRecord(msgspec.Struct, frozen=True):
     """An accepted configuration and who applied it."""
 
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -24,6 +24,7 @@
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
+    JoinControl,
     PreparePreset,
     SetDrain,
 )
@@ -79,6 +80,7 @@
     | ApplyConfiguration
     | PreparePreset
     | SetDrain
+    | JoinControl
     | CommandAccepted
     | ClaimOrder
     | LookupOrder
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration
+from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, DeploymentNumber
 from jaylatch_core.enums import Preset, Role, TargetKind
 from jaylatch_core.ids import (
@@ -130,7 +131,8 @@
     """Grants a lease that starts when the renewal was sent.
 
     ``configuration``, ``deployment`` and ``view`` are None where the node already has the newest.
-    ``assignment`` None tells an agent that its instance belongs to no group.
+    ``assignment`` None tells an agent that its instance belongs to no group. ``control`` names the
+    control instances that vote at present.
     """
 
     duration: float
@@ -141,6 +143,7 @@
     assignment: Assignment | None
     is_drained: bool
     deployment: Deployment | None = None
+    control: tuple[ControlPeer, ...] = ()
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -12,6 +12,7 @@
 from returns.result import Failure as Err
 from returns.result import Result
 
+from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.documents import parse_document
 from jaylatch_core.enums import EntryPolicy, OperatorRole, Role
 from jaylatch_core.exceptions import SettingsInvalid
@@ -23,28 +24,24 @@
 """A name that must not be empty."""
 
 
-class ControlPeer(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """A control instance: its instance id and its stream address."""
-
-    instance: InstanceId
-    address: str
-
-
 class ControlSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """The control quorum, known to every process.
 
     ``peers`` holds every control instance; ``voters`` names those of the first start (none: all).
-    From then on the logs say who votes. ``journal_shards``, ``answer_retention`` and
-    ``key_retention`` must be the same on every process. A resent order gets its stored answer
-    within ``answer_retention`` of its completion, and runs at most once within ``key_retention``.
-    ``data_folder`` is used by the control role only. A direct target that has sent no heartbeat for
-    ``target_silence`` counts as lost.
+    From then on the logs say who votes. An instance without a vote asks for one; it gets it while
+    there are fewer than ``voter_count`` voters (0: as many as at the first start), or in the place
+    of one that is lost. ``journal_shards``, ``answer_retention`` and ``key_retention`` must be the
+    same on every process. A resent order gets its stored answer within ``answer_retention`` of its
+    completion, and runs at most once within ``key_retention``. ``data_folder`` is used by the
+    control role only. A direct target that has sent no heartbeat for ``target_silence`` counts as
+    lost.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
     voters: tuple[InstanceId, ...] = ()
     data_folder: Name = "var/control"
-    journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
+    voter_count: Annotated[int, Meta(ge=0, le=9)] = 0
+    journal_shards: Annotated[int, Meta(ge=0, le=256)] = 2
     answer_retention: Duration = 86_400.0
     key_retention: Duration = 604_800.0
     heartbeat_interval: Interval = 0.18
--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -100,6 +100,13 @@
         progress = self._progress.get(instance)
         return progress is not None and progress.counts and progress.match >= self._state.commit
 
+    def silent_voters(self, now: float, limit: float) -> list[InstanceId]:
+        """Return the other voters that have not been heard for ``limit`` seconds, longest first."""
+        silent = [
+            peer for peer in self._state.peers if now >= self._progress[peer].heard_at + limit
+        ]
+        return sorted(silent, key=lambda peer: self._progress[peer].heard_at)
+
     def transfer(self, now: float) -> None:
         """Stop leading for good in this term, and ask the best voter to stand for election.
 
--- a/packages/decisions/src/jaylatch_decisions/consensus/raft.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/raft.py
@@ -140,6 +140,12 @@
         """Return whether a learner or voter holds all that is committed."""
         return self._leading.is_caught_up(instance)
 
+    def silent_voters(self, now: float, limit: float) -> list[InstanceId]:
+        """Return the voters that this leader has not heard for ``limit`` seconds."""
+        if self._state.role is not RaftRole.LEADER:
+            return []
+        return self._leading.silent_voters(now, limit)
+
     def propose_voters(
         self, now: float, voters: tuple[InstanceId, ...]
     ) -> Result[tuple[Term, LogIndex], NotLeader | Unavailable]:
--- a/packages/node/src/jaylatch_node/consensus/host.py
+++ b/packages/node/src/jaylatch_node/consensus/host.py
@@ -128,6 +128,10 @@
         """Return why this voter has stopped taking part, if it has."""
         return self._failure
 
+    def silent_voters(self, now: float, limit: float) -> list[InstanceId]:
+        """Return the voters that this leader has not heard for ``limit`` seconds."""
+        return self._raft.silent_voters(now, limit)
+
     def can_read(self, now: float) -> bool:
         """Return whether the applied state is surely current."""
         return self._failure is None and self._raft.can_read(now)
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -7,7 +7,9 @@
 from returns.result import Success
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.control_peers import ControlPeer, named_by_address
 from jaylatch_core.exceptions import NotLeader, StorageFailed, Unavailable
+from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.journal import JournalCommand
 from jaylatch_core.settings import ControlSettings
@@ -34,17 +36,29 @@
     """
 
     def __init__(self, settings: ControlSettings, peers: PeerPool) -> None:
-        self._addresses: dict[str, str] = {peer.instance: peer.address for peer in settings.peers}
+        self._addresses: dict[InstanceId, str] = {
+            peer.instance: peer.address for peer in settings.peers
+        }
         self._order = [peer.address for peer in settings.peers]
         self._shards = settings.journal_shards
         self._peers = peers
         self._leaders: dict[str, str] = {}
+        self._first = list(settings.peers)
 
     def connect(self) -> None:
         """Open the connections to all control instances."""
         for address in self._order:
             self._peers.get(address)
 
+    def follow_peers(self, peers: tuple[ControlPeer, ...]) -> None:
+        """Ask the control instances that vote at present first, then those of the settings."""
+        if not peers:
+            return
+        known = {peer.instance: peer.address for peer in (*peers, *self._first)}
+        if known != self._addresses:
+            self._addresses = known
+            self._order = list(dict.fromkeys(known.values()))
+
     async def call_journal(self, command: JournalCommand, timeout: float) -> CallResult:
         """Commit a journal command on the shard of its order."""
         return await self.call(journal_log(shard_of(command.order, self._shards)), command, timeout)
@@ -83,8 +97,8 @@
         """Return the leader's answer, or note whom to ask instead."""
         answer = result.unwrap() if is_successful(result) else None
         match answer:
-            case NotLeader(_, leader) if leader in self._addresses:
-                self._leaders[log] = self._addresses[leader]
+            case NotLeader(_, leader) if (peer := self._find(InstanceId(leader))) is not None:
+                self._leaders[log] = peer
             case None | NotLeader() | StorageFailed():
                 self._leaders[log] = self._next(address)
             case Unavailable():
@@ -94,15 +108,24 @@
                 return answer
         return None
 
+    def _find(self, instance: InstanceId) -> str | None:
+        """Return the address of a control instance, None if it is not known."""
+        named = named_by_address(instance)
+        if named is not None and named.address not in self._order:
+            self._order.append(named.address)
+        return self._addresses.get(instance) or (named.address if named is not None else None)
+
     def _choose(self, log: str, asked: set[str]) -> str | None:
         """Return whom to ask next: the supposed leader, or the next that is connected."""
-        supposed = self._leaders.get(log, self._order[0])
-        position = self._order.index(supposed)
+        position = self._position(self._leaders.get(log, self._order[0]))
         candidates = self._order[position:] + self._order[:position]
         left = [address for address in candidates if address not in asked]
         connected = [item for item in left if self._peers.get(item).connection is not None]
         return next(iter(connected or ([] if asked else left)), None)
 
     def _next(self, address: str) -> str:
-        position = self._order.index(address)
-        return self._order[(position + 1) % len(self._order)]
+        return self._order[(self._position(address) + 1) % len(self._order)]
+
+    def _position(self, address: str) -> int:
+        """Return the place of an address in the order of asking; 0 if it is no longer in it."""
+        return self._order.index(address) if address in self._order else 0
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -7,6 +7,7 @@
 
 from jaylatch_core.clock import wall
 from jaylatch_core.configuration import Configuration
+from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
@@ -72,7 +73,9 @@
         propose: Proposer,
         now: float,
         targets: TargetController | None = None,
+        list_peers: Callable[[], tuple[ControlPeer, ...]] = tuple,
     ) -> None:
+        self._list_peers = list_peers
         self._board = board
         self._state = state
         self._term = term
@@ -114,6 +117,7 @@
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
             None if renewal.deployment == self._state.deployment.number else self._state.deployment,
+            self._list_peers(),
         )
 
     def follow_targets(self, now: float) -> None:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -2,7 +2,7 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -15,14 +15,23 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.configuration import parse_configuration
+from jaylatch_core.control_peers import ControlPeer, named_by_address
 from jaylatch_core.event_names import EventName
-from jaylatch_core.exceptions import JaylatchError, NotLeader, StorageFailed, Unavailable
+from jaylatch_core.exceptions import (
+    Failure,
+    JaylatchError,
+    NotLeader,
+    StorageFailed,
+    Unavailable,
+)
 from jaylatch_core.ids import CommandId, InstanceId
 from jaylatch_core.messages.administration import ReadHistory, ReadStatus
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
+    CommandAccepted,
     ControlCommand,
+    JoinControl,
     PreparePreset,
     SetDrain,
 )
@@ -39,13 +48,14 @@
 )
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.consensus import RaftTiming
+from jaylatch_decisions.consensus.membership import LOSS_TIME, plan_admission
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
-from jaylatch_node.control.client import CONTROL_LOG, journal_log
+from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.role import NodeRole
@@ -54,7 +64,16 @@
 
 _log = logging.getLogger("jaylatch.control")
 
+FailureHandler = Callable[[Failure], None]
+"""Called when this process can no longer take part; it may be called again."""
+
 LEADER_TICK = 0.1
+JOIN_INTERVAL = 1.0
+"""Seconds between two requests for a vote, and for the first: an instance at its first start gets
+its vote from the others before."""
+JOIN_TIMEOUT = 5.0
+ADMISSION_TIMEOUT = 4.0
+"""Seconds in which an instance that joins must have caught up, else it is asked to try again."""
 TICKS_PER_HEARTBEAT = 2
 
 _encoder = msgspec.msgpack.Encoder()
@@ -70,8 +89,11 @@
         settings: NodeSettings,
         board: Blackboard,
         peers: PeerPool,
+        client: ControlClient,
+        fail: FailureHandler,
         engines: EngineOrders | None = None,
     ) -> None:
+        self._client = client
         self._engines = engines
         self._registry = TargetRegistry(settings.control.target_silence, monotonic())
         self._settings = settings
@@ -79,6 +101,10 @@
         self._peers = peers
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
+        self._fail = fail
+        self._joining: set[str] = set()
+        self._admitting: set[str] = set()
+        self._join_timer = PeriodicCallback(self._join, JOIN_INTERVAL * MILLISECONDS_PER_SECOND)
         self._state = ControlState()
         control = settings.control
         self._retention = RetentionTimes(control.answer_retention, control.key_retention)
@@ -103,10 +129,12 @@
         self._report_logs()
         self._consensus_timer.start()
         self._timer.start()
+        self._join_timer.start()
 
     def stop(self) -> None:
         """Stop all logs."""
         self._timer.stop()
+        self._join_timer.stop()
         self._consensus_timer.stop()
         for log in self._logs.values():
             log.stop()
@@ -123,6 +151,8 @@
         match body:
             case RenewLease():
                 connection.reply(call, self._renew(body, connection))
+            case JoinControl():
+                create_task(_answer(connection, call, self._admit(body)))
             case ReadStatus():
                 connection.reply(call, self._status())
             case ReadHistory():
@@ -175,10 +205,18 @@
                 self._board.events.record(wall(), EventName.STORAGE_RECOVERING, log.name)
 
     def _send(self, peer: InstanceId, batch: ConsensusBatch) -> None:
-        address = self._addresses.get(peer)
+        address = self._address(peer)
         if address is not None:
             self._peers.get(address).send(batch)
 
+    def _address(self, instance: InstanceId) -> str | None:
+        named = named_by_address(instance)
+        return self._addresses.get(instance) or (named.address if named is not None else None)
+
+    def _voting_peers(self) -> tuple[ControlPeer, ...]:
+        peers = ((voter, self._address(voter)) for voter in self._control.voters)
+        return tuple(ControlPeer(voter, address) for voter, address in peers if address)
+
     def _apply_control(self, command: bytes) -> ControlResult:
         return self._state.apply(_control_decoder.decode(command))
 
@@ -244,9 +282,9 @@
                 _log.info("target departed", extra={"target": body.instance})
         if call and isinstance(leader, LeaderController):
             leader.follow_targets(now)
-            for peer in self._control.voters:
-                if peer != self._board.identity.instance and peer in self._addresses:
-                    self._peers.get(self._addresses[peer]).send(body)
+            for peer in self._voting_peers():
+                if peer.instance != self._board.identity.instance:
+                    self._peers.get(peer.address).send(body)
             connection.reply(call, TargetAcknowledged(body.instance))
 
     def _suspect(self, body: SuspectTarget) -> Body:
@@ -268,8 +306,55 @@
             return NOT_CURRENT
         return self._leader
 
+    def _join(self) -> None:
+        """Ask for a vote in each log in which this instance has none."""
+        instance = self._board.identity.instance
+        for log in self._logs.values():
+            has_vote = instance in log.voters and not log.is_recovering
+            if not has_vote and log.name not in self._joining:
+                self._joining.add(log.name)
+                create_task(self._ask_for_vote(log.name, instance))
+
+    async def _ask_for_vote(self, log: str, instance: InstanceId) -> None:
+        try:
+            await self._client.call(log, JoinControl(log, instance), JOIN_TIMEOUT)
+        finally:
+            self._joining.discard(log)
+
+    async def _admit(self, body: JoinControl) -> Body:
+        """Let an instance vote, in the place of a lost one if the set is complete."""
+        log = self._logs.get(body.log)
+        if log is None or not log.is_leader:
+            leader = log.leader if log is not None else InstanceId("")
+            return NotLeader("ask the leader of the log", leader)
+        if body.log in self._admitting:
+            return Unavailable("another instance is being admitted; ask again")
+        control = self._settings.control
+        wanted = control.voter_count or len(control.voters or control.peers)
+        silent = log.silent_voters(monotonic(), LOSS_TIME)
+        self._admitting.add(body.log)
+        try:
+            for voters in plan_admission(log.voters, body.instance, wanted, silent):
+                changed = await log.change_voters(voters, ADMISSION_TIMEOUT)
+                _log.info(
+                    "voters",
+                    extra={
+                        "log": body.log,
+                        "voters": voters,
+                        "outcome": repr(changed),
+                    },
+                )
+                if not is_successful(changed):
+                    return _flatten(changed)
+        finally:
+            self._admitting.discard(body.log)
+        return CommandAccepted(len(log.voters))
+
     def _tick(self) -> None:
         now = monotonic()
+        failed = next((log.failure for log in self._logs.values() if log.failure), None)
+        if failed is not None:
+            self._fail(failed)
         if not self._control.is_leader:
             self._leader = None
             return
@@ -284,6 +369,7 @@
                 self._propose_control,
                 now,
                 self._make_targets(now),
+                self._voting_peers,
             )
             self._apply_initial_configuration()
         self._leader.tick(now)
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -3,7 +3,7 @@
 import signal
 import sys
 from argparse import ArgumentParser
-from asyncio import Event, get_running_loop, run
+from asyncio import FIRST_COMPLETED, Event, create_task, get_running_loop, run, sleep, wait
 from pathlib import Path
 from random import Random
 
@@ -22,6 +22,8 @@
 EXIT_STORAGE = 3
 EXIT_ADDRESS = 4
 HTTP_CLIENTS = 128
+FAILURE_PAUSE = 1.0
+"""Seconds between a failure and the process's end."""
 
 
 def main() -> int:
@@ -81,7 +83,7 @@
 def _make_control(process: Process) -> NodeRole:
     from jaylatch_node.control.role import ControlRole
 
-    return ControlRole(process.settings, process.board, process.peers)
+    return ControlRole(process.settings, process.board, process.peers, process.client, process.fail)
 
 
 def _make_agent(process: Process) -> NodeRole:
@@ -107,15 +109,38 @@
     )
 
 
-async def _serve(settings: NodeSettings) -> None:
+def handle_stop_signals() -> Event:
+    """Return an event that SIGTERM and SIGINT set; call on the running loop."""
     stopped = Event()
     loop = get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
+    return stopped
+
+
+async def wait_for_end(process: Process, stopped: Event) -> None:
+    """Wait until the process is to stop. Raises JaylatchError if it must end by itself.
+
+    A short wait before that keeps a process whose disk stays unusable from restarting at once.
+    """
+    failed = create_task(process.wait_for_failure())
+    stop = create_task(stopped.wait())
+    await wait((failed, stop), return_when=FIRST_COMPLETED)
+    if not failed.done():
+        failed.cancel()
+        return
+    stop.cancel()
+    await sleep(FAILURE_PAUSE)
+    raise JaylatchError(failed.result())
+
+
+async def _serve(settings: NodeSettings) -> None:
     process = Process(settings, make_roles(settings))
     process.start()
-    await stopped.wait()
-    process.stop()
+    try:
+        await wait_for_end(process, handle_stop_signals())
+    finally:
+        process.stop()
 
 
 if __name__ == "__main__":
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -106,6 +106,7 @@
         ):
             # A grant older than what this process acts under must not set it back.
             return False
+        self._client.follow_peers(grant.control)
         has_changed = (
             grant.generation > board.generation
             or grant.preset != board.preset
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -1,11 +1,13 @@
 """One jaylatch process: its blackboard, its streams and its roles."""
 
+from asyncio import Future, get_running_loop
 from collections.abc import Callable
 from secrets import token_hex
 
 from jaylatch_core.clock import wall
 from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
+from jaylatch_core.exceptions import Failure
 from jaylatch_core.ids import Incarnation
 from jaylatch_core.messages.administration import (
     EventReport,
@@ -52,6 +54,7 @@
         self.peers = PeerPool(self._events, traffic, self._handle_body)
         self.server = StreamServer(self._events, traffic, self._handle_body)
         self.client = ControlClient(settings.control, self.peers)
+        self._has_failed: Future[Failure] = get_running_loop().create_future()
         self._roles = [make(self) for make in makers]
         self._leases = LeaseController(
             self.board, settings.lease, settings.roles, self.client, self._report_member
@@ -59,6 +62,15 @@
         for role in self._roles:
             self._leases.on_grant(role.on_grant)
 
+    def fail(self, failure: Failure) -> None:
+        """End the process because of ``failure``; the first one counts."""
+        if not self._has_failed.done():
+            self._has_failed.set_result(failure)
+
+    async def wait_for_failure(self) -> Failure:
+        """Return why this process must end, once it must."""
+        return await self._has_failed
+
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
         roles = ", ".join(role.value for role in self.settings.roles)
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -18,12 +18,15 @@
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed, Unavailable
 from jaylatch_core.messages.frames import Body, Frame, decode_frame, encode_frame
+from jaylatch_node.sockets import detect_silence
 from jaylatch_node.streams.traffic import Traffic
 
 READ_SIZE = 64 * 1024
 INITIAL_BUFFER_SIZE = 4 * 1024
 MAXIMUM_FRAME_SIZE = 32 * 1024 * 1024
 MAXIMUM_UNSENT_SIZE = 64 * 1024 * 1024
+UNACKNOWLEDGED_LIMIT = 1.5
+"""Seconds; more than a voter's longest election timeout, so that loss alone ends no connection."""
 
 BodyHandler = Callable[["StreamConnection", int, Body], None]
 """Called for each frame that is no reply, with the number to reply to (0: none is expected)."""
@@ -57,6 +60,8 @@
         # A peer that stops reading loses its connection before it costs more memory than this.
         stream.max_write_buffer_size = MAXIMUM_UNSENT_SIZE
         stream.set_nodelay(True)
+        detect_silence(stream.socket, UNACKNOWLEDGED_LIMIT)
+        self._received = 0
 
     @property
     def address(self) -> str:
@@ -85,10 +90,14 @@
         number = self._last_call
         future: Future[CallResult] = get_running_loop().create_future()
         self._calls[number] = future
+        received = self._received
         self._send_frame(number, body)
         try:
             return await wait_for(future, timeout)
         except TimeoutError:
+            if self._received == received:
+                # Nothing at all has come since: the connection may be silent for good.
+                self.close()
             return Err(Unavailable(f"no reply within {timeout:.3f} s; the call may have worked"))
         finally:
             self._calls.pop(number, None)
@@ -98,6 +107,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(READ_SIZE, partial=True)
+                self._received += len(data)
                 self._unpacker.feed(data)
                 messages = 0
                 for payload in self._unpacker:
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -18,7 +18,7 @@
 """Characters of a log that are shown when its process has ended by itself."""
 
 
-class ProcessEnded(RuntimeError):
+class ProcessEndedError(RuntimeError):
     """A process of the deployment has ended although nobody ended it."""
 
 
@@ -40,6 +40,7 @@
     has_proxies: bool = False
     entry_policies: tuple[str, ...] = ()
     adapts_limit: bool = True
+    names_controls_by_address: bool = False
 
 
 @dataclass
@@ -132,11 +133,11 @@
                 self.kill(process)
 
     def raise_if_ended(self) -> None:
-        """Raise ProcessEnded if a process has ended by itself, with the end of its log."""
+        """Raise ProcessEndedError if a process has ended by itself, with the end of its log."""
         for name, process in self.processes.items():
             if process.poll():
                 log = (self.folder / f"{name.replace('/', '-')}.log").read_text(errors="replace")
-                raise ProcessEnded(
+                raise ProcessEndedError(
                     f"{name} ended with code {process.returncode}:\n{log[-LOG_TAIL:]}"
                 )
 
@@ -172,7 +173,7 @@
         names = [f"control-{number}" for number in range(1, plan.controls + 1)]
         streams = free_addresses(plan.controls)
         peers = [
-            {"instance": name, "address": stream}
+            {"instance": self._control_id(name, stream), "address": stream}
             for name, stream in zip(names, streams, strict=True)
         ]
         for number, (name, stream) in enumerate(zip(names, streams, strict=True)):
@@ -185,6 +186,18 @@
         for domain in range(1, plan.domains + 1):
             self._lay_out_targets(domain, peers)
 
+    def _control_id(self, name: str, stream: str) -> str:
+        return stream if self._plan.names_controls_by_address else name
+
+    def add_control(self, name: str, domain: int, peers: list[str]) -> None:
+        """Lay out a further control instance that knows only the control addresses ``peers``."""
+        (stream,) = free_addresses(1)
+        known = [{"instance": address, "address": address} for address in (*peers, stream)]
+        node = self._add(name, domain, "control", stream, "", known)
+        settings = msgspec.toml.decode(node.settings.read_bytes())
+        settings["control"]["voters"] = peers
+        node.settings.write_bytes(msgspec.toml.encode(settings))
+
     def _lay_out_targets(self, domain: int, peers: list[dict[str, str]]) -> None:
         plan = self._plan
         kinds = [("engine", "")] * plan.engines
@@ -224,7 +237,7 @@
                 for peer in peers
             ]
         settings: dict[str, Any] = {
-            "instance": name,
+            "instance": self._control_id(name, stream) if role == "control" else name,
             "failure_domain": f"domain-{domain}",
             "roles": [role],
             "stream": advertised,
--- a/packages/standins/src/jaylatch_standins/proxy.py
+++ b/packages/standins/src/jaylatch_standins/proxy.py
@@ -25,6 +25,7 @@
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
         self._streams: set[IOStream] = set()
+        self._silent: set[IOStream] = set()
         self.delay = 0.0
         self.is_cut_forward = False
         self.is_cut_back = False
@@ -42,6 +43,10 @@
         self.cut_after = None
         self.cuts_next = False
 
+    def silence_connections(self) -> None:
+        """Hold back all bytes of the present connections for good; new ones work."""
+        self._silent |= self._streams
+
     def drop_connections(self) -> None:
         """Close all present connections."""
         for stream in list(self._streams):
@@ -67,6 +72,10 @@
             upstream.close()
             self._streams -= {stream, upstream}
 
+    def _holds(self, source: IOStream, is_back: bool) -> bool:
+        is_cut = self.is_cut_back if is_back else self.is_cut_forward
+        return is_cut or (source in self._silent and not source.closed())
+
     async def _pump(self, source: IOStream, sink: IOStream, *, is_back: bool) -> None:
         passed = 0
         try:
@@ -74,7 +83,7 @@
                 data = await source.read_bytes(READ_SIZE, partial=True)
                 if self.delay:
                     await sleep(self.delay)
-                while self.is_cut_back if is_back else self.is_cut_forward:
+                while self._holds(source, is_back):
                     await sleep(BLOCK_POLL_INTERVAL)
                 if is_back and self.cut_after is not None and passed + len(data) > self.cut_after:
                     await sink.write(data[: max(self.cut_after - passed, 0)])
