Tables for the decisions about direct targets; staging counts each host once

Cause: a host that already held the chosen model was counted as one more, so a group that lacked an instance got none (features/targets/staging: 'instances that complete a group'). Change: staging takes the emptiest host that lacks the model, and never one that still loads.

--- /dev/null
+++ b/features/steps/direct_target_steps.py
@@ -0,0 +1,334 @@
+"""Steps on the decisions about direct targets: registry, orders, routes, attempts and choice."""
+
+from random import Random
+
+import msgspec
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+from returns.pipeline import is_successful
+
+from jaylatch_core.deployment import (
+    AccountProfile,
+    Deployment,
+    DeploymentNumber,
+    RequestKind,
+    RouteSpecification,
+    ServiceProfile,
+    ServiceShare,
+    validate_deployment,
+)
+from jaylatch_core.enums import GroupState
+from jaylatch_core.ids import AccountId, Epoch, FailureDomainId, GroupId, InstanceId
+from jaylatch_core.messages.control import Group
+from jaylatch_core.messages.targets import MemberState, ReportedMembership, TargetCheckIn
+from jaylatch_decisions.events import EventSplitter
+from jaylatch_decisions.targets import (
+    CloseGroup,
+    EngineOrder,
+    JoinGroup,
+    LeaveGroup,
+    OpenGroup,
+    RouteTable,
+    TargetLoad,
+    TargetRegistry,
+    choose_target,
+    plan_orders,
+)
+from jaylatch_decisions.targets.attempts import (
+    AttemptHistory,
+    AttemptOutcome,
+    Next,
+    decide_next,
+    record_outcome,
+)
+from jaylatch_decisions.targets.loads import LoadBudget
+from jaylatch_decisions.targets.orders import EngineState
+
+SILENCE = 3.0
+DOMAIN = FailureDomainId("d")
+OUTCOMES = {
+    "N": AttemptOutcome.NOT_SENT,
+    "R": AttemptOutcome.NOT_RUN,
+    "B": AttemptOutcome.BROKEN,
+    "S": AttemptOutcome.STALLED,
+    "F": AttemptOutcome.FAILED,
+}
+NEXT = {"again": Next.AGAIN, "refused": Next.REFUSE, "failed": Next.FAIL}
+ORDER_NAMES = {JoinGroup: "join", OpenGroup: "open", CloseGroup: "close", LeaveGroup: "leave"}
+LOAD_INTERVAL = 0.1
+LOAD_WINDOW = 5.0
+
+use_step_matcher("re")
+
+
+def parse_check_in(text: str) -> TargetCheckIn:
+    name, address, born_at, sequence = text.rstrip("d").split(":")
+    return TargetCheckIn(
+        InstanceId(name),
+        "service",
+        f"10.0.0.{address}:80",
+        DOMAIN,
+        DOMAIN,
+        int(born_at),
+        int(sequence),
+        text.endswith("d"),
+    )
+
+
+@given(r'a registry that has heard "(?P<messages>[^"]*)", one message a second')
+def step_registry(context: Context, messages: str) -> None:
+    context.registry = TargetRegistry(SILENCE, started_at=0.0)
+    context.now = 0.0
+    for message in messages.split():
+        context.now += 1.0
+        if message.startswith("-"):
+            context.registry.depart(InstanceId(message[1:]))
+        else:
+            context.registry.check_in(context.now, parse_check_in(message))
+
+
+@when(
+    r"the probe that was sent (?P<asked>[\d.]+) s later is missed"
+    r' and the target reports "(?P<later>[^"]*)" after it'
+)
+def step_probe_missed(context: Context, asked: str, later: str) -> None:
+    context.now += float(asked)
+    assert context.registry.mark_lost(InstanceId("a"), context.now)
+    for message in later.split():
+        context.registry.check_in(context.now, parse_check_in(message))
+
+
+@then(
+    r'after (?P<seconds>\d+) s more the usable targets are "(?P<usable>[^"]*)"'
+    r' and the draining ones "(?P<draining>[^"]*)"'
+)
+def step_usable(context: Context, seconds: str, usable: str, draining: str) -> None:
+    now = context.now + float(seconds)
+    records = context.registry.all()
+    found = sorted(
+        record.check_in.instance
+        for record in records
+        if context.registry.is_usable(now, record.check_in.instance)
+    )
+    assert found == usable.split(), found
+    leaving = [item.check_in.instance for item in records if item.draining_since is not None]
+    assert leaving == draining.split(), leaving
+
+
+def parse_membership(text: str) -> ReportedMembership:
+    place, rank, state = text.split("/")
+    group, epoch = place.split("@")
+    return ReportedMembership(GroupId(group), Epoch(int(epoch)), int(rank), MemberState(state))
+
+
+@given(r'the groups "(?P<groups>[^"]*)"')
+def step_groups(context: Context, groups: str) -> None:
+    context.groups = []
+    for text in groups.split():
+        place, members = text.split(":")
+        name, epoch = place.split("@")
+        context.groups.append(
+            Group(
+                GroupId(name),
+                Epoch(int(epoch)),
+                "model",
+                tuple(InstanceId(member) for member in members),
+                GroupState.ACTIVE,
+            )
+        )
+
+
+@given(r'the engines "(?P<engines>[^"]*)"')
+def step_engines(context: Context, engines: str) -> None:
+    context.engines = {}
+    for text in engines.split():
+        name, _, membership = text.partition("=")
+        state = parse_membership(membership) if membership else None
+        context.engines[InstanceId(name)] = EngineState(InstanceId(name), state, ())
+
+
+@then(r'the orders are "(?P<orders>[^"]*)"')
+def step_orders(context: Context, orders: str) -> None:
+    found: dict[InstanceId, EngineOrder] = plan_orders(context.groups, context.engines)
+    names = sorted(f"{ORDER_NAMES[type(order)]} {name}" for name, order in found.items())
+    assert names == sorted(item for item in orders.split(", ") if item), names
+    for order in found.values():
+        if isinstance(order, JoinGroup):
+            group = next(item for item in context.groups if item.id == order.group)
+            assert (order.epoch, order.members) == (group.epoch, group.members), order
+
+
+def make_route(name: str, host: str, prefix: str, kind: RequestKind) -> RouteSpecification:
+    return RouteSpecification(
+        name, host, prefix, kind, 1.0, 0.2, (ServiceShare("service", 1.0),), attempts=1
+    )
+
+
+@given(r'routes at "(?P<routes>[^"]*)"')
+def step_routes(context: Context, routes: str) -> None:
+    specifications = []
+    for text in routes.split():
+        place, _, name = text.partition("=")
+        host, _, prefix = place.partition("/")
+        kind = RequestKind.IDEMPOTENT
+        specifications.append(make_route(name, host, f"/{prefix}", kind))
+    context.route_table = RouteTable(Deployment(DeploymentNumber(1), tuple(specifications)))
+
+
+@then(r'a request for host "(?P<host>.*)" and path "(?P<path>.*)" takes route "(?P<route>.*)"')
+def step_route_found(context: Context, host: str, path: str, route: str) -> None:
+    found = context.route_table.find_route(host, path)
+    assert (found.name if found is not None else "none") == route, found
+
+
+@given(r"a deployment document with (?P<fault>.*)")
+def step_document(context: Context, fault: str) -> None:
+    route = make_route("r", "h", "/a/", RequestKind.IDEMPOTENT)
+    service = ServiceProfile("service", 10)
+    account = AccountProfile(AccountId("x"), ("key",))
+    document = Deployment(DeploymentNumber(1), (route,), (service,), accounts=(account,))
+    replace = msgspec.structs.replace
+    nobody = (ServiceShare("nobody", 1.0),)
+    faulty = {
+        "nothing wrong": document,
+        "a route to an unknown service": replace(document, routes=(replace(route, shares=nobody),)),
+        "two routes at the same place": replace(document, routes=(route, replace(route, name="s"))),
+        "a route whose weights add up to 0": replace(
+            document, routes=(replace(route, shares=(ServiceShare("service", 0.0),)),)
+        ),
+        "a route without a timeout": replace(document, routes=(replace(route, timeout=0.0),)),
+        "a key that two accounts share": replace(
+            document, accounts=(account, AccountProfile(AccountId("y"), ("key",)))
+        ),
+        "no number": replace(document, number=DeploymentNumber(0)),
+        "a prefix without its slashes": replace(
+            document, routes=(replace(route, path_prefix="a"),)
+        ),
+        "a service that is defined twice": replace(document, services=(service, service)),
+    }
+    context.document = faulty[fault]
+
+
+@then(r'it is refused with "(?P<finding>.*)"')
+def step_refused_with(context: Context, finding: str) -> None:
+    checked = validate_deployment(context.document)
+    found = [] if is_successful(checked) else [item.id for item in checked.failure().findings]
+    assert found == ([finding] if finding else []), found
+
+
+@given(
+    r"a route of kind (?P<kind>\w+) for at most (?P<attempts>\d+) targets,"
+    r" with a budget: (?P<budget>yes|no)"
+)
+def step_attempt_route(context: Context, kind: str, attempts: str, budget: str) -> None:
+    kinds = {"resumable": RequestKind.STREAM, "stream": RequestKind.STREAM}
+    route = make_route("r", "h", "/", kinds.get(kind) or RequestKind(kind))
+    context.route = msgspec.structs.replace(
+        route, attempts=int(attempts), is_resumable=kind == "resumable"
+    )
+    context.has_budget = budget == "yes"
+
+
+@when(r'the attempts end "(?P<outcomes>[NRBSF ]+)"')
+def step_attempts_end(context: Context, outcomes: str) -> None:
+    history = AttemptHistory()
+    for outcome in outcomes.split():
+        record_outcome(history, OUTCOMES[outcome])
+        context.next = decide_next(context.route, history, OUTCOMES[outcome], context.has_budget)
+
+
+@then(r"the request is to be (?P<step>again|refused|failed)")
+def step_next(context: Context, step: str) -> None:
+    assert context.next is NEXT[step], context.next
+
+
+@given(r'the targets "(?P<targets>[^"]*)"')
+def step_targets(context: Context, targets: str) -> None:
+    context.targets = []
+    for text in targets.split():
+        name, slots, own, *reported = text.split(":")
+        load = TargetLoad(InstanceId(name), int(slots), DOMAIN, own=int(own))
+        if reported:
+            load.take_report(10.0, int(reported[0]))
+            # The report was made with this node's present requests among it.
+        context.targets.append(load)
+
+
+@when(
+    r'"(?P<failures>[^"]*)" have just failed'
+    r' and "(?P<tried>[^"]*)" have been tried for the request'
+)
+def step_failures(context: Context, failures: str, tried: str) -> None:
+    for name in failures.split():
+        next(item for item in context.targets if item.instance == name).record_failure(10.0)
+    context.tried = frozenset(InstanceId(name) for name in tried.split())
+
+
+@then(r'after (?P<seconds>\d+) s the choice is "(?P<choice>\w+)"')
+def step_choice(context: Context, seconds: str, choice: str) -> None:
+    now = 10.0 + float(seconds)
+    chosen = choose_target(now, context.targets, DOMAIN, Random(1), context.tried)
+    assert (chosen.instance if chosen is not None else "none") == choice, chosen
+
+
+def event_bytes(piece: str) -> bytes:
+    """Return the bytes of the events or halves that ``piece`` names."""
+    data = b""
+    for item in piece.split("+"):
+        number = item.strip("-")
+        event = f"id: {number}\ndata: text {number}\n\n".encode()
+        half = len(event) // 2
+        if item.endswith("-"):
+            data += event[:half]
+        elif item.startswith("-"):
+            data += event[half:]
+        else:
+            data += event
+    return data
+
+
+@given(r"a caller that has the events up to (?P<last>-?\d+)")
+def step_caller_has(context: Context, last: str) -> None:
+    context.splitter = EventSplitter(int(last))
+
+
+@when(r'the pieces "(?P<pieces>[^"]*)" arrive')
+def step_pieces(context: Context, pieces: str) -> None:
+    context.passed = b""
+    for piece in pieces.split():
+        if piece == "|":
+            context.splitter.restart()
+        else:
+            context.passed += context.splitter.feed(event_bytes(piece))
+
+
+@then(r'the events passed on are "(?P<passed>[^"]*)" and a part is left: (?P<left>yes|no)')
+def step_passed(context: Context, passed: str, left: str) -> None:
+    assert context.passed == b"".join(event_bytes(item) for item in passed.split())
+    assert context.splitter.has_partial == (left == "yes")
+
+
+@given(r"a load budget at a (?P<start>first|later) start")
+def step_budget(context: Context, start: str) -> None:
+    context.budget = LoadBudget(0.0, is_first_start=start == "first")
+
+
+@when(
+    r"(?P<wanted>\d+) loads are wanted each 0.1 s for (?P<seconds>\d+) s"
+    r" at a rate of (?P<rate>\d+)"
+)
+def step_loads(context: Context, wanted: str, seconds: str, rate: str) -> None:
+    context.begun = []
+    for tick in range(int(float(seconds) / LOAD_INTERVAL)):
+        now = tick * LOAD_INTERVAL
+        context.begun += [now for _ in range(int(wanted)) if context.budget.take(now, float(rate))]
+
+
+@then(r"in any 5 s at most (?P<most>\d+) begin, and at least (?P<least>\d+) in all")
+def step_loads_begun(context: Context, most: str, least: str) -> None:
+    windows = [
+        sum(start <= other < start + LOAD_WINDOW for other in context.begun)
+        for start in context.begun
+    ]
+    assert max(windows) <= int(most), max(windows)
+    assert len(context.begun) >= int(least), len(context.begun)
--- /dev/null
+++ b/features/targets/attempts.feature
@@ -0,0 +1,33 @@
+Feature: What follows an attempt that brought no whole answer
+
+  Outcomes: N not sent, R promised not run, B broken, S stalled, F failed by the target.
+
+  Scenario Outline: <kind>, at most <attempts> targets: <outcomes>
+    Given a route of kind <kind> for at most <attempts> targets, with a budget: <budget>
+    When the attempts end "<outcomes>"
+    Then the request is to be <next>
+
+    Examples: a request that may run only once
+      | kind       | attempts | budget | outcomes | next    |
+      | once       | 1        | yes    | N        | again   |
+      | once       | 1        | yes    | N N      | again   |
+      | once       | 1        | yes    | N N N    | refused |
+      | once       | 1        | yes    | R        | refused |
+      | once       | 2        | yes    | R        | again   |
+      | once       | 2        | no     | R        | refused |
+      | once       | 2        | yes    | B        | failed  |
+      | once       | 2        | yes    | R B      | failed  |
+      | once       | 3        | yes    | B        | failed  |
+
+    Examples: a request that may be repeated
+      | kind       | attempts | budget | outcomes | next    |
+      | idempotent | 2        | yes    | B        | again   |
+      | idempotent | 2        | no     | B        | failed  |
+      | idempotent | 2        | yes    | B B      | failed  |
+      | idempotent | 2        | yes    | B R      | failed  |
+      | idempotent | 2        | yes    | R R      | refused |
+      | idempotent | 2        | yes    | F        | again   |
+      | idempotent | 3        | yes    | S N      | again   |
+      | resumable  | 2        | yes    | S        | again   |
+      | stream     | 2        | yes    | S        | failed  |
+      | stream     | 2        | yes    | R        | again   |
--- /dev/null
+++ b/features/targets/orders.feature
@@ -0,0 +1,25 @@
+Feature: The orders that bring engines to the groups that control has agreed on
+
+  A group is NAME@EPOCH:MEMBERS, the first is the head. An engine is ID or ID=GROUP@EPOCH/RANK/STATE.
+
+  Scenario Outline: <case>
+    Given the groups "<groups>"
+    And the engines "<engines>"
+    Then the orders are "<orders>"
+
+    Examples:
+      | case                                               | groups  | engines                                     | orders               |
+      | a new group                                        | g@1:abc | a b c                                       | join a, join b, join c |
+      | members that join are waited for                   | g@1:abc | a=g@1/0/ready b=g@1/1/joining c=g@1/2/ready |                      |
+      | a head opens only when all are ready               | g@1:abc | a=g@1/0/ready b=g@1/1/ready c               | join c               |
+      | all are ready                                      | g@1:abc | a=g@1/0/ready b=g@1/1/ready c=g@1/2/ready   | open a               |
+      | a silent member keeps the group closed             | g@1:abc | a=g@1/0/ready b=g@1/1/ready                 |                      |
+      | a serving group needs nothing                      | g@1:ab  | a=g@1/0/open b=g@1/1/ready                  |                      |
+      | a repair joins all anew                            | g@2:abd | a=g@1/0/open b=g@1/1/ready d                | join a, join b, join d |
+      | a member of another group leaves it first          | g@2:ab  | a b=h@1/1/ready                             | join a, leave b      |
+      | the head of another group closes it first          | g@2:ab  | a b=h@1/0/open                              | join a, close b      |
+      | a released head that still serves is closed        |         | a=g@1/0/open                                | close a              |
+      | a released member leaves                           |         | a=g@1/1/ready                               | leave a              |
+      | a free engine is left alone                        |         | a                                           |                      |
+      | a newer epoch than known is not undone             | g@1:ab  | a=g@2/0/open b=g@2/1/ready                  |                      |
+      | a head that is open under an older epoch joins     | g@3:ab  | a=g@2/0/open b=g@3/1/ready                  | join a               |
--- /dev/null
+++ b/features/targets/registry.feature
@@ -0,0 +1,33 @@
+Feature: Who is a direct target, from heartbeats that come late, twice or from ended incarnations
+
+  Each message is ID:ADDRESS:BORN:SEQUENCE, with a d at its end for a draining target; -ID is a
+  departure. The silence that ends a target is 3 s.
+
+  Scenario Outline: <case>
+    Given a registry that has heard "<messages>", one message a second
+    Then after <seconds> s more the usable targets are "<usable>" and the draining ones "<draining>"
+
+    Examples:
+      | case                                                | messages                     | seconds | usable | draining |
+      | a target that reports                               | a:1:10:1                     | 0       | a      |          |
+      | a silent target                                     | a:1:10:1                     | 3       |        |          |
+      | a heartbeat that was overtaken says nothing new     | a:1:10:2d a:1:10:1           | 0       | a      | a        |
+      | an id that starts again is a new incarnation        | a:1:10:9d a:1:20:1           | 0       | a      |          |
+      | a late heartbeat of the ended incarnation           | a:1:10:8 a:1:20:1 a:1:10:9   | 0       | a      |          |
+      | the address has passed to a newer target            | a:1:10:1 b:1:20:1            | 0       | b      |          |
+      | a late heartbeat from before the address passed on  | b:1:20:1 a:1:10:7            | 0       | b      |          |
+      | two addresses                                       | a:1:10:1 b:2:20:1            | 0       | a b    |          |
+      | a departure                                         | a:1:10:1 -a                  | 0       |        |          |
+      | a heartbeat that the departure overtook             | a:1:10:1 -a a:1:10:2         | 0       |        |          |
+      | a new incarnation after a departure                 | a:1:10:1 -a a:1:20:1         | 0       | a      |          |
+      | a departure of an unknown target                    | -a a:1:10:1                  | 0       | a      |          |
+
+  Scenario Outline: a target that misses its probe <case>
+    Given a registry that has heard "a:1:10:1", one message a second
+    When the probe that was sent <asked> s later is missed and the target reports "<later>" after it
+    Then after 0 s more the usable targets are "<usable>" and the draining ones ""
+
+    Examples:
+      | case                          | asked | later    | usable |
+      | is lost at once               | 0.5   |          |        |
+      | is back with its next report  | 0.5   | a:1:10:2 | a      |
--- /dev/null
+++ b/features/targets/staging.feature
@@ -0,0 +1,31 @@
+Feature: Free instances load what their domain lacks, before it is needed
+
+  Models: v takes 4 instances, f takes 3. An instance is ID=STATE where STATE lists what its host
+  holds ("-" for nothing), "!" that it is lost, and >M that it loads M.
+
+  Scenario Outline: <case>
+    Given the instances "<instances>" of one domain
+    And the groups of it "<groups>"
+    Then they stage "<staging>"
+
+    Examples:
+      | case                                                | instances                              | groups        | staging |
+      | a cold spare protects the group without one         | a=v b=v c=v d=v e=f g=f h=f s=v t=-    | v:abcd f:egh  | t:f     |
+      | spares that hold the right models stay              | a=v b=v c=v d=v e=f g=f h=f s=v t=f    | v:abcd f:egh  |         |
+      | what a broken group lacks comes first               | a=v! b=v c=v d=v e=f g=f h=f t=-       | v:abcd f:egh  | t:v     |
+      | a spare that loads is counted                       | a=v! b=v c=v d=v e=f g=f h=f s=->v t=- | v:abcd f:egh  | t:f     |
+      | instances that complete a group                     | a=v b=v c=v d=-                        |               | d:v     |
+      | the group that is nearer                            | a=v b=v c=f d=f e=-                    |               | e:f     |
+      | nothing can be completed and nothing stands         | a=v b=-                                |               |         |
+
+  Scenario Outline: after a first start, <case>
+    Given the instances "<instances>" of one domain
+    And the groups of it "<groups>"
+    Then the plan is "<plan>"
+
+    Examples:
+      | case                                       | instances                             | groups       | plan             |
+      | a group is formed by those that hold it    | a=f b=v c=v d=v e=v s=f               |              | form v:bcde      |
+      | none is formed by those that do not        | a=f b=- c=- d=- e=-                   |              |                  |
+      | a member is replaced by a host of its model| a=v! b=v c=v d=v s=f t=v              | v:abcd       | repair v:bcdt    |
+      | no host of its model: the group waits      | a=v! b=v c=v d=v s=f t=-              | v:abcd       |                  |
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -60,15 +60,23 @@
     def plan(self) -> dict[InstanceId, str]:
         """Return the staging of this domain."""
         staging: dict[InstanceId, str] = {}
-        idle = [item for item in self._free if not self._is_useful(item)]
-        for count, item in enumerate(idle):
-            model = self._next_model(len(idle) - count)
-            if model is None:
-                break
+        while True:
+            idle = [
+                item
+                for item in self._free
+                if item.instance not in staging
+                and not item.staging_model
+                and not self._is_useful(item)
+            ]
+            model = self._next_model(idle)
+            chosen = [item for item in idle if model not in _models_of(item)]
+            if model is None or not chosen:
+                return staging
+            # Empty hosts first: another model on a host may be wanted again.
+            item = min(chosen, key=lambda item: (len(_models_of(item)), item.instance))
+            self._warm.subtract(_models_of(item))
             self._warm[model] += 1
-            if model not in _models_of(item):
-                staging[item.instance] = model
-        return staging
+            staging[item.instance] = model
 
     def _is_useful(self, item: InstanceFacts) -> bool:
         """Return whether the host holds a model that a group of this domain serves or lacks."""
@@ -83,8 +91,8 @@
             self._warm[model] >= sizes.get(model, len(self._free) + 1) for model in _models_of(item)
         )
 
-    def _next_model(self, idle: int) -> str | None:
-        """Return what the next of ``idle`` instances should stage, or None."""
+    def _next_model(self, idle: list[InstanceFacts]) -> str | None:
+        """Return what one of the ``idle`` instances should stage next, or None."""
         lacking = [
             model for model in self._models if self._lacking[model.name] > self._warm[model.name]
         ]
@@ -92,7 +100,7 @@
             return min(
                 lacking, key=lambda item: self._lacking[item.name] - self._warm[item.name]
             ).name
-        completable = [model for model in self._models if 0 < self._missing(model) <= idle]
+        completable = [model for model in self._models if self._is_completable(model, idle)]
         if completable:
             return min(
                 completable,
@@ -100,6 +108,11 @@
             ).name
         return self._least_protected()
 
+    def _is_completable(self, model: ModelSpecification, idle: list[InstanceFacts]) -> bool:
+        """Return whether a further group can be had by staging on idle instances alone."""
+        others = sum(model.name not in _models_of(item) for item in idle)
+        return 0 < self._missing(model) <= others
+
     def _missing(self, model: ModelSpecification) -> int:
         return model.instances_per_group - (self._warm[model.name] - self._lacking[model.name])
 
--- a/tools/run_docs.py
+++ b/tools/run_docs.py
@@ -16,7 +16,17 @@
 from tempfile import TemporaryDirectory, gettempdir
 
 ROOT = Path(__file__).resolve().parent.parent
-LINKED = (".venv", "Makefile", "constraints.txt", "examples", "features", "packages", "tools")
+LINKED = (
+    ".venv",
+    "Makefile",
+    "constraints.txt",
+    "deploy",
+    "examples",
+    "features",
+    "packages",
+    "platform",
+    "tools",
+)
 TIMEOUT = 240.0
 LOCK = Path(gettempdir()) / "jaylatch-docs.lock"
 BLOCK = re.compile(r"(?P<skip><!-- not run: .+? -->\n)?```sh\n(?P<code>.*?)```", re.DOTALL)
