Close idle connections and refuse late requests when a gateway ends

Ruled out: the grace itself (it was used to 0.4 s before its end). Change: after the rotation time idle connections are closed unread, and what still arrives is refused as not run, with the connection's end.

--- /dev/null
+++ b/features/steps/gateway_drain_steps.py
@@ -0,0 +1,99 @@
+"""Steps on the drain of a gateway."""
+
+from asyncio import create_task, sleep
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from features.support.gateway import (
+    GatewayHarness,
+    RawCaller,
+    Received,
+    ScriptedTarget,
+    answer_bytes,
+    make_route,
+    request_bytes,
+)
+from jaylatch_core.deployment import RequestKind
+from jaylatch_core.settings import GatewaySettings
+
+GRACE = 4.0
+ROTATION = 1.4
+KIND = RequestKind.ONCE
+WORKED = b"worked"
+
+use_step_matcher("re")
+
+
+@given(r"a gateway before a target that works for (?P<work>[\d.]+) s")
+def step_gateway(context: Context, work: str) -> None:
+    context.runner.run(start_gateway(context, float(work)))
+
+
+async def start_gateway(context: Context, work: float) -> None:
+    async def script(request: Received, reader: object, writer: object) -> bool:
+        await sleep(work if request.path != "/once/warm" else 0)
+        writer.write(answer_bytes(request, WORKED))  # type: ignore[attr-defined]
+        return True
+
+    context.target = ScriptedTarget("target", script)  # type: ignore[arg-type]
+    await context.target.start()
+    context.harness = GatewayHarness(GatewaySettings(grace=GRACE, rotation=ROTATION))
+    context.harness.start()
+    context.harness.grant([make_route(KIND)], {KIND: [context.target]})
+
+
+@when(
+    r"it is told to stop, and (?P<sent>\d+) s later a request is sent"
+    r" on a (?P<connection>new|kept) connection"
+)
+def step_stop(context: Context, sent: str, connection: str) -> None:
+    context.runner.run(stop_and_ask(context, float(sent), connection == "kept"))
+
+
+async def stop_and_ask(context: Context, sent: float, is_kept: bool) -> None:
+    caller = None
+    if is_kept:
+        caller = await RawCaller.connect(context.harness.address)
+        assert (await caller.ask(request_bytes("/once/warm"))).status == 200
+    drain = create_task(context.harness.role.drain())
+    await sleep(sent)
+    caller = caller or await RawCaller.connect(context.harness.address)
+    context.answer = await caller.ask(request_bytes("/once/work"))
+    await drain
+
+
+@when(r"it is told to stop, and a request arrives in two halves, 1 s and 2 s later")
+def step_halves(context: Context) -> None:
+    context.runner.run(stop_and_halve(context))
+
+
+async def stop_and_halve(context: Context) -> None:
+    data = request_bytes("/once/work", body=b"12345678")
+    caller = await RawCaller.connect(context.harness.address)
+    drain = create_task(context.harness.role.drain())
+    await sleep(1)
+    caller.writer.write(data[:-4])
+    await sleep(1)
+    context.answer = await caller.ask(data[-4:])
+    await drain
+
+
+@then(r"the caller gets (?P<answer>.+)")
+def step_answer(context: Context, answer: str) -> None:
+    got = context.answer
+    match answer:
+        case "the whole answer and the end":
+            assert (got.status, got.body, got.is_whole, got.is_last) == (200, WORKED, True, True), got
+        case "a closed connection, its request unread":
+            assert got.status == 0, got
+        case "a refusal that says that nothing ran and the end":
+            assert (got.status, got.is_last) == (503, True), got
+        case _:
+            raise AssertionError(answer)
+
+
+@then(r"the target ran (?P<runs>\d) of it")
+def step_runs(context: Context, runs: str) -> None:
+    paths = [item.path for item in context.target.received if item.path == "/once/work"]
+    assert len(paths) == int(runs), paths
--- /dev/null
+++ b/features/support/gateway.py
@@ -0,0 +1,364 @@
+"""A gateway on the test's own loop, with scripted targets behind it and raw callers before it."""
+
+from asyncio import (
+    IncompleteReadError,
+    StreamReader,
+    StreamWriter,
+    open_connection,
+    start_server,
+    wait_for,
+)
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from jaylatch_core.clock import monotonic
+from jaylatch_core.deployment import (
+    Deployment,
+    DeploymentNumber,
+    EngineProfile,
+    RequestKind,
+    RouteSpecification,
+    ServiceProfile,
+    ServiceShare,
+)
+from jaylatch_core.events import EventLog
+from jaylatch_core.ids import (
+    AccountId,
+    AttemptId,
+    Epoch,
+    FailureDomainId,
+    GroupId,
+    Incarnation,
+    InstanceId,
+)
+from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, View
+from jaylatch_core.settings import GatewaySettings, NodeSettings
+from jaylatch_decisions.leases import HeldLease
+from jaylatch_decisions.targets import EngineOrder
+from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
+from jaylatch_node.control.client import ControlClient
+from jaylatch_node.gateway import GatewayRole
+from jaylatch_node.observability import Metrics
+from jaylatch_node.streams import PeerPool, Traffic
+from jaylatch_node.targets import (
+    InboundRequest,
+    OrderOutcome,
+    OutboundRequest,
+    Refusal,
+    RefusalKind,
+    ResponseFacts,
+    ResponseHead,
+)
+from jaylatch_standins.ports import free_addresses
+
+STATUS = {
+    RefusalKind.NOT_RUN: 503,
+    RefusalKind.FAILED: 502,
+    RefusalKind.TIMED_OUT: 504,
+    RefusalKind.NO_ROUTE: 404,
+    RefusalKind.UNKNOWN_KEY: 401,
+    RefusalKind.BAD_REQUEST: 400,
+}
+DOMAIN = FailureDomainId("domain-1")
+HOST = "gateway.test"
+ANSWER_TIMEOUT = 15.0
+MODEL = "model"
+
+
+class PlainDialect:
+    """The least that a dialect needs, with header names of the tests' own."""
+
+    def read_request(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes
+    ) -> InboundRequest | Refusal:
+        """Return the request; it must have an id."""
+        if "X-Id" not in headers:
+            return Refusal(RefusalKind.BAD_REQUEST, "no id")
+        last = headers.get("X-Last")
+        time_left = headers.get("X-Time-Left")
+        return InboundRequest(
+            AttemptId(headers["X-Id"]),
+            start_line.method,
+            start_line.path,
+            headers["Host"],
+            headers,
+            body,
+            float(time_left) if time_left else None,
+            headers.get("X-Key"),
+            headers.get("X-Model"),
+            int(last) if last else None,
+        )
+
+    def write_request(
+        self,
+        request: InboundRequest,
+        instance: InstanceId,
+        account: AccountId | None,
+        time_left: float,
+        resume_after: int | None,
+    ) -> OutboundRequest:
+        """Return the request as a target gets it."""
+        headers = HTTPHeaders({"X-Id": request.attempt, "X-Instance": instance})
+        headers["X-Time-Left"] = f"{time_left:.3f}"
+        if resume_after is not None:
+            headers["X-Last"] = str(resume_after)
+        return OutboundRequest(request.method, request.target, headers, request.body)
+
+    def read_response(self, head: ResponseHead) -> ResponseFacts:
+        """Return what a response head says."""
+        attempt = head.headers.get("X-Id")
+        return ResponseFacts(
+            AttemptId(attempt) if attempt else None,
+            "X-Proof" in head.headers,
+            "X-Not-Run" in head.headers,
+            None,
+            "Content-Encoding" in head.headers,
+            None,
+        )
+
+    def write_refusal(
+        self, refusal: Refusal, attempt: AttemptId | None
+    ) -> tuple[int, str, HTTPHeaders, bytes]:
+        """Return the gateway's own answer."""
+        return STATUS[refusal.kind], refusal.kind.value, HTTPHeaders(), refusal.reason.encode()
+
+    def write_answer_headers(self, head: ResponseHead) -> HTTPHeaders:
+        """Return the proof and the id of a target's answer."""
+        names = ("X-Id", "X-Proof", "Content-Type")
+        return HTTPHeaders({name: head.headers[name] for name in names if name in head.headers})
+
+    def write_order(self, order: EngineOrder, instance: InstanceId, fence: int) -> OutboundRequest:
+        """Return an order."""
+        return OutboundRequest("POST", "/order", HTTPHeaders(), repr(order).encode())
+
+    def write_probe(self, instance: InstanceId) -> OutboundRequest:
+        """Return a probe."""
+        return OutboundRequest("GET", "/alive", HTTPHeaders())
+
+    def read_order_outcome(self, head: ResponseHead) -> OrderOutcome:
+        """Return what became of an order."""
+        return OrderOutcome.ACCEPTED
+
+
+@dataclass
+class Received:
+    """A request as a target read it."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+Script = Callable[[Received, StreamReader, StreamWriter], Awaitable[bool]]
+"""Answers one request; returns whether the connection is kept."""
+
+
+@dataclass
+class ScriptedTarget:
+    """A target on a port of its own, which notes what it got and answers as its script says."""
+
+    name: str
+    script: Script
+    address: str = field(default_factory=lambda: free_addresses(1)[0])
+    received: list[Received] = field(default_factory=list)
+    connections: int = 0
+    abandoned: int = 0
+
+    async def start(self) -> None:
+        """Listen."""
+        host, _, port = self.address.rpartition(":")
+        self.server = await start_server(self._serve, host, int(port))
+
+    async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        try:
+            while True:
+                request = await read_request(reader)
+                self.received.append(request)
+                if not await self.script(request, reader, writer):
+                    break
+        except (IncompleteReadError, ConnectionError):
+            self.abandoned += 1
+        finally:
+            writer.close()
+
+
+async def read_request(reader: StreamReader) -> Received:
+    """Read one request. Raises IncompleteReadError at the connection's end."""
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+    method, path, _ = lines[0].split(" ")
+    headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+    body = await reader.readexactly(int(headers.get("Content-Length", "0")))
+    return Received(method, path, headers, body)
+
+
+def answer_bytes(request: Received, body: bytes, status: str = "200 OK", **more: str) -> bytes:
+    """Return a whole answer to ``request`` with its proof; ``more`` are further headers."""
+    headers = {"X-Id": request.headers["X-Id"], "X-Proof": "proof", **more}
+    headers["Content-Length"] = str(len(body))
+    lines = [f"HTTP/1.1 {status}", *(f"{name}: {value}" for name, value in headers.items())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def stream_head(request: Received) -> bytes:
+    """Return the head of a stream that answers ``request``."""
+    return (
+        "HTTP/1.1 200 OK\r\nX-Proof: proof\r\nContent-Type: text/event-stream\r\n"
+        f"X-Id: {request.headers['X-Id']}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def event_chunk(number: int) -> bytes:
+    """Return one event as a chunk."""
+    event = f"id: {number}\ndata: text {number}\n\n".encode()
+    return f"{len(event):x}\r\n".encode() + event + b"\r\n"
+
+
+END_OF_STREAM = b"0\r\n\r\n"
+
+
+@dataclass
+class Answer:
+    """What a caller got: status 0 if the connection ended before an answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    is_whole: bool
+
+    @property
+    def is_last(self) -> bool:
+        """Return whether the gateway ends the connection after it."""
+        return self.headers.get("Connection", "").lower() == "close"
+
+
+class RawCaller:
+    """A caller on one connection."""
+
+    def __init__(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self._reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, address: str) -> "RawCaller":
+        """Return a connected caller."""
+        host, _, port = address.rpartition(":")
+        return cls(*await open_connection(host, int(port)))
+
+    async def ask(self, request: bytes, timeout: float = ANSWER_TIMEOUT) -> Answer:
+        """Send a request and return its answer."""
+        self.writer.write(request)
+        return await self.read(timeout)
+
+    async def read(self, timeout: float = ANSWER_TIMEOUT) -> Answer:
+        """Return the next answer."""
+        try:
+            return await wait_for(self._read(), timeout)
+        except (IncompleteReadError, ConnectionError):
+            return Answer(0, {}, b"", False)
+
+    async def _read(self) -> Answer:
+        lines = (await self._reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        status = int(lines[0].split(" ")[1])
+        headers = dict(line.split(": ", 1) for line in lines[1:] if line)
+        if "Content-Length" in headers:
+            body = await self._reader.readexactly(int(headers["Content-Length"]))
+            return Answer(status, headers, body, True)
+        body = b""
+        try:
+            while size := int((await self._reader.readuntil(b"\r\n")).strip(), 16):
+                body += await self._reader.readexactly(size)
+                await self._reader.readexactly(2)
+            await self._reader.readexactly(2)
+        except (IncompleteReadError, ConnectionError):
+            return Answer(status, headers, body, False)
+        return Answer(status, headers, body, True)
+
+
+def request_bytes(
+    path: str, request: str = "r1", body: bytes = b"", method: str = "POST", **headers: str
+) -> bytes:
+    """Return a caller's request; in the names of ``headers`` an underscore stands for a dash."""
+    lines = [f"{method} {path} HTTP/1.1", f"Host: {HOST}", f"X-Id: {request}"]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_route(kind: RequestKind, **more: object) -> RouteSpecification:
+    """Return the route ``/KIND/`` to the service that goes by the same name."""
+    route = RouteSpecification(
+        kind.value,
+        HOST,
+        f"/{kind.value}/",
+        kind,
+        8.0,
+        0.2,
+        (ServiceShare(kind.value, 1.0),),
+        attempts=2,
+        is_resumable=True,
+        event_gap=0.2,
+    )
+    return msgspec.structs.replace(route, **more)
+
+
+class GatewayHarness:
+    """A gateway role whose lease, deployment and view the test sets."""
+
+    def __init__(self, settings: GatewaySettings | None = None) -> None:
+        http, readiness, stream = free_addresses(3)
+        gateway = msgspec.structs.replace(
+            settings or GatewaySettings(), http=http, readiness=readiness
+        )
+        self.address = http
+        self.settings = NodeSettings(
+            instance=InstanceId("gateway"), failure_domain=DOMAIN, stream=stream, gateway=gateway
+        )
+        events = EventLog("gateway")
+        lease = HeldLease(0.0)
+        lease.extend(monotonic(), 3600.0)
+        identity = Identity(InstanceId("gateway"), Incarnation("1"), DOMAIN, stream)
+        self.board = Blackboard(identity, events, GrantBoard(lease))
+        peers = PeerPool(events, Traffic(Metrics()), lambda connection, call, body: None)
+        client = ControlClient(self.settings.control, peers)
+        self.role = GatewayRole(self.settings, self.board, client, PlainDialect())
+
+    def grant(
+        self, routes: list[RouteSpecification], targets: dict[RequestKind, list[ScriptedTarget]]
+    ) -> None:
+        """Let the routes go to the targets of their kind; streams go to groups of one model."""
+        engine = EngineProfile(4)
+        services = tuple(
+            ServiceProfile(kind.value, 100, engine if kind is RequestKind.STREAM else None)
+            for kind in RequestKind
+        )
+        self.board.grant.deployment = Deployment(DeploymentNumber(1), tuple(routes), services)
+        groups = tuple(
+            GroupRoute(
+                GroupId(target.name),
+                Epoch(1),
+                MODEL,
+                InstanceId(target.name),
+                target.address,
+                DOMAIN,
+                RequestKind.STREAM.value,
+                4,
+            )
+            for target in targets.get(RequestKind.STREAM, [])
+        )
+        plain = tuple(
+            ServiceRoute(kind.value, InstanceId(target.name), target.address, DOMAIN, 4)
+            for kind in (RequestKind.IDEMPOTENT, RequestKind.ONCE)
+            for target in targets.get(kind, [])
+        )
+        version = self.board.grant.view.version + 1
+        self.board.grant.view = View(version, groups, plain)
+        self.role.on_grant()
+
+    def start(self) -> None:
+        """Start the role on the running loop."""
+        self.role.start()
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -100,13 +100,15 @@
     """The role that forwards requests of a deployment's routes to direct targets.
 
     ``http`` is where callers reach it and ``readiness`` where the platform asks whether it takes
-    callers. ``grace`` is the time from SIGTERM until the process has to be gone. ``repeat_ratio``
+    callers. ``grace`` is the time from SIGTERM until the process has to be gone, and ``rotation``
+    that for which new callers still come. ``repeat_ratio``
     and ``repeat_burst`` are this process's part of the budget of second sends.
     """
 
     http: str = "127.0.0.1:8081"
     readiness: str = "127.0.0.1:8082"
     grace: Interval = 8.0
+    rotation: Interval = 2.8
     repeat_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     repeat_burst: Annotated[float, Meta(ge=0)] = 10.0
 
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -45,6 +45,8 @@
 """Part by which an advice to return is varied, so that callers do not return together."""
 NO_LEASE_RETRY = 0.5
 """Seconds after which a node without a lease may have one again: a renewal interval."""
+ENDING_RETRY = 0.02
+"""Seconds after which a caller may come back, to another instance."""
 BUSY_RETRY_LIMIT = 2.0
 """Seconds that an advice to return never exceeds."""
 
@@ -81,6 +83,7 @@
         suspect: SuspicionHandler,
     ) -> None:
         self._suspect = suspect
+        self._is_ending = False
         self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
         self._board = board
         self._dialect = dialect
@@ -96,6 +99,10 @@
         """Use the routes and keys of the granted deployment."""
         self._table = RouteTable(self._board.grant.deployment)
 
+    def stop_admitting(self) -> None:
+        """Refuse every further request: this process is about to end."""
+        self._is_ending = True
+
     def leave_targets(self, gone: set[InstanceId]) -> None:
         """Take the requests that may be repeated away from targets that serve no more."""
         for instance in gone:
@@ -131,6 +138,8 @@
 
     def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
         """Return the job of a request that may be forwarded, or why it may not."""
+        if self._is_ending:
+            return Refusal(RefusalKind.NOT_RUN, "this instance is ending", ENDING_RETRY)
         if not self._board.grant.lease.is_valid(now) or not self._board.grant.deployment.number:
             return Refusal(RefusalKind.NOT_RUN, "no valid lease", NO_LEASE_RETRY)
         route = self._table.find_route(request.host, request.path)
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -23,9 +23,6 @@
 from jaylatch_node.role import NodeRole
 from jaylatch_node.targets import TargetDialect, TargetPool
 
-ROTATION_TIME = 2.8
-"""Seconds for which a stopping process accepts connections: the platform takes two missed
-readiness checks, a second apart, to send new ones elsewhere."""
 GRACE_MARGIN = 0.4
 """Seconds before the end of the grace at which what is left is cut."""
 DRAIN_POLL = 0.05
@@ -87,8 +84,11 @@
         started_at = monotonic()
         self._is_stopping = True
         self._server.drain()
-        await sleep(ROTATION_TIME)
+        await sleep(self._settings.rotation)
         self._server.stop()
+        # What is sent from now on may take longer than the grace that is left.
+        self._forwarder.stop_admitting()
+        self._server.close_idle()
         until = started_at + self._settings.grace - GRACE_MARGIN
         while self._server.in_flight and monotonic() < until:
             await sleep(DRAIN_POLL)
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -31,6 +31,7 @@
         self._handle = handle
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
+        self._waiting: set[_InboundMessage] = set()
         self._http = HTTPServer(
             self,
             max_body_size=limits.body_bytes,
@@ -62,7 +63,19 @@
         """Return the receiver of one request."""
         assert isinstance(request_conn, HTTP1Connection)
         request_conn.stream.set_nodelay(True)
-        return _InboundMessage(self, request_conn)
+        message = _InboundMessage(self, request_conn)
+        self._waiting.add(message)
+        return message
+
+    def end_waiting(self, message: "_InboundMessage") -> None:
+        """Note that a request has begun to arrive on a connection, or that it has ended."""
+        self._waiting.discard(message)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request has begun to arrive."""
+        for message in tuple(self._waiting):
+            message.close()
+        self._waiting.clear()
 
     def is_draining(self) -> bool:
         """Return whether connections end with their next answer."""
@@ -105,6 +118,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
+        self._server.end_waiting(self)
 
     def data_received(self, chunk: bytes) -> None:
         """Take a piece of the body."""
@@ -115,8 +129,13 @@
         self._connection.set_close_callback(self.on_connection_close)
         self._task = self._server.begin(self)
 
+    def close(self) -> None:
+        """Close the connection unread."""
+        self._connection.close()
+
     def on_connection_close(self) -> None:
         """Stop work for a caller that has gone."""
         self.caller.is_gone = True
+        self._server.end_waiting(self)
         if self._task is not None:
             self._task.cancel()
