Refuse a gap in a stream; tables for the path of requests through a gateway

Cause: a stream whose target left out an event was passed on as whole (features/gateway/path: 'leaves out an event'); the ids of the users' servers follow one another, as their streams show. Change: the splitter stops at a gap, and the request goes on at another target after the last event.

--- a/features/gateway/drain.feature
+++ b/features/gateway/drain.feature
@@ -5,7 +5,7 @@
   Scenario Outline: a request that is sent <sent> s after the stop on <connection> and takes <work> s
     Given a gateway before a target that works for <work> s
     When it is told to stop, and <sent> s later a request is sent on <connection>
-    Then the caller gets <answer>
+    Then the caller of the stopping gateway gets <answer>
     And the target ran <runs> of it
 
     Examples:
@@ -19,5 +19,5 @@
   Scenario: a request that began to arrive before the idle connections were closed is refused
     Given a gateway before a target that works for 3 s
     When it is told to stop, and a request arrives in two halves, 1 s and 2 s later
-    Then the caller gets a refusal that says that nothing ran and the end
+    Then the caller of the stopping gateway gets a refusal that says that nothing ran and the end
     And the target ran 0 of it
--- a/features/steps/gateway_drain_steps.py
+++ b/features/steps/gateway_drain_steps.py
@@ -79,12 +79,17 @@
     await drain
 
 
-@then(r"the caller gets (?P<answer>.+)")
+@then(r"the caller of the stopping gateway gets (?P<answer>.+)")
 def step_answer(context: Context, answer: str) -> None:
     got = context.answer
     match answer:
         case "the whole answer and the end":
-            assert (got.status, got.body, got.is_whole, got.is_last) == (200, WORKED, True, True), got
+            assert (got.status, got.body, got.is_whole, got.is_last) == (
+                200,
+                WORKED,
+                True,
+                True,
+            ), got
         case "a closed connection, its request unread":
             assert got.status == 0, got
         case "a refusal that says that nothing ran and the end":
--- /dev/null
+++ b/features/steps/gateway_path_steps.py
@@ -0,0 +1,273 @@
+"""Steps on the way of requests through a gateway, with targets that misbehave."""
+
+import socket
+import struct
+from asyncio import StreamReader, StreamWriter, sleep
+from time import monotonic
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from features.support.gateway import (
+    END_OF_STREAM,
+    MODEL,
+    Answer,
+    GatewayHarness,
+    RawCaller,
+    Received,
+    ScriptedTarget,
+    answer_bytes,
+    event_chunk,
+    make_route,
+    request_bytes,
+    stream_head,
+)
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, RequestKind
+from jaylatch_decisions.leases import HeldLease
+
+EVENTS = 6
+CUT_AFTER = 3
+SILENCE = 6.0
+WORK = 5.0
+KINDS = "once|idempotent|stream"
+
+use_step_matcher("re")
+
+
+def is_stream(request: Received) -> bool:
+    return request.path.startswith("/stream/")
+
+
+def whole_body(request: Received) -> bytes:
+    return b"answer to " + request.headers["X-Id"].encode()
+
+
+def first_event(request: Received) -> int:
+    return int(request.headers.get("X-Last", "-1")) + 1
+
+
+async def answer_soundly(request: Received, writer: StreamWriter) -> bool:
+    """Answer as a sound target does."""
+    if not is_stream(request):
+        writer.write(answer_bytes(request, whole_body(request)))
+        return True
+    writer.write(stream_head(request))
+    for number in range(first_event(request), EVENTS):
+        writer.write(event_chunk(number))
+        await sleep(0.01)
+    writer.write(END_OF_STREAM)
+    return True
+
+
+def reset(writer: StreamWriter) -> None:
+    """Let the connection end by a reset."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+async def misbehave(fault: str, request: Received, writer: StreamWriter) -> bool:
+    """Answer as ``fault`` says; returns whether the connection is kept."""
+    body = whole_body(request)
+    whole = answer_bytes(request, body)
+    without_length = whole.replace(f"Content-Length: {len(body)}\r\n".encode(), b"")
+    match fault:
+        case "answers":
+            return await answer_soundly(request, writer)
+        case "says that it did not run it":
+            refused = {"X-Not-Run": "1"}
+            writer.write(answer_bytes(request, b"", "503 Service Unavailable", **refused))
+            return True
+        case "closes before it answers":
+            return False
+        case "closes in the middle of the answer":
+            writer.write(whole[:-3])
+            return False
+        case "sends bytes that are no answer":
+            writer.write(b"\x00\x01 nothing of HTTP\r\n\r\n")
+            return False
+        case "answers without its proof":
+            writer.write(whole.replace(b"X-Proof: proof\r\n", b""))
+            return True
+        case "answers in an encoding":
+            writer.write(answer_bytes(request, body, **{"Content-Encoding": "gzip"}))
+            return True
+        case "first sends the answer to another request":
+            writer.write(whole.replace(b"X-Id: r", b"X-Id: other-") + whole)
+            return True
+        case "sends the answer twice":
+            writer.write(whole + whole)
+            return True
+        case "answers without a length and closes":
+            writer.write(without_length)
+            return False
+        case "answers without a length and resets":
+            writer.write(without_length[:-2])
+            await writer.drain()
+            await sleep(0.1)
+            reset(writer)
+            return False
+        case "fails with 500":
+            writer.write(answer_bytes(request, b"broken", "500 Internal Server Error"))
+            return True
+        case "closes in the middle of an event" | "ends the stream in the middle of an event":
+            return await break_stream(request, writer, fault.startswith("ends"))
+        case "falls silent after some events" | "falls silent before its first event":
+            writer.write(stream_head(request))
+            for number in range(CUT_AFTER if "after" in fault else 0):
+                writer.write(event_chunk(number))
+            await sleep(SILENCE)
+            return False
+        case "leaves out an event":
+            writer.write(stream_head(request))
+            for number in (0, 1, 3, 4, 5):
+                writer.write(event_chunk(number))
+            writer.write(END_OF_STREAM)
+            return True
+        case "works for 5 s":
+            await sleep(WORK)
+            return False
+    raise AssertionError(fault)
+
+
+async def break_stream(request: Received, writer: StreamWriter, ends_properly: bool) -> bool:
+    writer.write(stream_head(request))
+    for number in range(CUT_AFTER):
+        writer.write(event_chunk(number))
+    half = b"id: 3\nda"
+    writer.write(f"{len(half):x}\r\n".encode() + half + b"\r\n")
+    if ends_properly:
+        writer.write(END_OF_STREAM)
+    return ends_properly
+
+
+@given(r"a gateway before two targets of which the first one asked (?P<fault>.+)")
+def step_two_targets(context: Context, fault: str) -> None:
+    context.runner.run(start_gateway(context, fault))
+
+
+@given(r"a gateway before no target")
+def step_no_target(context: Context) -> None:
+    context.runner.run(start_gateway(context, None))
+
+
+async def start_gateway(context: Context, fault: str | None) -> None:
+    context.faulty = None
+
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        is_first = sum(len(item.received) for item in context.targets) == 1
+        if fault == "sends the answer twice":
+            is_first = is_first or context.faulty is writer.get_extra_info("sockname")
+        return (
+            await misbehave(str(fault), request, writer)
+            if is_first
+            else await answer_soundly(request, writer)
+        )
+
+    context.targets = [ScriptedTarget("one", script), ScriptedTarget("two", script)]
+    if fault is None:
+        context.targets = []
+    for target in context.targets:
+        await target.start()
+    listed = list(context.targets)
+    if fault == "is not there":
+        # The address of a third target at which nobody listens, with the two sound ones.
+        listed = [ScriptedTarget("absent", script), *listed[:1]]
+        context.targets[0].received.append(Received("", "", {}, b""))
+    context.harness = GatewayHarness()
+    context.harness.start()
+    context.harness.grant(
+        [make_route(kind) for kind in RequestKind], dict.fromkeys(RequestKind, listed)
+    )
+    context.ignored = 1 if fault == "is not there" else 0
+
+
+@given(r"the gateway (?P<state>whose lease has lapsed|that knows no deployment yet)")
+def step_gateway_state(context: Context, state: str) -> None:
+    grant = context.harness.board.grant
+    if state == "whose lease has lapsed":
+        grant.lease = HeldLease(0.0)
+    else:
+        grant.deployment = Deployment(NO_DEPLOYMENT)
+
+
+async def ask(context: Context, kind: str, request: str = "r1") -> Answer:
+    caller = await RawCaller.connect(context.harness.address)
+    headers = {"X_Model": MODEL} if kind == "stream" else {}
+    return await caller.ask(request_bytes(f"/{kind}/x", request, b"body", **headers))
+
+
+@when(rf"a request of kind (?P<kind>{KINDS}) is sent")
+def step_request(context: Context, kind: str) -> None:
+    started_at = monotonic()
+    context.answer = context.runner.run(ask(context, kind))
+    context.took = monotonic() - started_at
+
+
+@when(rf"a request of kind (?P<kind>{KINDS}) is sent and its caller leaves after 0.3 s")
+def step_leave(context: Context, kind: str) -> None:
+    context.runner.run(ask_and_leave(context, kind))
+
+
+async def ask_and_leave(context: Context, kind: str) -> None:
+    caller = await RawCaller.connect(context.harness.address)
+    headers = {"X_Model": MODEL} if kind == "stream" else {}
+    caller.writer.write(request_bytes(f"/{kind}/x", "r1", b"body", **headers))
+    await sleep(0.3)
+    caller.writer.close()
+    left_at = monotonic()
+    asked = next(item for item in context.targets if item.received)
+    while monotonic() - left_at < 2.0 and context.harness.role.in_flight:
+        await sleep(0.02)
+    context.took = monotonic() - left_at
+    context.asked = asked
+
+
+@then(r"the target has lost its connection within 0.5 s")
+def step_lost_connection(context: Context) -> None:
+    assert context.took < 0.5, context.took
+
+
+@when(r"(?P<count>\d+) requests of kind once are sent one after the other")
+def step_many(context: Context, count: str) -> None:
+    context.answers = context.runner.run(ask_many(context, int(count)))
+
+
+async def ask_many(context: Context, count: int) -> list[Answer]:
+    return [await ask(context, "once", f"r{number}") for number in range(count)]
+
+
+@then(r"each caller got the whole answer to its own request")
+def step_own_answers(context: Context) -> None:
+    for number, answer in enumerate(context.answers):
+        assert (answer.status, answer.body) == (200, f"answer to r{number}".encode()), answer
+
+
+@then(r"a target that answers once was connected to once")
+def step_connections(context: Context) -> None:
+    assert sorted(item.connections for item in context.targets) in ([1, 1], [1, 2], [0, 2]), [
+        item.connections for item in context.targets
+    ]
+
+
+@then(r"the caller gets (?P<answer>.+) and the targets were asked (?P<asked>\d) times")
+def step_answer(context: Context, answer: str, asked: str) -> None:
+    got: Answer = context.answer
+    match answer:
+        case "the whole answer":
+            assert (got.status, got.body, got.is_whole) == (200, b"answer to r1", True), got
+        case "every event once":
+            events = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(EVENTS))
+            assert (got.status, got.body, got.is_whole) == (200, events, True), got
+        case "500 and its proof":
+            assert (got.status, got.headers.get("X-Proof")) == (500, "proof"), got
+        case _:
+            assert got.status == int(answer) and "X-Proof" not in got.headers, got
+    count = sum(len(item.received) for item in context.targets) - context.ignored
+    assert count == int(asked), count
+
+
+@then(r"the caller gets 503 within 0.3 s and is told when to come back")
+def step_refused_at_once(context: Context) -> None:
+    assert context.answer.status == 503, context.answer
+    assert context.took < 0.3, context.took
+    assert float(context.answer.headers["X-Retry-After"]) > 0, context.answer
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -123,7 +123,10 @@
         self, refusal: Refusal, attempt: AttemptId | None
     ) -> tuple[int, str, HTTPHeaders, bytes]:
         """Return the gateway's own answer."""
-        return STATUS[refusal.kind], refusal.kind.value, HTTPHeaders(), refusal.reason.encode()
+        headers = HTTPHeaders()
+        if refusal.retry_after:
+            headers["X-Retry-After"] = f"{refusal.retry_after:.3f}"
+        return STATUS[refusal.kind], refusal.kind.value, headers, refusal.reason.encode()
 
     def write_answer_headers(self, head: ResponseHead) -> HTTPHeaders:
         """Return the proof and the id of a target's answer."""
--- a/features/targets/streams.feature
+++ b/features/targets/streams.feature
@@ -14,3 +14,5 @@
       | a new target after a part                   | -1   | 0 1- \| 1 2 | 0 1 2   | no   |
       | a caller that resumes                       | 4    | 4 5 6       | 5 6     | no   |
       | several events in one piece                 | -1   | 0+1+2-      | 0 1     | yes  |
+      | an event is missing                         | -1   | 0+2+3       | 0       | no   |
+      | a new target after a gap                    | -1   | 0+2 \| 1+2 | 0 1 2   | no   |
--- a/packages/decisions/src/jaylatch_decisions/events/splitter.py
+++ b/packages/decisions/src/jaylatch_decisions/events/splitter.py
@@ -17,6 +17,7 @@
     def __init__(self, last_id: int = -1) -> None:
         self._pending = b""
         self._last_id = last_id
+        self._has_gap = False
 
     @property
     def last_id(self) -> int:
@@ -28,12 +29,21 @@
         """Return whether bytes of an event wait for its end."""
         return bool(self._pending)
 
+    @property
+    def has_gap(self) -> bool:
+        """Return whether an event was missing."""
+        return self._has_gap
+
     def restart(self) -> None:
-        """Forget a partial event: another target sends it anew."""
+        """Begin the stream of another target, which goes on after the last whole event."""
         self._pending = b""
+        self._has_gap = False
 
     def feed(self, data: bytes) -> bytes:
-        """Return the whole events that ``data`` completes, as they came."""
+        """Return the whole events that ``data`` completes, as they came.
+
+        After an event that does not follow the last one, nothing is returned until ``restart``.
+        """
         self._pending += data
         end = self._pending.rfind(END_OF_EVENT)
         if end < 0:
@@ -48,6 +58,9 @@
             return event
         if number <= self._last_id:
             return b""
+        if self._has_gap or 0 <= self._last_id < number - 1:
+            self._has_gap = True
+            return b""
         self._last_id = number
         return event
 
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -60,6 +60,7 @@
         self._progress_at = 0.0
         self._stalled = False
         self._watch: _SilenceWatch | None = None
+        self._connection: TargetConnection | None = None
 
     async def send(
         self,
@@ -84,6 +85,7 @@
         outbound = self._dialect.write_request(
             self._request, target.instance, account, deadline - monotonic(), resume_after
         )
+        self._connection = connection
         watch = None
         if self._route.kind is RequestKind.STREAM:
             may_leave = may_give_up and self._route.may_repeat
@@ -141,11 +143,11 @@
             return
         if self._is_spoiled:
             return
-        try:
-            events = self._splitter.feed(data)
-        except ValueError:
+        events = self._splitter.feed(data)
+        if self._splitter.has_gap:
             self._is_spoiled = True
-            return
+            if self._connection is not None:
+                self._connection.close()
         if not events:
             return
         if self._caller.has_started:
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -68,6 +68,11 @@
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that have no whole answer yet."""
+        return self._server.in_flight
+
     def start(self) -> None:
         """Listen for callers and for the platform's checks."""
         listen_at(self._readiness, self._settings.readiness, "gateway.readiness")
