--- a/features/steps/gateway_drain_steps.py
+++ b/features/steps/gateway_drain_steps.py
@@ -4,7 +4,6 @@
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
-
 from features.support.gateway import (
     GatewayHarness,
     RawCaller,
@@ -14,6 +13,7 @@
     make_route,
     request_bytes,
 )
+
 from jaylatch_core.deployment import RequestKind
 from jaylatch_core.settings import GatewaySettings
 
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -7,7 +7,6 @@
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
-
 from features.support.gateway import (
     END_OF_STREAM,
     MODEL,
@@ -22,6 +21,7 @@
     request_bytes,
     stream_head,
 )
+
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, RequestKind
 from jaylatch_decisions.leases import HeldLease
 
