Quarantine requests that end direct targets, over all gateways

Cause: nothing kept a request that ends each target that runs it from further targets on the platform; the entries' quarantine had no evidence from direct targets. Change: a gateway tells control of a connection that ended under a request; a missed probe makes it a death; views carry the latest deaths, and gateways refuse as not run after two.

--- /dev/null
+++ b/features/steps/gateway_quarantine_steps.py
@@ -0,0 +1,64 @@
+"""Steps on the quarantine of requests that end their direct targets."""
+
+from asyncio import sleep
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+from features.support.gateway import DOMAIN, HOST
+from tornado.httputil import HTTPHeaders
+
+from jaylatch_core.ids import AttemptId, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.messages.membership import TargetDeath
+from jaylatch_core.messages.targets import TargetCheckIn
+from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
+from jaylatch_node.control.targets import TargetController
+from jaylatch_node.gateway.forwarder import digest_of
+from jaylatch_node.targets import InboundRequest, OrderOutcome
+
+TARGET = InstanceId("target")
+
+use_step_matcher("re")
+
+
+@given(r"(?P<deaths>\d) targets have ended under the request of kind (?P<kind>\w+)")
+def step_deaths(context: Context, deaths: str, kind: str) -> None:
+    request = InboundRequest(
+        AttemptId("r1"), "POST", f"/{kind}/x", HOST, HTTPHeaders(), b"body", None, None, None, None
+    )
+    digest = digest_of(request, None)
+    found = tuple(TargetDeath(TargetDeathId(f"t{n}"), (digest,)) for n in range(int(deaths)))
+    view = context.harness.board.grant.view
+    context.harness.board.grant.view = type(view)(
+        view.version + 1, view.groups, view.services, found
+    )
+    context.harness.role.on_grant()
+
+
+@given(r"control and a target that (?P<state>answers|does not answer) when it is probed")
+def step_control(context: Context, state: str) -> None:
+    async def probe(record: TargetRecord) -> bool:
+        return state == "answers"
+
+    async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
+        return OrderOutcome.ACCEPTED
+
+    registry = TargetRegistry(3.0, started_at=0.0)
+    registry.check_in(
+        1.0, TargetCheckIn(TARGET, "service", "10.0.0.1:80", DOMAIN, DOMAIN, 1, 1, False)
+    )
+    context.control = TargetController(registry, 1, send, probe, True, now=1.0)
+
+
+@when(r'a gateway tells that the connection of request "(?P<digest>\w+)" to it ended')
+def step_tell(context: Context, digest: str) -> None:
+    async def tell() -> None:
+        context.control.suspect(2.0, TARGET, [], RequestDigest(digest))
+        await sleep(0.05)
+
+    context.runner.run(tell())
+
+
+@then(r'the deaths that control tells of are "(?P<deaths>\w*)"')
+def step_told(context: Context, deaths: str) -> None:
+    found = [digest for death in context.control.deaths for digest in death.digests]
+    assert found == deaths.split(), found
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -6,7 +6,7 @@
 from behave.runner import Context
 
 from jaylatch_core.ids import RequestDigest, TargetDeathId
-from jaylatch_core.messages.requests import TargetDeath
+from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import EvidenceTable, Standing
 from jaylatch_standins.caller import Caller, CallerOutcome
 from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -13,10 +13,19 @@
     GroupId,
     Incarnation,
     InstanceId,
+    RequestDigest,
+    TargetDeathId,
     TargetId,
 )
 
 
+class TargetDeath(msgspec.Struct, frozen=True):
+    """An unplanned end of a target, and the requests that it ran at that time."""
+
+    id: TargetDeathId
+    digests: tuple[RequestDigest, ...]
+
+
 class TargetAnnouncement(msgspec.Struct, frozen=True):
     """What a target says of itself. ``service`` is the plain service's name, else empty."""
 
@@ -120,11 +129,15 @@
 
 
 class View(msgspec.Struct, frozen=True):
-    """What entries route by; ``version`` changes with the content."""
+    """What entries route by; ``version`` changes with the content.
+
+    ``deaths`` are the latest ends of direct targets during which requests ran there.
+    """
 
     version: int
     groups: tuple[GroupRoute, ...]
     services: tuple[ServiceRoute, ...]
+    deaths: tuple[TargetDeath, ...] = ()
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/requests.py
+++ b/packages/core/src/jaylatch_core/messages/requests.py
@@ -11,8 +11,8 @@
     Incarnation,
     RequestDigest,
     RequestId,
-    TargetDeathId,
 )
+from jaylatch_core.messages.membership import TargetDeath
 
 
 class ModelWork(msgspec.Struct, frozen=True, tag=True):
@@ -121,13 +121,6 @@
     detail: str
 
 
-class TargetDeath(msgspec.Struct, frozen=True):
-    """An unplanned end of a target, and the requests that it ran at that time."""
-
-    id: TargetDeathId
-    digests: tuple[RequestDigest, ...]
-
-
 class TargetReport(msgspec.Struct, frozen=True, tag=True):
     """Sent by an agent to each connected entry, at once on connection and then regularly.
 
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from jaylatch_core.deployment import Deployment, DeploymentNumber
-from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
+from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, RequestDigest
 
 
 class MemberState(str, Enum):
@@ -62,9 +62,13 @@
 
 
 class SuspectTarget(msgspec.Struct, frozen=True, tag=True):
-    """A gateway hears nothing from the head of a group, or cannot connect to a target."""
+    """A gateway hears nothing from the head of a group, or cannot connect to a target.
+
+    ``digest`` is that of a request during which the target closed its connection, else empty.
+    """
 
     instance: InstanceId
+    digest: RequestDigest = RequestDigest("")
 
 
 class PublishDeployment(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/quarantine/evidence.py
+++ b/packages/decisions/src/jaylatch_decisions/quarantine/evidence.py
@@ -8,7 +8,7 @@
 from enum import Enum
 
 from jaylatch_core.ids import RequestDigest, TargetDeathId
-from jaylatch_core.messages.requests import TargetDeath
+from jaylatch_core.messages.membership import TargetDeath
 
 DEATHS_TO_QUARANTINE = 2
 TABLE_LIMIT = 1024
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -23,7 +23,7 @@
     View,
     ViewChanged,
 )
-from jaylatch_core.messages.targets import DeploymentReport
+from jaylatch_core.messages.targets import DeploymentReport, SuspectTarget
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.groups import (
@@ -125,10 +125,11 @@
         self._refresh_view(now)
         self._announce_changes()
 
-    def suspect(self, now: float, instance: InstanceId) -> None:
+    def suspect(self, now: float, suspicion: SuspectTarget) -> None:
         """Find out whether a direct target, or a member of its group, is lost."""
         if self._targets is not None:
-            self._targets.suspect(now, instance, self._state.groups.values())
+            groups = self._state.groups.values()
+            self._targets.suspect(now, suspicion.instance, groups, suspicion.digest)
 
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
@@ -213,8 +214,10 @@
             services += tuple(
                 sorted(self._targets.service_routes(now), key=lambda route: route.instance)
             )
-        if (groups, services) != (self._view.groups, self._view.services):
-            self._view = View(self._view.version + 1, groups, services)
+        deaths = self._targets.deaths if self._targets is not None else ()
+        view = self._view
+        if (groups, services, deaths) != (view.groups, view.services, view.deaths):
+            self._view = View(view.version + 1, groups, services, deaths)
             names = [f"{route.group}@{route.epoch}" for route in groups]
             _log.info("view", extra={"version": self._view.version, "groups": names})
 
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -292,7 +292,7 @@
         leader = self._current_leader(now)
         if not isinstance(leader, LeaderController):
             return leader
-        leader.suspect(now, body.instance)
+        leader.suspect(now, body)
         return TargetAcknowledged(body.instance)
 
     def _deployment(self) -> Body:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -2,12 +2,13 @@
 
 import logging
 from asyncio import create_task
+from collections import deque
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
 from jaylatch_core.deployment import Deployment, EngineProfile
-from jaylatch_core.ids import Epoch, InstanceId
+from jaylatch_core.ids import Epoch, InstanceId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.control import Group, RepairGroup
-from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
+from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
 from jaylatch_core.messages.targets import MemberState
 from jaylatch_decisions.groups import InstanceFacts
 from jaylatch_decisions.targets import (
@@ -32,6 +33,10 @@
 FIRST_PLAN = 1.6
 """Seconds from the first leadership until groups are formed: a heartbeat interval of the platforms
 of today and a margin. A hasty plan breaks no group, since there is none."""
+DEATH_WINDOW = 2.0
+"""Seconds between the end of a connection and the missed probe that show one end of a target."""
+REPORTED_DEATHS = 8
+NO_DIGEST = RequestDigest("")
 RECORD_RETENTION = 60.0
 """Seconds after which a silent target is forgotten."""
 
@@ -63,6 +68,8 @@
         self._probed_at: dict[InstanceId, float] = {}
         self._staging: dict[InstanceId, tuple[str, float]] = {}
         self._has_served = has_served
+        self._running_at_end: dict[InstanceId, dict[RequestDigest, float]] = {}
+        self._deaths: deque[TargetDeath] = deque(maxlen=REPORTED_DEATHS)
         self._fence = fence
         self._send = send
         self._deployment: Deployment | None = None
@@ -83,8 +90,24 @@
         """Return the time from which the targets are known well enough to regroup them."""
         return self._registry.complete_at if self._has_served else self._started_at + FIRST_PLAN
 
-    def suspect(self, now: float, instance: InstanceId, groups: Iterable[Group]) -> None:
-        """Probe the target that a gateway suspects, and the members of the group that it heads."""
+    @property
+    def deaths(self) -> tuple[TargetDeath, ...]:
+        """Return the latest ends of targets at which requests had been under way."""
+        return tuple(self._deaths)
+
+    def suspect(
+        self,
+        now: float,
+        instance: InstanceId,
+        groups: Iterable[Group],
+        digest: RequestDigest = NO_DIGEST,
+    ) -> None:
+        """Probe the target that a gateway suspects, and the members of the group that it heads.
+
+        ``digest`` is that of a request which ran there when its connection ended.
+        """
+        if digest:
+            self._running_at_end.setdefault(instance, {})[digest] = now
         group = next((item for item in groups if item.head == instance), None)
         members = group.members if group is not None else (instance,)
         for member in members:
@@ -288,8 +311,17 @@
             if record is None or await self._probe(record):
                 return
         is_lost = self._registry.mark_lost(instance, asked_at)
+        self._record_death(asked_at, instance)
         _log.info("probe", extra={"target": instance, "outcome": "lost" if is_lost else "heard"})
 
+    def _record_death(self, now: float, instance: InstanceId) -> None:
+        """Keep which requests ran at a target that has surely ended, for the quarantine."""
+        running = self._running_at_end.pop(instance, {})
+        recent = tuple(digest for digest, at in running.items() if now - at < DEATH_WINDOW)
+        if recent:
+            self._deaths.append(TargetDeath(TargetDeathId(instance), recent))
+            _log.info("target death", extra={"target": instance, "requests": recent})
+
     async def _give(self, instance: InstanceId, order: EngineOrder) -> None:
         record = self._registry.record(instance)
         try:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -25,8 +25,8 @@
     TargetPool,
 )
 
-SuspicionHandler = Callable[[InstanceId], None]
-"""Called with a target that has been silent for longer than it should."""
+SuspicionHandler = Callable[[InstanceId, bool], None]
+"""Called with a target that has been silent for too long, or (True) that ended a connection."""
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
@@ -79,7 +79,7 @@
         connection = self._pool.take(now, address) or await self._pool.connect(address)
         if connection is None:
             target.record_failure(monotonic())
-            self._suspect(target.instance)
+            self._suspect(target.instance, False)
             return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
@@ -173,6 +173,8 @@
         if failure is not None or facts is None or self._head is None:
             connection.close()
             target.record_failure(now)
+            if failure is ExchangeFailed.CLOSED and not self._stalled:
+                self._suspect(target.instance, True)
             return AttemptOutcome.STALLED if self._stalled else AttemptOutcome.BROKEN
         self._pool.give_back(now, address, connection, facts.keep_alive)
         if facts.is_not_run:
@@ -227,7 +229,7 @@
 
     def report(self, instance: InstanceId) -> None:
         """Tell control that a target is silent."""
-        self._suspect(instance)
+        self._suspect(instance, False)
 
     def stall(self) -> None:
         """Note that the target was given up because it was silent."""
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -6,14 +6,18 @@
 import logging
 from asyncio import CancelledError, get_running_loop, timeout_at
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from random import Random
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import AccountProfile, RouteSpecification
-from jaylatch_core.ids import InstanceId
+from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.messages.membership import TargetDeath
+from jaylatch_decisions.quarantine import EvidenceTable, Standing
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target
 from jaylatch_decisions.targets.attempts import (
@@ -24,7 +28,7 @@
     record_outcome,
 )
 from jaylatch_node.blackboard import Blackboard
-from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
+from jaylatch_node.gateway.attempt import Attempt
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -50,6 +54,9 @@
 BUSY_RETRY_LIMIT = 2.0
 """Seconds that an advice to return never exceeds."""
 
+NO_DIGEST = RequestDigest("")
+DIGEST_BYTES = 12
+
 _log = logging.getLogger("jaylatch.request")
 
 
@@ -63,10 +70,18 @@
     account: AccountProfile | None
     arrived_at: float
     deadline: float
+    digest: RequestDigest
     history: AttemptHistory = field(default_factory=AttemptHistory)
     tried: set[InstanceId] = field(default_factory=set)
 
 
+def digest_of(request: InboundRequest, account: AccountProfile | None) -> RequestDigest:
+    """Return the digest by which a resend of a request is recognised, within its account."""
+    name = account.name if account is not None else ""
+    text = f"{name}\0{request.method}\0{request.target}\0".encode()
+    return RequestDigest(blake2b(text + request.body, digest_size=DIGEST_BYTES).hexdigest())
+
+
 class Forwarder:
     """Handles the requests of one gateway process."""
 
@@ -80,8 +95,9 @@
         repeat_ratio: float,
         metrics: GatewayMetrics,
         random: Random,
-        suspect: SuspicionHandler,
+        suspect: Callable[[InstanceId, RequestDigest], None],
     ) -> None:
+        self._evidence = EvidenceTable()
         self._suspect = suspect
         self._is_ending = False
         self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
@@ -99,6 +115,10 @@
         """Use the routes and keys of the granted deployment."""
         self._table = RouteTable(self._board.grant.deployment)
 
+    def take_deaths(self, now: float, deaths: tuple[TargetDeath, ...]) -> None:
+        """Take the evidence against requests that ran at targets when these ended."""
+        self._evidence.accuse(now, deaths)
+
     def stop_admitting(self) -> None:
         """Refuse every further request: this process is about to end."""
         self._is_ending = True
@@ -148,16 +168,25 @@
         account = self._table.find_account(request.key)
         if account is None and self._table.needs_key(route):
             return Refusal(RefusalKind.UNKNOWN_KEY, "the key is not known")
+        digest = digest_of(request, account)
+        if len(self._evidence) and self._is_quarantined(now, digest):
+            return Refusal(RefusalKind.NOT_RUN, "targets that ran this request ended")
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
-        return Job(request, caller, route, account, now, now + time_left)
+        return Job(request, caller, route, account, now, now + time_left, digest)
+
+    def _is_quarantined(self, now: float, digest: RequestDigest) -> bool:
+        duration = self._board.grant.policy().quarantine_time
+        return self._evidence.standing(now, digest, duration) is Standing.QUARANTINED
 
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or given up."""
-        attempt = Attempt(
-            job.request, job.caller, job.route, self._dialect, self._pool, self._suspect
-        )
+
+        def suspect(instance: InstanceId, has_closed: bool) -> None:
+            self._suspect(instance, job.digest if has_closed else NO_DIGEST)
+
+        attempt = Attempt(job.request, job.caller, job.route, self._dialect, self._pool, suspect)
         while True:
             target = self._choose(job)
             if target is None:
@@ -165,6 +194,7 @@
                 return
             outcome = await self._send(job, attempt, target)
             if outcome is None:
+                self._evidence.clear([job.digest])
                 self._record(job, "answered", target)
                 return
             record_outcome(job.history, outcome)
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -9,7 +9,7 @@
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.deployment import ConnectionLimits, Deployment
 from jaylatch_core.event_names import EventName
-from jaylatch_core.ids import InstanceId
+from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.retry import RetryBudget
@@ -107,17 +107,24 @@
         if grant.deployment is not self._deployment:
             self._deployment = grant.deployment
             self._forwarder.follow_deployment()
+        if grant.view.deaths:
+            self._forwarder.take_deaths(monotonic(), grant.view.deaths)
         gone = self._directory.follow(grant.view)
         if gone:
             self._forwarder.leave_targets(gone)
         self._pool.keep(self._directory.addresses)
 
-    def _suspect(self, instance: InstanceId) -> None:
-        """Tell the control leader of a silent target, not more often than it looks."""
+    def _suspect(self, instance: InstanceId, digest: RequestDigest) -> None:
+        """Tell the control leader of a silent target, not more often than it looks.
+
+        A request at whose target the connection ended is always told.
+        """
         now = monotonic()
-        if now >= self._suspected_at.get(instance, 0.0) + SUSPICION_INTERVAL:
+        if digest or now >= self._suspected_at.get(instance, 0.0) + SUSPICION_INTERVAL:
             self._suspected_at[instance] = now
-            create_task(self._client.call(CONTROL_LOG, SuspectTarget(instance), SUSPICION_TIMEOUT))
+            create_task(
+                self._client.call(CONTROL_LOG, SuspectTarget(instance, digest), SUSPICION_TIMEOUT)
+            )
 
     def _answer_readiness(self, request: HTTPServerRequest) -> None:
         connection = request.connection
