Read on for a bounded time after a body is refused

Ruled out: the limit itself; the refusal was always written. Change: the refusal is sent whole at once, the rest of the body is discarded for a second, then closed.

--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -1,6 +1,6 @@
 """What all handlers that face callers share: bounded bodies, identity, and typed refusals."""
 
-from asyncio import CancelledError, create_task
+from asyncio import CancelledError, create_task, get_running_loop
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -21,7 +21,7 @@
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.metrics import RequestMetrics
 from jaylatch_node.entry.orders import OrderController
-from jaylatch_node.entry.refusals import write_refusal
+from jaylatch_node.entry.refusals import send_refusal_early, write_refusal
 from jaylatch_node.entry.requests import CallerRequest, new_request_id
 
 DEADLINE_HEADER = "X-Request-Timeout"
@@ -33,6 +33,9 @@
 MAXIMUM_KEY_LENGTH = 255
 MAXIMUM_KIND_LENGTH = 64
 UNREAD_BODY_LIMIT = 1 << 40
+DISCARD_TIME = 1.0
+"""Seconds for which the rest of a refused body is read and discarded before the close: a caller that
+sends on reads its answer within a few round trips."""
 
 
 @dataclass(frozen=True)
@@ -89,6 +92,7 @@
         self._parts: list[bytes] = []
         self._size = 0
         self._is_disconnected = False
+        self._is_refused_early = False
         self._cancel_on_disconnect: Any = None
 
     def prepare(self) -> None:
@@ -101,7 +105,7 @@
 
     def data_received(self, chunk: bytes) -> None:
         """Collect the body up to the limit."""
-        if self._finished:
+        if self._is_refused_early:
             return
         self._size += len(chunk)
         if self._size > self._services.settings.body_limit:
@@ -121,13 +125,20 @@
         return b"".join(self._parts)
 
     def _refuse_body(self) -> None:
+        """Refuse at once, and discard what still comes for a bounded time before closing."""
         limit = self._services.settings.body_limit
-        self.set_header("Connection", "close")
-        self._refuse(
-            RequestRefused(
-                f"the body is larger than {limit} bytes", 413, "body_too_large", Outcome.NOT_RUN
-            )
+        refusal = RequestRefused(
+            f"the body is larger than {limit} bytes", 413, "body_too_large", Outcome.NOT_RUN
         )
+        self.set_header("Connection", "close")
+        self._is_refused_early = True
+        self._record_refusal(refusal)
+        send_refusal_early(self, refusal, self._request_id)
+        get_running_loop().call_later(DISCARD_TIME, self._end_early_refusal)
+
+    def _end_early_refusal(self) -> None:
+        if not self._finished and not self._is_disconnected:
+            self.finish()
 
     async def _run_while_connected(self, work: Coroutine[Any, Any, None]) -> None:
         """Run ``work``, and cancel it when the caller disconnects."""
@@ -145,6 +156,8 @@
             self._finished = True
 
     def _identify(self, default_kind: str) -> Result[CallerRequest, RequestRefused]:
+        if self._is_refused_early:
+            return Err(bad_request("the body was refused while it arrived"))
         board = self._services.board
         if not board.grant.lease.is_valid(monotonic()):
             return Err(lease_lapsed())
@@ -179,12 +192,18 @@
         )
 
     def _refuse(self, refusal: RequestRefused) -> None:
+        if self._is_refused_early:
+            return self._end_early_refusal()
+        self._record_refusal(refusal)
+        if not self._is_disconnected:
+            write_refusal(self, refusal, self._request_id)
+        return None
+
+    def _record_refusal(self, refusal: RequestRefused) -> None:
         self._services.board.events.record(
             wall(), EventName.REQUEST_REFUSED, refusal.code, self._request_id, refusal.outcome.value
         )
         self._services.metrics.record_refusal(refusal)
-        if not self._is_disconnected:
-            write_refusal(self, refusal, self._request_id)
 
     def _record_answer(self) -> None:
         self._services.metrics.record_answer(monotonic() - self._started_at)
--- a/packages/node/src/jaylatch_node/entry/refusals.py
+++ b/packages/node/src/jaylatch_node/entry/refusals.py
@@ -35,9 +35,25 @@
 
 def write_refusal(handler: RequestHandler, refusal: RequestRefused, request_id: str) -> None:
     """Finish the response with a refusal."""
+    handler.finish(_start_refusal(handler, refusal, request_id))
+
+
+def send_refusal_early(handler: RequestHandler, refusal: RequestRefused, request_id: str) -> None:
+    """Send a whole refusal while the request still arrives; the handler finishes later.
+
+    To finish at once would close the connection, and the reset could overtake the refusal.
+    """
+    body = _start_refusal(handler, refusal, request_id)
+    handler.set_header("Content-Length", str(len(body)))
+    handler.write(body)
+    handler.flush()
+
+
+def _start_refusal(handler: RequestHandler, refusal: RequestRefused, request_id: str) -> bytes:
+    """Set status and headers of a refusal and return its body."""
     handler.set_status(refusal.status)
     handler.set_header("Content-Type", PROBLEM_TYPE)
     handler.set_header("X-Request-Id", request_id)
     if refusal.retry_after:
         handler.set_header("Retry-After", str(ceil(refusal.retry_after)))
-    handler.finish(msgspec.json.encode(problem_of(refusal, request_id)))
+    return msgspec.json.encode(problem_of(refusal, request_id))
