Wait 2 s for a first answer before a stream is sent elsewhere

Ruled out: dead heads as the reason; the probes take those out of the view within 0.6 s. Change: first_answer_timeout 6 objectives, at least 2 s (3 and 0.8 s before).

--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -94,10 +94,11 @@
     return SUSPICION_OBJECTIVES * route.objective
 
 
-FIRST_ANSWER_OBJECTIVES = 3.0
-"""Latency objectives for which a first answer may take: by then its benefit is long reduced."""
-LEAST_FIRST_ANSWER = 0.8
-"""Seconds; a queue in front of a busy target may take this long on an ordinary day."""
+FIRST_ANSWER_OBJECTIVES = 6.0
+"""Latency objectives that a first answer may take: a busy target is slow, not lost, and a lost one is
+found by probes much sooner."""
+LEAST_FIRST_ANSWER = 2.0
+"""Seconds; a full queue in front of a busy target takes this long."""
 STALL_GAPS = 3.0
 """Longest pauses that are still in time after which a stream counts as stalled."""
 LEAST_STALL = 0.6
