--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -1,6 +1,6 @@
 """Direct targets: which exist, what to order them, and where a request goes."""
 
-from jaylatch_decisions.targets.choice import TargetLoad, choose_target
+from jaylatch_decisions.targets.choice import TargetLoad, choose_target, is_full
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
     EngineOrder,
@@ -25,5 +25,6 @@
     "TargetRecord",
     "TargetRegistry",
     "choose_target",
+    "is_full",
     "plan_orders",
 ]
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -16,7 +16,10 @@
 LONGEST_PAUSE = 8.0
 """Seconds for which a target is left out at most, so that it wins its share back."""
 REPORT_RETENTION = 1.5
-"""Seconds after which a reported load says nothing of the present: streams last about as long."""
+"""Seconds in which a reported load fades to nothing: streams last about as long."""
+FULL_LOAD = 1.2
+"""Requests for each slot at which a target counts as full: a fifth of the slots ends within a third
+of a second, which is the latency objective of a first event."""
 
 
 @dataclass
@@ -56,12 +59,20 @@
 
     def expected(self, now: float) -> float:
         """Return how many requests for each slot the target has, as far as is known."""
-        others = 0
-        if now < self.reported_at + REPORT_RETENTION:
-            others = max(self.reported - self.own_at_report, 0)
+        age = min((now - self.reported_at) / REPORT_RETENTION, 1.0)
+        others = max(self.reported - self.own_at_report, 0) * (1.0 - age)
         return (self.own + others) / max(self.slots, 1)
 
 
+def is_full(now: float, target: TargetLoad) -> bool:
+    """Return whether a further request would wait for a place for longer than it is worth.
+
+    Answers a load above what the targets can do: those that are admitted are in time, and the others
+    learn at once that they are not, where otherwise all would be late.
+    """
+    return target.expected(now) >= FULL_LOAD
+
+
 def choose_target(
     now: float,
     candidates: Sequence[TargetLoad],
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -19,7 +19,7 @@
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import EvidenceTable, Standing
 from jaylatch_decisions.retry import RetryBudget
-from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target
+from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target, is_full
 from jaylatch_decisions.targets.attempts import (
     AttemptHistory,
     AttemptOutcome,
@@ -192,6 +192,9 @@
             if target is None:
                 self._give_up(job, attempt, "no target", NO_TARGET_RETRY)
                 return
+            if job.request.model is not None and is_full(monotonic(), target):
+                self._give_up(job, attempt, "full", FULL_RETRY)
+                return
             outcome = await self._send(job, attempt, target)
             if outcome is None:
                 self._evidence.clear([job.digest])
