Count silence from a new leader's election; give groups up only for hosts that hold the model

Change: begin_leading starts the silence anew; giving up and staging count hosts by what they hold, the fewest loads first.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -98,6 +98,12 @@
         context.registry.check_in(context.now, parse_check_in(message))
 
 
+@when(r"its instance begins to lead (?P<gap>\d+) s later")
+def step_begin_leading(context: Context, gap: str) -> None:
+    context.now += float(gap)
+    context.registry.begin_leading(context.now)
+
+
 @then(
     r'after (?P<seconds>\d+) s more the usable targets are "(?P<usable>[^"]*)"'
     r' and the draining ones "(?P<draining>[^"]*)"'
--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -6,12 +6,15 @@
 from jaylatch_core.configuration import Configuration, ModelSpecification
 from jaylatch_core.enums import GroupState
 from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
-from jaylatch_core.messages.control import FormGroup, Group, RepairGroup
+from jaylatch_core.messages.control import DissolveGroup, FormGroup, Group, RepairGroup
 from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups, plan_staging
 
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
 
+LONG_LOST = 10.0
+"""Seconds; longer than survivors wait for a lost member."""
+
 use_step_matcher("re")
 
 
@@ -32,6 +35,7 @@
                 0,
                 staged_models=tuple(item for item in held if item != "-"),
                 staging_model=loading,
+                unusable_for=LONG_LOST if state.endswith("!") else 0.0,
             )
         )
 
@@ -74,6 +78,9 @@
                 found.append(f"form {model}:{''.join(members)}")
             case RepairGroup(group, _, members):
                 found.append(f"repair {models[group]}:{''.join(members)}")
+            case DissolveGroup(group, _):
+                members = next(item.members for item in context.groups if item.id == group)
+                found.append(f"dissolve {models[group]}:{''.join(members)}")
             case _:
                 found.append(repr(command))
     assert ", ".join(found) == plan, found
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -31,3 +31,16 @@
       | case                          | asked | later    | usable |
       | is lost at once               | 0.5   |          |        |
       | is back with its next report  | 0.5   | a:1:10:2 | a      |
+
+  Scenario Outline: an instance begins to lead <gap> s after the last heartbeat that it was told of
+    Given a registry that has heard "a:1:10:1", one message a second
+    When its instance begins to lead <gap> s later
+    Then after <seconds> s more the usable targets are "<usable>" and the draining ones ""
+
+    Examples: what it was not told while the old leader was cut off is no sign of a loss
+      | gap | seconds | usable |
+      | 0   | 2       | a      |
+      | 5   | 0       | a      |
+      | 5   | 2       | a      |
+      | 5   | 3       |        |
+      | 20  | 0       |        |
--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -17,6 +17,7 @@
       | instances that complete a group                     | a=v b=v c=v d=-                        |               | d:v     |
       | the group that is nearer                            | a=v b=v c=f d=f e=-                    |               | e:f     |
       | nothing can be completed and nothing stands         | a=v b=-                                |               |         |
+      | the fewest loads decide before the models' balance  | a=v b=v c=v d=f e=-                    |               | e:v     |
 
   Scenario Outline: after a first start, <case>
     Given the instances "<instances>" of one domain
@@ -29,3 +30,6 @@
       | none is formed by those that do not        | a=f b=- c=- d=- e=-                   |              |                  |
       | a member is replaced by a host of its model| a=v! b=v c=v d=v s=f t=v              | v:abcd       | repair v:bcdt    |
       | no host of its model: the group waits      | a=v! b=v c=v d=v s=f t=-              | v:abcd       |                  |
+      | survivors that hold another model          | a=v! b=v c=v d=v e=f! g=f h=f         | v:abcd f:egh |                  |
+      | survivors that complete the other group    | a=f! b=f c=f d=f! e=f g=f             | f:abc f:deg  | dissolve f:abc   |
+      | survivors and a spare of their model       | a=v! b=v c=v d=v! t=v                 | v:abcd       |                  |
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -52,7 +52,7 @@
         self._retiring = retiring_groups(facts.configuration, facts.groups, self._lost)
         self._broken: dict[FailureDomainId, list[Group]] = defaultdict(list)
         self._free: dict[FailureDomainId, list[InstanceId]] = defaultdict(list)
-        self._leaving: Counter[FailureDomainId] = Counter()
+        self._leaving: dict[FailureDomainId, list[InstanceId]] = defaultdict(list)
         self._groups_in: Counter[FailureDomainId] = Counter()
         self._existing: Counter[str] = Counter()
         self._existing_in: Counter[tuple[str, FailureDomainId]] = Counter()
@@ -121,7 +121,7 @@
 
     def _give_up(self, domain: FailureDomainId, broken: list[Group]) -> None:
         """Dissolve the fewest groups, from the least whole one, that complete another."""
-        pool = len(self._free[domain]) + self._leaving[domain]
+        pool = [*self._free[domain], *self._leaving[domain]]
         donors = [group for group in broken if self._is_patience_over(group)]
         donors.sort(key=lambda group: -len(self._lost & set(group.members)))
         chosen: list[Group] = []
@@ -133,26 +133,40 @@
                 self._dissolve(group)
 
     def _is_pool_useful(
-        self, domain: FailureDomainId, broken: list[Group], chosen: list[Group], pool: int
+        self,
+        domain: FailureDomainId,
+        broken: list[Group],
+        chosen: list[Group],
+        pool: list[InstanceId],
     ) -> bool:
-        """Return whether ``pool`` instances mend a group or form one in place of ``chosen``."""
-        if pool == 0:
+        """Return whether the ``pool`` mends a group or forms one in place of ``chosen``."""
+        if not pool:
             return False
         kept = [group for group in broken if group not in chosen]
-        if any(len(self._lost & set(group.members)) <= pool for group in kept):
+        if any(
+            len(self._lost & set(group.members)) <= self._fitting(pool, group.model)
+            for group in kept
+        ):
             return True
         has_group = self._groups_in[domain] > len(chosen)
         return any(
-            self._needed(model, has_group) <= pool
+            self._needed(model, has_group) <= self._fitting(pool, model.name)
             and self._is_wanted(model, sum(group.model == model.name for group in chosen))
             for model in self._facts.configuration.models
         )
 
-    def _survivors(self, group: Group) -> int:
-        return sum(
-            member not in self._lost and not self._known[member].is_drained
+    def _fitting(self, pool: list[InstanceId], model: str) -> int:
+        """Return how many instances of ``pool`` may join a group of ``model``."""
+        if self._facts.may_join_cold:
+            return len(pool)
+        return sum(self._staging_rank(item, model) == 0 for item in pool)
+
+    def _survivors(self, group: Group) -> list[InstanceId]:
+        return [
+            member
             for member in group.members
-        )
+            if member not in self._lost and not self._known[member].is_drained
+        ]
 
     # Forming
 
@@ -229,7 +243,7 @@
             if not item.is_usable or item.is_drained or item.instance in taken:
                 continue
             if item.instance in self._facts.occupied:
-                self._leaving[item.failure_domain] += 1
+                self._leaving[item.failure_domain].append(item.instance)
             elif item.epoch == 0 and item.is_settled:
                 self._free[item.failure_domain].append(item.instance)
 
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -104,7 +104,7 @@
         if completable:
             return min(
                 completable,
-                key=lambda item: (self._serving[item.name] / item.share, self._missing(item)),
+                key=lambda item: (self._missing(item), self._serving[item.name] / item.share),
             ).name
         return self._least_protected()
 
--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -95,8 +95,8 @@
 
 
 FIRST_ANSWER_OBJECTIVES = 6.0
-"""Latency objectives that a first answer may take: a busy target is slow, not lost, and a lost one is
-found by probes much sooner."""
+"""Latency objectives that a first answer may take: a busy target is slow, not lost, and a lost one
+is found by probes much sooner."""
 LEAST_FIRST_ANSWER = 2.0
 """Seconds; a full queue in front of a busy target takes this long."""
 STALL_GAPS = 3.0
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -67,8 +67,8 @@
 def is_full(now: float, target: TargetLoad) -> bool:
     """Return whether a further request would wait for a place for longer than it is worth.
 
-    Answers a load above what the targets can do: those that are admitted are in time, and the others
-    learn at once that they are not, where otherwise all would be late.
+    Answers a load above what the targets can do: those that are admitted are in time, and the
+    others learn at once that they are not, where otherwise all would be late.
     """
     return target.expected(now) >= FULL_LOAD
 
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -10,6 +10,10 @@
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.targets import TargetCheckIn
 
+GAP_LIMIT = 12.0
+"""Seconds without a leader up to which the targets that were known before count as there: a control
+quorum recovers in this time, or the platform counts the deployment as failed."""
+
 
 @dataclass
 class TargetRecord:
@@ -69,6 +73,16 @@
         )
         return True
 
+    def begin_leading(self, now: float) -> None:
+        """Count the silence of the targets from now on.
+
+        An instance that does not lead hears of heartbeats from the leader, and of none while that
+        is cut off, so what it has not heard is no sign of a loss.
+        """
+        for record in self._records.values():
+            if now < record.heard_at + GAP_LIMIT:
+                record.heard_at = now
+
     def depart(self, instance: InstanceId) -> None:
         """Forget a target that says it ends; older heartbeats of it are ignored from now on."""
         record = self._records.pop(instance, None)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -377,6 +377,7 @@
     def _make_targets(self, now: float) -> TargetController | None:
         if self._engines is None:
             return None
+        self._registry.begin_leading(now)
         return TargetController(
             self._registry,
             self._control.term,
--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -34,8 +34,8 @@
 MAXIMUM_KIND_LENGTH = 64
 UNREAD_BODY_LIMIT = 1 << 40
 DISCARD_TIME = 1.0
-"""Seconds for which the rest of a refused body is read and discarded before the close: a caller that
-sends on reads its answer within a few round trips."""
+"""Seconds for which the rest of a refused body is read and discarded before the close: a caller
+that sends on reads its answer within a few round trips."""
 
 
 @dataclass(frozen=True)
