--- /dev/null
+++ b/features/timeline/log.feature
@@ -0,0 +1,11 @@
+Feature: The time line is also logged where the settings ask for it
+
+  Scenario Outline: a process with log.events <setting>
+    Given a settings file with roles = ["entry"]; [log]; events = <setting>
+    When a process with it records an event
+    Then its log holds <lines> lines of that event
+
+    Examples:
+      | setting | lines |
+      | true    | 1     |
+      | false   | 0     |
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -101,6 +101,10 @@
         "configuration.changed",
         "A process acts under another configuration; the generation says which.",
     )
+    DEPLOYMENT_CHANGED = (
+        "deployment.changed",
+        "A process acts under another deployment document; the detail is its number.",
+    )
     GATEWAY_DRAINED = (
         "gateway.drained",
         "A gateway stops; the detail says how many requests its grace cut.",
--- a/packages/core/src/jaylatch_core/events.py
+++ b/packages/core/src/jaylatch_core/events.py
@@ -1,6 +1,7 @@
 """Typed events of the time line, and the bounded log in which a process keeps its recent ones."""
 
 from collections import deque
+from collections.abc import Callable
 
 import msgspec
 
@@ -75,10 +76,16 @@
 
 
 class EventLog:
-    """Recent events of one process, oldest dropped first."""
+    """Recent events of one process, oldest dropped first; ``sink`` gets each as it is recorded."""
 
-    def __init__(self, node: str, capacity: int = DEFAULT_EVENT_CAPACITY) -> None:
+    def __init__(
+        self,
+        node: str,
+        capacity: int = DEFAULT_EVENT_CAPACITY,
+        sink: Callable[[Event], None] | None = None,
+    ) -> None:
         self._node = node
+        self._sink = sink
         self._events: deque[Event] = deque(maxlen=capacity)
         self._at = 0.0
         self._counter = 0
@@ -139,6 +146,8 @@
             self._sequence,
         )
         self._events.append(event)
+        if self._sink is not None:
+            self._sink(event)
         return event
 
     def recent(self, wanted: EventFilter = EVERY_EVENT) -> tuple[Event, ...]:
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -114,10 +114,11 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """JSON-lines log. ``file`` empty means standard error."""
+    """JSON-lines log. ``file`` empty means standard error; ``events`` logs the time line too."""
 
     level: str = "INFO"
     file: str = ""
+    events: bool = False
 
 
 class NodeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -107,6 +107,10 @@
             # A grant older than what this process acts under must not set it back.
             return False
         self._client.follow_peers(grant.control)
+        if newest is not None:
+            self._board.events.record(
+                wall(), EventName.DEPLOYMENT_CHANGED, detail=str(newest.number)
+            )
         has_changed = (
             grant.generation > board.generation
             or grant.preset != board.preset
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -24,6 +24,7 @@
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.leases import LeaseController
 from jaylatch_node.listening import listen_at
+from jaylatch_node.observability import log_event
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
@@ -44,7 +45,8 @@
         """Build everything. Raises JaylatchError if the files of the logs cannot be used."""
         incarnation = Incarnation(token_hex(INCARNATION_BYTES))
         self.settings = settings
-        self._events = EventLog(settings.instance)
+        sink = log_event if settings.log.events else None
+        self._events = EventLog(settings.instance, sink=sink)
         self.board = Blackboard(
             Identity(settings.instance, incarnation, settings.failure_domain, settings.stream),
             self._events,
