--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -19,6 +19,29 @@
 SOURCES = sorted(str(path) for path in ROOT.glob("packages/*/src"))
 SOURCES.append(str(ROOT / "platform" / "src"))
 TRACEBACK = re.compile(r"^ *Traceback .*?(?=\n *\n|\Z)", re.M | re.S)
+WORD = re.compile(r"[A-Za-z][A-Za-z-]+")
+PLATFORM_NAMES = {
+    "Attempt-Id",
+    "Deadline-Ms",
+    "Expect-Instance",
+    "Server-Stamp",
+    "Server-Load",
+    "Not-Executed",
+    "Token-Usage",
+    "Prefix-Hash",
+    "routeList",
+    "pathPrefix",
+    "goalMs",
+    "timeoutMs",
+    "maxAttempts",
+    "apiKeys",
+    "heartbeatAddr",
+    "heartbeatMs",
+    "closeMode",
+    "JAYLATCH_BOOT",
+    "jaylatch_platform",
+}
+"""Names of the platform that must stand in platform/ alone."""
 CHECKS = {
     "formatter": ["-m", "black", "--check", "--quiet", "packages", "platform", "features", "tools"],
     "linter": ["-m", "ruff", "check", "--quiet", "packages", "platform", "features", "tools"],
@@ -37,6 +60,20 @@
     return int(done.returncode == 0), int(done.returncode != 0)
 
 
+def check_platform_names() -> tuple[int, int]:
+    """Check that no source file outside platform/ knows the platform's names."""
+    found = []
+    for path in sorted(ROOT.glob("packages/*/src/**/*.py")):
+        for number, line in enumerate(path.read_text().splitlines(), start=1):
+            found += [
+                f"{path.relative_to(ROOT)}:{number}: {name}"
+                for name in PLATFORM_NAMES & set(WORD.findall(line))
+            ]
+    if found:
+        print("FAILED check platform names\n" + "\n".join(found), flush=True)
+    return int(not found), int(bool(found))
+
+
 def run_suite(folder: Path, known: set[str]) -> tuple[int, int]:
     """Run the features of one folder; returns (passed, failed) scenarios."""
     with TemporaryDirectory() as scratch:
@@ -98,8 +135,10 @@
 def main() -> int:
     """Run the checks, then the suites side by side; returns the exit code."""
     known = read_known_red()
-    suites = sorted({path.parent for path in (ROOT / "features").rglob("*.feature")})
+    roots = (ROOT / "features", ROOT / "platform" / "features")
+    suites = sorted({path.parent for root in roots for path in root.rglob("*.feature")})
     totals = [run_check(name) for name in CHECKS]
+    totals.append(check_platform_names())
     with ThreadPoolExecutor(PARALLEL_SUITES) as pool:
         totals += pool.map(lambda folder: run_suite(folder, known), suites)
     passed = sum(item[0] for item in totals)
