Pass a target's failure on only where it came whole

Cause: after a connection that broke in the middle of a 500, the half body went to the caller as whole. Found by reading; features/gateway/path 'fails with 500 and closes in the middle' failed first. Change: only an attempt that ended as FAILED, which has a whole answer, is passed on.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -22,6 +22,7 @@
       | once       | answers without a length and closes         | the whole answer      | 1     |
       | once       | answers without a length and resets         | 502                   | 1     |
       | once       | fails with 500                              | 500 and its proof     | 1     |
+      | once       | fails with 500 and closes in the middle     | 502                   | 1     |
 
     Examples: requests that may be repeated
       | kind       | fault                                       | answer                | asked |
@@ -33,6 +34,7 @@
       | idempotent | answers without a length and resets         | the whole answer      | 2     |
       | idempotent | fails with 500                              | the whole answer      | 2     |
       | idempotent | is not there                                | the whole answer      | 1     |
+      | idempotent | fails with 500 and closes in the middle     | the whole answer      | 2     |
 
     Examples: streams that may be resumed
       | kind       | fault                                       | answer                | asked |
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -109,6 +109,10 @@
         case "fails with 500":
             writer.write(answer_bytes(request, b"broken", "500 Internal Server Error"))
             return True
+        case "fails with 500 and closes in the middle":
+            broken = answer_bytes(request, b"broken", "500 Internal Server Error")
+            writer.write(broken[:-3])
+            return False
         case "closes in the middle of an event" | "ends the stream in the middle of an event":
             return await break_stream(request, writer, fault.startswith("ends"))
         case "falls silent after some events" | "falls silent before its first event":
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -208,7 +208,7 @@
                 if outcome is not AttemptOutcome.NOT_SENT:
                     self._budget.spend()
                 continue
-            if attempt.pass_failure():
+            if outcome is AttemptOutcome.FAILED and attempt.pass_failure():
                 self._record(job, "failure_passed", target)
                 return
             self._give_up(job, attempt, outcome.value, FULL_RETRY)
