--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -1,16 +1,19 @@
 """Steps on the streams between processes."""
 
+import socket
 from asyncio import sleep
 from time import monotonic
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
 from returns.pipeline import is_successful
+from tornado.iostream import IOStream
 
 from jaylatch_core.events import EventLog
 from jaylatch_core.messages.administration import MetricsReport, ReadMetrics
 from jaylatch_core.messages.frames import Body
 from jaylatch_node.observability import Metrics
+from jaylatch_node.sockets import detect_silence
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 from jaylatch_standins.ports import LOOPBACK, free_addresses
 from jaylatch_standins.proxy import FaultProxy
@@ -65,3 +68,66 @@
 def answer(connection: StreamConnection, call: int, body: Body) -> None:
     """Answer each call."""
     connection.reply(call, MetricsReport(b""))
+
+
+@given(r"a process whose other end closes the first (?P<number>\d+) connections at once")
+def step_closing(context: Context, number: str) -> None:
+    context.runner.run(connect_to_closing(context, int(number)))
+
+
+async def connect_to_closing(context: Context, number: int) -> None:
+    """Start a peer of a proxy that refuses the first connections."""
+    traffic = Traffic(Metrics())
+    listen, proxied = free_addresses(2)
+    context.server = StreamServer(EventLog("server"), traffic, answer)
+    context.server.listen(int(listen.rpartition(":")[2]), LOOPBACK)
+    context.proxy = ClosingProxy(listen, number)
+    context.proxy.listen(int(proxied.rpartition(":")[2]), LOOPBACK)
+    peers = PeerPool(EventLog("client"), traffic, lambda connection, call, body: None)
+    context.peer = peers.get(proxied)
+
+
+class ClosingProxy(FaultProxy):
+    """Closes the first connections at once, and forwards the others."""
+
+    def __init__(self, target: str, number: int) -> None:
+        super().__init__(target)
+        self._left = number
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Close or forward."""
+        if self._left:
+            self._left -= 1
+            stream.close()
+            return
+        await super().handle_stream(stream, address)
+
+
+@when(r"it calls again and again")
+def step_calls(context: Context) -> None:
+    async def call() -> float:
+        started_at = monotonic()
+        while monotonic() - started_at < LONGEST_WAIT:
+            if is_successful(await context.peer.call(ReadMetrics(), 0.5)):
+                break
+            await sleep(0.05)
+        return monotonic() - started_at
+
+    context.took = context.runner.run(call())
+
+
+@when(r"the silence of connections that have ended is to be detected")
+def step_ended(context: Context) -> None:
+    closed = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    closed.close()
+    context.fault = None
+    for connection in (None, closed):
+        try:
+            detect_silence(connection, 1.0)
+        except (OSError, AttributeError) as fault:
+            context.fault = fault
+
+
+@then(r"nothing fails")
+def step_no_fault(context: Context) -> None:
+    assert context.fault is None, context.fault
--- a/features/streams/silence.feature
+++ b/features/streams/silence.feature
@@ -11,3 +11,17 @@
       | timeout | interval | limit |
       | 0.3     | 0.1      | 2     |
       | 1.0     | 0.5      | 4     |
+
+  Scenario Outline: the other end closes the first <number> connections as soon as they are made
+    Given a process whose other end closes the first <number> connections at once
+    When it calls again and again
+    Then a call is answered within 5 s
+
+    Examples:
+      | number |
+      | 1      |
+      | 5      |
+
+  Scenario: socket options of a connection that has ended are no failure
+    When the silence of connections that have ended is to be detected
+    Then nothing fails
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -107,8 +107,9 @@
         self._join_timer = PeriodicCallback(self._join, JOIN_INTERVAL * MILLISECONDS_PER_SECOND)
         self._state = ControlState()
         control = settings.control
+        shards = control.journal_shards if control.keeps_journal else 0
         self._retention = RetentionTimes(control.answer_retention, control.key_retention)
-        self._journals = [JournalState(self._retention) for _ in range(control.journal_shards)]
+        self._journals = [JournalState(self._retention) for _ in range(shards)]
         self._outbox = ConsensusOutbox(self._send)
         self._control: ReplicatedLog[ControlResult] = self._open(
             CONTROL_LOG, StateMachine(self._apply_control, self._dump_control, self._load_control)
--- a/packages/node/src/jaylatch_node/entry/completions.py
+++ b/packages/node/src/jaylatch_node/entry/completions.py
@@ -15,6 +15,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
 from jaylatch_core.messages.requests import AttemptChunk, AttemptEnd, ModelWork
+from jaylatch_node.deadlines import loop_time
 from jaylatch_node.entry.base import (
     DEFAULT_KIND,
     REQUEST_HEADER,
@@ -82,7 +83,7 @@
     async def _stream_in_time(self, request: ModelRequest) -> None:
         """Stream; a caller that has not read its answer long after its deadline is cut off."""
         try:
-            async with timeout_at(request.caller.deadline + SLOW_READER_GRACE):
+            async with timeout_at(loop_time(request.caller.deadline + SLOW_READER_GRACE)):
                 await self._stream(request)
         except TimeoutError:
             self.request.connection.stream.close()  # type: ignore[union-attr]
--- a/packages/node/src/jaylatch_node/entry/open_attempt.py
+++ b/packages/node/src/jaylatch_node/entry/open_attempt.py
@@ -15,6 +15,7 @@
     ResumeAttempt,
     StartAttempt,
 )
+from jaylatch_node.deadlines import loop_time
 
 CREDIT_STEP_BYTES = 64 * 1024
 
@@ -91,7 +92,7 @@
         """
         if not self._items:
             self._waiter = get_running_loop().create_future()
-            async with timeout_at(deadline):
+            async with timeout_at(loop_time(deadline)):
                 await self._waiter
         first = self._items.popleft()
         if not isinstance(first, AttemptChunk):
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from asyncio import CancelledError, get_running_loop, timeout_at
+from asyncio import CancelledError, timeout_at
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -28,6 +28,7 @@
     record_outcome,
 )
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.deadlines import loop_time
 from jaylatch_node.gateway.attempt import Attempt
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.directory import TargetDirectory
@@ -145,7 +146,7 @@
         self._metrics.count_request(admitted.route.name)
         self._budget.earn(self._repeat_ratio)
         try:
-            async with timeout_at(self._loop_time(admitted.deadline)):
+            async with timeout_at(loop_time(admitted.deadline)):
                 await self._run(admitted)
         except TimeoutError:
             self._time_out(admitted)
@@ -153,9 +154,6 @@
             self._record(admitted, "caller_gone")
             raise
 
-    def _loop_time(self, moment: float) -> float:
-        return get_running_loop().time() + (moment - monotonic())
-
     def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
         """Return the job of a request that may be forwarded, or why it may not."""
         if self._is_ending:
