A new leader does not take lost targets for living ones

Ruled out: late heartbeats (none came after the loss). Change: the silence stands still from the last heartbeat that the instance was told of, for all. Table: 3 of 4 new rows failed before.

--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -44,3 +44,15 @@
       | 5   | 2       | a      |
       | 5   | 3       |        |
       | 20  | 0       |        |
+
+  Scenario Outline: <messages>, and <gap> s later the instance begins to lead
+    Given a registry that has heard "<messages>", one message a second
+    When its instance begins to lead <gap> s later
+    Then after <seconds> s more the usable targets are "<usable>" and the draining ones ""
+
+    Examples: who was silent before the old leader was lost is not heard of again by its loss
+      | messages                                     | gap | seconds | usable |
+      | a:1:10:1 b:2:20:1 b:2:20:2 b:2:20:3 b:2:20:4 | 1   | 0       | b      |
+      | a:1:10:1 b:2:20:1 b:2:20:2 b:2:20:3          | 5   | 0       | b      |
+      | a:1:10:1 b:2:20:1 b:2:20:2                   | 5   | 0       | a b    |
+      | a:1:10:1 b:2:20:1 b:2:20:2                   | 5   | 1       | b      |
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -74,14 +74,18 @@
         return True
 
     def begin_leading(self, now: float) -> None:
-        """Count the silence of the targets from now on.
+        """Count the silence of the targets as if no time had passed since the last heartbeat.
 
         An instance that does not lead hears of heartbeats from the leader, and of none while that
-        is cut off, so what it has not heard is no sign of a loss.
+        is cut off, so what it has not heard since is no sign of a loss. A target that was silent
+        before is silent still.
         """
+        heard_at = max((record.heard_at for record in self._records.values()), default=now)
+        gap = now - heard_at
+        if gap >= GAP_LIMIT:
+            return
         for record in self._records.values():
-            if now < record.heard_at + GAP_LIMIT:
-                record.heard_at = now
+            record.heard_at += gap
 
     def depart(self, instance: InstanceId) -> None:
         """Forget a target that says it ends; older heartbeats of it are ignored from now on."""
