Stage one spare for each model, once the domain's hosts have reported

Cause: 22 of 27 hosts were told to stage a model before the first groups were planned, and groups were then formed across these loads, so that both spares of each domain held the same model. A domain that came back lost its models again: the first host to report was told to load the other model, as its domain still seemed empty. Change: nothing is staged before groups stand, while a plan is agreed on, or while a host has just appeared; a broken group takes the spare of a serving one where no other host is left.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -12,6 +12,7 @@
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
 
+LONG_KNOWN = 60.0
 LONG_LOST = 10.0
 """Seconds; longer than survivors wait for a lost member."""
 
@@ -23,7 +24,7 @@
     context.instances = []
     for text in instances.split():
         name, _, state = text.partition("=")
-        held, _, loading = state.rstrip("!").partition(">")
+        held, _, loading = state.rstrip("!?").partition(">")
         context.instances.append(
             InstanceFacts(
                 InstanceId(name),
@@ -36,10 +37,16 @@
                 staged_models=tuple(item for item in held if item != "-"),
                 staging_model=loading,
                 unusable_for=LONG_LOST if state.endswith("!") else 0.0,
+                known_for=0.0 if state.endswith("?") else LONG_KNOWN,
             )
         )
 
 
+@given("the first start of the deployment")
+def step_first_start(context: Context) -> None:
+    context.may_join_cold = True
+
+
 @given(r'the groups of it "(?P<groups>[^"]*)"')
 def step_domain_groups(context: Context, groups: str) -> None:
     context.groups = []
@@ -58,7 +65,7 @@
         tuple(context.groups),
         {},
         tuple(context.instances),
-        may_join_cold=False,
+        may_join_cold=getattr(context, "may_join_cold", False),
     )
 
 
--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -1,7 +1,7 @@
 Feature: Free instances load what their domain lacks, before it is needed
 
   Models: v takes 4 instances, f takes 3. An instance is ID=STATE where STATE lists what its host
-  holds ("-" for nothing), "!" that it is lost, and >M that it loads M.
+  holds ("-" for nothing), "!" that it is lost, "?" that it has just appeared, and >M that it loads M.
 
   Scenario Outline: <case>
     Given the instances "<instances>" of one domain
@@ -18,6 +18,23 @@
       | the group that is nearer                            | a=v b=v c=f d=f e=-                    |               | e:f     |
       | nothing can be completed and nothing stands         | a=v b=-                                |               |         |
       | the fewest loads decide before the models' balance  | a=v b=v c=v d=f e=-                    |               | e:v     |
+      | a domain whose hosts have just come back            | a=v b=- c=- d=- e=-?                   |               |         |
+      | a host that came back is left time to report        | a=v b=v c=v d=v e=f g=f h=f s=- t=-?   | v:abcd f:egh  |         |
+      | a spare of another model, where no other is left    | a=f! b=f c=f d=v e=v g=v h=v s=v       | f:abc v:degh  | s:f     |
+      | one of two spares of another model                  | a=f! b=f c=f d=v e=v g=v h=v s=v t=v   | f:abc v:degh  | s:f     |
+      | a spare of another model loads already              | a=f! b=f c=f d=v e=v g=v h=v s=v>f t=v | f:abc v:degh  |         |
+      | no spare of another group that is broken too        | a=f! b=f c=f d=v! e=v g=v h=v s=v      | f:abc v:degh  |         |
+
+  Scenario Outline: at the first start, <case>
+    Given the first start of the deployment
+    And the instances "<instances>" of one domain
+    And the groups of it "<groups>"
+    Then they stage "<staging>"
+
+    Examples: members load as they join, which is short until the first request
+      | case                                   | instances                       | groups       | staging |
+      | nothing is staged before groups stand  | a=- b=- c=- d=- e=- g=- h=- s=- |              |         |
+      | each model gets a spare of its own     | a=v b=v c=v d=v e=f g=f h=f s=- t=- | v:abcd f:egh | s:f t:v |
 
   Scenario Outline: after a first start, <case>
     Given the instances "<instances>" of one domain
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -6,6 +6,10 @@
 from jaylatch_core.ids import Epoch, FailureDomainId, InstanceId
 from jaylatch_core.messages.control import Group
 
+SETTLING_TIME = 0.5
+"""Seconds after which an instance that has appeared is used: the instances of a domain that comes
+back report within a third of a second."""
+
 
 class InstanceFacts(msgspec.Struct, frozen=True):
     """What the leader knows of one instance with a model engine.
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -16,14 +16,10 @@
     Group,
     RepairGroup,
 )
-from jaylatch_decisions.groups.facts import PlanInput
+from jaylatch_decisions.groups.facts import SETTLING_TIME, PlanInput
 from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.weighing import kept_spares, patience
 
-SETTLING_TIME = 0.5
-"""Seconds after which an instance that has appeared is put into a new group: the instances of a
-domain that comes back report within a third of a second."""
-
 
 def plan_groups(facts: PlanInput) -> list[ControlCommand]:
     """Return the commands that bring the groups closer to what the configuration wants."""
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -8,14 +8,15 @@
 
 from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, InstanceId
-from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
+from jaylatch_decisions.groups.facts import SETTLING_TIME, InstanceFacts, PlanInput
 
 
 def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
     """Return the model that each free instance should stage, for those that should stage one.
 
     In each domain first what a broken group waits for, then what completes a group that is wanted,
-    then spares for the groups that stand.
+    then spares for the groups that stand. Where instances may join without staging, nothing is
+    staged until groups stand, so that no host loads a model and then joins a group of another.
     """
     domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
     for item in facts.instances:
@@ -23,7 +24,11 @@
     serving = Counter(group.model for group in facts.groups)
     staging: dict[InstanceId, str] = {}
     for domain in sorted(domains):
-        staging.update(_Domain(facts, domains[domain], serving).plan())
+        needs = _Domain(facts, domains[domain], serving)
+        # Until all hosts of a domain that comes back have reported, which models it lacks is unknown.
+        is_settled = all(item.known_for >= SETTLING_TIME for item in domains[domain])
+        if is_settled and (needs.has_groups or not facts.may_join_cold):
+            staging.update(needs.plan())
     return staging
 
 
@@ -57,19 +62,26 @@
                 1 for member in group.members if member not in known or not known[member].is_usable
             )
 
+    @property
+    def has_groups(self) -> bool:
+        """Return whether a group stands in this domain."""
+        return bool(self._groups)
+
     def plan(self) -> dict[InstanceId, str]:
         """Return the staging of this domain."""
         staging: dict[InstanceId, str] = {}
         while True:
-            idle = [
+            open_to_orders = [
                 item
                 for item in self._free
-                if item.instance not in staging
-                and not item.staging_model
-                and not self._is_useful(item)
+                if item.instance not in staging and not item.staging_model
             ]
+            idle = [item for item in open_to_orders if not self._is_useful(item)]
             model = self._next_model(idle)
             chosen = [item for item in idle if model not in _models_of(item)]
+            if not chosen and model is not None and self._is_lacking(model):
+                # A group that serves nobody outweighs the spare of one that serves.
+                chosen = [item for item in open_to_orders if not self._is_needed(item)]
             if model is None or not chosen:
                 return staging
             # Empty hosts first: another model on a host may be wanted again.
@@ -85,6 +97,14 @@
             for model in _models_of(item)
         ) or self._completes_group(item)
 
+    def _is_needed(self, item: InstanceFacts) -> bool:
+        """Return whether the host holds a model that a broken group waits for."""
+        return any(self._lacking[model] for model in _models_of(item))
+
+    def _is_lacking(self, model: str) -> bool:
+        """Return whether broken groups lack more members than there are hosts of their model."""
+        return self._lacking[model] > self._warm[model]
+
     def _completes_group(self, item: InstanceFacts) -> bool:
         sizes = {model.name: model.instances_per_group for model in self._models}
         return any(
@@ -93,9 +113,7 @@
 
     def _next_model(self, idle: list[InstanceFacts]) -> str | None:
         """Return what one of the ``idle`` instances should stage next, or None."""
-        lacking = [
-            model for model in self._models if self._lacking[model.name] > self._warm[model.name]
-        ]
+        lacking = [model for model in self._models if self._is_lacking(model.name)]
         if lacking:
             return min(
                 lacking, key=lambda item: self._lacking[item.name] - self._warm[item.name]
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -146,7 +146,8 @@
         self._refresh_view(now)
         self._announce_changes()
         if self._targets is not None and now >= self._plan_from:
-            staging = plan_staging(self._plan_input(facts))
+            # While a plan is being agreed on, who is free is about to change.
+            staging = {} if self._is_proposing else plan_staging(self._plan_input(facts))
             self._targets.give_orders(now, self._state.groups.values(), staging)
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
