A leaving member cuts no stream of its group

Cause: once a member said that it leaves, the view dropped the group's route; the gateways took that for the end of the head and left its streams at once, and 1.6 s later the group was regrouped under what still ran. Ruled out: the SIGHUP itself (nothing is reread), the servers (the head was sound throughout). Change: the route stays in the view as ending, so that gateways send nothing new and leave nothing; the head is ordered to stop serving once its requests have ended; the group is regrouped when the head reports that it has stopped, after 8 s at most.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -24,6 +24,7 @@
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import (
     CloseGroup,
+    DrainGroup,
     EngineOrder,
     JoinGroup,
     LeaveGroup,
@@ -54,7 +55,13 @@
     "F": AttemptOutcome.FAILED,
 }
 NEXT = {"again": Next.AGAIN, "refused": Next.REFUSE, "failed": Next.FAIL}
-ORDER_NAMES = {JoinGroup: "join", OpenGroup: "open", CloseGroup: "close", LeaveGroup: "leave"}
+ORDER_NAMES = {
+    JoinGroup: "join",
+    OpenGroup: "open",
+    DrainGroup: "drain",
+    CloseGroup: "close",
+    LeaveGroup: "leave",
+}
 LOAD_INTERVAL = 0.1
 LOAD_WINDOW = 5.0
 
@@ -153,9 +160,15 @@
         context.engines[InstanceId(name)] = EngineState(InstanceId(name), state, ())
 
 
+@when(r'a member of "(?P<group>[^"]*)" says that it leaves')
+def step_member_leaves(context: Context, group: str) -> None:
+    context.leaving = frozenset({GroupId(group)})
+
+
 @then(r'the orders are "(?P<orders>[^"]*)"')
 def step_orders(context: Context, orders: str) -> None:
-    found: dict[InstanceId, EngineOrder] = plan_orders(context.groups, context.engines)
+    leaving = getattr(context, "leaving", frozenset())
+    found: dict[InstanceId, EngineOrder] = plan_orders(context.groups, context.engines, leaving)
     names = sorted(f"{ORDER_NAMES[type(order)]} {name}" for name, order in found.items())
     assert names == sorted(item for item in orders.split(", ") if item), names
     for order in found.values():
--- a/features/targets/orders.feature
+++ b/features/targets/orders.feature
@@ -23,3 +23,18 @@
       | a free engine is left alone                        |         | a                                           |                      |
       | a newer epoch than known is not undone             | g@1:ab  | a=g@2/0/open b=g@2/1/ready                  |                      |
       | a head that is open under an older epoch joins     | g@3:ab  | a=g@2/0/open b=g@3/1/ready                  | join a               |
+
+  Scenario Outline: a member says that it leaves, and <case>
+    Given the groups "<groups>"
+    And the engines "<engines>"
+    When a member of "<leaving>" says that it leaves
+    Then the orders are "<orders>"
+
+    Examples: the group ends its work before its members are moved
+      | case                                    | groups          | engines                                     | leaving | orders  |
+      | the head still serves                   | g@1:ab          | a=g@1/0/open b=g@1/1/ready                  | g       | drain a |
+      | the head ends its work                  | g@1:ab          | a=g@1/0/closing b=g@1/1/ready               | g       |         |
+      | the head has ended its work             | g@1:ab          | a=g@1/0/ready b=g@1/1/ready                 | g       |         |
+      | the group has not been opened           | g@1:ab          | a=g@1/0/ready b                             | g       |         |
+      | the head serves under an older epoch    | g@2:ab          | a=g@1/0/open b=g@1/1/ready                  | g       |         |
+      | another group goes on                   | g@1:ab h@2:cd   | a=g@1/0/open b=g@1/1/ready c=h@2/0/ready d=h@2/1/ready | g | drain a, open c |
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -96,7 +96,7 @@
     """Where an entry sends requests for a model.
 
     ``service`` and ``slots`` are set where the head is a direct target; ``address`` is then its
-    HTTP address.
+    HTTP address. ``is_ending``: it only ends what is under way and takes no new request.
     """
 
     group: GroupId
@@ -107,6 +107,7 @@
     failure_domain: FailureDomainId
     service: str = ""
     slots: int = 0
+    is_ending: bool = False
 
 
 class ServiceRoute(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -3,6 +3,7 @@
 from jaylatch_decisions.targets.choice import TargetLoad, choose_target, is_full
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
+    DrainGroup,
     EngineOrder,
     JoinGroup,
     LeaveGroup,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "CloseGroup",
+    "DrainGroup",
     "EngineOrder",
     "JoinGroup",
     "LeaveGroup",
--- a/packages/decisions/src/jaylatch_decisions/targets/orders.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/orders.py
@@ -6,7 +6,7 @@
 replaced between two orders, and engines that restart.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 
 from jaylatch_core.ids import Epoch, GroupId, InstanceId
@@ -32,6 +32,14 @@
     epoch: Epoch
 
 
+@dataclass(frozen=True)
+class DrainGroup:
+    """Let the head stop serving once the requests under way have ended."""
+
+    group: GroupId
+    epoch: Epoch
+
+
 @dataclass(frozen=True)
 class CloseGroup:
     """Let the head stop serving; requests under way are evicted."""
@@ -55,7 +63,7 @@
     model: str
 
 
-EngineOrder = JoinGroup | OpenGroup | CloseGroup | LeaveGroup | StageModel
+EngineOrder = JoinGroup | OpenGroup | DrainGroup | CloseGroup | LeaveGroup | StageModel
 
 
 @dataclass(frozen=True)
@@ -68,14 +76,19 @@
 
 
 def plan_orders(
-    groups: Iterable[Group], engines: Mapping[InstanceId, EngineState]
+    groups: Iterable[Group],
+    engines: Mapping[InstanceId, EngineState],
+    leaving: Collection[GroupId] = (),
 ) -> dict[InstanceId, EngineOrder]:
-    """Return at most one order for each engine."""
+    """Return at most one order for each engine; groups that are ``leaving`` only end their work."""
     orders: dict[InstanceId, EngineOrder] = {}
     assigned: set[InstanceId] = set()
     for group in groups:
         assigned.update(group.members)
-        orders.update(_group_orders(group, engines))
+        if group.id in leaving:
+            orders.update(_drain_orders(group, engines))
+        else:
+            orders.update(_group_orders(group, engines))
     for instance, engine in engines.items():
         if instance not in assigned and engine.membership is not None:
             orders[instance] = _release(engine.membership)
@@ -108,6 +121,17 @@
     return orders
 
 
+def _drain_orders(
+    group: Group, engines: Mapping[InstanceId, EngineState]
+) -> dict[InstanceId, EngineOrder]:
+    membership = engines[group.head].membership if group.head in engines else None
+    if membership is None or membership.state is not MemberState.OPEN:
+        return {}
+    if (membership.group, membership.epoch) != (group.id, group.epoch):
+        return {}
+    return {group.head: DrainGroup(group.id, group.epoch)}
+
+
 def _member_order(group: Group, membership: ReportedMembership | None) -> EngineOrder | None:
     """Return the order that brings one member into the group, or None if it stands in it."""
     if membership is not None and membership.group != group.id:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -27,14 +27,16 @@
 """Seconds after which an order is given again if the target's reports do not show it."""
 STAGING_RETRY = 25.0
 """Seconds after which staging is ordered again: a load from the store takes up to 16 s."""
-DRAIN_TIME = 1.6
-"""Seconds for which the streams of a group with a leaving member may end before it is regrouped:
-an answer takes about as long, and the member stays for two seconds at least."""
+DRAIN_LIMIT = 8.0
+"""Seconds for which the streams of a group with a leaving member may end before it is regrouped all
+the same: the member stays for 2 s at least, and while the head has work for 10 s at most."""
 FIRST_PLAN = 1.6
 """Seconds from the first leadership until groups are formed: a heartbeat interval of the platforms
 of today and a margin. A hasty plan breaks no group, since there is none."""
 DEATH_WINDOW = 2.0
 """Seconds between the end of a connection and the missed probe that show one end of a target."""
+SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
+"""States in which a head has, or may have, requests under way."""
 REPORTED_DEATHS = 8
 NO_DIGEST = RequestDigest("")
 RECORD_RETENTION = 60.0
@@ -150,15 +152,25 @@
         ]
 
     def group_routes(self, now: float, groups: Iterable[Group]) -> list[GroupRoute]:
-        """Return the routes to the groups whose head serves and whose members are all there."""
+        """Return the routes to the groups whose head serves and whose members are all there.
+
+        A group with a leaving member is named, as ending, for as long as its head has work.
+        """
         engines = self._engine_states(now)
         routes = []
         for group in groups:
             record = self._registry.record(group.head)
-            if record is None or not is_whole(group, engines) or self._is_leaving(group):
+            if record is None or group.head not in engines:
                 continue
+            is_ending = self._is_leaving(group)
             head = engines[group.head].membership
-            if head is None or head.state is not MemberState.OPEN:
+            if head is None or (head.group, head.epoch) != (group.id, group.epoch):
+                continue
+            if is_ending:
+                is_named = head.state in SERVING_STATES
+            else:
+                is_named = head.state is MemberState.OPEN and is_whole(group, engines)
+            if not is_named:
                 continue
             check_in = record.check_in
             routes.append(
@@ -171,6 +183,7 @@
                     check_in.failure_domain,
                     check_in.service,
                     self._engines[check_in.service].slots,
+                    is_ending,
                 )
             )
         if routes:
@@ -207,7 +220,9 @@
         if self._is_fenced:
             return
         engines = self._engine_states(now)
-        orders: dict[InstanceId, EngineOrder] = dict(plan_orders(groups, engines))
+        wanted = tuple(groups)
+        leaving = {group.id for group in wanted if self._is_leaving(group)}
+        orders = plan_orders(wanted, engines, leaving)
         loads = {instance: StageModel(model) for instance, model in staging.items()}
         for instance, order in {**loads, **orders}.items():
             if self._is_due(now, instance, order) and self._may_load(now, instance, order):
@@ -241,19 +256,28 @@
         )
 
     def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
-        """Return the heads, with their epoch, of groups whose drain has lasted long enough."""
+        """Return the heads, with their epoch, of groups with a leaving member and no more work."""
         heads = {}
         for group in groups:
-            records = [self._registry.record(member) for member in group.members]
-            since = [item.draining_since for item in records if item is not None]
-            started = [item for item in since if item is not None]
-            if started and now >= min(started) + DRAIN_TIME:
+            since = self._leaving_since(group)
+            if since is not None and (self._is_closed(group) or now >= since + DRAIN_LIMIT):
                 heads[group.head] = group.epoch
         return heads
 
-    def _is_leaving(self, group: Group) -> bool:
+    def _is_closed(self, group: Group) -> bool:
+        """Return whether the head reports that it does not serve."""
+        record = self._registry.record(group.head)
+        membership = record.check_in.membership if record is not None else None
+        return membership is None or membership.state not in SERVING_STATES
+
+    def _leaving_since(self, group: Group) -> float | None:
+        """Return when the first member said that it leaves, or None."""
         records = [self._registry.record(member) for member in group.members]
-        return any(item is not None and item.draining_since is not None for item in records)
+        since = [item.draining_since for item in records if item is not None]
+        return min((item for item in since if item is not None), default=None)
+
+    def _is_leaving(self, group: Group) -> bool:
+        return self._leaving_since(group) is not None
 
     def _engine_states(self, now: float) -> dict[InstanceId, EngineState]:
         return {
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -49,7 +49,8 @@
             if group.service:
                 load = TargetLoad(group.head, group.slots, group.failure_domain)
                 known = self._add(old, group.address, load)
-                self._by_model.setdefault((group.service, group.model), []).append(known.load)
+                if not group.is_ending:
+                    self._by_model.setdefault((group.service, group.model), []).append(known.load)
         for service in view.services:
             if service.slots:
                 load = TargetLoad(service.instance, service.slots, service.failure_domain)
