A target that departs unannounced ends its work like one that announced it

Cause: a departure without notice removed the target at once, so its group counted as broken, the gateways left its streams and the survivors were joined anew under them, while the target would have served for 2 s and more. Change: such a target counts as leaving for 8 s; the group ends like any with a leaving member; one whose head departs is regrouped after 2.5 s; gateways leave only heads that were lost while they served.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -89,7 +89,7 @@
     for message in messages.split():
         context.now += 1.0
         if message.startswith("-"):
-            context.registry.depart(InstanceId(message[1:]))
+            context.registry.depart(context.now, InstanceId(message[1:]))
         else:
             context.registry.check_in(context.now, parse_check_in(message))
 
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -17,8 +17,12 @@
       | the address has passed to a newer target            | a:1:10:1 b:1:20:1            | 0       | b      |          |
       | a late heartbeat from before the address passed on  | b:1:20:1 a:1:10:7            | 0       | b      |          |
       | two addresses                                       | a:1:10:1 b:2:20:1            | 0       | a b    |          |
-      | a departure                                         | a:1:10:1 -a                  | 0       |        |          |
-      | a heartbeat that the departure overtook             | a:1:10:1 -a a:1:10:2         | 0       |        |          |
+      | a departure that was announced                      | a:1:10:1d -a                 | 0       |        |          |
+      | a departure without notice: it ends its work        | a:1:10:1 -a                  | 7       | a      | a        |
+      | a departure that is said twice                      | a:1:10:1 -a -a               | 1       | a      | a        |
+      | a departure without notice: its work has ended      | a:1:10:1 -a                  | 8       |        | a        |
+      | a heartbeat that the departure overtook             | a:1:10:1 -a a:1:10:2         | 8       |        | a        |
+      | a heartbeat that an announced departure overtook    | a:1:10:1d -a a:1:10:2        | 0       |        |          |
       | a new incarnation after a departure                 | a:1:10:1 -a a:1:20:1         | 0       | a      |          |
       | a departure of an unknown target                    | -a a:1:10:1                  | 0       | a      |          |
 
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -13,6 +13,9 @@
 GAP_LIMIT = 12.0
 """Seconds without a leader up to which the targets that were known before count as there: a control
 quorum recovers in this time, or the platform counts the deployment as failed."""
+DEPARTURE_TIME = 8.0
+"""Seconds for which a target that departs unannounced may end its work: it serves for 2 s at least,
+and as a member while the head of its group has work for 10 s at most."""
 
 
 @dataclass
@@ -20,13 +23,14 @@
     """The newest heartbeat of a target.
 
     ``heard_at`` is when it came, ``draining_since`` when the target first said that it leaves,
-    ``appeared_at`` when its incarnation was first heard of. ``is_lost`` tells that it has not
-    answered a probe since.
+    ``departed_at`` when it said that it reports no more, ``appeared_at`` when its incarnation was
+    first heard of. ``is_lost`` tells that it has not answered a probe since.
     """
 
     check_in: TargetCheckIn
     heard_at: float
     draining_since: float | None = None
+    departed_at: float | None = None
     is_lost: bool = False
     appeared_at: float = 0.0
 
@@ -87,16 +91,29 @@
         for record in self._records.values():
             record.heard_at += gap
 
-    def depart(self, instance: InstanceId) -> None:
-        """Forget a target that says it ends; older heartbeats of it are ignored from now on."""
-        record = self._records.pop(instance, None)
-        if record is not None:
-            self._departed[instance] = record.check_in.born_at
+    def depart(self, now: float, instance: InstanceId) -> None:
+        """Take a target's last word; older heartbeats of it are ignored from now on.
+
+        One that has said before that it leaves ends now. Another one ends its work first, as the
+        members of its group do, so it counts as leaving for a time.
+        """
+        record = self._records.get(instance)
+        if record is None or record.departed_at is not None:
+            return
+        self._departed[instance] = record.check_in.born_at
+        if record.draining_since is not None:
+            del self._records[instance]
+            return
+        record.draining_since = record.departed_at = now
 
     def is_usable(self, now: float, instance: InstanceId) -> bool:
-        """Return whether ``instance`` was heard of late."""
+        """Return whether ``instance`` was heard of late, or is ending its work."""
         record = self._records.get(instance)
-        return record is not None and not record.is_lost and now < record.heard_at + self._silence
+        if record is None or record.is_lost:
+            return False
+        if record.departed_at is not None:
+            return now < record.departed_at + DEPARTURE_TIME
+        return now < record.heard_at + self._silence
 
     def mark_lost(self, instance: InstanceId, asked_at: float) -> bool:
         """Count a target as lost that did not answer a probe sent at ``asked_at``.
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -279,7 +279,7 @@
                 if self._registry.check_in(now, body) and (is_new or body.is_draining):
                     _log_target("target draining" if body.is_draining else "target", body)
             case TargetDeparture():
-                self._registry.depart(body.instance)
+                self._registry.depart(now, body.instance)
                 _log.info("target departed", extra={"target": body.instance})
         if call and isinstance(leader, LeaderController):
             leader.follow_targets(now)
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -12,8 +12,10 @@
 from jaylatch_core.messages.targets import MemberState
 from jaylatch_decisions.groups import InstanceFacts
 from jaylatch_decisions.targets import (
+    CloseGroup,
     EngineOrder,
     JoinGroup,
+    LeaveGroup,
     StageModel,
     TargetRecord,
     TargetRegistry,
@@ -30,6 +32,9 @@
 DRAIN_LIMIT = 8.0
 """Seconds for which the streams of a group with a leaving member may end before it is regrouped all
 the same: the member stays for 2 s at least, and while the head has work for 10 s at most."""
+DEPARTED_HEAD_TIME = 2.5
+"""Seconds after which a group whose head departs unannounced is regrouped: the head serves for 2 s
+and a little longer."""
 FIRST_PLAN = 1.6
 """Seconds from the first leadership until groups are formed: a heartbeat interval of the platforms
 of today and a margin. A hasty plan breaks no group, since there is none."""
@@ -225,6 +230,8 @@
         orders = plan_orders(wanted, engines, leaving)
         loads = {instance: StageModel(model) for instance, model in staging.items()}
         for instance, order in {**loads, **orders}.items():
+            if self._ends_by_itself(instance, order):
+                continue
             if self._is_due(now, instance, order) and self._may_load(now, instance, order):
                 self._ordered[instance] = (order, now)
                 if isinstance(order, StageModel):
@@ -257,12 +264,17 @@
 
     def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
         """Return the heads, with their epoch, of groups with a leaving member and no more work."""
-        heads = {}
-        for group in groups:
-            since = self._leaving_since(group)
-            if since is not None and (self._is_closed(group) or now >= since + DRAIN_LIMIT):
-                heads[group.head] = group.epoch
-        return heads
+        return {group.head: group.epoch for group in groups if self._has_ended(now, group)}
+
+    def _has_ended(self, now: float, group: Group) -> bool:
+        since = self._leaving_since(group)
+        if since is None:
+            return False
+        head = self._registry.record(group.head)
+        if head is not None and head.departed_at is not None:
+            # It reports no more, so its state is not known.
+            return now >= head.departed_at + DEPARTED_HEAD_TIME
+        return self._is_closed(group) or now >= since + DRAIN_LIMIT
 
     def _is_closed(self, group: Group) -> bool:
         """Return whether the head reports that it does not serve."""
@@ -310,6 +322,12 @@
 
     # Orders
 
+    def _ends_by_itself(self, instance: InstanceId, order: EngineOrder) -> bool:
+        """Return whether the order would end the work of a target that is ending it anyway."""
+        record = self._registry.record(instance)
+        has_departed = record is not None and record.departed_at is not None
+        return has_departed and isinstance(order, CloseGroup | LeaveGroup)
+
     def _is_due(self, now: float, instance: InstanceId, order: EngineOrder) -> bool:
         if instance in self._in_flight:
             return False
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -30,9 +30,10 @@
         return {target.address for target in self._targets.values()}
 
     def follow(self, view: View) -> set[InstanceId]:
-        """Take the targets of ``view``; returns the heads of groups that serve no more.
+        """Take the targets of ``view``; returns the heads of groups that were lost while they served.
 
-        What is known of the load of a target stays while its address does.
+        What is known of the load of a target stays while its address does. A head that was ending
+        its work ends what is left by itself.
         """
         if view is self._view:
             return set()
@@ -40,7 +41,7 @@
         gone = {
             route.head
             for route in (self._view.groups if self._view is not None else ())
-            if (route.head, route.epoch) not in serving
+            if (route.head, route.epoch) not in serving and not route.is_ending
         }
         self._view = view
         old, self._targets = self._targets, {}
