A stream under way is resumed also where new ones are refused

Change: may_admit takes a resumed stream up to 2.5 requests for each slot. The decision had no table; it has one now.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -33,6 +33,7 @@
     TargetLoad,
     TargetRegistry,
     choose_target,
+    may_admit,
     plan_orders,
 )
 from jaylatch_decisions.targets.attempts import (
@@ -290,6 +291,12 @@
     assert (chosen.instance if chosen is not None else "none") == choice, chosen
 
 
+@then(r"a (?P<kind>new|resumed) stream is (?P<outcome>sent|refused) there")
+def step_admission(context: Context, kind: str, outcome: str) -> None:
+    may = may_admit(10.0, context.targets[0], kind == "resumed")
+    assert may is (outcome == "sent"), context.targets[0]
+
+
 def event_bytes(piece: str) -> bytes:
     """Return the bytes of the events or halves that ``piece`` names."""
     data = b""
--- a/features/targets/choice.feature
+++ b/features/targets/choice.feature
@@ -20,3 +20,16 @@
       | all tried: none is left                 | a:4:0             |          | a     | 0       | none   |
       | all failed: the one back first is asked | a:4:0 b:4:2       | a b b    |       | 0       | a      |
       | no target                               |                   |          |       | 0       | none   |
+
+  Scenario Outline: <case>
+    Given the targets "<target>"
+    Then a <kind> stream is <outcome> there
+
+    Examples: what is under way outweighs what is new
+      | case                                    | target    | kind    | outcome |
+      | a free place                            | a:10:9:0  | new     | sent    |
+      | a place that is free soon               | a:10:11:0 | new     | sent    |
+      | more would wait too long                | a:10:12:0 | new     | refused |
+      | the requests of others count            | a:10:0:12 | new     | refused |
+      | a stream that goes on may wait          | a:10:12:0 | resumed | sent    |
+      | a stream that goes on would wait too long | a:10:25:0 | resumed | refused |
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -1,6 +1,6 @@
 """Direct targets: which exist, what to order them, and where a request goes."""
 
-from jaylatch_decisions.targets.choice import TargetLoad, choose_target, is_full
+from jaylatch_decisions.targets.choice import TargetLoad, choose_target, may_admit
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
     DrainGroup,
@@ -27,6 +27,6 @@
     "TargetRecord",
     "TargetRegistry",
     "choose_target",
-    "is_full",
+    "may_admit",
     "plan_orders",
 ]
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -20,6 +20,9 @@
 FULL_LOAD = 1.2
 """Requests for each slot at which a target counts as full: a fifth of the slots ends within a third
 of a second, which is the latency objective of a first event."""
+RESUMED_FULL_LOAD = 2.5
+"""Requests for each slot at which a target takes no resumed stream either: its queue holds four
+times its slots, and a place beyond this comes later than the caller's patience of 2 s."""
 
 
 @dataclass
@@ -64,13 +67,16 @@
         return (self.own + others) / max(self.slots, 1)
 
 
-def is_full(now: float, target: TargetLoad) -> bool:
-    """Return whether a further request would wait for a place for longer than it is worth.
+def may_admit(now: float, target: TargetLoad, is_resumed: bool) -> bool:
+    """Return whether a stream may be sent to ``target``, the least loaded one.
 
     Answers a load above what the targets can do: those that are admitted are in time, and the
-    others learn at once that they are not, where otherwise all would be late.
+    others learn at once that they are not, where otherwise all would be late. A stream that is
+    resumed is half paid for, and to cut it fails its caller for good, so it is sent where a new one
+    is not.
     """
-    return target.expected(now) >= FULL_LOAD
+    limit = RESUMED_FULL_LOAD if is_resumed else FULL_LOAD
+    return target.expected(now) < limit
 
 
 def choose_target(
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -19,7 +19,7 @@
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import EvidenceTable, Standing
 from jaylatch_decisions.retry import RetryBudget
-from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target, is_full
+from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target, may_admit
 from jaylatch_decisions.targets.attempts import (
     AttemptHistory,
     AttemptOutcome,
@@ -190,7 +190,8 @@
             if target is None:
                 self._give_up(job, attempt, "no target", NO_TARGET_RETRY)
                 return
-            if job.request.model is not None and is_full(monotonic(), target):
+            is_stream = job.request.model is not None
+            if is_stream and not may_admit(monotonic(), target, job.caller.has_started):
                 self._give_up(job, attempt, "full", FULL_RETRY)
                 return
             outcome = await self._send(job, attempt, target)
