Groups of a scarce model span failure domains until a domain can complete one

Change: where at most one group of a model serves and the engine profile states what spanning costs, a broken group is mended with free hosts of other domains, after the least whole ones are dissolved for theirs; once hosts of its own domain can take the places, it ends its work and is joined anew.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -1,5 +1,6 @@
 """Steps on staging, and on plans that keep to hosts which hold the model."""
 
+import msgspec
 from behave import given, then, use_step_matcher
 from behave.runner import Context
 
@@ -7,7 +8,13 @@
 from jaylatch_core.enums import GroupState
 from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import DissolveGroup, FormGroup, Group, RepairGroup
-from jaylatch_decisions.groups import InstanceFacts, PlanInput, plan_groups, plan_staging
+from jaylatch_decisions.groups import (
+    InstanceFacts,
+    PlanInput,
+    groups_to_recall,
+    plan_groups,
+    plan_staging,
+)
 
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
@@ -21,14 +28,42 @@
 
 @given(r'the instances "(?P<instances>[^"]*)" of one domain')
 def step_instances(context: Context, instances: str) -> None:
-    context.instances = []
+    context.instances = parse_instances(instances, DOMAIN)
+
+
+@given(r'the instances "(?P<instances>[^"]*)" of the domain (?P<domain>\w+)')
+def step_domain_instances(context: Context, instances: str, domain: str) -> None:
+    known = getattr(context, "instances", [])
+    context.instances = known + parse_instances(instances, FailureDomainId(domain))
+
+
+@given("groups that may span domains")
+def step_may_span(context: Context) -> None:
+    context.may_span_domains = True
+
+
+@given(r'"(?P<heads>[^"]*)" have no more work')
+def step_idle_heads(context: Context, heads: str) -> None:
+    epochs = {group.head: group.epoch for group in context.groups}
+    context.instances = [
+        (
+            msgspec.structs.replace(item, draining_epoch=epochs[item.instance])
+            if item.instance in heads.split()
+            else item
+        )
+        for item in context.instances
+    ]
+
+
+def parse_instances(instances: str, domain: FailureDomainId) -> list[InstanceFacts]:
+    found = []
     for text in instances.split():
         name, _, state = text.partition("=")
         held, _, loading = state.rstrip("!?").partition(">")
-        context.instances.append(
+        found.append(
             InstanceFacts(
                 InstanceId(name),
-                DOMAIN,
+                domain,
                 not state.endswith("!"),
                 False,
                 Epoch(0),
@@ -40,6 +75,7 @@
                 known_for=0.0 if state.endswith("?") else LONG_KNOWN,
             )
         )
+    return found
 
 
 @given("the first start of the deployment")
@@ -66,9 +102,15 @@
         {},
         tuple(context.instances),
         may_join_cold=getattr(context, "may_join_cold", False),
+        may_span_domains=getattr(context, "may_span_domains", False),
     )
 
 
+@then(r'the groups to end their work are "(?P<groups>[^"]*)"')
+def step_recalled(context: Context, groups: str) -> None:
+    assert groups_to_recall(plan_input(context)) == set(groups.split())
+
+
 @then(r'they stage "(?P<staging>[^"]*)"')
 def step_staging(context: Context, staging: str) -> None:
     found = plan_staging(plan_input(context))
--- a/packages/core/src/jaylatch_core/deployment.py
+++ b/packages/core/src/jaylatch_core/deployment.py
@@ -103,7 +103,8 @@
     A step takes ``step_time`` and ``sequence_time`` for each request that generates.
     ``read_rate`` is in prompt tokens a second. ``load_rate`` bounds the loads that may begin in a
     second, and ``parallel_loads`` those that do not slow each other. A group opens ``form_time``
-    after its head was told to.
+    after its head was told to. A group whose members are in several failure domains takes
+    ``span_factor`` times as long for everything; 0 where this is not known.
     """
 
     slots: int
@@ -114,6 +115,7 @@
     load_rate: float = 0.0
     parallel_loads: int = 0
     form_time: float = 0.0
+    span_factor: float = 0.0
 
 
 class ServiceProfile(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -5,6 +5,7 @@
 from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
 from jaylatch_decisions.groups.planner import plan_groups
 from jaylatch_decisions.groups.retirement import retiring_groups
+from jaylatch_decisions.groups.spanning import groups_to_recall
 from jaylatch_decisions.groups.staging import plan_staging
 
 __all__ = [
@@ -15,6 +16,7 @@
     "Permit",
     "PlanInput",
     "grant_permits",
+    "groups_to_recall",
     "plan_groups",
     "plan_staging",
     "retiring_groups",
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -41,7 +41,8 @@
 class PlanInput(msgspec.Struct, frozen=True):
     """Everything the planner decides by.
 
-    ``may_join_cold`` tells that instances may join groups of models that their hosts do not hold.
+    ``may_join_cold`` tells that instances may join groups of models that their hosts do not hold,
+    ``may_span_domains`` that a group of instances of several domains serves, if more slowly.
     """
 
     configuration: Configuration
@@ -50,3 +51,4 @@
     occupied: dict[InstanceId, Epoch]
     instances: tuple[InstanceFacts, ...]
     may_join_cold: bool = True
+    may_span_domains: bool = False
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -18,6 +18,12 @@
 )
 from jaylatch_decisions.groups.facts import SETTLING_TIME, PlanInput
 from jaylatch_decisions.groups.retirement import retiring_groups
+from jaylatch_decisions.groups.spanning import (
+    SCARCE_GROUPS,
+    far_members,
+    home_of,
+    least_whole_first,
+)
 from jaylatch_decisions.groups.weighing import kept_spares, patience
 
 
@@ -28,6 +34,7 @@
     planner.retire_groups()
     planner.mend_groups()
     planner.form_groups()
+    planner.span_domains()
     planner.give_up_groups()
     return planner.commands
 
@@ -77,6 +84,8 @@
                 self._mend(group)
             elif self._drained_members(group) and self._is_idle(group):
                 self._replace_drained(group)
+            elif far_members(group, self._known) and self._is_idle(group):
+                self._replace(group, far_members(group, self._known))
 
     def form_groups(self) -> None:
         """Form wanted groups, evenly over models and domains, leaving the spares that are kept."""
@@ -86,6 +95,27 @@
             self._count(model.name, domain, 1)
             self.commands.append(FormGroup(model.name, members))
 
+    def span_domains(self) -> None:
+        """Mend groups of scarce models with hosts of other domains."""
+        if not self._facts.may_span_domains:
+            return
+        for model in self._facts.configuration.models:
+            broken = [
+                group
+                for groups in self._broken.values()
+                for group in groups
+                if group.model == model.name
+            ]
+            waiting = least_whole_first(broken, self._lost)
+            serving = self._existing[model.name] - len(waiting)
+            while waiting and serving <= SCARCE_GROUPS:
+                base = waiting.pop()
+                if not self._borrow(base, serving):
+                    self._free_survivors(base, waiting)
+                    break
+                self._broken[self._domain_of(base)].remove(base)
+                serving += 1
+
     def give_up_groups(self) -> None:
         """Dissolve broken groups whose survivors complete another group of the domain."""
         for domain, broken in self._broken.items():
@@ -115,6 +145,48 @@
         self.commands.append(RepairGroup(group.id, group.epoch, tuple(staying + joining)))
         return True
 
+    def _borrow(self, group: Group, serving: int) -> bool:
+        """Replace the lost members by free hosts of any domain; returns False if there are too few.
+
+        A host stays where a group of its domain serves, unless no group of the model serves at all.
+        """
+        lost = [member for member in group.members if member in self._lost]
+        staying = [member for member in group.members if member not in self._lost]
+        lenders = [
+            domain
+            for domain in sorted(self._free)
+            if not serving or not self._serves_in(group.model, domain)
+        ]
+        borrowed = [item for domain in lenders for item in self._warm(domain, group.model)]
+        borrowed = borrowed[: len(lost)]
+        if not staying or len(borrowed) < len(lost):
+            return False
+        for domain in lenders:
+            self._free[domain] = [item for item in self._free[domain] if item not in borrowed]
+        self.commands.append(RepairGroup(group.id, group.epoch, tuple(staying + borrowed)))
+        return True
+
+    def _free_survivors(self, group: Group, donors: list[Group]) -> None:
+        """Dissolve the fewest broken groups of the model whose survivors can complete ``group``."""
+        missing = len(self._lost & set(group.members))
+        chosen: list[Group] = []
+        for donor in donors:
+            if missing <= 0:
+                break
+            chosen.append(donor)
+            missing -= len(self._survivors(donor))
+        if missing > 0:
+            return
+        for donor in chosen:
+            self._broken[self._domain_of(donor)].remove(donor)
+            self._dissolve(donor)
+
+    def _serves_in(self, model: str, domain: FailureDomainId) -> bool:
+        return any(
+            group.model == model and self._domain_of(group) == domain and not self._is_broken(group)
+            for group in self._facts.groups
+        )
+
     def _give_up(self, domain: FailureDomainId, broken: list[Group]) -> None:
         """Dissolve the fewest groups, from the least whole one, that complete another."""
         pool = [*self._free[domain], *self._leaving[domain]]
@@ -253,8 +325,7 @@
         self.commands.append(DissolveGroup(group.id, group.epoch))
 
     def _domain_of(self, group: Group) -> FailureDomainId:
-        known = [self._known[member] for member in group.members if member in self._known]
-        return known[0].failure_domain if known else FailureDomainId("")
+        return home_of(group, self._known)
 
     def _is_broken(self, group: Group) -> bool:
         return not self._lost.isdisjoint(group.members)
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -9,6 +9,7 @@
 from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_decisions.groups.facts import SETTLING_TIME, InstanceFacts, PlanInput
+from jaylatch_decisions.groups.spanning import home_of, scarce_models
 
 
 def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
@@ -22,10 +23,11 @@
     for item in facts.instances:
         domains[item.failure_domain].append(item)
     serving = Counter(group.model for group in facts.groups)
+    lent = scarce_models(facts)
     staging: dict[InstanceId, str] = {}
     for domain in sorted(domains):
-        needs = _Domain(facts, domains[domain], serving)
-        # Until all hosts of a domain that comes back have reported, which models it lacks is unknown.
+        needs = _Domain(facts, domain, domains[domain], serving, lent)
+        # What a domain that comes back lacks is known once all of its hosts have reported.
         is_settled = all(item.known_for >= SETTLING_TIME for item in domains[domain])
         if is_settled and (needs.has_groups or not facts.may_join_cold):
             staging.update(needs.plan())
@@ -36,14 +38,19 @@
     """One domain's free instances, and what its groups lack."""
 
     def __init__(
-        self, facts: PlanInput, instances: list[InstanceFacts], serving: Counter[str]
+        self,
+        facts: PlanInput,
+        domain: FailureDomainId,
+        instances: list[InstanceFacts],
+        serving: Counter[str],
+        lent: frozenset[str],
     ) -> None:
         self._models = facts.configuration.models
         self._serving = serving
+        self._lent = lent
         known = {item.instance: item for item in instances}
-        self._groups = [
-            group for group in facts.groups if any(member in known for member in group.members)
-        ]
+        everywhere = {item.instance: item for item in facts.instances}
+        self._groups = [group for group in facts.groups if home_of(group, everywhere) == domain]
         taken = {member for group in facts.groups for member in group.members}
         free = [
             item
@@ -58,6 +65,7 @@
         self._warm = Counter(model for item in self._free for model in _models_of(item))
         self._lacking = Counter[str]()
         for group in self._groups:
+            # A member in another domain serves slowly until a host of this one replaces it.
             self._lacking[group.model] += sum(
                 1 for member in group.members if member not in known or not known[member].is_usable
             )
@@ -92,14 +100,14 @@
 
     def _is_useful(self, item: InstanceFacts) -> bool:
         """Return whether the host holds a model that a group of this domain serves or lacks."""
-        return any(
-            self._lacking[model] or any(group.model == model for group in self._groups)
-            for model in _models_of(item)
-        ) or self._completes_group(item)
+        has_group = any(
+            group.model == model for group in self._groups for model in _models_of(item)
+        )
+        return has_group or self._is_needed(item) or self._completes_group(item)
 
     def _is_needed(self, item: InstanceFacts) -> bool:
         """Return whether the host holds a model that a broken group waits for."""
-        return any(self._lacking[model] for model in _models_of(item))
+        return any(self._lacking[model] or model in self._lent for model in _models_of(item))
 
     def _is_lacking(self, model: str) -> bool:
         """Return whether broken groups lack more members than there are hosts of their model."""
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -32,6 +32,7 @@
     Permit,
     PlanInput,
     grant_permits,
+    groups_to_recall,
     plan_groups,
     plan_staging,
     retiring_groups,
@@ -146,8 +147,10 @@
         self._refresh_view(now)
         self._announce_changes()
         if self._targets is not None and now >= self._plan_from:
+            plan_input = self._plan_input(facts)
+            self._targets.recall(now, groups_to_recall(plan_input))
             # While a plan is being agreed on, who is free is about to change.
-            staging = {} if self._is_proposing else plan_staging(self._plan_input(facts))
+            staging = {} if self._is_proposing else plan_staging(plan_input)
             self._targets.give_orders(now, self._state.groups.values(), staging)
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
@@ -334,6 +337,7 @@
             dict(state.occupied),
             tuple(facts),
             self._targets is None or not self._targets.has_served,
+            self._targets is not None and self._targets.may_span_domains,
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -3,10 +3,10 @@
 import logging
 from asyncio import create_task
 from collections import deque
-from collections.abc import Awaitable, Callable, Iterable, Mapping
+from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 
 from jaylatch_core.deployment import Deployment, EngineProfile
-from jaylatch_core.ids import Epoch, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.ids import Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
 from jaylatch_core.messages.targets import MemberState
@@ -42,6 +42,9 @@
 """Seconds between the end of a connection and the missed probe that show one end of a target."""
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
 """States in which a head has, or may have, requests under way."""
+SPAN_FACTOR_LIMIT = 4.0
+"""Slowest spanning group that is worth forming: at this factor an event takes a quarter of a
+second, about the longest pause that is still in time."""
 REPORTED_DEATHS = 8
 NO_DIGEST = RequestDigest("")
 RECORD_RETENTION = 60.0
@@ -85,6 +88,7 @@
         self._in_flight: set[InstanceId] = set()
         self._loads = LoadBudget(now, is_first_start=not has_served)
         self._is_fenced = False
+        self._recalled: dict[GroupId, float] = {}
         self._started_at = now
 
     @property
@@ -97,6 +101,12 @@
         """Return the time from which the targets are known well enough to regroup them."""
         return self._registry.complete_at if self._has_served else self._started_at + FIRST_PLAN
 
+    @property
+    def may_span_domains(self) -> bool:
+        """Return whether groups whose members are in several domains serve, if more slowly."""
+        factors = [engine.span_factor for engine in self._engines.values()]
+        return all(0 < factor <= SPAN_FACTOR_LIMIT for factor in factors)
+
     @property
     def deaths(self) -> tuple[TargetDeath, ...]:
         """Return the latest ends of targets at which requests had been under way."""
@@ -143,6 +153,10 @@
             if record.check_in.service in self._engines
         ]
 
+    def recall(self, now: float, groups: Collection[GroupId]) -> None:
+        """Let these groups, and no others, end their work so that members can be replaced."""
+        self._recalled = {group: self._recalled.get(group, now) for group in groups}
+
     def broken_groups(self, now: float, groups: Iterable[Group]) -> list[RepairGroup]:
         """Return the groups to be joined anew by the same members, under a new epoch.
 
@@ -283,9 +297,13 @@
         return membership is None or membership.state not in SERVING_STATES
 
     def _leaving_since(self, group: Group) -> float | None:
-        """Return when the first member said that it leaves, or None."""
+        """Return when the group began to end its work, or None.
+
+        A member has said that it leaves, or the group has been recalled.
+        """
         records = [self._registry.record(member) for member in group.members]
         since = [item.draining_since for item in records if item is not None]
+        since.append(self._recalled.get(group.id))
         return min((item for item in since if item is not None), default=None)
 
     def _is_leaving(self, group: Group) -> bool:
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -30,7 +30,7 @@
         return {target.address for target in self._targets.values()}
 
     def follow(self, view: View) -> set[InstanceId]:
-        """Take the targets of ``view``; returns the heads of groups that were lost while they served.
+        """Take the targets of ``view``; returns the heads that were lost while they served.
 
         What is known of the load of a target stays while its address does. A head that was ending
         its work ends what is left by itself.
