A group that spans domains takes as many requests as it can serve in time

Ruled out: the group itself (its events came 120 ms apart, in time). Change: the route of a spanning group states the slots divided by the span factor, so it gets its share of the load and counts as full sooner.

--- /dev/null
+++ b/features/steps/group_route_steps.py
@@ -0,0 +1,67 @@
+"""Steps on the routes that the leader's controller of direct targets grants."""
+
+from behave import given, then, use_step_matcher
+from behave.runner import Context
+from direct_target_steps import parse_membership
+
+from jaylatch_core.deployment import (
+    Deployment,
+    DeploymentNumber,
+    EngineProfile,
+    ServiceProfile,
+)
+from jaylatch_core.ids import FailureDomainId, InstanceId
+from jaylatch_core.messages.targets import TargetCheckIn
+from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
+from jaylatch_node.control.targets import TargetController
+from jaylatch_node.targets import OrderOutcome
+
+SERVICE = "models"
+ENGINE = EngineProfile(24, span_factor=2.5)
+NOW = 5.0
+
+use_step_matcher("re")
+
+
+async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
+    """Take any order."""
+    return OrderOutcome.ACCEPTED
+
+
+async def probe(record: TargetRecord) -> bool:
+    """Answer any probe."""
+    return True
+
+
+@given(r'the direct targets "(?P<targets>[^"]*)"')
+def step_direct_targets(context: Context, targets: str) -> None:
+    registry = TargetRegistry(3.0, started_at=0.0)
+    for number, text in enumerate(targets.split()):
+        place, _, membership = text.rstrip("!").partition("=")
+        name, _, domain = place.partition(".")
+        registry.check_in(
+            NOW,
+            TargetCheckIn(
+                InstanceId(name),
+                SERVICE,
+                f"10.0.0.{number}:80",
+                FailureDomainId(domain),
+                FailureDomainId(domain),
+                1,
+                1,
+                text.endswith("!"),
+                membership=parse_membership(membership),
+            ),
+        )
+    context.controller = TargetController(registry, 1, send, probe, True, NOW)
+    services = (ServiceProfile(SERVICE, 100, ENGINE),)
+    context.controller.follow(Deployment(DeploymentNumber(1), (), services))
+
+
+@then(r'the group routes are "(?P<routes>[^"]*)"')
+def step_group_routes(context: Context, routes: str) -> None:
+    found = [
+        f"{route.head}:{route.slots}" + (" ending" if route.is_ending else "")
+        for route in context.controller.group_routes(NOW, context.groups)
+    ]
+    assert " ".join(found) == routes, found
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -9,7 +9,7 @@
 from jaylatch_core.ids import Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
-from jaylatch_core.messages.targets import MemberState
+from jaylatch_core.messages.targets import MemberState, TargetCheckIn
 from jaylatch_decisions.groups import InstanceFacts
 from jaylatch_decisions.targets import (
     CloseGroup,
@@ -201,7 +201,7 @@
                     check_in.address,
                     check_in.failure_domain,
                     check_in.service,
-                    self._engines[check_in.service].slots,
+                    self._slots(group, check_in),
                     is_ending,
                 )
             )
@@ -210,6 +210,15 @@
             self._loads.end_first_start()
         return routes
 
+    def _slots(self, group: Group, head: TargetCheckIn) -> int:
+        """Return how many requests the group takes at once without being later than others."""
+        engine = self._engines[head.service]
+        records = [self._registry.record(member) for member in group.members]
+        domains = {item.check_in.fabric_domain for item in records if item is not None}
+        if len(domains) < 2 or engine.span_factor <= 0:
+            return engine.slots
+        return max(round(engine.slots / engine.span_factor), 1)
+
     def service_routes(self, now: float) -> list[ServiceRoute]:
         """Return the routes to the targets of plain services."""
         if self._deployment is None:
