Keep a host free only for groups that it can join

Ruled out: too few hosts (four of four were there and held the model). Change: after the first start a new group needs spares on top only for groups of its own model; a domain lends once it has settled. Tables: 4 rows, of which 1 failed before.

--- a/features/targets/spanning.feature
+++ b/features/targets/spanning.feature
@@ -18,6 +18,7 @@
       | survivors that are too few stay                   | a=f! b=f! c=f | d=f! e=f! g=f       | f:abc f:deg |                |
       | a spare stays where a group of its domain serves  | a=f! b=f c=f  | d=f e=f g=f s=f     | f:abc f:deg |                |
       | a host of its own domain comes first              | a=f! b=f c=f t=f | s=f              | f:abc     | repair f:bct   |
+      | hosts of a domain that comes back are left to it  | a=f! b=f c=f  | s=f?                | f:abc     |                |
       | a host that loads the model does not help yet     | a=f! b=f c=f  | s=v>f               | f:abc     |                |
 
   Scenario: where two groups of the model serve, a broken one waits for its domain
--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -44,6 +44,9 @@
     Examples:
       | case                                       | instances                             | groups       | plan             |
       | a group is formed by those that hold it    | a=f b=v c=v d=v e=v s=f               |              | form v:bcde      |
+      | none is formed of the spares of its model  | a=f b=f c=f d=f e=f g=f               | f:abc        |                  |
+      | one is formed beside the spares of its model | a=f b=f c=f d=f e=f g=f h=f         | f:abc        | form f:deg       |
+      | idle hosts of another model are no spares  | a=f b=f c=f d=v e=v g=v h=v           | f:abc        | form v:degh      |
       | none is formed by those that do not        | a=f b=- c=- d=- e=-                   |              |                  |
       | a member is replaced by a host of its model| a=v! b=v c=v d=v s=f t=v              | v:abcd       | repair v:bcdt    |
       | no host of its model: the group waits      | a=v! b=v c=v d=v s=f t=-              | v:abcd       |                  |
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -153,7 +153,8 @@
         lenders = [
             domain
             for domain in sorted(self._free)
-            if not serving or not self._serves_in(group.model, domain)
+            if self._is_settled(domain)
+            and (not serving or not self._serves_in(group.model, domain))
         ]
         borrowed = [item for domain in lenders for item in self._warm(domain, group.model)]
         borrowed = borrowed[: len(lost)]
@@ -214,9 +215,8 @@
             for group in kept
         ):
             return True
-        has_group = self._groups_in[domain] > len(chosen)
         return any(
-            self._needed(model, has_group) <= self._fitting(pool, model.name)
+            self._needed(model, domain, chosen) <= self._fitting(pool, model.name)
             and self._is_wanted(model, sum(group.model == model.name for group in chosen))
             for model in self._facts.configuration.models
         )
@@ -256,9 +256,7 @@
         )
 
     def _fits(self, model: ModelSpecification, domain: FailureDomainId) -> bool:
-        needed = self._needed(model, self._groups_in[domain] > 0)
-        has_warm = len(self._warm(domain, model.name)) >= model.instances_per_group
-        return len(self._free[domain]) >= needed and has_warm
+        return len(self._warm(domain, model.name)) >= self._needed(model, domain, [])
 
     def _is_settled(self, domain: FailureDomainId) -> bool:
         """Return whether no instance has just appeared: others may follow that fit better."""
@@ -284,11 +282,21 @@
             return 0
         return 2 if staged or item.staging_model else 1
 
-    def _needed(self, model: ModelSpecification, has_group: bool) -> int:
-        """Return how many free instances a new group takes, counting those to be kept free."""
-        # A spare protects the groups of its domain; where there is none, it is of no use.
+    def _needed(
+        self, model: ModelSpecification, domain: FailureDomainId, given_up: list[Group]
+    ) -> int:
+        """Return how many free instances a new group takes, counting those to be kept free.
+
+        A spare protects the groups of its domain; where there is none, it is of no use. Where an
+        instance joins only groups of the model that its host holds, it protects no others.
+        """
+        if self._facts.may_join_cold:
+            protected = self._groups_in[domain] - len(given_up)
+        else:
+            others = sum(group.model == model.name for group in given_up)
+            protected = self._existing_in[model.name, domain] - others
         spares = kept_spares(self._facts.configuration.weights, self._facts.policy)
-        return model.instances_per_group + (spares if has_group else 0)
+        return model.instances_per_group + (spares if protected > 0 else 0)
 
     def _is_wanted(self, model: ModelSpecification, given_up: int) -> bool:
         return model.groups == 0 or self._existing[model.name] - given_up < model.groups
