Form the first groups once every host has had time to report twice

Ruled out: the balance of models (right for the hosts that were known). Change: FIRST_PLAN from 1.6 s to 2.6 s.

--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -35,9 +35,10 @@
 DEPARTED_HEAD_TIME = 2.5
 """Seconds after which a group whose head departs unannounced is regrouped: the head serves for 2 s
 and a little longer."""
-FIRST_PLAN = 1.6
-"""Seconds from the first leadership until groups are formed: a heartbeat interval of the platforms
-of today and a margin. A hasty plan breaks no group, since there is none."""
+FIRST_PLAN = 2.6
+"""Seconds from the first leadership until groups are formed: two heartbeat intervals of the platforms
+of today and a margin. At 1.6 two hosts of a domain were not known yet, and it was given two groups
+of the small model where it should have had one of each."""
 DEATH_WINDOW = 2.0
 """Seconds between the end of a connection and the missed probe that show one end of a target."""
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
