--- /dev/null
+++ b/packages/cli/src/jaylatch_cli/management/commands/logs.py
@@ -0,0 +1,76 @@
+"""``jaylatch logs``."""
+
+from argparse import ArgumentParser, Namespace
+from collections import Counter
+
+import msgspec
+from returns.pipeline import is_successful
+
+from jaylatch_cli.client import AdministrationClient
+from jaylatch_cli.log_lines import STANDARD_INPUT, LogLine, read_lines
+from jaylatch_cli.management.base import EXIT_OK
+from jaylatch_cli.management.base import Command as BaseCommand
+from jaylatch_core.log_records import (
+    AttemptEnded,
+    LinesSuppressed,
+    RequestEnded,
+    RequestRefused,
+)
+
+
+class Summary(msgspec.Struct):
+    """How often each thing happened."""
+
+    refusals: Counter[str]
+    outcomes: Counter[str]
+    failed_attempts: Counter[str]
+    suppressed: Counter[str]
+
+
+class Command(BaseCommand):
+    """Counts refusals, outcomes and failed attempts in the logs of all processes."""
+
+    help = "summarise the logs of all processes"
+
+    def add_arguments(self, parser: ArgumentParser) -> None:
+        """Add the action and the places of the logs."""
+        parser.add_argument("action", choices=("summary",))
+        parser.add_argument(
+            "--logs",
+            action="append",
+            help="a file, a folder or - for standard input; may be given again (default: -)",
+        )
+
+    def handle(self, client: AdministrationClient, options: Namespace) -> int:
+        """Read the lines, then print the counts as text or JSON."""
+        result = read_lines(options.logs or [STANDARD_INPUT])
+        if not is_successful(result):
+            return self.print_failure(options, result.failure())
+        summary = summarise(result.unwrap())
+        print(msgspec.json.encode(summary).decode() if options.json else _render(summary))
+        return EXIT_OK
+
+
+def summarise(lines: list[LogLine]) -> Summary:
+    """Return the counts of ``lines``: refusals by kind, reason and route, attempts by target."""
+    summary = Summary(Counter(), Counter(), Counter(), Counter())
+    for line in lines:
+        match line.record:
+            case RequestRefused(kind=kind, reason=reason, route=route):
+                summary.refusals[f"{kind}: {reason} ({route or 'no route'})"] += 1
+            case RequestEnded(outcome=outcome, route=route):
+                summary.outcomes[f"{outcome} ({route})"] += 1
+            case AttemptEnded(outcome=outcome, target=target):
+                summary.failed_attempts[f"{outcome} at {target}"] += 1
+            case LinesSuppressed(record=record, count=count, reason=reason):
+                summary.suppressed[f"{record or 'any kind'}: {reason}"] += count
+    return summary
+
+
+def _render(summary: Summary) -> str:
+    blocks = []
+    for title in summary.__struct_fields__:
+        counts: Counter[str] = getattr(summary, title)
+        rows = [f"{count:8d}  {name}" for name, count in counts.most_common()]
+        blocks.append("\n".join([title.replace("_", " "), *(rows or ["       0"])]))
+    return "\n\n".join(blocks)
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -68,6 +68,10 @@
     """A log file is damaged before its tail; the node must be repaired from its peers."""
 
 
+class LogsUnreadable(Failure, frozen=True):
+    """Log lines could not be read; ``detail`` names the place."""
+
+
 class StreamClosed(Failure, frozen=True):
     """A stream ended before the reply came."""
 
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -12,6 +12,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
+from jaylatch_core.log_records import PlanAgreed, ViewGranted
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
@@ -43,6 +44,7 @@
 from jaylatch_node.control.measures import GroupMeasures
 from jaylatch_node.control.routes import group_route, service_routes
 from jaylatch_node.control.targets import TargetController
+from jaylatch_node.observability import log_record
 from jaylatch_node.streams import StreamConnection
 
 MISSED_RENEWALS_BEFORE_SUSPICION = 3
@@ -230,8 +232,10 @@
         view = self._view
         if (groups, services, deaths) != (view.groups, view.services, view.deaths):
             self._view = View(view.version + 1, groups, services, deaths)
-            names = [f"{route.group}@{route.epoch}" for route in groups]
-            _log.info("view", extra={"version": self._view.version, "groups": names})
+            names = tuple(
+                f"{route.group}@{route.epoch}{'!' if route.is_ending else ''}" for route in groups
+            )
+            log_record(_log, ViewGranted(version=self._view.version, groups=names))
 
     def _admitting_groups(self) -> list[Group]:
         return [group for group in self._state.groups.values() if not self._is_draining(group)]
@@ -417,7 +421,7 @@
         try:
             for command in commands:
                 await self._propose(command)
-                _log.info("plan", extra={"command": repr(command)})
+                log_record(_log, PlanAgreed(command=repr(command)))
                 subject = str(getattr(command, "group", getattr(command, "members", "")))
                 name = EventName(f"plan.{type(command).__name__}")
                 self._board.events.record(wall(), name, subject)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -25,6 +25,7 @@
     Unavailable,
 )
 from jaylatch_core.ids import CommandId, InstanceId
+from jaylatch_core.log_records import TargetSeen, VotersChanged
 from jaylatch_core.messages.administration import ReadHistory, ReadStatus
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
@@ -58,6 +59,7 @@
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.targets import TargetController
+from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 from jaylatch_node.targets.orders import EngineOrders
@@ -277,10 +279,10 @@
             case TargetCheckIn():
                 is_new = self._registry.record(body.instance) is None
                 if self._registry.check_in(now, body) and (is_new or body.is_draining):
-                    _log_target("target draining" if body.is_draining else "target", body)
+                    _log_target("draining" if body.is_draining else "ready", body)
             case TargetDeparture():
                 self._registry.depart(now, body.instance)
-                _log.info("target departed", extra={"target": body.instance})
+                log_record(_log, TargetSeen(target=body.instance, state="departed"))
         if call and isinstance(leader, LeaderController):
             leader.follow_targets(now)
             for peer in self._voting_peers():
@@ -337,14 +339,7 @@
         try:
             for voters in plan_admission(log.voters, body.instance, wanted, silent):
                 changed = await log.change_voters(voters, ADMISSION_TIMEOUT)
-                _log.info(
-                    "voters",
-                    extra={
-                        "log": body.log,
-                        "voters": voters,
-                        "outcome": repr(changed),
-                    },
-                )
+                log_record(_log, VotersChanged(log=body.log, voters=voters, outcome=repr(changed)))
                 if not is_successful(changed):
                     return _flatten(changed)
         finally:
@@ -401,16 +396,17 @@
         create_task(_discard(self._propose_control(command)))
 
 
-def _log_target(what: str, check_in: TargetCheckIn) -> None:
-    _log.info(
-        what,
-        extra={
-            "target": check_in.instance,
-            "service": check_in.service,
-            "address": check_in.address,
-            "fabric_domain": check_in.fabric_domain,
-            "staged": check_in.staged_models,
-        },
+def _log_target(state: str, check_in: TargetCheckIn) -> None:
+    log_record(
+        _log,
+        TargetSeen(
+            target=check_in.instance,
+            state=state,
+            service=check_in.service,
+            address=check_in.address,
+            fabric_domain=check_in.fabric_domain,
+            staged=check_in.staged_models,
+        ),
     )
 
 
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -7,6 +7,7 @@
 
 from jaylatch_core.deployment import Deployment, EngineProfile
 from jaylatch_core.ids import Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.log_records import EngineOrdered, TargetDied, TargetProbed
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
 from jaylatch_core.messages.targets import MemberState, TargetCheckIn
@@ -23,6 +24,7 @@
 )
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_whole, warm_up_order
+from jaylatch_node.observability import log_record
 from jaylatch_node.targets.dialect import OrderOutcome
 
 ORDER_RETRY = 1.0
@@ -36,9 +38,9 @@
 """Seconds after which a group whose head departs unannounced is regrouped: the head serves for 2 s
 and a little longer."""
 FIRST_PLAN = 2.6
-"""Seconds from the first leadership until groups are formed: two heartbeat intervals of the platforms
-of today and a margin. At 1.6 two hosts of a domain were not known yet, and it was given two groups
-of the small model where it should have had one of each."""
+"""Seconds from the first leadership until groups are formed: two heartbeat intervals of the
+platforms of today and a margin. At 1.6 two hosts of a domain were not known yet, and it was given
+two groups of the small model where it should have had one of each."""
 DEATH_WINDOW = 2.0
 """Seconds between the end of a connection and the missed probe that show one end of a target."""
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
@@ -414,7 +416,9 @@
                 return
         is_lost = self._registry.mark_lost(instance, asked_at)
         self._record_death(asked_at, instance)
-        _log.info("probe", extra={"target": instance, "outcome": "lost" if is_lost else "heard"})
+        log_record(
+            _log, TargetProbed(target=instance, outcome="lost" if is_lost else "heard again")
+        )
 
     def _record_death(self, now: float, instance: InstanceId) -> None:
         """Keep which requests ran at a target that has surely ended, for the quarantine."""
@@ -422,7 +426,7 @@
         recent = tuple(digest for digest, at in running.items() if now - at < DEATH_WINDOW)
         if recent:
             self._deaths.append(TargetDeath(TargetDeathId(instance), recent))
-            _log.info("target death", extra={"target": instance, "requests": recent})
+            log_record(_log, TargetDied(target=instance, requests=recent))
 
     async def _give(self, instance: InstanceId, order: EngineOrder) -> None:
         record = self._registry.record(instance)
@@ -432,10 +436,7 @@
             outcome = await self._send(record, order, self._fence)
         finally:
             self._in_flight.discard(instance)
-        _log.info(
-            "engine order",
-            extra={"target": instance, "order": repr(order), "outcome": outcome.value},
-        )
+        log_record(_log, EngineOrdered(target=instance, order=repr(order), outcome=outcome.value))
         if outcome is OrderOutcome.FENCED and not isinstance(order, JoinGroup):
             # A newer leader has given orders; this one gives none any more.
             self._is_fenced = True
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -62,6 +62,11 @@
         self._watch: _SilenceWatch | None = None
         self._connection: TargetConnection | None = None
 
+    @property
+    def last_event(self) -> int:
+        """Return the id of the last event that the caller has, or -1."""
+        return self._splitter.last_id
+
     async def send(
         self,
         address: str,
--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -6,6 +6,8 @@
 from tornado.httputil import HTTPHeaders, ResponseStartLine
 from tornado.iostream import StreamClosedError
 
+from jaylatch_core.clock import monotonic
+
 
 class Caller:
     """Writes one answer, whole or as a stream; nothing is written once the caller is gone."""
@@ -14,6 +16,7 @@
         self._connection = connection
         self._must_close = must_close
         self.has_started = False
+        self.started_at = 0.0
         self.is_gone = False
 
     def send_answer(self, status: int, reason: str, headers: HTTPHeaders, body: bytes) -> None:
@@ -46,9 +49,9 @@
 
     def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         self.has_started = True
+        self.started_at = monotonic()
         if self._must_close():
             headers["Connection"] = "close"
-            self._connection.no_keep_alive = True
             self._connection._disconnect_on_finish = True  # noqa: SLF001
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
         self._ignore_loss(self._connection.write_headers(start_line, headers, data or None))
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -6,16 +6,23 @@
 import logging
 from asyncio import CancelledError, timeout_at
 from collections import defaultdict
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from jaylatch_core.clock import monotonic
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
 from jaylatch_core.deployment import AccountProfile, RouteSpecification
 from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.log_records import (
+    AttemptEnded,
+    OwnFailure,
+    RequestEnded,
+    RequestPlaced,
+    RequestRefused,
+)
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import EvidenceTable, Standing
 from jaylatch_decisions.retry import RetryBudget
@@ -33,6 +40,7 @@
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.observability import log_record
 from jaylatch_node.targets import (
     InboundRequest,
     Refusal,
@@ -153,6 +161,12 @@
         except CancelledError:
             self._record(admitted, "caller_gone")
             raise
+        except Exception as error:
+            # An error of this program must not leave the caller without an answer.
+            _log.exception("handling a request failed")
+            log_record(_log, OwnFailure(request=request.attempt, error=repr(error)))
+            admitted.history.may_have_run = True
+            self._give_up(admitted, "an error of this instance", 0.0)
 
     def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
         """Return the job of a request that may be forwarded, or why it may not."""
@@ -186,35 +200,52 @@
 
         attempt = Attempt(job.request, job.caller, job.route, self._dialect, self._pool, suspect)
         while True:
-            target = self._choose(job)
+            candidates = self._candidates(job)
+            target = self._choose(job, candidates)
             if target is None:
-                self._give_up(job, attempt, "no target", NO_TARGET_RETRY)
+                self._give_up(job, "no target", NO_TARGET_RETRY)
                 return
             is_stream = job.request.model is not None
             if is_stream and not may_admit(monotonic(), target, job.caller.has_started):
-                self._give_up(job, attempt, "full", FULL_RETRY)
+                self._give_up(job, "full", FULL_RETRY, target, len(candidates))
                 return
+            job.tried.add(target.instance)
+            self._record_placement(job, target, len(candidates), attempt.last_event)
             outcome = await self._send(job, attempt, target)
             if outcome is None:
                 self._evidence.clear([job.digest])
                 self._record(job, "answered", target)
                 return
-            record_outcome(job.history, outcome)
-            self._metrics.count_outcome(outcome)
-            has_budget = outcome is AttemptOutcome.NOT_SENT or self._budget.saved >= 1.0
-            step = decide_next(job.route, job.history, outcome, has_budget)
-            if step is Next.AGAIN:
-                if outcome is not AttemptOutcome.NOT_SENT:
-                    self._budget.spend()
+            if self._decide_next(job, outcome, target) is Next.AGAIN:
                 continue
             if outcome is AttemptOutcome.FAILED and attempt.pass_failure():
                 self._record(job, "failure_passed", target)
                 return
-            self._give_up(job, attempt, outcome.value, FULL_RETRY)
+            self._give_up(job, outcome.value, FULL_RETRY)
             return
 
+    def _decide_next(self, job: Job, outcome: AttemptOutcome, target: TargetLoad) -> Next:
+        """Take the outcome of a send, and a repeat from the budget if there is to be one."""
+        record_outcome(job.history, outcome)
+        self._metrics.count_outcome(outcome)
+        has_budget = outcome is AttemptOutcome.NOT_SENT or self._budget.saved >= 1.0
+        step = decide_next(job.route, job.history, outcome, has_budget)
+        log_record(
+            _log,
+            AttemptEnded(
+                request=job.request.attempt,
+                target=target.instance,
+                outcome=outcome.value,
+                step=step.value,
+                sends=job.history.sends,
+                budget=round(self._budget.saved, 1),
+            ),
+        )
+        if step is Next.AGAIN and outcome is not AttemptOutcome.NOT_SENT:
+            self._budget.spend()
+        return step
+
     async def _send(self, job: Job, attempt: Attempt, target: TargetLoad) -> AttemptOutcome | None:
-        job.tried.add(target.instance)
         target.own += 1
         running = self._attempts[target.instance]
         running.add(attempt)
@@ -230,9 +261,10 @@
             target.own -= 1
             running.discard(attempt)
 
-    def _choose(self, job: Job) -> TargetLoad | None:
-        service = self._choose_service(job)
-        candidates = self._directory.candidates(service, job.request.model)
+    def _candidates(self, job: Job) -> Sequence[TargetLoad]:
+        return self._directory.candidates(self._choose_service(job), job.request.model)
+
+    def _choose(self, job: Job, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
         domain = self._board.identity.failure_domain
         return choose_target(monotonic(), candidates, domain, self._random, frozenset(job.tried))
 
@@ -243,7 +275,14 @@
         weights = [share.weight for share in shares]
         return self._random.choices(shares, weights)[0].service
 
-    def _give_up(self, job: Job, attempt: Attempt, reason: str, retry_after: float) -> None:
+    def _give_up(
+        self,
+        job: Job,
+        reason: str,
+        retry_after: float,
+        target: TargetLoad | None = None,
+        candidates: int = 0,
+    ) -> None:
         """End a request that no target answers."""
         if job.caller.has_started:
             job.caller.abort()
@@ -253,7 +292,7 @@
             refusal = Refusal(RefusalKind.FAILED, reason)
         else:
             refusal = Refusal(RefusalKind.NOT_RUN, reason, self._spread(retry_after))
-        self._refuse(job.caller, job.request, refusal, job.route.name)
+        self._refuse(job.caller, job.request, refusal, job.route.name, target, candidates)
 
     def _spread(self, retry_after: float) -> float:
         factor = 1 + RETRY_SPREAD * (2 * self._random.random() - 1)
@@ -269,34 +308,70 @@
         self._refuse(job.caller, job.request, refusal, job.route.name)
 
     def _refuse(
-        self, caller: Caller, request: InboundRequest | None, refusal: Refusal, route: str
+        self,
+        caller: Caller,
+        request: InboundRequest | None,
+        refusal: Refusal,
+        route: str,
+        target: TargetLoad | None = None,
+        candidates: int = 0,
     ) -> None:
+        """Answer by itself; ``target`` is the least loaded one, if its load is the reason."""
         attempt = request.attempt if request is not None else None
         caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
         self._metrics.count_refusal(refusal.kind.value)
-        _log.info(
-            "refused",
-            extra={
-                "request": attempt,
-                "route": route,
-                "kind": refusal.kind.value,
-                "reason": refusal.reason,
-                "retry_after": round(refusal.retry_after, 3),
-                "lease_left": round(self._board.grant.lease.expires_at - monotonic(), 3),
-            },
+        now = monotonic()
+        grant = self._board.grant
+        log_record(
+            _log,
+            RequestRefused(
+                request=attempt or "",
+                route=route,
+                kind=refusal.kind.value,
+                reason=refusal.reason,
+                retry_after=round(refusal.retry_after, 3),
+                lease_left=round(grant.lease.expires_at - now, 3),
+                load=round(target.expected(now), 2) if target is not None else 0.0,
+                candidates=candidates,
+                view=grant.view.version,
+                deployment=grant.deployment.number,
+            ),
         )
 
     def _record(self, job: Job, outcome: str, target: TargetLoad | None = None) -> None:
-        took = monotonic() - job.arrived_at
+        now = monotonic()
+        took = now - job.arrived_at
         self._metrics.record_time(took)
-        _log.info(
-            "ended",
-            extra={
-                "request": job.request.attempt,
-                "route": job.route.name,
-                "outcome": outcome,
-                "target": target.instance if target is not None else "",
-                "sends": job.history.sends,
-                "ms": round(took * 1000, 1),
-            },
+        first_at = job.caller.started_at
+        log_record(
+            _log,
+            RequestEnded(
+                request=job.request.attempt,
+                route=job.route.name,
+                outcome=outcome,
+                target=target.instance if target is not None else "",
+                sends=len(job.tried),
+                ms=round(took * MILLISECONDS_PER_SECOND, 1),
+                first_ms=round(max(first_at - job.arrived_at, 0.0) * MILLISECONDS_PER_SECOND, 1),
+            ),
+        )
+
+    def _record_placement(
+        self, job: Job, target: TargetLoad, candidates: int, last_event: int
+    ) -> None:
+        now = monotonic()
+        log_record(
+            _log,
+            RequestPlaced(
+                request=job.request.attempt,
+                route=job.route.name,
+                target=target.instance,
+                send=len(job.tried),
+                load=round(target.expected(now), 2),
+                report_age_ms=int((now - target.reported_at) * MILLISECONDS_PER_SECOND),
+                candidates=candidates,
+                view=self._board.grant.view.version,
+                time_left_ms=int((job.deadline - now) * MILLISECONDS_PER_SECOND),
+                resume_after=last_event,
+            ),
         )
--- a/packages/node/src/jaylatch_node/observability/logs.py
+++ b/packages/node/src/jaylatch_node/observability/logs.py
@@ -1,37 +1,144 @@
-"""JSON-lines logs."""
+"""JSON-lines logs: typed records, bounded in number, written without waiting."""
 
 import logging
+import os
 import sys
+from asyncio import get_running_loop
+from atexit import register
+from time import sleep
 
+import msgspec
 from pythonjsonlogger.json import JsonFormatter
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.events import Event
 from jaylatch_core.ids import InstanceId
+from jaylatch_core.log_records import EventRecorded, LinesSuppressed, LogRecord
 from jaylatch_core.settings import LogSettings
+from jaylatch_node.observability.budget import LogBudget
+from jaylatch_node.observability.writer import LineWriter
 
 _log = logging.getLogger("jaylatch.events")
 
 FIELDS = "%(asctime)s %(levelname)s %(name)s %(message)s"
+OTHER_LIMIT = 50.0
+"""Lines a second of one logger that are not typed records: warnings of libraries."""
+SUPPRESSED_INTERVAL = 1.0
+"""Seconds between two tellings of what was left out."""
+RETRY_INTERVAL = 0.05
+"""Seconds between two attempts to write to an output whose reader is slow."""
+LAST_FLUSH_TIME = 0.2
+"""Seconds at the end of the process in which a slow reader may take the last lines."""
+LAST_FLUSH_POLL = 0.01
+LOG_MODE = 0o644
+
+
+class BoundedHandler(logging.Handler):
+    """Formats records within their limits and hands the lines to a writer."""
+
+    def __init__(self, writer: LineWriter) -> None:
+        super().__init__()
+        self._writer = writer
+        self._budget = LogBudget()
+        self._told_at = monotonic()
+        self._is_retrying = False
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, unless there were too many of its kind."""
+        now = monotonic()
+        self._tell_losses(now)
+        limit = getattr(record, "line_limit", OTHER_LIMIT)
+        kind = record.getMessage() if hasattr(record, "line_limit") else record.name
+        if self._budget.take(now, kind, limit):
+            record.__dict__.pop("line_limit", None)
+            self._write(record)
+
+    def flush(self) -> None:
+        """Write what the output takes now."""
+        self._writer.flush()
+
+    def close(self) -> None:
+        """Write the last lines, waiting a moment for a slow reader."""
+        self._tell_losses(self._told_at + SUPPRESSED_INTERVAL)
+        until = monotonic() + LAST_FLUSH_TIME
+        self._writer.flush()
+        while not self._writer.is_empty and monotonic() < until:
+            sleep(LAST_FLUSH_POLL)
+            self._writer.flush()
+        super().close()
+
+    def _tell_losses(self, now: float) -> None:
+        if now < self._told_at + SUPPRESSED_INTERVAL:
+            return
+        self._told_at = now
+        for kind, count in self._budget.take_suppressed().items():
+            self._write(_make_record(LinesSuppressed(record=kind, count=count, reason="too many")))
+        for reason, count in self._writer.take_losses().items():
+            self._write(_make_record(LinesSuppressed(record="", count=count, reason=reason)))
+
+    def _write(self, record: logging.LogRecord) -> None:
+        try:
+            line = self.format(record)
+        except Exception:
+            self.handleError(record)
+            return
+        self._writer.write(line.encode() + b"\n")
+        if not self._writer.is_empty and not self._is_retrying:
+            self._retry_later()
+
+    def _retry_later(self) -> None:
+        try:
+            loop = get_running_loop()
+        except RuntimeError:
+            # Before the loop runs, the next line writes what is left.
+            return
+        self._is_retrying = True
+        loop.call_later(RETRY_INTERVAL, self._retry)
+
+    def _retry(self) -> None:
+        self._is_retrying = False
+        self._writer.flush()
+        if not self._writer.is_empty:
+            self._retry_later()
 
 
 def configure_logs(settings: LogSettings, instance: InstanceId) -> None:
     """Send all log records as JSON lines to the configured place."""
-    handler: logging.Handler = (
-        logging.FileHandler(settings.file) if settings.file else logging.StreamHandler(sys.stderr)
-    )
+    descriptor = sys.stderr.fileno()
+    if settings.file:
+        descriptor = os.open(settings.file, os.O_WRONLY | os.O_CREAT | os.O_APPEND, LOG_MODE)
+    handler = BoundedHandler(LineWriter(descriptor))
     handler.setFormatter(JsonFormatter(FIELDS, static_fields={"instance": instance}))
     root = logging.getLogger()
     root.handlers = [handler]
     root.setLevel(settings.level)
+    register(handler.close)
+
+
+def log_record(logger: logging.Logger, record: LogRecord) -> None:
+    """Log a typed record."""
+    if not logger.isEnabledFor(logging.INFO):
+        return
+    fields = msgspec.structs.asdict(record)
+    fields["line_limit"] = record.limit
+    logger.info(record.message, extra=fields)
 
 
 def log_event(event: Event) -> None:
     """Log an event of the time line as it is recorded."""
-    fields = {
-        "event": event.name,
-        "subject": event.subject,
-        "request": event.request,
-        "detail": event.detail,
-        "generation": event.generation,
-    }
-    _log.info("event", extra={name: value for name, value in fields.items() if value})
+    log_record(
+        _log,
+        EventRecorded(
+            event=event.name,
+            subject=event.subject,
+            request=event.request,
+            detail=event.detail,
+            generation=event.generation,
+        ),
+    )
+
+
+def _make_record(record: LogRecord) -> logging.LogRecord:
+    made = logging.makeLogRecord(msgspec.structs.asdict(record))
+    made.name, made.levelname, made.msg = "jaylatch.log", "WARNING", record.message
+    return made
