--- /dev/null
+++ b/features/steps/place_steps.py
@@ -0,0 +1,83 @@
+"""Steps on the places of targets and on who keeps them."""
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.messages.places import PlaceCandidate, PlaceTaken, TakePlace
+from jaylatch_decisions.places import OwnerTable, PlaceTable
+
+FIRST, SECOND = 0, 1
+LONG = 9.0
+
+use_step_matcher("re")
+
+
+@given(r'a keeper of the places of targets "(?P<targets>[^"]*)"')
+def step_keeper(context: Context, targets: str) -> None:
+    context.places = PlaceTable()
+    pairs = (text.split(":") for text in targets.split())
+    context.candidates = tuple(
+        PlaceCandidate(InstanceId(name), int(slots)) for name, slots in pairs
+    )
+
+
+@when(r'"(?P<count>\d+)" places are taken at time 0, for (?P<duration>\d+) s each')
+def step_taken(context: Context, count: str, duration: str) -> None:
+    for number in range(int(count)):
+        question = TakePlace(
+            f"s-{number}", context.candidates, float(duration), RequestDigest(""), True
+        )
+        assert isinstance(context.places.take(0.0, question), PlaceTaken)
+
+
+@when(r'"(?P<messages>[^"]*)" arrive')
+def step_messages(context: Context, messages: str) -> None:
+    for message in messages.split():
+        permit, _, time = message[1:].partition("@")
+        if message[0] == "-":
+            context.places.give_back(permit)
+            continue
+        digest = RequestDigest(permit[0])
+        question = TakePlace(permit, context.candidates, LONG, digest, permit[0] == "s")
+        context.answer = context.places.take(float(time), question)
+
+
+@then(r'the last answer is "(?P<answer>[^"]*)"')
+def step_answer(context: Context, answer: str) -> None:
+    found = context.answer
+    name = found.instance if isinstance(found, PlaceTaken) else "full"
+    assert f"{name} {found.load:.1f}" == answer, found
+
+
+@given(r'the control instances "(?P<addresses>[^"]*)"')
+def step_instances(context: Context, addresses: str) -> None:
+    context.addresses = addresses.split()
+    context.owners = OwnerTable()
+    by_choice = OwnerTable()
+    context.choices = []
+    for _ in sorted(context.addresses):
+        chosen = by_choice.choose(10.0, "m", sorted(context.addresses))
+        by_choice.record_failure(10.0, chosen)
+        context.choices.append(chosen)
+
+
+@when(r'those at "(?P<failed>[^"]*)" fail to answer at time 10')
+def step_failed(context: Context, failed: str) -> None:
+    failing = {"": [], "first": context.choices[:1], "all": context.choices}[failed]
+    for address in failing:
+        context.owners.record_failure(10.0, address)
+
+
+@then(
+    r"the keeper of model (?P<model>\w) at time (?P<time>[\d.]+)"
+    r" is (?P<keeper>the first choice|the second choice|nobody)"
+)
+def step_keeper_is(context: Context, model: str, time: str, keeper: str) -> None:
+    expected = {
+        "the first choice": context.choices[FIRST],
+        "the second choice": context.choices[SECOND],
+        "nobody": None,
+    }[keeper]
+    found = context.owners.choose(float(time), model, context.addresses)
+    assert found == expected, (found, context.choices)
