A group waits for a host in the place of a member that has left

Ruled out: a lack of hosts (four were free in the domain at 12.4 s). Change: a member that has left counts as lost, so the group waits for a staged host, which is loaded from the moment the member says that it leaves. Where instances may join without staging, groups are dissolved as before.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -65,13 +65,13 @@
     found = []
     for text in instances.split():
         name, _, state = text.partition("=")
-        held, _, loading = state.rstrip("!?").partition(">")
+        held, _, loading = state.rstrip("!?%").partition(">")
         found.append(
             InstanceFacts(
                 InstanceId(name),
                 domain,
                 not state.endswith("!"),
-                False,
+                state.endswith("%"),
                 Epoch(0),
                 False,
                 0,
@@ -92,6 +92,14 @@
 @given(r'the groups of it "(?P<groups>[^"]*)"')
 def step_domain_groups(context: Context, groups: str) -> None:
     context.groups = []
+    add_groups(context, groups)
+    leaving = {item.instance for item in context.instances if item.is_drained}
+    heads = {group.head for group in context.groups if leaving & set(group.members)}
+    if heads:
+        step_idle_heads(context, " ".join(heads))
+
+
+def add_groups(context: Context, groups: str) -> None:
     for number, text in enumerate(groups.split(), start=1):
         model, members = text.split(":")
         ids = tuple(InstanceId(member) for member in members)
--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -1,7 +1,8 @@
 Feature: Free instances load what their domain lacks, before it is needed
 
   Models: v takes 4 instances, f takes 3. An instance is ID=STATE where STATE lists what its host
-  holds ("-" for nothing), "!" that it is lost, "?" that it has just appeared, and >M that it loads M.
+  holds ("-" for nothing), "!" that it is lost, "?" that it has just appeared, "%" that it
+  leaves while its group has no more work, and >M that it loads M.
 
   Scenario Outline: <case>
     Given the instances "<instances>" of one domain
@@ -20,6 +21,7 @@
       | the fewest loads decide before the models' balance  | a=v b=v c=v d=f e=-                    |               | e:v     |
       | a domain whose hosts have just come back            | a=v b=- c=- d=- e=-?                   |               |         |
       | a host that came back is left time to report        | a=v b=v c=v d=v e=f g=f h=f s=- t=-?   | v:abcd f:egh  |         |
+      | a member that leaves is lacked from then on         | a=v b=v c=v d=v% e=f g=f h=f t=-       | v:abcd f:egh  | t:v     |
       | a spare of another model, where no other is left    | a=f! b=f c=f d=v e=v g=v h=v s=v       | f:abc v:degh  | s:f     |
       | one of two spares of another model                  | a=f! b=f c=f d=v e=v g=v h=v s=v t=v   | f:abc v:degh  | s:f     |
       | a spare of another model loads already              | a=f! b=f c=f d=v e=v g=v h=v s=v>f t=v | f:abc v:degh  |         |
@@ -50,6 +52,8 @@
       | none is formed by those that do not        | a=f b=- c=- d=- e=-                   |              |                  |
       | a member is replaced by a host of its model| a=v! b=v c=v d=v s=f t=v              | v:abcd       | repair v:bcdt    |
       | no host of its model: the group waits      | a=v! b=v c=v d=v s=f t=-              | v:abcd       |                  |
+      | a member leaves and a host takes its place | a=v b=v c=v d=v% t=v                  | v:abcd       | repair v:abct    |
+      | a member leaves and no host holds its model: the group waits | a=v b=v c=v d=v% s=f t=- | v:abcd    |                  |
       | survivors that hold another model          | a=v! b=v c=v d=v e=f! g=f h=f         | v:abcd f:egh |                  |
       | survivors that complete the other group    | a=f! b=f c=f d=f! e=f g=f             | f:abc f:deg  | dissolve f:abc   |
       | survivors and a spare of their model       | a=v! b=v c=v d=v! t=v                 | v:abcd       |                  |
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -50,7 +50,9 @@
             member
             for group in facts.groups
             for member in group.members
-            if member not in self._known or not self._known[member].is_usable
+            if member not in self._known
+            or not self._known[member].is_usable
+            or self._has_left(group, member)
         )
         self._retiring = retiring_groups(facts.configuration, facts.groups, self._lost)
         self._broken: dict[FailureDomainId, list[Group]] = defaultdict(list)
@@ -333,6 +335,15 @@
     def _domain_of(self, group: Group) -> FailureDomainId:
         return home_of(group, self._known)
 
+    def _has_left(self, group: Group, member: InstanceId) -> bool:
+        """Return whether a member that leaves counts as lost.
+
+        Where a replacement takes a load, its group waits for one like any broken group. It would
+        lose its other hosts to other models if it were dissolved.
+        """
+        is_leaving = self._known[member].is_drained and self._is_idle(group)
+        return is_leaving and not self._facts.may_join_cold
+
     def _is_broken(self, group: Group) -> bool:
         return not self._lost.isdisjoint(group.members)
 
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -67,7 +67,9 @@
         for group in self._groups:
             # A member in another domain serves slowly until a host of this one replaces it.
             self._lacking[group.model] += sum(
-                1 for member in group.members if member not in known or not known[member].is_usable
+                1
+                for member in group.members
+                if member not in known or not known[member].is_usable or known[member].is_drained
             )
 
     @property
