A stream under way waits a moment for a repaired group

Change: a stream that has begun waits up to 1.5 s for a target that it has not tried, or that was lost and serves again; a request that has not begun is still refused at once. Scenario: 2 rows, the first failed before.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -48,6 +48,17 @@
       | stream     | falls silent before its first event         | every event once      | 2     |
       | stream     | leaves out an event                         | every event once      | 2     |
 
+  Scenario Outline: the only target falls silent after some events, another one is there <after> s after the request
+    Given a gateway before two targets of which the first one asked falls silent after some events
+    But only one of them is granted
+    When a request of kind stream is sent, and both are granted <after> s later
+    Then the caller gets <answer> and the targets were asked <asked> times
+
+    Examples: a stream under way waits for a repaired group for 1.5 s, from 0.6 s on
+      | after | answer             | asked |
+      | 1.2   | every event once   | 2     |
+      | 4     | a part of a stream | 1     |
+
   Scenario Outline: no target can be asked, and the caller is told so at once
     Given a gateway before no target
     When a request of kind <kind> is sent
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from asyncio import StreamReader, StreamWriter, sleep
+from asyncio import StreamReader, StreamWriter, create_task, sleep
 from time import monotonic
 
 from behave import given, then, use_step_matcher, when
@@ -207,6 +207,27 @@
     context.took = monotonic() - started_at
 
 
+@given(r"only one of them is granted")
+def step_one_granted(context: Context) -> None:
+    grant_targets(context, context.targets[:1])
+
+
+def grant_targets(context: Context, targets: list[ScriptedTarget]) -> None:
+    routes = [make_route(kind) for kind in RequestKind]
+    context.harness.grant(routes, dict.fromkeys(RequestKind, targets))
+
+
+@when(r"a request of kind stream is sent, and both are granted (?P<after>[\d.]+) s later")
+def step_granted_later(context: Context, after: str) -> None:
+    async def ask_and_grant() -> Answer:
+        answer = create_task(ask(context, "stream"))
+        await sleep(float(after))
+        grant_targets(context, context.targets)
+        return await answer
+
+    context.answer = context.runner.run(ask_and_grant())
+
+
 @when(rf"a request of kind (?P<kind>{KINDS}) is sent and its caller leaves after 0.3 s")
 def step_leave(context: Context, kind: str) -> None:
     context.runner.run(ask_and_leave(context, kind))
@@ -262,6 +283,8 @@
         case "every event once":
             events = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(EVENTS))
             assert (got.status, got.body, got.is_whole) == (200, events, True), got
+        case "a part of a stream":
+            assert (got.status, got.is_whole) in ((200, False), (0, False)), got
         case "500 and its proof":
             assert (got.status, got.headers.get("X-Proof")) == (500, "proof"), got
         case _:
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -4,7 +4,7 @@
 """
 
 import logging
-from asyncio import CancelledError, timeout_at
+from asyncio import CancelledError, sleep, timeout_at
 from collections import defaultdict
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -55,6 +55,10 @@
 FULL_RETRY = 0.4
 """Seconds after which a caller that met full targets should return: a place is free after the mean
 answer divided by the slots of a target, and the spread below keeps callers apart."""
+RESUME_WAIT = 1.5
+"""Seconds for which a stream under way waits for a target: a group with a spare is back in 0.7 s,
+and callers leave after a gap of two."""
+RESUME_POLL = 0.1
 RETRY_SPREAD = 0.5
 """Part by which an advice to return is varied, so that callers do not return together."""
 NO_LEASE_RETRY = 0.5
@@ -82,7 +86,12 @@
     deadline: float
     digest: RequestDigest
     history: AttemptHistory = field(default_factory=AttemptHistory)
-    tried: set[InstanceId] = field(default_factory=set)
+    placements: int = 0
+    tried: dict[InstanceId, TargetLoad] = field(default_factory=dict)
+
+    def has_tried(self, target: TargetLoad) -> bool:
+        """Return whether the request was sent there, and the target has served ever since."""
+        return self.tried.get(target.instance) is target
 
 
 def digest_of(request: InboundRequest, account: AccountProfile | None) -> RequestDigest:
@@ -210,13 +219,16 @@
                 return
             target = self._choose(job, candidates) if place is None else place.target
             if target is None:
+                if await self._wait_for_target(job):
+                    continue
                 self._give_up(job, "no target", NO_TARGET_RETRY)
                 return
             if place is None and not self._may_admit(job, target):
                 load = target.expected(monotonic())
                 self._give_up(job, "full", FULL_RETRY, load, len(candidates))
                 return
-            job.tried.add(target.instance)
+            job.tried[target.instance] = target
+            job.placements += 1
             self._record_placement(job, target, place, len(candidates), attempt.last_event)
             try:
                 outcome = await self._send(job, attempt, target)
@@ -243,16 +255,25 @@
         return await self._places.take(
             job.request.model,
             job.request.attempt,
-            [
-                item
-                for item in candidates
-                if item.instance not in job.tried and item.usable_from <= now
-            ],
+            [item for item in candidates if not job.has_tried(item) and item.usable_from <= now],
             job.deadline - now,
             job.digest,
             job.caller.has_started,
         )
 
+    async def _wait_for_target(self, job: Job) -> bool:
+        """Wait for a repaired group, if a stream is under way; returns whether there is one.
+
+        A request that has not begun is told at once when to come back.
+        """
+        until = monotonic() + RESUME_WAIT
+        while job.caller.has_started and monotonic() < until:
+            await sleep(RESUME_POLL)
+            # A repaired group often has the head of before, known anew since it was lost.
+            if any(not job.has_tried(item) for item in self._candidates(job)):
+                return True
+        return False
+
     def _may_admit(self, job: Job, target: TargetLoad) -> bool:
         """Return whether the target has a place as far as this process knows."""
         if job.request.model is None:
@@ -301,7 +322,8 @@
 
     def _choose(self, job: Job, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
         domain = self._board.identity.failure_domain
-        return choose_target(monotonic(), candidates, domain, self._random, frozenset(job.tried))
+        tried = frozenset(item.instance for item in candidates if job.has_tried(item))
+        return choose_target(monotonic(), candidates, domain, self._random, tried)
 
     def _choose_service(self, job: Job) -> str:
         shares = job.route.shares
@@ -385,7 +407,7 @@
                 route=job.route.name,
                 outcome=outcome,
                 target=target.instance if target is not None else "",
-                sends=len(job.tried),
+                sends=job.placements,
                 ms=round(took * MILLISECONDS_PER_SECOND, 1),
                 first_ms=round(max(first_at - job.arrived_at, 0.0) * MILLISECONDS_PER_SECOND, 1),
             ),
@@ -407,7 +429,7 @@
                 request=job.request.attempt,
                 route=job.route.name,
                 target=target.instance,
-                send=len(job.tried),
+                send=job.placements,
                 load=round(place.load if place is not None else target.expected(now), 2),
                 report_age_ms=0 if place is not None else int(age),
                 candidates=candidates,
