--- a/features/docs/docs.feature
+++ b/features/docs/docs.feature
@@ -22,6 +22,7 @@
       | docs/how-to/configure.md  |
       | docs/how-to/install.md    |
       | CONTRIBUTING.md           |
+      | docs/OPERATIONS.md        |
 
   Scenario Outline: the fit of the capacity table finds slopes that are known
     Given measurements of base <base> and slopes <slopes> with an error of <error>
--- /dev/null
+++ b/features/logs/explain.feature
@@ -0,0 +1,42 @@
+Feature: The story of a request is told from the logs of all processes
+
+  Scenario Outline: a request that was <what>
+    When jaylatch explains request <request> from "examples/logs"
+    Then it ends with 0 and says "<cause>"
+    And it shows "<belief>"
+
+    Examples: lines that were recorded from real runs with faults
+      | what                        | request          | cause                                             | belief                        |
+      | refused under load          | 57b04f74318c8f78 | every group was full: the least loaded of 2 had 1.12 requests for each place | view 8589934605: groups |
+      | cut while its group was lost | 0522b76f18f1d156 | its target broke off, and it could not go on elsewhere: no target | agreed: RepairGroup |
+      | answered late               | c87313dd5f5b0c09 | i-53be7468d6 was lost under it; answered by i-107aa18f87 all the same | i-53be7468d6 was probed: lost |
+
+  Scenario Outline: <case>
+    When jaylatch explains request <request> from "<place>"
+    Then it ends with <code> and says "<text>"
+
+    Examples: what cannot be told is said
+      | case                          | request          | place              | code | text                    |
+      | an id that no line names      | unknown          | examples/logs      | 1    | no line names request   |
+      | a place that is not there     | 57b04f74318c8f78 | examples/none      | 2    | cannot read             |
+      | lines that are no records     | 57b04f74318c8f78 | README.md          | 1    | no line names request   |
+
+  Scenario Outline: <lines> about request r: <conclusion>
+    Given log lines of request r: "<lines>"
+    Then its story ends "<conclusion>"
+
+    Examples: P placed at t, B broken at t, L t lost, R a refusal, E an end
+      | lines                           | conclusion                                          |
+      | P E:answered                    | answered by t in 5 ms, begun after 2 ms             |
+      | P B P E:answered                | answered by t after t had not: broken               |
+      | P B L P E:answered              | t was lost under it; answered by t all the same     |
+      | P L B E:stream_cut:full         | t was lost under it, and it could not go on elsewhere: full |
+      | R:no target                     | no group or server that could run it was in the view |
+      | R:no valid lease                | jaylatch answered by itself: no valid lease         |
+      | P E:caller_gone                 | ended without an answer: caller_gone                |
+      | P                               | its end is not in these lines                       |
+
+  Scenario: the logs are summarised
+    When jaylatch summarises the logs of "examples/logs"
+    Then it ends with 0 and says "not_run: full (r-kg54x8f)"
+    And it shows "stalled at i-53be7468d6"
--- /dev/null
+++ b/features/steps/explain_steps.py
@@ -0,0 +1,99 @@
+"""Steps on the stories that the command line tells from logs."""
+
+import subprocess
+import sys
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from jaylatch_cli.log_lines import LogLine
+from jaylatch_cli.story import tell_story
+from jaylatch_core.log_records import (
+    AttemptEnded,
+    LogRecord,
+    RequestEnded,
+    RequestPlaced,
+    RequestRefused,
+    TargetProbed,
+)
+
+use_step_matcher("re")
+
+
+def run(context: Context, *arguments: str) -> None:
+    command = [sys.executable, "-m", "jaylatch_cli.main", *arguments]
+    done = subprocess.run(command, capture_output=True, text=True, check=False)
+    context.code, context.output = done.returncode, done.stdout + done.stderr
+
+
+@when(r'jaylatch explains request (?P<request>\w+) from "(?P<place>[^"]*)"')
+def step_explain(context: Context, request: str, place: str) -> None:
+    run(context, "explain", request, "--logs", place)
+
+
+@when(r'jaylatch summarises the logs of "(?P<place>[^"]*)"')
+def step_summarise(context: Context, place: str) -> None:
+    run(context, "logs", "summary", "--logs", place)
+
+
+@then(r'it ends with (?P<code>\d) and says "(?P<text>[^"]*)"')
+def step_says(context: Context, code: str, text: str) -> None:
+    assert context.code == int(code), (context.code, context.output)
+    assert text in context.output, context.output
+
+
+@then(r'it shows "(?P<text>[^"]*)"')
+def step_shows(context: Context, text: str) -> None:
+    assert text in context.output, context.output
+
+
+def make_record(text: str) -> LogRecord:
+    kind, _, detail = text.partition(":")
+    match kind:
+        case "P":
+            return RequestPlaced(
+                request="r",
+                route="route",
+                target="t",
+                send=1,
+                load=0.5,
+                report_age_ms=0,
+                candidates=1,
+                view=1,
+                time_left_ms=1000,
+            )
+        case "B":
+            return AttemptEnded(
+                request="r", target="t", outcome="broken", step="again", sends=1, budget=1.0
+            )
+        case "L":
+            return TargetProbed(target="t", outcome="lost")
+        case "R":
+            return RequestRefused(
+                request="r",
+                route="route",
+                kind="not_run",
+                reason=detail.replace("_", " "),
+                retry_after=0.5,
+                lease_left=1.0,
+            )
+        case "E":
+            return RequestEnded(
+                request="r", route="route", outcome=detail, target="t", sends=1, ms=5, first_ms=2
+            )
+    raise AssertionError(text)
+
+
+@given(r'log lines of request r: "(?P<lines>[^"]*)"')
+def step_lines(context: Context, lines: str) -> None:
+    texts = lines.replace("R:no ", "R:no_").replace("_valid ", "_valid_").split()
+    context.lines = [
+        LogLine(f"2026-01-01 00:00:{number:02d},000", "i", make_record(text))
+        for number, text in enumerate(texts)
+    ]
+
+
+@then(r'its story ends "(?P<conclusion>[^"]*)"')
+def step_conclusion(context: Context, conclusion: str) -> None:
+    story = tell_story("r", context.lines)
+    assert story is not None and story.cause == conclusion, story
--- a/packages/cli/src/jaylatch_cli/management/base.py
+++ b/packages/cli/src/jaylatch_cli/management/base.py
@@ -11,7 +11,7 @@
 from returns.result import Result
 
 from jaylatch_cli.client import AdministrationClient, Answer
-from jaylatch_core.exceptions import Failure, GenerationConflict, Unavailable
+from jaylatch_core.exceptions import Failure, GenerationConflict, LogsUnreadable, Unavailable
 
 EXIT_OK = 0
 EXIT_REFUSED = 1
@@ -65,6 +65,8 @@
                 return EXIT_CONFLICT
             case Unavailable():
                 return EXIT_UNAVAILABLE
+            case LogsUnreadable():
+                return EXIT_USAGE
             case _:
                 return EXIT_REFUSED
 
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -14,6 +14,7 @@
 from jaylatch_core import exceptions
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.event_names import EventName
+from jaylatch_core.log_records import RECORD_TYPES
 from jaylatch_core.settings import NodeSettings
 from jaylatch_node.entry.admission import STATUS
 
@@ -305,6 +306,23 @@
     return f"# {title}\n\n{NOTE}\n" + table(("page", "first sentence"), rows)
 
 
+def logs_page() -> str:
+    """Return the page of the log records."""
+    parts = [
+        f"# Log records\n\n{NOTE}\n"
+        "Each process logs JSON lines. Every line has `asctime`, `levelname`, `name`, `message`\n"
+        "and `instance`; `message` is the kind of record, which decides the other fields. A kind\n"
+        "is limited to the lines a second that are named here, on average; what is beyond it is\n"
+        "counted in a `suppressed` line. `jaylatch explain` and `jaylatch logs summary` read these lines.\n"
+    ]
+    for kind in RECORD_TYPES:
+        fields = [f"`{name}`" for name in kind.__struct_fields__]
+        name = kind.__struct_config__.tag
+        parts.append(f"\n## `{name}`\n\n{description(kind)}\n\n")
+        parts.append(f"Fields: {', '.join(fields)}. At most {kind.limit:.0f} lines a second.\n")
+    return "".join(parts)
+
+
 def pages() -> dict[str, str]:
     """Return every generated page by its file name."""
     settings = (
@@ -323,6 +341,7 @@
         "reference/events.md": events_page(),
         "reference/metrics.md": metrics_page(),
         "reference/errors.md": errors_page(),
+        "reference/logs.md": logs_page(),
         "reference/checks.md": checks_page(),
     }
 
