--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -59,6 +59,19 @@
       | 1.2   | every event once   | 2     |
       | 4     | a part of a stream | 1     |
 
+  Scenario Outline: the keeper of the places <keeper>
+    Given a gateway before two targets of which the first one asked answers
+    And a keeper of the places that <keeper>
+    When a request of kind stream is sent
+    Then the caller gets <answer> and the targets were asked <asked> times
+
+    Examples: without a keeper a gateway goes by its own guess
+      | keeper                                         | answer           | asked |
+      | grants a place                                 | every event once | 1     |
+      | grants a place at a target that has just gone  | every event once | 1     |
+      | says that all are full                         | 503              | 0     |
+      | does not answer                                | every event once | 1     |
+
   Scenario Outline: no target can be asked, and the caller is told so at once
     Given a gateway before no target
     When a request of kind <kind> is sent
--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -28,6 +28,7 @@
       | roles = []; control.peers = [{instance = "c-1", address = "10.0.0.1:7100"}] | roles.E001 | roles |
       | roles = ["control", "control"]                            | roles.E002     | roles                    |
       | roles = ["agent"]; control.peers = []                     | roles.E003     | control.peers            |
+      | roles = ["control", "gateway"]                            | roles.E009     | roles                    |
       | instance = "node-9"                                       | roles.E005     | control.peers            |
       | roles = ["agent"]                                         | roles.E006     | roles                    |
       | stream = "127.0.0.1:7101"                                 | roles.E007     | stream                   |
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -23,6 +23,7 @@
 )
 
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, RequestKind
+from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
 from jaylatch_decisions.leases import HeldLease
 
 EVENTS = 6
@@ -207,6 +208,25 @@
     context.took = monotonic() - started_at
 
 
+@given(r"a keeper of the places that (?P<keeper>.+)")
+def step_place_keeper(context: Context, keeper: str) -> None:
+    async def ask_keeper(address: str, body: TakePlace, timeout: float) -> object:
+        first = body.candidates[0]
+        match keeper:
+            case "says that all are full":
+                return PlacesFull(1.2)
+            case "does not answer":
+                return None
+            case "grants a place at a target that has just gone" if not context.gone:
+                context.gone = True
+                left = [item for item in context.targets if item.name != first.instance]
+                grant_targets(context, left)
+        return PlaceTaken(first.instance, 0.1)
+
+    context.gone = False
+    context.harness.client.ask = ask_keeper
+
+
 @given(r"only one of them is granted")
 def step_one_granted(context: Context) -> None:
     grant_targets(context, context.targets[:1])
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -327,8 +327,8 @@
         identity = Identity(InstanceId("gateway"), Incarnation("1"), DOMAIN, stream)
         self.board = Blackboard(identity, events, GrantBoard(lease))
         peers = PeerPool(events, Traffic(Metrics()), lambda connection, call, body: None)
-        client = ControlClient(self.settings.control, peers)
-        self.role = GatewayRole(self.settings, self.board, client, PlainDialect())
+        self.client = ControlClient(self.settings.control, peers)
+        self.role = GatewayRole(self.settings, self.board, self.client, PlainDialect())
 
     def grant(
         self, routes: list[RouteSpecification], targets: dict[RequestKind, list[ScriptedTarget]]
--- a/packages/core/src/jaylatch_core/checks/roles.py
+++ b/packages/core/src/jaylatch_core/checks/roles.py
@@ -19,6 +19,15 @@
     return [error("roles.E002", "roles", text, "name each role once")] if repeated else []
 
 
+@register
+def check_gateway(settings: NodeSettings) -> list[CheckMessage]:
+    """The role gateway needs the dialect of a platform, which only its adapter has."""
+    if Role.GATEWAY not in settings.roles:
+        return []
+    hint = "start the gateway by the program of the platform's adapter"
+    return [error("roles.E009", "roles", "jaylatchd has no gateway of its own", hint)]
+
+
 @register
 def check_peers(settings: NodeSettings) -> list[CheckMessage]:
     """The control peers must be distinct, and an odd number tolerates the most losses."""
--- a/packages/core/src/jaylatch_core/control_peers.py
+++ b/packages/core/src/jaylatch_core/control_peers.py
@@ -1,5 +1,6 @@
 """Control instances and their addresses."""
 
+from collections.abc import Mapping
 from ipaddress import ip_address
 
 import msgspec
@@ -26,6 +27,12 @@
         return False
 
 
+def address_of(instance: InstanceId, known: Mapping[InstanceId, str]) -> str | None:
+    """Return the address of an instance that is ``known`` or named by it, else None."""
+    named = named_by_address(instance)
+    return known.get(instance) or (named.address if named is not None else None)
+
+
 def named_by_address(instance: InstanceId) -> ControlPeer | None:
     """Return the peer of an instance whose id is its stream address, None for any other id.
 
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -46,7 +46,6 @@
     slots: int = 1
     membership: ReportedMembership | None = None
     staged_models: tuple[str, ...] = ()
-    checks_fencing: bool = False
 
 
 class TargetDeparture(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -40,9 +40,9 @@
 
     def take(self, now: float, request: TakePlace) -> PlaceTaken | PlacesFull:
         """Grant a place at the least loaded candidate, or tell its load."""
-        held = self._holders.get(request.permit)
-        if held is not None:
-            self.give_back(request.permit)
+        self.give_back(request.permit)
+        if not request.candidates:
+            return PlacesFull(0.0)
         load, instance = min(
             ((self._count(now, item.instance) + 1) / max(item.slots, 1), item.instance)
             for item in request.candidates
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -7,7 +7,7 @@
 from returns.result import Success
 
 from jaylatch_core.clock import monotonic
-from jaylatch_core.control_peers import ControlPeer, named_by_address
+from jaylatch_core.control_peers import ControlPeer, address_of, named_by_address
 from jaylatch_core.exceptions import NotLeader, StorageFailed, Unavailable
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.frames import Body
@@ -132,7 +132,7 @@
         named = named_by_address(instance)
         if named is not None and named.address not in self._order:
             self._order.append(named.address)
-        return self._addresses.get(instance) or (named.address if named is not None else None)
+        return address_of(instance, self._addresses)
 
     def _choose(self, log: str, asked: set[str]) -> str | None:
         """Return whom to ask next: the supposed leader, or the next that is connected."""
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -15,7 +15,7 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
 from jaylatch_core.configuration import parse_configuration
-from jaylatch_core.control_peers import ControlPeer, named_by_address
+from jaylatch_core.control_peers import ControlPeer, address_of
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import (
     Failure,
@@ -220,8 +220,7 @@
             self._peers.get(address).send(batch)
 
     def _address(self, instance: InstanceId) -> str | None:
-        named = named_by_address(instance)
-        return self._addresses.get(instance) or (named.address if named is not None else None)
+        return address_of(instance, self._addresses)
 
     def _voting_peers(self) -> tuple[ControlPeer, ...]:
         peers = ((voter, self._address(voter)) for voter in self._control.voters)
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -65,9 +65,10 @@
             return self._by_service.get(service, [])
         return self._by_model.get((service, model), [])
 
-    def address(self, instance: InstanceId) -> str:
-        """Return the address of a candidate. Raises KeyError if the view has changed."""
-        return self._targets[instance].address
+    def address(self, instance: InstanceId) -> str | None:
+        """Return the address of a target, or None if the view does not name it any more."""
+        known = self._targets.get(instance)
+        return known.address if known is not None else None
 
     def _add(
         self, old: dict[InstanceId, KnownTarget], address: str, load: TargetLoad
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -227,11 +227,17 @@
                 load = target.expected(monotonic())
                 self._give_up(job, "full", FULL_RETRY, load, len(candidates))
                 return
+            address = self._directory.address(target.instance)
+            if address is None:
+                # The view has changed since the candidates were chosen.
+                if place is not None:
+                    place.give_back()
+                continue
             job.tried[target.instance] = target
             job.placements += 1
             self._record_placement(job, target, place, len(candidates), attempt.last_event)
             try:
-                outcome = await self._send(job, attempt, target)
+                outcome = await self._send(job, attempt, target, address)
             finally:
                 if place is not None:
                     place.give_back()
@@ -301,13 +307,15 @@
             self._budget.spend()
         return step
 
-    async def _send(self, job: Job, attempt: Attempt, target: TargetLoad) -> AttemptOutcome | None:
+    async def _send(
+        self, job: Job, attempt: Attempt, target: TargetLoad, address: str
+    ) -> AttemptOutcome | None:
         target.own += 1
         running = self._attempts[target.instance]
         running.add(attempt)
         try:
             return await attempt.send(
-                self._directory.address(target.instance),
+                address,
                 target,
                 job.account.name if job.account is not None else None,
                 job.deadline,
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -115,7 +115,6 @@
         self._stream = stream
         self.idle_since = 0.0
         self.usable_until = float("inf")
-        self.has_served = False
 
     @classmethod
     async def connect(cls, address: str, timeout: float) -> "TargetConnection | None":
@@ -160,7 +159,6 @@
 
         ``on_head`` returns False for a response that answers an earlier request; it is skipped.
         """
-        self.has_served = True
         headers = request.headers
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
             headers["Content-Length"] = str(len(request.body))
--- a/packages/node/src/jaylatch_node/targets/pool.py
+++ b/packages/node/src/jaylatch_node/targets/pool.py
@@ -20,10 +20,6 @@
     def __init__(self) -> None:
         self._idle: dict[str, list[TargetConnection]] = defaultdict(list)
 
-    def idle(self, address: str) -> int:
-        """Return how many idle connections to ``address`` there are."""
-        return len(self._idle.get(address, ()))
-
     def take(self, now: float, address: str) -> TargetConnection | None:
         """Return an idle connection that can carry a request, or None."""
         idle = self._idle.get(address)
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -313,7 +313,8 @@
         "Each process logs JSON lines. Every line has `asctime`, `levelname`, `name`, `message`\n"
         "and `instance`; `message` is the kind of record, which decides the other fields. A kind\n"
         "is limited to the lines a second that are named here, on average; what is beyond it is\n"
-        "counted in a `suppressed` line. `jaylatch explain` and `jaylatch logs summary` read these lines.\n"
+        "counted in a `suppressed` line. `jaylatch explain` and `jaylatch logs summary` read\n"
+        "these lines.\n"
     ]
     for kind in RECORD_TYPES:
         fields = [f"`{name}`" for name in kind.__struct_fields__]
