--- a/packages/cli/src/jaylatch_cli/log_lines.py
+++ b/packages/cli/src/jaylatch_cli/log_lines.py
@@ -36,14 +36,14 @@
 _decoders = {name: msgspec.json.Decoder(kind) for name, kind in TYPES.items()}
 
 
-def read_lines(places: Iterable[str]) -> Result[list[LogLine], LogsUnreadable]:
-    """Return the typed lines of all ``places`` in the order of their times.
+def read_lines(places: Iterable[str] | None) -> Result[list[LogLine], LogsUnreadable]:
+    """Return the typed lines of all ``places``, or of standard input, in the order of their times.
 
     Lines that are no JSON, or of a kind that this release does not know, are left out. Fails if a
     place cannot be read.
     """
     lines: list[LogLine] = []
-    for place in places:
+    for place in places or [STANDARD_INPUT]:
         try:
             for text in _read_place(place):
                 line = parse_line(text)
--- a/packages/cli/src/jaylatch_cli/management/base.py
+++ b/packages/cli/src/jaylatch_cli/management/base.py
@@ -46,6 +46,14 @@
             "--timeout", type=float, default=DEFAULT_WAIT, help="seconds to wait at most"
         )
 
+    def add_logs_argument(self, parser: ArgumentParser) -> None:
+        """Add the places of the logs that the command reads."""
+        parser.add_argument(
+            "--logs",
+            action="append",
+            help="a file, a folder or - for standard input; may be given again (default: -)",
+        )
+
     def print_answer(self, options: Namespace, result: Result[Answer, Failure]) -> int:
         """Print an answer as JSON or for people, or the failure; returns the exit code."""
         if not is_successful(result):
--- a/packages/cli/src/jaylatch_cli/management/commands/explain.py
+++ b/packages/cli/src/jaylatch_cli/management/commands/explain.py
@@ -7,7 +7,7 @@
 from returns.pipeline import is_successful
 
 from jaylatch_cli.client import AdministrationClient
-from jaylatch_cli.log_lines import STANDARD_INPUT, LogLine, read_lines
+from jaylatch_cli.log_lines import LogLine, read_lines
 from jaylatch_cli.management.base import EXIT_OK, EXIT_REFUSED
 from jaylatch_cli.management.base import Command as BaseCommand
 from jaylatch_cli.story import Story, describe, tell_story
@@ -21,15 +21,11 @@
     def add_arguments(self, parser: ArgumentParser) -> None:
         """Add the request and the places of the logs."""
         parser.add_argument("request", help="the request's id")
-        parser.add_argument(
-            "--logs",
-            action="append",
-            help="a file, a folder or - for standard input; may be given again (default: -)",
-        )
+        self.add_logs_argument(parser)
 
     def handle(self, client: AdministrationClient, options: Namespace) -> int:
         """Read the lines, then print the story as text or JSON."""
-        result = read_lines(options.logs or [STANDARD_INPUT])
+        result = read_lines(options.logs)
         if not is_successful(result):
             return self.print_failure(options, result.failure())
         story = tell_story(options.request, result.unwrap())
