Ask the plan's facts once who is assigned, broken or has just appeared

Cause: staging, warm-ups, recalls and the planner each worked out the assigned instances, the broken groups and the settling of a host by lines of their own. Change: PlanInput.assigned, PlanInput.broken_groups and InstanceFacts.is_newcomer say it once; the definitions are the same, so no decision changes.

--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -37,6 +37,11 @@
     staging_model: str = ""
     known_for: float = 3600.0
 
+    @property
+    def is_newcomer(self) -> bool:
+        """Return whether it has appeared so lately that others of its domain may follow."""
+        return self.known_for < SETTLING_TIME
+
 
 class PlanInput(msgspec.Struct, frozen=True):
     """Everything the planner decides by.
@@ -53,3 +58,15 @@
     instances: tuple[InstanceFacts, ...]
     may_join_cold: bool = True
     spanning_models: frozenset[str] = frozenset()
+
+    @property
+    def assigned(self) -> frozenset[InstanceId]:
+        """Return the instances that are in a group, or have not confirmed that they left one."""
+        members = {member for group in self.groups for member in group.members}
+        return frozenset(members | self.occupied.keys())
+
+    @property
+    def broken_groups(self) -> list[Group]:
+        """Return the groups with a member that is not there, or cannot be used."""
+        usable = {item.instance for item in self.instances if item.is_usable}
+        return [group for group in self.groups if not usable.issuperset(group.members)]
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -16,7 +16,7 @@
     Group,
     RepairGroup,
 )
-from jaylatch_decisions.groups.facts import SETTLING_TIME, PlanInput
+from jaylatch_decisions.groups.facts import PlanInput
 from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.spanning import (
     SCARCE_GROUPS,
@@ -262,7 +262,7 @@
 
     def _is_settled(self, domain: FailureDomainId) -> bool:
         """Return whether no instance has just appeared: others may follow that fit better."""
-        return all(self._known[item].known_for >= SETTLING_TIME for item in self._free[domain])
+        return not any(self._known[item].is_newcomer for item in self._free[domain])
 
     def _warm(self, domain: FailureDomainId, model: str) -> list[InstanceId]:
         """Return the free instances that may join a group of ``model``."""
--- a/packages/decisions/src/jaylatch_decisions/groups/spanning.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/spanning.py
@@ -5,6 +5,7 @@
 one of its own, which takes as long as a load from the weight store.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping
 
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId
@@ -36,11 +37,10 @@
 
 def scarce_models(facts: PlanInput) -> frozenset[str]:
     """Return the models with a broken group for which hosts of any domain may be used."""
-    usable = {item.instance for item in facts.instances if item.is_usable}
-    whole = [group.model for group in facts.groups if usable.issuperset(group.members)]
-    broken = {group.model for group in facts.groups if not usable.issuperset(group.members)}
+    broken = Counter(group.model for group in facts.broken_groups)
+    whole = Counter(group.model for group in facts.groups) - broken
     return frozenset(
-        model for model in broken & facts.spanning_models if whole.count(model) <= SCARCE_GROUPS
+        model for model in broken.keys() & facts.spanning_models if whole[model] <= SCARCE_GROUPS
     )
 
 
@@ -50,7 +50,7 @@
     They are to end their work, so that their far members can be replaced.
     """
     known = {item.instance: item for item in facts.instances}
-    taken = {member for group in facts.groups for member in group.members}
+    assigned = facts.assigned
     recalled = set()
     for group in facts.groups:
         far = far_members(group, known)
@@ -59,8 +59,7 @@
             item
             for item in known.values()
             if item.failure_domain == home
-            and item.instance not in taken
-            and item.instance not in facts.occupied
+            and item.instance not in assigned
             and may_replace(item, group.model)
         ]
         if far and len(near) >= len(far):
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -8,7 +8,7 @@
 
 from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, InstanceId
-from jaylatch_decisions.groups.facts import SETTLING_TIME, InstanceFacts, PlanInput
+from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_of, scarce_models
 
 
@@ -28,7 +28,7 @@
     for domain in sorted(domains):
         needs = _Domain(facts, domain, domains[domain], serving, lent)
         # What a domain that comes back lacks is known once all of its hosts have reported.
-        is_settled = all(item.known_for >= SETTLING_TIME for item in domains[domain])
+        is_settled = not any(item.is_newcomer for item in domains[domain])
         if is_settled and (needs.has_groups or not facts.may_join_cold):
             staging.update(needs.plan())
     return staging
@@ -51,14 +51,13 @@
         known = {item.instance: item for item in instances}
         everywhere = {item.instance: item for item in facts.instances}
         self._groups = [group for group in facts.groups if home_of(group, everywhere) == domain]
-        taken = {member for group in facts.groups for member in group.members}
+        assigned = facts.assigned
         free = [
             item
             for item in instances
             if item.is_usable
             and not item.is_drained
-            and item.instance not in taken
-            and item.instance not in facts.occupied
+            and item.instance not in assigned
             and item.staged_models is not None
         ]
         self._free = sorted(free, key=lambda item: item.instance)
--- a/packages/decisions/src/jaylatch_decisions/groups/warming.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/warming.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 
 from jaylatch_core.ids import InstanceId
-from jaylatch_decisions.groups.facts import SETTLING_TIME, PlanInput
+from jaylatch_decisions.groups.facts import PlanInput
 from jaylatch_decisions.groups.spanning import home_of, may_replace
 
 
@@ -21,17 +21,12 @@
     if facts.may_join_cold:
         return {}
     known = {item.instance: item for item in facts.instances}
-    taken = {member for group in facts.groups for member in group.members}
-    waiting = {
-        (home_of(group, known), group.model)
-        for group in facts.groups
-        if any(member not in known or not known[member].is_usable for member in group.members)
-    }
+    assigned = facts.assigned
+    waiting = {(home_of(group, known), group.model) for group in facts.broken_groups}
     wanted = {model.name for model in facts.configuration.models}
     warm_ups: dict[InstanceId, str] = {}
     for item in facts.instances:
-        is_settled = item.known_for >= SETTLING_TIME and item.staged_models is not None
-        if item.instance in taken or item.instance in facts.occupied or not is_settled:
+        if item.instance in assigned or item.is_newcomer:
             continue
         for model in item.staged_models or ():
             is_useful = model in wanted and warm.get(item.instance) != model
