Keep the planned configuration while nothing that makes it has changed

Cause: the leader built it anew for each group on each heartbeat and tick, and filtered the groups that admit work twice for each view. Change: ControlState keeps it with the configuration and deployment that it was made of; the view filters once. No decision changes.

--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -59,6 +59,7 @@
         self.occupied: dict[InstanceId, Epoch] = {}
         self.drains: set[tuple[DrainScope, str]] = set()
         self.history: list[ConfigurationRecord] = []
+        self._planned: tuple[Configuration, Deployment, Configuration] | None = None
         self._preset_operator = ""
         self._last_epoch = 0
         self._results: OrderedDict[CommandId, ControlResult] = OrderedDict()
@@ -126,6 +127,15 @@
 
     def planned_configuration(self) -> Configuration:
         """Return the configuration with the models that the deployment asks for."""
+        if self._planned is not None:
+            configuration, deployment, planned = self._planned
+            if configuration is self.configuration and deployment is self.deployment:
+                return planned
+        planned = self._plan_configuration()
+        self._planned = (self.configuration, self.deployment, planned)
+        return planned
+
+    def _plan_configuration(self) -> Configuration:
         profiles = [
             model
             for service in self.deployment.services
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -216,14 +216,13 @@
         return renewal.view == NO_VIEW or now >= self._view_from
 
     def _refresh_view(self, now: float) -> None:
+        admitting = [group for group in self._state.groups.values() if not self._is_draining(group)]
         groups = tuple(
-            route
-            for group in self._state.groups.values()
-            if not self._is_draining(group) and (route := self._route(now, group)) is not None
+            route for group in admitting if (route := self._route(now, group)) is not None
         )
         services = service_routes(self._serving_renewals(now))
         if self._targets is not None:
-            direct = self._targets.group_routes(now, self._admitting_groups())
+            direct = self._targets.group_routes(now, admitting)
             groups += tuple(sorted(direct, key=lambda route: route.group))
             services += tuple(
                 sorted(self._targets.service_routes(now), key=lambda route: route.instance)
@@ -237,9 +236,6 @@
             )
             log_record(_log, ViewGranted(version=self._view.version, groups=names))
 
-    def _admitting_groups(self) -> list[Group]:
-        return [group for group in self._state.groups.values() if not self._is_draining(group)]
-
     def _route(self, now: float, group: Group) -> GroupRoute | None:
         holder = self._leases.holder(now, group.head)
         return group_route(group, holder.renewal) if holder is not None else None
