Suspicions carry the digest itself; one empty digest; places without a wrapper

Cause: a suspicion was a flag in the attempt, turned into a digest by a closure in the forwarder; the empty digest was written five times; each target's places stood in a class of one field. Change: the attempt knows its request's digest and the role's handler gets it unchanged; NO_DIGEST is in the ids; PlaceTable keeps one dictionary and frees expired permits by give_back. Behaviour stays.

--- a/packages/core/src/jaylatch_core/ids.py
+++ b/packages/core/src/jaylatch_core/ids.py
@@ -47,5 +47,7 @@
 RequestDigest = NewType("RequestDigest", str)
 """Digest of an account's request, the same for each resend."""
 
+NO_DIGEST = RequestDigest("")
+
 TargetDeathId = NewType("TargetDeathId", str)
 """One unplanned end of a target."""
--- a/packages/core/src/jaylatch_core/messages/requests.py
+++ b/packages/core/src/jaylatch_core/messages/requests.py
@@ -4,6 +4,7 @@
 
 from jaylatch_core.enums import Outcome
 from jaylatch_core.ids import (
+    NO_DIGEST,
     AccountId,
     AttemptId,
     Epoch,
@@ -55,7 +56,7 @@
     budget: float
     work: ModelWork | ServiceWork
     has_backlog: bool = False
-    digest: RequestDigest = RequestDigest("")
+    digest: RequestDigest = NO_DIGEST
     is_suspect: bool = False
 
 
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from jaylatch_core.deployment import Deployment, DeploymentNumber
-from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, RequestDigest
+from jaylatch_core.ids import NO_DIGEST, Epoch, FailureDomainId, GroupId, InstanceId, RequestDigest
 
 
 class MemberState(str, Enum):
@@ -67,7 +67,7 @@
     """
 
     instance: InstanceId
-    digest: RequestDigest = RequestDigest("")
+    digest: RequestDigest = NO_DIGEST
 
 
 class PublishDeployment(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -7,7 +7,7 @@
 of the monotonic clock.
 """
 
-from dataclasses import dataclass, field
+from collections import defaultdict
 
 from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
@@ -25,16 +25,11 @@
 KEPT_REFUSALS = 4096
 
 
-@dataclass
-class _Target:
-    expiries: dict[str, float] = field(default_factory=dict)
-
-
 class PlaceTable:
     """The permits of the models whose places this process keeps."""
 
     def __init__(self) -> None:
-        self._targets: dict[InstanceId, _Target] = {}
+        self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
 
@@ -51,7 +46,7 @@
             self._remember_refusal(now, request.digest)
             return PlacesFull(load)
         self._refused.pop(request.digest, None)
-        self._targets[instance].expiries[request.permit] = now + request.duration
+        self._expiries[instance][request.permit] = now + request.duration
         self._holders[request.permit] = instance
         return PlaceTaken(instance, load)
 
@@ -59,7 +54,7 @@
         """Free the place of a request that has ended; an unknown permit is ignored."""
         instance = self._holders.pop(permit, None)
         if instance is not None:
-            self._targets[instance].expiries.pop(permit, None)
+            self._expiries[instance].pop(permit, None)
 
     def _limit(self, now: float, request: TakePlace) -> float:
         if request.is_resumed:
@@ -69,11 +64,10 @@
         return RETURNING_LOAD if is_returning else NEW_LOAD
 
     def _count(self, now: float, instance: InstanceId) -> int:
-        target = self._targets.setdefault(instance, _Target())
-        for permit in [item for item, until in target.expiries.items() if until <= now]:
-            del target.expiries[permit]
-            self._holders.pop(permit, None)
-        return len(target.expiries)
+        expiries = self._expiries[instance]
+        for permit in [item for item, until in expiries.items() if until <= now]:
+            self.give_back(permit)
+        return len(expiries)
 
     def _remember_refusal(self, now: float, digest: RequestDigest) -> None:
         self._refused.pop(digest, None)
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 
 from jaylatch_core.deployment import Deployment, EngineProfile
-from jaylatch_core.ids import Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.ids import NO_DIGEST, Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
 from jaylatch_core.log_records import EngineOrdered, TargetDied, TargetProbed
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
@@ -49,7 +49,6 @@
 """Slowest spanning group that is formed, as a factor on the engine's times: at 2.5 first answers
 came after 2 s under a fifth of a whole group's load, at 1.5 they were in time."""
 REPORTED_DEATHS = 8
-NO_DIGEST = RequestDigest("")
 RECORD_RETENTION = 60.0
 """Seconds after which a silent target is forgotten."""
 
--- a/packages/node/src/jaylatch_node/entry/dispatcher.py
+++ b/packages/node/src/jaylatch_node/entry/dispatcher.py
@@ -11,7 +11,7 @@
 from jaylatch_core.enums import Outcome
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
-from jaylatch_core.ids import Epoch, GroupId, RequestDigest
+from jaylatch_core.ids import NO_DIGEST, Epoch, GroupId, RequestDigest
 from jaylatch_core.messages.journal import StoredAnswer
 from jaylatch_core.messages.membership import GroupRoute
 from jaylatch_core.messages.requests import (
@@ -35,7 +35,6 @@
 CANCEL_VERDICT_TIMEOUT = 0.25
 RETRY_AFTER = 1.0
 SUSPECT_INTERVAL = 0.05
-NO_DIGEST = RequestDigest("")
 
 
 class Dispatcher:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -5,7 +5,7 @@
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
-from jaylatch_core.ids import AccountId, InstanceId
+from jaylatch_core.ids import NO_DIGEST, AccountId, InstanceId, RequestDigest
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
 from jaylatch_decisions.targets.attempts import (
@@ -25,8 +25,9 @@
     TargetPool,
 )
 
-SuspicionHandler = Callable[[InstanceId, bool], None]
-"""Called with a target that has been silent for too long, or (True) that ended a connection."""
+SuspicionHandler = Callable[[InstanceId, RequestDigest], None]
+"""Called with a target that has been silent for too long, or that ended a connection under the
+request of this digest."""
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
@@ -38,6 +39,7 @@
     def __init__(
         self,
         request: InboundRequest,
+        digest: RequestDigest,
         caller: Caller,
         route: RouteSpecification,
         dialect: TargetDialect,
@@ -46,6 +48,7 @@
     ) -> None:
         self._suspect = suspect
         self._request = request
+        self._digest = digest
         self._caller = caller
         self._route = route
         self._dialect = dialect
@@ -84,7 +87,7 @@
         connection = self._pool.take(now, address) or await self._pool.connect(address)
         if connection is None:
             target.record_failure(monotonic())
-            self._suspect(target.instance, False)
+            self._suspect(target.instance, NO_DIGEST)
             return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
@@ -179,7 +182,7 @@
             connection.close()
             target.record_failure(now)
             if failure is ExchangeFailed.CLOSED and not self._stalled:
-                self._suspect(target.instance, True)
+                self._suspect(target.instance, self._digest)
             return AttemptOutcome.STALLED if self._stalled else AttemptOutcome.BROKEN
         self._pool.give_back(now, address, connection, facts.keep_alive)
         if facts.is_not_run:
@@ -234,7 +237,7 @@
 
     def report(self, instance: InstanceId) -> None:
         """Tell control that a target is silent."""
-        self._suspect(instance, False)
+        self._suspect(instance, NO_DIGEST)
 
     def stall(self) -> None:
         """Note that the target was given up because it was silent."""
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -6,7 +6,7 @@
 import logging
 from asyncio import CancelledError, sleep, timeout_at
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from random import Random
@@ -36,7 +36,7 @@
 )
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.deadlines import loop_time
-from jaylatch_node.gateway.attempt import Attempt
+from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -68,7 +68,6 @@
 BUSY_RETRY_LIMIT = 2.0
 """Seconds that an advice to return never exceeds."""
 
-NO_DIGEST = RequestDigest("")
 DIGEST_BYTES = 12
 
 _log = logging.getLogger("jaylatch.request")
@@ -114,7 +113,7 @@
         repeat_ratio: float,
         metrics: GatewayMetrics,
         random: Random,
-        suspect: Callable[[InstanceId, RequestDigest], None],
+        suspect: SuspicionHandler,
         places: PlaceClient,
     ) -> None:
         self._places = places
@@ -206,11 +205,15 @@
 
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or given up."""
-
-        def suspect(instance: InstanceId, has_closed: bool) -> None:
-            self._suspect(instance, job.digest if has_closed else NO_DIGEST)
-
-        attempt = Attempt(job.request, job.caller, job.route, self._dialect, self._pool, suspect)
+        attempt = Attempt(
+            job.request,
+            job.digest,
+            job.caller,
+            job.route,
+            self._dialect,
+            self._pool,
+            self._suspect,
+        )
         while True:
             candidates = self._candidates(job)
             place = await self._take_place(job, candidates)
