Hold 1024 connections that a busy process has not accepted yet

Cause: every listener used tornado's backlog of 128. Opening packets beyond it are dropped and sent again after a second, later than the 500 ms for which an agent waits for its engine. Change: one constant for the listeners of the product and of the stand-ins.

--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -20,6 +20,10 @@
 from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_core.units import MEBIBYTE, Duration, Interval, Size
 
+LISTEN_BACKLOG = 1024
+"""Connections that a busy process may leave unaccepted. The kernel drops the opening packet of any
+further one, and the caller sends it again only after a second."""
+
 Name = Annotated[str, Meta(min_length=1, max_length=128)]
 """A non-empty name."""
 
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -46,9 +46,9 @@
         """Return the number of requests that have no complete answer yet."""
         return len(self._messages)
 
-    def listen(self, port: int, address: str) -> None:
-        """Accept connections."""
-        self._http.listen(port, address)
+    def listen(self, port: int, address: str, *, backlog: int) -> None:
+        """Accept connections; the kernel holds up to ``backlog`` until then."""
+        self._http.listen(port, address, backlog=backlog)
 
     def drain(self) -> None:
         """Close each connection after its next answer."""
--- a/packages/node/src/jaylatch_node/listening.py
+++ b/packages/node/src/jaylatch_node/listening.py
@@ -3,14 +3,14 @@
 from typing import Protocol
 
 from jaylatch_core.exceptions import AddressUnusable, JaylatchError
-from jaylatch_core.settings import split_address
+from jaylatch_core.settings import LISTEN_BACKLOG, split_address
 
 
 class Listener(Protocol):
     """A tornado server."""
 
-    def listen(self, port: int, address: str) -> None:
-        """Accept connections."""
+    def listen(self, port: int, address: str, *, backlog: int) -> None:
+        """Accept connections; the kernel holds up to ``backlog`` until then."""
 
 
 def listen_at(server: Listener, address: str, setting: str) -> None:
@@ -21,7 +21,7 @@
     """
     host, port = split_address(address)
     try:
-        server.listen(port, host)
+        server.listen(port, host, backlog=LISTEN_BACKLOG)
     except OSError as fault:
         raise JaylatchError(
             AddressUnusable(
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from jaylatch_core.settings import LISTEN_BACKLOG
 from jaylatch_standins.ports import LOOPBACK, free_addresses
 from jaylatch_standins.proxy import FaultProxy
 
@@ -93,7 +94,9 @@
         """
         for name, (address, target) in self._proxy_routes.items():
             self.proxies[name] = FaultProxy(target)
-            self.proxies[name].listen(int(address.rpartition(":")[2]), LOOPBACK)
+            self.proxies[name].listen(
+                int(address.rpartition(":")[2]), LOOPBACK, backlog=LISTEN_BACKLOG
+            )
 
     def start(self) -> None:
         """Start every process."""
--- a/packages/standins/src/jaylatch_standins/domain_faults.py
+++ b/packages/standins/src/jaylatch_standins/domain_faults.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from jaylatch_core.settings import LISTEN_BACKLOG
 from jaylatch_standins.cluster import Cluster
 from jaylatch_standins.deployment import read_status, serving_groups, wait_until
 from jaylatch_standins.ledger import Ledger, read_ledger
@@ -205,7 +206,7 @@
     proxies = []
     for peer in settings["control"]["peers"]:
         proxy = FaultProxy(peer["address"])
-        proxy.listen(0, LOOPBACK)
+        proxy.listen(0, LOOPBACK, backlog=LISTEN_BACKLOG)
         port = next(iter(proxy._sockets.values())).getsockname()[1]
         peer["address"] = f"{LOOPBACK}:{port}"
         proxies.append(proxy)
--- a/packages/standins/src/jaylatch_standins/engine.py
+++ b/packages/standins/src/jaylatch_standins/engine.py
@@ -18,6 +18,7 @@
 from tornado.iostream import StreamClosedError
 from tornado.web import Application, RequestHandler
 
+from jaylatch_core.settings import LISTEN_BACKLOG
 from jaylatch_standins.announcer import Announcement, announce_forever
 from jaylatch_standins.ledger import Ledger
 
@@ -234,7 +235,7 @@
             ("/v1/completions", CompletionsHandler, arguments),
         ],
         log_function=lambda handler: None,
-    ).listen(int(port), host)
+    ).listen(int(port), host, backlog=LISTEN_BACKLOG)
     announcement = Announcement(
         options.name, "engine", options.advertise or options.listen, options.fencing
     )
--- a/packages/standins/src/jaylatch_standins/service.py
+++ b/packages/standins/src/jaylatch_standins/service.py
@@ -6,6 +6,7 @@
 
 from tornado.web import Application, RequestHandler
 
+from jaylatch_core.settings import LISTEN_BACKLOG
 from jaylatch_standins.announcer import Announcement, announce_forever
 from jaylatch_standins.ledger import Ledger
 
@@ -59,7 +60,7 @@
             ("/stock/(.*)", StockHandler),
         ],
         log_function=lambda handler: None,
-    ).listen(int(port), host)
+    ).listen(int(port), host, backlog=LISTEN_BACKLOG)
     announcement = Announcement(
         options.name, "service", options.advertise or options.listen, False, options.service
     )
