--- a/packages/core/src/jaylatch_core/checks/roles.py
+++ b/packages/core/src/jaylatch_core/checks/roles.py
@@ -56,14 +56,17 @@
 def check_own_peer(settings: NodeSettings) -> list[CheckMessage]:
     """A control instance must be a control peer, at its stream address; no other may be one."""
     own = [peer for peer in settings.control.peers if peer.instance == settings.instance]
-    is_control = Role.CONTROL in settings.roles
+    is_control = Role.CONTROL in settings.roles and settings.control.keeps_log
     if is_control and not own:
         text = f"instance {settings.instance!r} has the control role but is not a control peer"
         hint = "add it to control.peers on every instance, or remove its control role"
         return [error("roles.E005", "control.peers", text, hint)]
     if not is_control and own:
-        text = f"instance {settings.instance!r} is a control peer but has no control role"
-        hint = "add 'control' to roles, or remove it from control.peers on every instance"
+        text = f"instance {settings.instance!r} is a control peer but keeps no control log"
+        hint = (
+            "add 'control' to roles and set control.keeps_log, or remove it from control.peers on"
+            " every instance"
+        )
         return [error("roles.E006", "roles", text, hint)]
     if is_control and own[0].address != settings.stream:
         text = f"the peer's address is {own[0].address!r}, but stream is {settings.stream!r}"
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -38,7 +38,9 @@
     the same on every process. A resent order gets its stored answer within ``answer_retention`` of
     its completion, and runs at most once within ``key_retention``. ``data_folder`` is used by the
     control role only. A direct target that has sent no heartbeat for ``target_silence`` is lost.
-    Without ``keeps_journal`` there is no order journal, and no entry may serve orders.
+    Without ``keeps_journal`` there is no order journal, and no entry may serve orders. An instance
+    without ``keeps_log`` has no disk: it is no control peer, has no vote, and forwards the calls of
+    direct targets and operators to the leader.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
@@ -47,6 +49,7 @@
     voter_count: Annotated[int, Meta(ge=0, le=9)] = 0
     journal_shards: Annotated[int, Meta(ge=1, le=256)] = 2
     keeps_journal: bool = True
+    keeps_log: bool = True
     answer_retention: Duration = 86_400.0
     key_retention: Duration = 604_800.0
     heartbeat_interval: Interval = 0.18
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -6,6 +6,7 @@
 from asyncio import FIRST_COMPLETED, Event, create_task, get_running_loop, run, sleep, wait
 from pathlib import Path
 from random import Random
+from typing import TYPE_CHECKING
 
 from returns.pipeline import is_successful
 
@@ -18,6 +19,9 @@
 from jaylatch_node.process import Process, RoleFactory
 from jaylatch_node.role import NodeRole
 
+if TYPE_CHECKING:
+    from jaylatch_node.targets.orders import EngineOrderClient
+
 EXIT_SETTINGS = 2
 EXIT_STORAGE = 3
 EXIT_ADDRESS = 4
@@ -73,7 +77,7 @@
     """
     factories: list[RoleFactory] = []
     if Role.CONTROL in settings.roles:
-        factories.append(_make_control)
+        factories.append(make_control_role)
     if Role.AGENT in settings.roles:
         factories.append(_make_agent)
     if Role.ENTRY in settings.roles:
@@ -81,10 +85,17 @@
     return factories
 
 
-def _make_control(process: Process) -> NodeRole:
+def make_control_role(process: Process, engines: "EngineOrderClient | None" = None) -> NodeRole:
+    """Return the control role; with ``engines`` its leader sends orders to direct targets."""
+    if not process.settings.control.keeps_log:
+        from jaylatch_node.control.relay import ControlRelay
+
+        return ControlRelay()
     from jaylatch_node.control.role import ControlRole
 
-    return ControlRole(process.settings, process.board, process.peers, process.client, process.fail)
+    return ControlRole(
+        process.settings, process.board, process.peers, process.client, process.fail, engines
+    )
 
 
 def _make_agent(process: Process) -> NodeRole:
