Log the supply of each model and the model of a refused request

Cause: the logs told which route was refused and by how many candidates, but neither its model nor how many groups of that model were complete, so that a model that is short of groups (hypothesis 2 of docs/incidents/short.md) could not be told from places that are counted wrongly (hypothesis 3) without replaying the plans by hand. Change: the leader logs a 'supply' line when a model's groups, broken groups, or free or loading instances change; a 'refused' line names the model; 'jaylatch logs summary' counts both.

--- a/features/logs/explain.feature
+++ b/features/logs/explain.feature
@@ -40,3 +40,7 @@
     When jaylatch summarises the logs of "examples/logs"
     Then it exits with 0 and prints "not_run: full (r-kg54x8f)"
     And it also prints "stalled at i-53be7468d6"
+
+  Scenario: a summary names the models that were refused and the supply of their groups
+    Given a refusal for model f, after supply lines "f 3/0 f 3/1 f 3/1 v 3/0"
+    Then the summary counts 1 refusal for f, and "f: 2 of 3 groups complete" 2 times
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -7,6 +7,7 @@
 from behave.runner import Context
 
 from jaylatch_cli.log_lines import LogLine
+from jaylatch_cli.management.commands.logs import summarise
 from jaylatch_cli.request_trace import trace_request
 from jaylatch_core.log_records import (
     AttemptEnded,
@@ -14,6 +15,7 @@
     RequestEnded,
     RequestPlaced,
     RequestRefused,
+    SupplyChanged,
     TargetProbed,
 )
 
@@ -97,3 +99,34 @@
 def step_conclusion(context: Context, conclusion: str) -> None:
     trace = trace_request("r", context.lines)
     assert trace is not None and trace.cause == conclusion, trace
+
+
+@given(r'a refusal for model (?P<model>\w+), after supply lines "(?P<supply>[^"]*)"')
+def step_supply_lines(context: Context, model: str, supply: str) -> None:
+    words = supply.split()
+    records: list[LogRecord] = []
+    for name, counts in zip(words[::2], words[1::2], strict=True):
+        groups, broken = counts.split("/")
+        records.append(
+            SupplyChanged(model=name, groups=int(groups), broken=int(broken), free=0, loading=0)
+        )
+    refusal = RequestRefused(
+        request="r",
+        route="route",
+        kind="not_run",
+        reason="full",
+        retry_after=0.4,
+        lease_left=1.0,
+        model=model,
+    )
+    context.lines = [LogLine("", "i", record) for record in [*records, refusal]]
+
+
+@then(
+    r'the summary counts (?P<refusals>\d) refusal for (?P<model>\w+), and "(?P<supply>[^"]*)"'
+    r" (?P<times>\d) times"
+)
+def step_summary(context: Context, refusals: str, model: str, supply: str, times: str) -> None:
+    summary = summarise(context.lines)
+    assert summary.refused_models == {model: int(refusals)}, summary
+    assert summary.supply_changes[supply] == int(times), summary
--- a/packages/cli/src/jaylatch_cli/management/commands/logs.py
+++ b/packages/cli/src/jaylatch_cli/management/commands/logs.py
@@ -15,15 +15,22 @@
     LinesSuppressed,
     RequestEnded,
     RequestRefused,
+    SupplyChanged,
 )
 
 
 class Summary(msgspec.Struct):
-    """Number of occurrences of each refusal, outcome, failed attempt and suppressed record."""
+    """Number of occurrences of each refusal, outcome, failed attempt and suppressed record.
+
+    ``refused_models`` counts the refusals of each model, ``supply_changes`` how often a model's
+    supply of groups became the named one.
+    """
 
     refusals: Counter[str]
+    refused_models: Counter[str]
     outcomes: Counter[str]
     failed_attempts: Counter[str]
+    supply_changes: Counter[str]
     suppressed: Counter[str]
 
 
@@ -49,15 +56,21 @@
 
 def summarise(lines: list[LogLine]) -> Summary:
     """Return the counts of ``lines``: refusals by kind, reason and route, attempts by target."""
-    summary = Summary(Counter(), Counter(), Counter(), Counter())
+    summary = Summary(*(Counter() for _ in Summary.__struct_fields__))
     for line in lines:
         match line.record:
-            case RequestRefused(kind=kind, reason=reason, route=route):
+            case RequestRefused(kind=kind, reason=reason, route=route, model=model):
                 summary.refusals[f"{kind}: {reason} ({route or 'no route'})"] += 1
+                if model:
+                    summary.refused_models[model] += 1
             case RequestEnded(outcome=outcome, route=route):
                 summary.outcomes[f"{outcome} ({route})"] += 1
             case AttemptEnded(outcome=outcome, target=target):
                 summary.failed_attempts[f"{outcome} at {target}"] += 1
+            case SupplyChanged(model=model, groups=groups, broken=broken):
+                summary.supply_changes[
+                    f"{model}: {groups - broken} of {groups} groups complete"
+                ] += 1
             case LinesSuppressed(record=record, count=count, reason=reason):
                 summary.suppressed[f"{record or 'any kind'}: {reason}"] += count
     return summary
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -79,6 +79,7 @@
     candidates: int = 0
     view: int = 0
     deployment: int = 0
+    model: str = ""
 
 
 class RequestEnded(LogRecord, frozen=True, kw_only=True, tag="ended"):
@@ -148,6 +149,20 @@
     command: str
 
 
+class SupplyChanged(LogRecord, frozen=True, kw_only=True, tag="supply"):
+    """The supply of a model has changed.
+
+    ``broken`` of its ``groups`` lack a member. Of the instances in no group, ``free`` store the
+    model and ``loading`` load it.
+    """
+
+    model: str
+    groups: int
+    broken: int
+    free: int
+    loading: int
+
+
 class VotersChanged(LogRecord, frozen=True, kw_only=True, tag="voters"):
     """The leader tried to change the voters of a log; ``outcome`` is the result."""
 
@@ -205,6 +220,7 @@
     EngineOrdered,
     ViewPublished,
     PlanCommitted,
+    SupplyChanged,
     VotersChanged,
     DeploymentReceived,
     HeartbeatRefused,
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -5,6 +5,8 @@
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
+import msgspec
+
 from jaylatch_core.clock import wall
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
@@ -12,7 +14,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
-from jaylatch_core.log_records import PlanCommitted, ViewPublished
+from jaylatch_core.log_records import PlanCommitted, SupplyChanged, ViewPublished
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
 from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
 from jaylatch_core.messages.membership import (
@@ -39,6 +41,7 @@
     plan_warm_ups,
     retiring_groups,
 )
+from jaylatch_decisions.groups.supply import ModelSupply, count_supply
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.group_metrics import GroupMetrics
@@ -99,6 +102,7 @@
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
         self._announced = _AnnouncedState()
         self._is_proposing = False
+        self._supply: tuple[ModelSupply, ...] = ()
         self._metrics = GroupMetrics(now)
 
     @property
@@ -150,7 +154,9 @@
         self._refresh_view(now)
         self._announce_changes()
         if self._targets is not None and now >= self._plan_from:
-            self._send_engine_orders(now, self._targets, self._plan_input(facts))
+            plan_input = self._plan_input(facts)
+            self._log_supply(plan_input)
+            self._send_engine_orders(now, self._targets, plan_input)
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
             if commands:
@@ -321,6 +327,14 @@
         holder = self._leases.known(instance)
         return holder is not None and _uses_views(holder.renewal)
 
+    def _log_supply(self, plan_input: PlanInput) -> None:
+        """Log the supply of each model for which it has changed."""
+        supply = count_supply(plan_input)
+        for item in supply:
+            if item not in self._supply:
+                log_record(_log, SupplyChanged(**msgspec.structs.asdict(item)))
+        self._supply = supply
+
     # Proposals
 
     def _wanted_commands(self, now: float, facts: list[InstanceFacts]) -> list[ControlCommand]:
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -412,6 +412,7 @@
                 candidates=candidates,
                 view=grant.view.version,
                 deployment=grant.deployment.number,
+                model=(request.model if request is not None else None) or "",
             ),
         )
 
