--- /dev/null
+++ b/features/steps/leader_plan_steps.py
@@ -0,0 +1,112 @@
+"""Steps that run a leader's duties on simulated time, and record the orders to its engines."""
+
+from asyncio import sleep
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+
+from jaylatch_core.deployment import (
+    Deployment,
+    DeploymentNumber,
+    EngineProfile,
+    ModelProfile,
+    ServiceProfile,
+)
+from jaylatch_core.events import EventLog
+from jaylatch_core.ids import (
+    FailureDomainId,
+    Incarnation,
+    InstanceId,
+    Term,
+)
+from jaylatch_core.messages.control import ControlCommand
+from jaylatch_core.messages.targets import PublishDeployment, TargetCheckIn
+from jaylatch_core.settings import LeaseSettings
+from jaylatch_decisions.control import ControlState
+from jaylatch_decisions.leases import HeldLease
+from jaylatch_decisions.targets import EngineOrder, JoinGroup, TargetRecord, TargetRegistry
+from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
+from jaylatch_node.control.leader import LeaderController
+from jaylatch_node.control.targets import TargetController
+from jaylatch_node.targets import OrderOutcome
+
+DOMAIN = FailureDomainId("domain")
+MODEL = "f"
+SERVICE = "engines"
+HEARTBEAT_TIMEOUT_SECONDS = 3.0
+STARTED_AT = 100.0
+TICK_SECONDS = 0.1
+
+use_step_matcher("re")
+
+
+@given(r"a leader whose groups have served, and a model of (?P<size>\d) instances")
+def step_leader(context: Context, size: str) -> None:
+    state = ControlState()
+    engine = EngineProfile(24, (ModelProfile(MODEL, int(size)),))
+    deployment = Deployment(DeploymentNumber(1), services=(ServiceProfile(SERVICE, 100, engine),))
+    state.apply(PublishDeployment(deployment, b""))
+    context.orders = []
+    context.registry = TargetRegistry(
+        HEARTBEAT_TIMEOUT_SECONDS, STARTED_AT - HEARTBEAT_TIMEOUT_SECONDS
+    )
+
+    async def propose(command: ControlCommand) -> object:
+        return state.apply(command)
+
+    async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
+        context.orders.append((record.heartbeat.instance, order))
+        return OrderOutcome.ACCEPTED
+
+    async def probe(record: TargetRecord) -> bool:
+        return True
+
+    identity = Identity(InstanceId("c-1"), Incarnation("c"), DOMAIN, "10.0.0.9:1")
+    board = Blackboard(identity, EventLog("c-1"), GrantBoard(HeldLease(0.0)))
+    targets = TargetController(context.registry, 1, send, probe, True, STARTED_AT)
+    context.leader = LeaderController(
+        board, state, LeaseSettings(), Term(1), propose, STARTED_AT, targets
+    )
+
+
+@when(
+    r'instances "(?P<instances>[^"]*)" that hold it report one after the other,'
+    r" (?P<gap>[\d.]+) s apart"
+)
+def step_report(context: Context, instances: str, gap: str) -> None:
+    context.reports = {
+        STARTED_AT + number * float(gap): name for number, name in enumerate(instances.split())
+    }
+
+
+@then(r"within (?P<limit>\d) s three of them join one group, and until then none is warmed up")
+def step_joined_first(context: Context, limit: str) -> None:
+    async def run_duties() -> None:
+        now = STARTED_AT
+        while now < STARTED_AT + int(limit):
+            for at in [item for item in context.reports if item <= now]:
+                record_heartbeat(context, now, context.reports.pop(at))
+            context.leader.tick(now)
+            await sleep(0)
+            await sleep(0)
+            now += TICK_SECONDS
+
+    context.runner.run(run_duties())
+    joins = [order for _, order in context.orders if isinstance(order, JoinGroup)]
+    assert joins and len(joins[0].members) == 3, context.orders
+    assert [order.group for order in joins[:3]] == [joins[0].group] * 3, context.orders
+
+
+def record_heartbeat(context: Context, now: float, name: str) -> None:
+    heartbeat = TargetCheckIn(
+        InstanceId(name),
+        SERVICE,
+        f"10.0.1.{ord(name)}:80",
+        DOMAIN,
+        DOMAIN,
+        born_at=1,
+        sequence=1,
+        is_draining=False,
+        staged_models=(MODEL,),
+    )
+    assert context.registry.record_heartbeat(now, heartbeat)
--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -16,6 +16,7 @@
     plan_staging,
     plan_warm_ups,
 )
+from jaylatch_decisions.groups.supply import short_models
 
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
@@ -160,3 +161,9 @@
             case _:
                 found.append(repr(command))
     assert ", ".join(found) == plan, found
+
+
+@then(r'the short models are "(?P<models>[^"]*)"')
+def step_short_models(context: Context, models: str) -> None:
+    found = short_models(plan_input(context))
+    assert " ".join(sorted(found)) == models, found
--- a/features/targets/warming.feature
+++ b/features/targets/warming.feature
@@ -17,6 +17,7 @@
       | a spare that loads                         | a=f b=f c=f s=f>v | f:abc  |      |          |
       | a spare that holds nothing                 | a=f b=f c=f s=-   | f:abc  |      |          |
       | a spare that has just appeared             | a=f b=f c=f s=f?  | f:abc  |      |          |
+      | another instance has just appeared         | a=f b=f c=f s=f t=-? | f:abc |   |          |
       | a broken group needs the spare now         | a=f! b=f c=f s=f  | f:abc  |      |          |
       | a broken group of the other model does not | a=f! b=f c=f s=v  | f:abc  |      | s:v      |
       | members of groups are not warmed up        | a=f b=f c=f       | f:abc  |      |          |
@@ -28,3 +29,8 @@
     And the formed groups ""
     And the last groups were ""
     Then they are warmed up ""
+
+  Scenario: the instances of a returning domain join their group before any is warmed up
+    Given a leader whose groups have served, and a model of 3 instances
+    When instances "a b c d" that hold it report one after the other, 0.2 s apart
+    Then within 2 s three of them join one group, and until then none is warmed up
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -49,3 +49,17 @@
         )
         for model in facts.configuration.models
     )
+
+
+def short_models(facts: PlanInput) -> frozenset[str]:
+    """Return the models that have fewer complete groups for their share than another model has.
+
+    A model is short if one more complete group would still not give it more than the other.
+    """
+    complete = Counter(group.model for group in facts.groups)
+    complete.subtract(group.model for group in facts.broken_groups)
+    models = facts.configuration.models
+    highest = max((complete[model.name] / model.share for model in models), default=0.0)
+    return frozenset(
+        model.name for model in models if (complete[model.name] + 1) / model.share <= highest
+    )
