Form groups before free instances are warmed up

Cause: the leader ordered warm-ups before it planned, and an instance of a returning domain was warmed up half a second after its first report, though the group waits until all have reported. Change: the plan comes first in the leader's duties, and nothing is warmed up in a domain of which more instances may report soon.

--- a/features/targets/warming.feature
+++ b/features/targets/warming.feature
@@ -33,4 +33,4 @@
   Scenario: the instances of a returning domain join their group before any is warmed up
     Given a leader whose groups have served, and a model of 3 instances
     When instances "a b c d" that hold it report one after the other, 0.2 s apart
-    Then within 2 s three of them join one group, and until then none is warmed up
+    Then within 2 s three of them join one group, which is their first order
--- a/packages/decisions/src/jaylatch_decisions/groups/warming.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/warming.py
@@ -16,7 +16,8 @@
     """Return the model to warm up for, by free instance.
 
     ``warm`` maps each instance to the model of its last group, as far as known. No instance is
-    warmed up for a model that a broken group of its domain is waiting for.
+    warmed up for a model that a broken group of its domain is waiting for, nor in a domain of which
+    more instances may report soon: it may complete a group with them.
     """
     if facts.may_join_cold:
         return {}
@@ -24,9 +25,10 @@
     assigned = facts.assigned
     waiting = {(home_domain(group, known), group.model) for group in facts.broken_groups}
     wanted = {model.name for model in facts.configuration.models}
+    incomplete = {item.failure_domain for item in facts.instances if item.is_recently_seen}
     warm_ups: dict[InstanceId, str] = {}
     for item in facts.instances:
-        if item.instance in assigned or item.is_recently_seen:
+        if item.instance in assigned or item.failure_domain in incomplete:
             continue
         for model in item.staged_models or ():
             is_useful = model in wanted and warm.get(item.instance) != model
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -153,15 +153,16 @@
         self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
-        if self._targets is not None and now >= self._plan_from:
-            plan_input = self._plan_input(facts)
-            self._log_supply(plan_input)
-            self._send_engine_orders(now, self._targets, plan_input)
+        # The plan comes first: instances that it uses must not be staged or warmed up meanwhile.
         if not self._is_proposing:
             commands = self._wanted_commands(now, facts)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
+        if self._targets is not None and now >= self._plan_from:
+            plan_input = self._plan_input(facts)
+            self._log_supply(plan_input)
+            self._send_engine_orders(now, self._targets, plan_input)
 
     def _send_engine_orders(
         self, now: float, targets: TargetController, plan_input: PlanInput
