Stage models that are short of groups first, also on spares of other models

Cause: each domain decided by itself what a free instance stages. One that stored the model with fewer groups counted as idle where its domain had no group of it, and became a spare of the model with more groups; a spare of the latter was never given up to complete a group of the former. Change: a model is short if another complete group would still not give it more, for its share, than the best supplied model has. Its instances are kept, its broken groups come first, and spares of other models complete its groups.

--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -10,23 +10,26 @@
 from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, scarce_models
+from jaylatch_decisions.groups.supply import short_models
 
 
 def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
     """Return the model that each free instance should stage, for those that should stage one.
 
     Each domain stages first what a broken group waits for, then what completes a wanted group, then
-    spares for the existing groups. Where instances may join without staging, nothing is staged in a
-    domain without groups, so that no instance stages a model and then joins a group of another.
+    spares for the existing groups. The needs of models that are short of groups come first, and
+    the spares of other models serve them. Where instances may join without staging, nothing is
+    staged in a domain without groups, so that no instance stages a model and then joins a group of another.
     """
     domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
     for item in facts.instances:
         domains[item.failure_domain].append(item)
     group_counts = Counter(group.model for group in facts.groups)
-    scarce = scarce_models(facts)
+    short = short_models(facts)
+    kept = scarce_models(facts) | short
     staging: dict[InstanceId, str] = {}
     for domain in sorted(domains):
-        needs = _Domain(facts, domain, domains[domain], group_counts, scarce)
+        needs = _Domain(facts, domain, domains[domain], group_counts, short, kept)
         # The needs of a recovering domain are known once all of its instances have reported.
         is_fully_reported = not any(item.is_recently_seen for item in domains[domain])
         if is_fully_reported and (needs.has_groups or not facts.may_join_cold):
@@ -43,11 +46,13 @@
         domain: FailureDomainId,
         instances: list[InstanceFacts],
         group_counts: Counter[str],
-        scarce: frozenset[str],
+        short: frozenset[str],
+        kept: frozenset[str],
     ) -> None:
         self._models = facts.configuration.models
         self._group_counts = group_counts
-        self._scarce = scarce
+        self._short = short
+        self._kept = kept
         known = {item.instance: item for item in instances}
         all_known = {item.instance: item for item in facts.instances}
         self._groups = [group for group in facts.groups if home_domain(group, all_known) == domain]
@@ -86,11 +91,12 @@
                 if item.instance not in staging and not item.staging_model
             ]
             idle = [item for item in available if not self._is_useful(item)]
-            model = self._next_model(idle)
+            spares = [item for item in available if not self._is_needed(item)]
+            model = self._next_model(idle, spares)
             chosen = [item for item in idle if model not in _models_of(item)]
-            if not chosen and model is not None and self._is_lacking(model):
-                # Repairing a broken group takes precedence over the spare of a serving one.
-                chosen = [item for item in available if not self._is_needed(item)]
+            if model is not None and (self._is_lacking(model) or model in self._short):
+                # A group that is broken or missing takes precedence over a serving one's spare.
+                chosen = chosen or [item for item in spares if model not in _models_of(item)]
             if model is None or not chosen:
                 return staging
             # Empty instances first: another staged model may be wanted again.
@@ -107,8 +113,8 @@
         return has_group or self._is_needed(item) or self._completes_group(item)
 
     def _is_needed(self, item: InstanceFacts) -> bool:
-        """Return whether the instance has staged a model that a broken group waits for."""
-        return any(self._lacking[model] or model in self._scarce for model in _models_of(item))
+        """Return whether the instance has staged a model that is short or that a group lacks."""
+        return any(self._lacking[model] or model in self._kept for model in _models_of(item))
 
     def _is_lacking(self, model: str) -> bool:
         """Return whether more members are lacking than free instances have staged ``model``."""
@@ -121,14 +127,23 @@
             for model in _models_of(item)
         )
 
-    def _next_model(self, idle: list[InstanceFacts]) -> str | None:
-        """Return the model that one of the ``idle`` instances should stage next, or None."""
-        lacking = [model for model in self._models if self._is_lacking(model.name)]
+    def _next_model(self, idle: list[InstanceFacts], spares: list[InstanceFacts]) -> str | None:
+        """Return the model that should be staged next, or None.
+
+        Groups are completed by ``idle`` instances, those of short models by ``spares`` too.
+        """
+        short = [model for model in self._models if model.name in self._short]
+        lacking = [model for model in short if self._is_lacking(model.name)]
+        completable = [model for model in short if self._is_completable(model, spares)]
+        if not lacking and not completable:
+            lacking = [model for model in self._models if self._is_lacking(model.name)]
         if lacking:
             return min(
                 lacking, key=lambda item: self._lacking[item.name] - self._staged[item.name]
             ).name
-        completable = [model for model in self._models if self._is_completable(model, idle)]
+        completable = completable or [
+            model for model in self._models if self._is_completable(model, idle)
+        ]
         if completable:
             return min(
                 completable,
@@ -136,9 +151,9 @@
             ).name
         return self._least_protected()
 
-    def _is_completable(self, model: ModelSpecification, idle: list[InstanceFacts]) -> bool:
-        """Return whether staging on idle instances alone completes a further group."""
-        others = sum(model.name not in _models_of(item) for item in idle)
+    def _is_completable(self, model: ModelSpecification, usable: list[InstanceFacts]) -> bool:
+        """Return whether staging on ``usable`` instances alone completes a further group."""
+        others = sum(model.name not in _models_of(item) for item in usable)
         return 0 < self._missing(model) <= others
 
     def _missing(self, model: ModelSpecification) -> int:
