--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -19,7 +19,8 @@
     Each domain stages first what a broken group waits for, then what completes a wanted group, then
     spares for the existing groups. The needs of models that are short of groups come first, and
     the spares of other models serve them. Where instances may join without staging, nothing is
-    staged in a domain without groups, so that no instance stages a model and then joins a group of another.
+    staged in a domain without groups, so that no instance stages a model and then joins a group of
+    another.
     """
     domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
     for item in facts.instances:
