Convert a group of a well supplied model when another one is short

Cause: a model that had lost groups got new ones only from free instances. Where a domain had none left, it stayed short while the other model kept all of its groups. Change: members of a group of the better supplied model load the short one while they serve; the group then ends its work, is dissolved, and its members form or repair a group of the short model. The model that gives up a group stays at least as well supplied as the other becomes.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -12,11 +12,12 @@
     InstanceFacts,
     PlanInput,
     groups_to_recall,
+    plan_conversion,
     plan_groups,
     plan_staging,
     plan_warm_ups,
+    short_models,
 )
-from jaylatch_decisions.groups.supply import short_models
 
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
@@ -167,3 +168,13 @@
 def step_short_models(context: Context, models: str) -> None:
     found = short_models(plan_input(context))
     assert " ".join(sorted(found)) == models, found
+
+
+@then(r'the conversion is "(?P<conversion>[^"]*)"')
+def step_conversion(context: Context, conversion: str) -> None:
+    found = plan_conversion(plan_input(context))
+    text = ""
+    if found is not None:
+        loads = " ".join(found.loads)
+        text = f"{found.group} to {found.model}: {'ready' if found.is_ready else loads}"
+    assert text.strip() == conversion, found
--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -19,3 +19,35 @@
       | the spare stays where it would not complete one     | a=v b=v c=v d=v s=v e=f               | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     |         |
       | the short model's broken group is repaired first    | a=v! b=v c=v d=v e=f! g=f h=f t=-     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     | t:f     |
       | the spare of another broken group stays             | a=v! b=v c=v d=v s=v e=f! g=f h=f     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     |         |
+
+  Scenario Outline: conversion while <case>
+    Given the instances "<west>" of the domain west
+    And the instances "q=v r=v s=v t=v x=f y=f z=f" of the domain east
+    And the formed groups "<groups>"
+    Then the conversion is "<conversion>"
+
+    Examples: v:abcd and v:mnop of west and v:qrst of east, g1 to g3, are complete unless a member is lost
+      | case                                            | west                                        | groups                           | conversion   |
+      | one group of f serves and none is free          | a=v b=v c=v d=v m=v n=v o=v p=v             | v:abcd v:mnop v:qrst f:xyz       | g1 to f: a b c |
+      | a member loads the model                        | a=v b=v>f c=v d=v m=v n=v o=v p=v           | v:abcd v:mnop v:qrst f:xyz       | g1 to f: a c |
+      | all loads have begun                            | a=v>f b=v>f c=v>f d=v m=v n=v o=v p=v       | v:abcd v:mnop v:qrst f:xyz       | g1 to f:     |
+      | all loads are done                              | a=f b=f c=f d=v m=v n=v o=v p=v             | v:abcd v:mnop v:qrst f:xyz       | g1 to f: ready |
+      | members of another group have loaded            | a=v b=v c=v d=v m=f n=f o=f p=v             | v:abcd v:mnop v:qrst f:xyz       | g2 to f: ready |
+      | a free instance holds the model                 | a=v b=v c=v d=v e=f m=v n=v o=v p=v         | v:abcd v:mnop v:qrst f:xyz       | g1 to f: a b |
+      | the difference is one group                     | a=v! b=v c=v d=v m=v n=v o=v p=v            | v:abcd v:mnop v:qrst f:xyz       |              |
+      | free instances can complete a group             | a=v b=v c=v d=v e=- g=- h=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz       |              |
+      | a broken group lacks one member                 | a=v b=v c=v d=v e=f! g=f h=f m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:egh f:xyz | g1 to f: a   |
+
+  Scenario Outline: the plan when a group is converted and <case>
+    Given the instances "<west>" of the domain west
+    And the instances "q=v r=v s=v t=v x=f y=f z=f" of the domain east
+    And the formed groups "<groups>"
+    And "<idle>" have no more work
+    Then the plan is "<plan>"
+
+    Examples:
+      | case                            | west                            | groups                     | idle | plan            |
+      | it has work                     | a=f b=f c=f d=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz |      |                 |
+      | it has no more work             | a=f b=f c=f d=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz | a    | dissolve v:abcd |
+      | not all loads are done          | a=f b=f c=v>f d=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz | a  |                 |
+      | it has been dissolved           | a=f b=f c=f d=v m=v n=v o=v p=v | v:mnop v:qrst f:xyz        |      | form f:abc      |
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -16,6 +16,7 @@
     Group,
     RepairGroup,
 )
+from jaylatch_decisions.groups.conversion import plan_conversion
 from jaylatch_decisions.groups.facts import PlanInput
 from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.spanning import (
@@ -36,6 +37,7 @@
     planner.form_groups()
     planner.span_domains()
     planner.dissolve_unrepairable_groups()
+    planner.convert_groups()
     return planner.commands
 
 
@@ -124,6 +126,15 @@
         for domain, broken in self._broken.items():
             self._dissolve_donors(domain, broken)
 
+    def convert_groups(self) -> None:
+        """Dissolve a group that gives way to one of a short model, once it has no more work."""
+        conversion = plan_conversion(self._facts)
+        if conversion is None or not conversion.is_ready:
+            return
+        group = next(item for item in self._facts.groups if item.id == conversion.group)
+        if self._is_idle(group) and not self.commands:
+            self._dissolve(group)
+
     # Repair
 
     def _repair(self, group: Group) -> None:
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -51,13 +51,19 @@
     )
 
 
+def count_complete(facts: PlanInput) -> Counter[str]:
+    """Return the number of complete groups of each model."""
+    complete = Counter(group.model for group in facts.groups)
+    complete.subtract(group.model for group in facts.broken_groups)
+    return complete
+
+
 def short_models(facts: PlanInput) -> frozenset[str]:
     """Return the models that have fewer complete groups for their share than another model has.
 
     A model is short if one more complete group would still not give it more than the other.
     """
-    complete = Counter(group.model for group in facts.groups)
-    complete.subtract(group.model for group in facts.broken_groups)
+    complete = count_complete(facts)
     models = facts.configuration.models
     highest = max((complete[model.name] / model.share for model in models), default=0.0)
     return frozenset(
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -33,15 +33,17 @@
     InstanceFacts,
     LoadPermit,
     LoadRequest,
+    ModelSupply,
     PlanInput,
+    count_supply,
     grant_load_permits,
     groups_to_recall,
+    plan_conversion,
     plan_groups,
     plan_staging,
     plan_warm_ups,
     retiring_groups,
 )
-from jaylatch_decisions.groups.supply import ModelSupply, count_supply
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.group_metrics import GroupMetrics
@@ -168,12 +170,18 @@
         self, now: float, targets: TargetController, plan_input: PlanInput
     ) -> None:
         groups = tuple(self._state.groups.values())
-        targets.recall(now, groups_to_recall(plan_input))
+        recalled = groups_to_recall(plan_input)
+        conversion = plan_conversion(plan_input)
+        if conversion is not None and conversion.is_ready:
+            recalled |= {conversion.group}
+        targets.recall(now, recalled)
         staging: dict[InstanceId, str] = {}
         warm_ups: dict[InstanceId, str] = {}
         # While a plan is being committed, the set of free instances is about to change.
         if not self._is_proposing:
             staging = plan_staging(plan_input)
+            if conversion is not None:
+                staging |= dict.fromkeys(conversion.loads, conversion.model)
             warm_ups = plan_warm_ups(plan_input, targets.warm_models(groups))
         targets.send_orders(now, groups, staging, warm_ups)
 
