Start no more loads than the weight store serves at full speed, the urgent ones first

Cause: every domain loaded its spares and new groups at once. Change: loads are ordered by purpose (repair, new group, spare) and end at the store's number. Shares are compared with a tolerance, since a group is the smallest step, and a spare is given up only for a group. Measured: tables in features/targets/supply.feature.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -41,6 +41,11 @@
     context.instances = known + parse_instances(instances, FailureDomainId(domain))
 
 
+@given(r"a weight store that serves (?P<limit>\d+) loads at full speed")
+def step_parallel_loads(context: Context, limit: str) -> None:
+    context.parallel_loads = int(limit)
+
+
 @given("groups that may span domains")
 def step_may_span(context: Context) -> None:
     context.spanning_models = frozenset(model.name for model in MODELS)
@@ -120,6 +125,7 @@
         tuple(context.instances),
         may_join_cold=getattr(context, "may_join_cold", False),
         spanning_models=getattr(context, "spanning_models", frozenset()),
+        parallel_loads=getattr(context, "parallel_loads", 0),
     )
 
 
--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -51,3 +51,18 @@
       | it has no more work             | a=f b=f c=f d=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz | a    | dissolve v:abcd |
       | not all loads are done          | a=f b=f c=v>f d=v m=v n=v o=v p=v | v:abcd v:mnop v:qrst f:xyz | a  |                 |
       | it has been dissolved           | a=f b=f c=f d=v m=v n=v o=v p=v | v:mnop v:qrst f:xyz        |      | form f:abc      |
+
+  Scenario Outline: at most <limit> loads at once, <case>
+    Given a weight store that serves <limit> loads at full speed
+    And the instances "<west>" of the domain west
+    And the instances "<east>" of the domain east
+    And the formed groups "<groups>"
+    Then they stage "<staging>"
+
+    Examples: v:abcd of west needs a spare, the instances of east complete a group or repair one
+      | limit | case                                      | west                | east                        | groups       | staging |
+      | 0     | no limit                                  | a=v b=v c=v d=v s=- | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl | p:v s:v |
+      | 2     | all loads fit                             | a=v b=v c=v d=v s=- | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl | p:v s:v |
+      | 1     | a new group comes before a spare          | a=v b=v c=v d=v s=- | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl | p:v     |
+      | 1     | a broken group comes before a new one     | a=f b=f c=-         | m=v! n=v o=v p=v t=-        | v:mnop       | t:v     |
+      | 1     | a load that runs already counts           | a=v b=v c=v d=v s=->v | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl |     |
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -16,7 +16,7 @@
 from jaylatch_core.messages.control import Group
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, remote_members
-from jaylatch_decisions.groups.supply import count_complete, short_models
+from jaylatch_decisions.groups.supply import SHARE_TOLERANCE, count_complete, short_models
 from jaylatch_decisions.groups.weighing import kept_spares
 
 
@@ -50,7 +50,9 @@
         return None
     reached = (complete[model.name] + 1) / model.share
     donors = {
-        name for name, other in models.items() if (complete[name] - 1) / other.share >= reached
+        name
+        for name, other in models.items()
+        if (complete[name] - 1) / other.share * SHARE_TOLERANCE >= reached
     }
     choices = [
         conversion
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -48,7 +48,8 @@
 
     ``may_join_cold``: instances may join groups of models that they have not staged.
     ``spanning_models`` are those whose groups serve in time, if more slowly, when their members are
-    in several domains.
+    in several domains. ``parallel_loads`` is the number of loads that do not slow each other down
+    (0: no limit).
     """
 
     configuration: Configuration
@@ -58,6 +59,7 @@
     instances: tuple[InstanceFacts, ...]
     may_join_cold: bool = True
     spanning_models: frozenset[str] = frozenset()
+    parallel_loads: int = 0
 
     @property
     def assigned(self) -> frozenset[InstanceId]:
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -5,9 +5,12 @@
 """
 
 from collections import Counter, defaultdict
+from enum import IntEnum
+from typing import NamedTuple
 
 from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, InstanceId
+from jaylatch_decisions.groups.conversion import plan_conversion
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, scarce_models
 from jaylatch_decisions.groups.supply import short_models
@@ -18,9 +21,9 @@
 
     Each domain stages first what a broken group waits for, then what completes a wanted group, then
     spares for the existing groups. The needs of models that are short of groups come first, and
-    the spares of other models serve them. Where instances may join without staging, nothing is
-    staged in a domain without groups, so that no instance stages a model and then joins a group of
-    another.
+    the spares of other models serve them. The members of a group that is converted load its new
+    model. Where instances may join without staging, nothing is staged in a domain without groups,
+    so that no instance stages a model and then joins a group of another.
     """
     domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
     for item in facts.instances:
@@ -28,14 +31,43 @@
     group_counts = Counter(group.model for group in facts.groups)
     short = short_models(facts)
     kept = scarce_models(facts) | short
-    staging: dict[InstanceId, str] = {}
+    loads: list[_Load] = []
     for domain in sorted(domains):
         needs = _Domain(facts, domain, domains[domain], group_counts, short, kept)
         # The needs of a recovering domain are known once all of its instances have reported.
         is_fully_reported = not any(item.is_recently_seen for item in domains[domain])
         if is_fully_reported and (needs.has_groups or not facts.may_join_cold):
-            staging.update(needs.plan())
-    return staging
+            loads += needs.plan()
+    conversion = plan_conversion(facts)
+    if conversion is not None:
+        loads += [_Load(item, conversion.model, _Purpose.FORM) for item in conversion.loads]
+    return {load.instance: load.model for load in _limit_loads(facts, loads)}
+
+
+def _limit_loads(facts: PlanInput, loads: list["_Load"]) -> list["_Load"]:
+    """Return the most urgent ``loads`` that the weight store serves at full speed.
+
+    Further ones would slow down those that a broken group waits for.
+    """
+    if not facts.parallel_loads:
+        return loads
+    running = sum(bool(item.staging_model) for item in facts.instances if item.is_usable)
+    ordered = sorted(loads, key=lambda load: load.purpose)
+    return ordered[: max(facts.parallel_loads - running, 0)]
+
+
+class _Purpose(IntEnum):
+    """Purpose of a load, the most urgent first."""
+
+    REPAIR = 0
+    FORM = 1
+    SPARE = 2
+
+
+class _Load(NamedTuple):
+    instance: InstanceId
+    model: str
+    purpose: _Purpose
 
 
 class _Domain:
@@ -82,29 +114,32 @@
         """Return whether this domain has a group."""
         return bool(self._groups)
 
-    def plan(self) -> dict[InstanceId, str]:
-        """Return the staging of this domain."""
-        staging: dict[InstanceId, str] = {}
+    def plan(self) -> list[_Load]:
+        """Return the loads of this domain."""
+        loads: list[_Load] = []
+        taken: set[InstanceId] = set()
         while True:
             available = [
-                item
-                for item in self._free
-                if item.instance not in staging and not item.staging_model
+                item for item in self._free if item.instance not in taken and not item.staging_model
             ]
             idle = [item for item in available if not self._is_useful(item)]
             spares = [item for item in available if not self._is_needed(item)]
-            model = self._next_model(idle, spares)
+            need = self._next_need(idle, spares)
+            if need is None:
+                return loads
+            model, purpose = need
             chosen = [item for item in idle if model not in _models_of(item)]
-            if model is not None and (self._is_lacking(model) or model in self._short):
+            if not chosen and purpose is not _Purpose.SPARE:
                 # A group that is broken or missing takes precedence over a serving one's spare.
-                chosen = chosen or [item for item in spares if model not in _models_of(item)]
-            if model is None or not chosen:
-                return staging
+                chosen = [item for item in spares if model not in _models_of(item)]
+            if not chosen:
+                return loads
             # Empty instances first: another staged model may be wanted again.
             item = min(chosen, key=lambda item: (len(_models_of(item)), item.instance))
             self._staged.subtract(_models_of(item))
             self._staged[model] += 1
-            staging[item.instance] = model
+            taken.add(item.instance)
+            loads.append(_Load(item.instance, model, purpose))
 
     def _is_useful(self, item: InstanceFacts) -> bool:
         """Return whether the instance has staged a model that this domain needs."""
@@ -128,8 +163,10 @@
             for model in _models_of(item)
         )
 
-    def _next_model(self, idle: list[InstanceFacts], spares: list[InstanceFacts]) -> str | None:
-        """Return the model that should be staged next, or None.
+    def _next_need(
+        self, idle: list[InstanceFacts], spares: list[InstanceFacts]
+    ) -> tuple[str, _Purpose] | None:
+        """Return the model that should be staged next and its purpose, or None.
 
         Groups are completed by ``idle`` instances, those of short models by ``spares`` too.
         """
@@ -139,18 +176,21 @@
         if not lacking and not completable:
             lacking = [model for model in self._models if self._is_lacking(model.name)]
         if lacking:
-            return min(
+            model = min(
                 lacking, key=lambda item: self._lacking[item.name] - self._staged[item.name]
-            ).name
+            )
+            return model.name, _Purpose.REPAIR
         completable = completable or [
             model for model in self._models if self._is_completable(model, idle)
         ]
         if completable:
-            return min(
+            model = min(
                 completable,
                 key=lambda item: (self._missing(item), self._group_counts[item.name] / item.share),
-            ).name
-        return self._least_protected()
+            )
+            return model.name, _Purpose.FORM
+        exposed = self._least_protected()
+        return (exposed, _Purpose.SPARE) if exposed is not None else None
 
     def _is_completable(self, model: ModelSpecification, usable: list[InstanceFacts]) -> bool:
         """Return whether staging on ``usable`` instances alone completes a further group."""
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -11,6 +11,9 @@
 
 from jaylatch_decisions.groups.facts import PlanInput
 
+SHARE_TOLERANCE = 1.1
+"""Factor by which one model may have more groups for its share than another and count as equal."""
+
 
 class ModelSupply(msgspec.Struct, frozen=True):
     """Groups of one model, and the instances in no group that store it or load it.
@@ -62,10 +65,13 @@
     """Return the models that have fewer complete groups for their share than another model has.
 
     A model is short if one more complete group would still not give it more than the other.
+    ``SHARE_TOLERANCE`` ignores the fractions of a group by which shares differ.
     """
     complete = count_complete(facts)
     models = facts.configuration.models
     highest = max((complete[model.name] / model.share for model in models), default=0.0)
     return frozenset(
-        model.name for model in models if (complete[model.name] + 1) / model.share <= highest
+        model.name
+        for model in models
+        if (complete[model.name] + 1) / model.share <= highest * SHARE_TOLERANCE
     )
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -180,8 +180,6 @@
         # While a plan is being committed, the set of free instances is about to change.
         if not self._is_proposing:
             staging = plan_staging(plan_input)
-            if conversion is not None:
-                staging |= dict.fromkeys(conversion.loads, conversion.model)
             warm_ups = plan_warm_ups(plan_input, targets.warm_models(groups))
         targets.send_orders(now, groups, staging, warm_ups)
 
@@ -375,6 +373,7 @@
             tuple(facts),
             self._targets is None or not self._targets.has_served,
             self._targets.spanning_models if self._targets is not None else frozenset(),
+            self._targets.parallel_loads if self._targets is not None else 0,
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -122,6 +122,14 @@
             if 0 < engine.span_factor * model.pace <= SPANNING_PACE_LIMIT
         )
 
+    @property
+    def parallel_loads(self) -> int:
+        """Return how many loads the weight store serves at full speed (0: no limit)."""
+        return min(
+            (engine.parallel_loads for engine in self._engines.values() if engine.parallel_loads),
+            default=0,
+        )
+
     @property
     def deaths(self) -> tuple[TargetDeath, ...]:
         """Return the latest deaths of targets that had requests in flight."""
