Take an engine that refuses to stage a model to be loading another one

Cause: a new leader does not know which loads its predecessor ordered. Change: a refused order to stage means that the engine loads an unknown model; it is ordered again after 2 s.

--- a/features/steps/leader_plan_steps.py
+++ b/features/steps/leader_plan_steps.py
@@ -46,6 +46,7 @@
     engine = EngineProfile(24, (ModelProfile(MODEL, int(size)),))
     deployment = Deployment(DeploymentNumber(1), services=(ServiceProfile(SERVICE, 100, engine),))
     state.apply(PublishDeployment(deployment, b""))
+    context.deployment = deployment
     context.orders = []
     context.registry = TargetRegistry(
         HEARTBEAT_TIMEOUT_SECONDS, STARTED_AT - HEARTBEAT_TIMEOUT_SECONDS
@@ -56,16 +57,17 @@
 
     async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
         context.orders.append((record.heartbeat.instance, order))
-        return OrderOutcome.ACCEPTED
+        return context.outcome
 
     async def probe(record: TargetRecord) -> bool:
         return True
 
     identity = Identity(InstanceId("c-1"), Incarnation("c"), DOMAIN, "10.0.0.9:1")
     board = Blackboard(identity, EventLog("c-1"), GrantBoard(HeldLease(0.0)))
-    targets = TargetController(context.registry, 1, send, probe, True, STARTED_AT)
+    context.outcome = OrderOutcome.ACCEPTED
+    context.targets = TargetController(context.registry, 1, send, probe, True, STARTED_AT)
     context.leader = LeaderController(
-        board, state, LeaseSettings(), Term(1), propose, STARTED_AT, targets
+        board, state, LeaseSettings(), Term(1), propose, STARTED_AT, context.targets
     )
 
 
@@ -100,7 +102,37 @@
     assert [first_orders[item] for item in group.members] == [group] * 3, context.orders
 
 
-def record_heartbeat(context: Context, now: float, name: str) -> None:
+@given(r"an engine that holds nothing and answers orders with (?P<outcome>\w+)")
+def step_engine(context: Context, outcome: str) -> None:
+    context.outcome = OrderOutcome(outcome)
+    context.targets.use_deployment(context.deployment)
+
+
+@when(r"(?P<time>\d+) s pass after its first order")
+def step_time_passes(context: Context, time: str) -> None:
+    async def order_while_idle() -> None:
+        for tick in range(round(int(time) / TICK_SECONDS)):
+            now = STARTED_AT + tick * TICK_SECONDS
+            record_heartbeat(context, now, "a", sequence=tick, staged=())
+            (context.engine,) = context.targets.facts(now, ())
+            is_loading = bool(context.engine.staging_model)
+            staging = {} if is_loading else {context.engine.instance: MODEL}
+            context.targets.send_orders(now, (), staging, {})
+            await sleep(0)
+            await sleep(0)
+
+    context.runner.run(order_while_idle())
+
+
+@then(r'the leader takes it to be loading "(?P<model>[^"]*)" and has sent (?P<number>\d+) orders')
+def step_taken_to_load(context: Context, model: str, number: str) -> None:
+    assert context.engine.staging_model == model, context.engine
+    assert len(context.orders) == int(number), context.orders
+
+
+def record_heartbeat(
+    context: Context, now: float, name: str, sequence: int = 1, staged: tuple[str, ...] = (MODEL,)
+) -> None:
     heartbeat = TargetCheckIn(
         InstanceId(name),
         SERVICE,
@@ -108,8 +140,8 @@
         DOMAIN,
         DOMAIN,
         born_at=1,
-        sequence=1,
+        sequence=sequence,
         is_draining=False,
-        staged_models=(MODEL,),
+        staged_models=staged,
     )
     assert context.registry.record_heartbeat(now, heartbeat)
--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -57,3 +57,17 @@
       | survivors that hold another model                                | a=v! b=v c=v d=v e=f! g=f h=f | v:abcd f:egh |                |
       | survivors that complete the other group                          | a=f! b=f c=f d=f! e=f g=f     | f:abc f:deg  | dissolve f:abc |
       | survivors and a spare of their model                             | a=v! b=v c=v d=v! t=v         | v:abcd       |                |
+
+  Scenario Outline: an engine answers the order to stage f with <outcome>, and <case>
+    Given a leader whose groups have served, and a model of 3 instances
+    And an engine that holds nothing and answers orders with <outcome>
+    When <time> s pass after its first order
+    Then the leader takes it to be loading "<model>" and has sent <orders> orders
+
+    Examples: a leader that has just been elected does not know the loads that its predecessor ordered
+      | outcome  | case                       | time | model | orders |
+      | accepted | it loads the model         | 1    | f     | 1      |
+      | accepted | its load goes on           | 10   | f     | 1      |
+      | conflict | it loads an unknown model  | 1    | ?     | 1      |
+      | conflict | it is ordered again        | 3    | ?     | 2      |
+      | unknown  | it may load the model      | 1    | f     | 1      |
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -31,6 +31,10 @@
 """Seconds after which an order is sent again if the target's heartbeats do not show its effect."""
 STAGING_RETRY = 25.0
 """Seconds after which staging is ordered again: a load from the store takes up to 16 s."""
+UNKNOWN_MODEL = "?"
+"""Name of the model that an engine is staging by order of an earlier leader."""
+CONFLICT_RETRY = 2.0
+"""Seconds after which an engine that refused to stage a model is ordered again: it may be free."""
 DRAIN_LIMIT = 8.0
 """Seconds after which a group with a leaving member is regrouped even if its streams have not
 finished: the member stays for at least 2 s, and for at most 10 s while the head has work."""
@@ -392,7 +396,8 @@
         """Return the model that an instance is staging as ordered, or an empty name."""
         instance = record.heartbeat.instance
         model, ordered_at = self._staging_orders.get(instance, ("", 0.0))
-        if model and (model in record.heartbeat.staged_models or now >= ordered_at + STAGING_RETRY):
+        retry = CONFLICT_RETRY if model == UNKNOWN_MODEL else STAGING_RETRY
+        if model and (model in record.heartbeat.staged_models or now >= ordered_at + retry):
             del self._staging_orders[instance]
             return ""
         return model
@@ -455,6 +460,10 @@
         finally:
             self._in_flight.discard(instance)
         log_record(_log, EngineOrdered(target=instance, order=repr(order), outcome=outcome.value))
+        if outcome is OrderOutcome.CONFLICT and isinstance(order, StageModel):
+            # It is staging what an earlier leader ordered, and keeps to that.
+            _, ordered_at = self._last_orders.pop(instance)
+            self._staging_orders[instance] = (UNKNOWN_MODEL, ordered_at)
         if outcome is OrderOutcome.FENCED and not isinstance(order, JoinGroup):
             # A newer leader has sent orders; this one sends no more.
             self._is_fenced = True
