Do not hold back the loads that broken groups wait for

A limit that counts loads in progress would have made a broken group wait for those of spares that began before it. Repairs start at once; only new groups and spares keep to the store's number.

--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -66,3 +66,4 @@
       | 1     | a new group comes before a spare          | a=v b=v c=v d=v s=- | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl | p:v     |
       | 1     | a broken group comes before a new one     | a=f b=f c=-         | m=v! n=v o=v p=v t=-        | v:mnop       | t:v     |
       | 1     | a load that runs already counts           | a=v b=v c=v d=v s=->v | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl |     |
+      | 1     | a broken group does not wait for others   | a=v b=v c=v d=v s=->v | m=v! n=v o=v p=v t=-      | v:abcd v:mnop |    t:v     |
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -45,7 +45,7 @@
 
 
 def _limit_loads(facts: PlanInput, loads: list["_Load"]) -> list["_Load"]:
-    """Return the most urgent ``loads`` that the weight store serves at full speed.
+    """Return all repairs, and the other loads while the weight store serves them at full speed.
 
     Further ones would slow down those that a broken group waits for.
     """
@@ -53,7 +53,11 @@
         return loads
     running = sum(bool(item.staging_model) for item in facts.instances if item.is_usable)
     ordered = sorted(loads, key=lambda load: load.purpose)
-    return ordered[: max(facts.parallel_loads - running, 0)]
+    return [
+        load
+        for number, load in enumerate(ordered, start=running + 1)
+        if load.purpose is _Purpose.REPAIR or number <= facts.parallel_loads
+    ]
 
 
 class _Purpose(IntEnum):
