Compare the models' groups with a tolerance of a quarter of a group

Cause: a tolerance of a tenth of the share is more than a group from ten groups on; of two models with 20 and 19 groups both counted as short, and each could have been given a group of the other. Change: the tolerance is a quarter of a group, and a model with all groups that are wanted is not short.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -116,7 +116,7 @@
 
 
 def plan_input(context: Context) -> PlanInput:
-    configuration = Configuration(models=MODELS)
+    configuration = Configuration(models=getattr(context, "models", MODELS))
     return PlanInput(
         configuration,
         configuration.ordinary,
@@ -184,3 +184,38 @@
         loads = " ".join(found.loads)
         text = f"{found.group} to {found.model}: {'ready' if found.is_ready else loads}"
     assert text.strip() == conversion, found
+
+
+@given(r'models "(?P<models>[^"]*)"')
+def step_models(context: Context, models: str) -> None:
+    parsed = []
+    for text in models.split():
+        name, _, numbers = text.partition("=")
+        share, _, wanted = numbers.partition("/")
+        parsed.append(ModelSpecification(name, 1, int(wanted or 0), float(share)))
+    context.models = tuple(parsed)
+
+
+@given(r'complete groups "(?P<groups>[^"]*)"')
+def step_complete_groups(context: Context, groups: str) -> None:
+    """Make groups of one instance each, in a domain of its own."""
+    context.instances, context.groups = [], []
+    for text in groups.split():
+        model, number = text.split("=")
+        names = [f"{model}{index}" for index in range(int(number))]
+        for name in names:
+            context.instances += parse_instances(f"{name}={model}", FailureDomainId(name))
+            epoch = Epoch(len(context.groups) + 1)
+            context.groups.append(
+                Group(GroupId(name), epoch, model, (InstanceId(name),), GroupState.ACTIVE)
+            )
+
+
+@then(r'giving up a group of "(?P<giving>[^"]*)" leaves enough: (?P<result>\w*)')
+def step_gives_up(context: Context, giving: str, result: str) -> None:
+    found = plan_conversion(plan_input(context))
+    if giving:
+        assert (found is not None) == (result == "yes"), found
+        assert found is None or found.group.startswith(giving), found
+    else:
+        assert found is None, found
--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -20,6 +20,23 @@
       | the short model's broken group is repaired first    | a=v! b=v c=v d=v e=f! g=f h=f t=-     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     | t:f     |
       | the spare of another broken group stays             | a=v! b=v c=v d=v s=v e=f! g=f h=f     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     |         |
 
+  Scenario Outline: <case>: <groups>
+    Given models "<models>"
+    And complete groups "<groups>"
+    Then the short models are "<short>"
+    And giving up a group of "<giving>" leaves enough: <result>
+
+    Examples: a model is NAME=SHARE, with /N if N groups are wanted
+      | case                                | models            | groups   | short | giving | result |
+      | two groups more                     | v=1 f=1           | v=3 f=1  | f     | v      | yes    |
+      | one group more                      | v=1 f=1           | v=2 f=1  | f     | v      | no     |
+      | shares that are no whole groups     | v=0.1425 f=0.1433 | v=1 f=3  | v     | f      | yes    |
+      | many groups, one more               | v=1 f=1           | v=20 f=19 | f    | v      | no     |
+      | many groups, two more               | v=1 f=1           | v=21 f=19 | f    | v      | yes    |
+      | few large groups and many small     | v=0.03125 f=0.125 | v=2 f=13 | v     | f      | yes    |
+      | a large group is worth four         | v=0.03125 f=0.125 | v=3 f=11 | f     | v      | no     |
+      | no further group is wanted          | v=1 f=1/1         | v=3 f=1  |       |        |        |
+
   Scenario Outline: conversion while <case>
     Given the instances "<west>" of the domain west
     And the instances "q=v r=v s=v t=v x=f y=f z=f" of the domain east
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -16,7 +16,7 @@
 from jaylatch_core.messages.control import Group
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, remote_members
-from jaylatch_decisions.groups.supply import SHARE_TOLERANCE, count_complete, short_models
+from jaylatch_decisions.groups.supply import count_complete, may_gain_group, short_models
 from jaylatch_decisions.groups.weighing import kept_spares
 
 
@@ -48,11 +48,10 @@
     if any(len(needs.free(domain)) >= needs.count(domain) for domain in needs.domains):
         # Staging on free instances completes a group.
         return None
-    reached = (complete[model.name] + 1) / model.share
     donors = {
         name
         for name, other in models.items()
-        if (complete[name] - 1) / other.share * SHARE_TOLERANCE >= reached
+        if may_gain_group(model, complete[model.name], (complete[name] - 1) / other.share)
     }
     choices = [
         conversion
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -9,10 +9,11 @@
 
 import msgspec
 
+from jaylatch_core.configuration import ModelSpecification
 from jaylatch_decisions.groups.facts import PlanInput
 
-SHARE_TOLERANCE = 1.1
-"""Factor by which one model may have more groups for its share than another and count as equal."""
+GROUP_TOLERANCE = 0.25
+"""Fraction of a group by which a model may exceed its share: shares are seldom whole groups."""
 
 
 class ModelSupply(msgspec.Struct, frozen=True):
@@ -64,8 +65,8 @@
 def short_models(facts: PlanInput) -> frozenset[str]:
     """Return the models that have fewer complete groups for their share than another model has.
 
-    A model is short if one more complete group would still not give it more than the other.
-    ``SHARE_TOLERANCE`` ignores the fractions of a group by which shares differ.
+    A model is short if one more complete group would still not give it more than the other, and if
+    the configuration wants one more.
     """
     complete = count_complete(facts)
     models = facts.configuration.models
@@ -73,5 +74,11 @@
     return frozenset(
         model.name
         for model in models
-        if (complete[model.name] + 1) / model.share <= highest * SHARE_TOLERANCE
+        if (model.groups == 0 or complete[model.name] < model.groups)
+        and may_gain_group(model, complete[model.name], highest)
     )
+
+
+def may_gain_group(model: ModelSpecification, complete: int, supply: float) -> bool:
+    """Return whether one more group gives ``model`` no more for its share than ``supply``."""
+    return complete + 1 <= supply * model.share + GROUP_TOLERANCE
