Wait for the rest of a dissolved group before its instances are used

Cause: the instances of a dissolved group are released one after the other. Change: a domain of which an instance has just appeared or still leaves a group is changing; nothing is staged or warmed up there. Measured: two rows of features/targets/warming.feature fail without it.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -22,6 +22,7 @@
 MODELS = (ModelSpecification("v", 4, 0, 1.0), ModelSpecification("f", 3, 0, 1.0))
 DOMAIN = FailureDomainId("domain")
 
+LEFT_EPOCH = Epoch(90)
 KNOWN_DURATION = 60.0
 """Seconds; an instance known for this long is not recently seen."""
 LOST_DURATION = 10.0
@@ -121,7 +122,7 @@
         configuration,
         configuration.ordinary,
         tuple(context.groups),
-        {},
+        getattr(context, "occupied", {}),
         tuple(context.instances),
         may_join_cold=getattr(context, "may_join_cold", False),
         spanning_models=getattr(context, "spanning_models", frozenset()),
@@ -186,6 +187,12 @@
     assert text.strip() == conversion, found
 
 
+@given(r'"(?P<names>[^"]*)" have not left their last group')
+def step_leaving(context: Context, names: str) -> None:
+    leaving = [item for item in context.instances if item.instance in names.split()]
+    context.occupied = {item.instance: LEFT_EPOCH for item in leaving}
+
+
 @given(r'models "(?P<models>[^"]*)"')
 def step_models(context: Context, models: str) -> None:
     parsed = []
--- a/features/targets/warming.feature
+++ b/features/targets/warming.feature
@@ -23,6 +23,20 @@
       | members of groups are not warmed up        | a=f b=f c=f       | f:abc  |      |          |
       | a model that is not wanted                 | a=f b=f c=f s=x   | f:abc  |      |          |
 
+  Scenario Outline: the group of <members> was dissolved, and <leaving> have not left it yet
+    Given the instances "a=f b=f c=f d=v e=v g=v h=v s=f" of one domain
+    And the formed groups "v:degh"
+    And "<leaving>" have not left their last group
+    And the last groups were "a:f b:f c:f s:v"
+    Then they are warmed up "<warm_ups>"
+    And they stage "<staging>"
+
+    Examples:
+      | members | leaving | warm_ups | staging |
+      | abc     | a b c   |          |         |
+      | abc     | c       |          |         |
+      | abc     | nobody  | s:f      |         |
+
   Scenario: nothing is warmed up before the first groups exist
     Given the first start of the deployment
     And the instances "a=f b=f" of one domain
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -67,6 +67,18 @@
         members = {member for group in self.groups for member in group.members}
         return frozenset(members | self.occupied.keys())
 
+    @property
+    def changing_domains(self) -> frozenset[FailureDomainId]:
+        """Return the domains of which an instance has just appeared or still leaves a group.
+
+        What their free instances can form or repair is known only afterwards.
+        """
+        return frozenset(
+            item.failure_domain
+            for item in self.instances
+            if item.is_usable and (item.is_recently_seen or item.instance in self.occupied)
+        )
+
     @property
     def broken_groups(self) -> list[Group]:
         """Return the groups with a member that is unknown or unusable."""
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -31,12 +31,11 @@
     group_counts = Counter(group.model for group in facts.groups)
     short = short_models(facts)
     kept = scarce_models(facts) | short
+    changing = facts.changing_domains
     loads: list[_Load] = []
     for domain in sorted(domains):
         needs = _Domain(facts, domain, domains[domain], group_counts, short, kept)
-        # The needs of a recovering domain are known once all of its instances have reported.
-        is_fully_reported = not any(item.is_recently_seen for item in domains[domain])
-        if is_fully_reported and (needs.has_groups or not facts.may_join_cold):
+        if domain not in changing and (needs.has_groups or not facts.may_join_cold):
             loads += needs.plan()
     conversion = plan_conversion(facts)
     if conversion is not None:
--- a/packages/decisions/src/jaylatch_decisions/groups/warming.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/warming.py
@@ -16,8 +16,8 @@
     """Return the model to warm up for, by free instance.
 
     ``warm`` maps each instance to the model of its last group, as far as known. No instance is
-    warmed up for a model that a broken group of its domain is waiting for, nor in a domain of which
-    more instances may report soon: it may complete a group with them.
+    warmed up for a model that a broken group of its domain is waiting for, nor in a domain that
+    is changing: it may complete a group there.
     """
     if facts.may_join_cold:
         return {}
@@ -25,10 +25,10 @@
     assigned = facts.assigned
     waiting = {(home_domain(group, known), group.model) for group in facts.broken_groups}
     wanted = {model.name for model in facts.configuration.models}
-    incomplete = {item.failure_domain for item in facts.instances if item.is_recently_seen}
+    changing = facts.changing_domains
     warm_ups: dict[InstanceId, str] = {}
     for item in facts.instances:
-        if item.instance in assigned or item.failure_domain in incomplete:
+        if item.instance in assigned or item.failure_domain in changing:
             continue
         for model in item.staged_models or ():
             is_useful = model in wanted and warm.get(item.instance) != model
