Compute the facts of a plan once for each round of the leader

Cause: the comparison of the models asks for the broken groups several times a round. Change: the plan's input is built once a round and keeps what is derived from it.

--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -1,5 +1,7 @@
 """Input of the planner: the state of the instances and groups as the leader knows it."""
 
+from functools import cached_property
+
 import msgspec
 
 from jaylatch_core.configuration import Configuration, PresetPolicy
@@ -43,7 +45,7 @@
         return self.known_for < RECENTLY_SEEN_TIME
 
 
-class PlanInput(msgspec.Struct, frozen=True):
+class PlanInput(msgspec.Struct, frozen=True, dict=True):
     """Complete input of the planner.
 
     ``may_join_cold``: instances may join groups of models that they have not staged.
@@ -61,13 +63,13 @@
     spanning_models: frozenset[str] = frozenset()
     parallel_loads: int = 0
 
-    @property
+    @cached_property
     def assigned(self) -> frozenset[InstanceId]:
         """Return the instances that are in a group, or have not confirmed that they left one."""
         members = {member for group in self.groups for member in group.members}
         return frozenset(members | self.occupied.keys())
 
-    @property
+    @cached_property
     def changing_domains(self) -> frozenset[FailureDomainId]:
         """Return the domains of which an instance has just appeared or still leaves a group.
 
@@ -79,7 +81,7 @@
             if item.is_usable and (item.is_recently_seen or item.instance in self.occupied)
         )
 
-    @property
+    @cached_property
     def broken_groups(self) -> list[Group]:
         """Return the groups with a member that is unknown or unusable."""
         usable = {item.instance for item in self.instances if item.is_usable}
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -155,14 +155,14 @@
         self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
+        plan_input = self._plan_input(facts) if now >= self._plan_from else None
         # The plan comes first: instances that it uses must not be staged or warmed up meanwhile.
         if not self._is_proposing:
-            commands = self._wanted_commands(now, facts)
+            commands = self._wanted_commands(now, plan_input)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
-        if self._targets is not None and now >= self._plan_from:
-            plan_input = self._plan_input(facts)
+        if self._targets is not None and plan_input is not None:
             self._log_supply(plan_input)
             self._send_engine_orders(now, self._targets, plan_input)
 
@@ -344,14 +344,14 @@
 
     # Proposals
 
-    def _wanted_commands(self, now: float, facts: list[InstanceFacts]) -> list[ControlCommand]:
+    def _wanted_commands(self, now: float, plan_input: PlanInput | None) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
         prepared = preset.prepared_generation
         if prepared and self._leases.is_preset_prepared(now, prepared):
             commands.append(CommitPreset(prepared))
-        if now >= self._plan_from:
-            commands += plan_groups(self._plan_input(facts))
+        if plan_input is not None:
+            commands += plan_groups(plan_input)
             commands += self._rejoin_commands(now, commands)
         return commands
 
