Plan for models without a share

Cause: a document may give a model a share of 0, and the planner divided by it; with the comparison of the models the leader's round would end with that error each time. Change: a model without a share gets groups after the others and is never short. Measured: three rows of features/targets/supply.feature fail with ZeroDivisionError without it.

--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -35,6 +35,8 @@
       | many groups, two more               | v=1 f=1           | v=21 f=19 | f    | v      | yes    |
       | few large groups and many small     | v=0.03125 f=0.125 | v=2 f=13 | v     | f      | yes    |
       | a large group is worth four         | v=0.03125 f=0.125 | v=3 f=11 | f     | v      | no     |
+      | a model without a share             | v=1 f=0           | v=3 f=1  |       |        |        |
+      | no model has a share                | v=0 f=0           | v=3 f=1  |       |        |        |
       | no further group is wanted          | v=1 f=1/1         | v=3 f=1  |       |        |        |
 
   Scenario Outline: conversion while <case>
@@ -84,3 +86,9 @@
       | 1     | a broken group comes before a new one     | a=f b=f c=-         | m=v! n=v o=v p=v t=-        | v:mnop       | t:v     |
       | 1     | a load that runs already counts           | a=v b=v c=v d=v s=->v | j=f k=f l=f m=v n=v o=v p=- | v:abcd f:jkl |     |
       | 1     | a broken group does not wait for others   | a=v b=v c=v d=v s=->v | m=v! n=v o=v p=v t=-      | v:abcd v:mnop |    t:v     |
+
+  Scenario: a model without a share gets groups after the others
+    Given models "v=0 f=1"
+    And the instances "a=v b=v c=f d=v" of one domain
+    And the formed groups ""
+    Then the plan is "form f:c, form v:a, form v:b"
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -16,7 +16,12 @@
 from jaylatch_core.messages.control import Group
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, remote_members
-from jaylatch_decisions.groups.supply import count_complete, may_gain_group, short_models
+from jaylatch_decisions.groups.supply import (
+    count_complete,
+    may_gain_group,
+    short_models,
+    supply_of,
+)
 from jaylatch_decisions.groups.weighing import kept_spares
 
 
@@ -43,7 +48,7 @@
         return None
     complete = count_complete(facts)
     models = {model.name: model for model in facts.configuration.models}
-    model = models[min(short, key=lambda name: (complete[name] / models[name].share, name))]
+    model = models[min(short, key=lambda name: (supply_of(models[name], complete[name]), name))]
     needs = _Needs(facts, model)
     if any(len(needs.free(domain)) >= needs.count(domain) for domain in needs.domains):
         # Staging on free instances completes a group.
@@ -51,7 +56,8 @@
     donors = {
         name
         for name, other in models.items()
-        if may_gain_group(model, complete[model.name], (complete[name] - 1) / other.share)
+        if other.share > 0
+        and may_gain_group(model, complete[model.name], supply_of(other, complete[name] - 1))
     }
     choices = [
         conversion
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -25,6 +25,7 @@
     least_complete_first,
     remote_members,
 )
+from jaylatch_decisions.groups.supply import supply_of
 from jaylatch_decisions.groups.weighing import kept_spares, repair_timeout
 
 
@@ -269,7 +270,7 @@
         return min(
             choices,
             key=lambda choice: (
-                self._existing[choice[0].name] / choice[0].share,
+                supply_of(choice[0], self._existing[choice[0].name]),
                 self._existing_in[choice[0].name, choice[1]],
             ),
         )
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -13,7 +13,7 @@
 from jaylatch_decisions.groups.conversion import plan_conversion
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, scarce_models
-from jaylatch_decisions.groups.supply import short_models
+from jaylatch_decisions.groups.supply import short_models, supply_of
 
 
 def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
@@ -189,7 +189,10 @@
         if completable:
             model = min(
                 completable,
-                key=lambda item: (self._missing(item), self._group_counts[item.name] / item.share),
+                key=lambda item: (
+                    self._missing(item),
+                    supply_of(item, self._group_counts[item.name]),
+                ),
             )
             return model.name, _Purpose.FORM
         exposed = self._least_protected()
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -6,6 +6,7 @@
 """
 
 from collections import Counter
+from math import inf
 
 import msgspec
 
@@ -62,6 +63,11 @@
     return complete
 
 
+def supply_of(model: ModelSpecification, groups: int) -> float:
+    """Return ``groups`` of the model for its share; infinite for a model without a share."""
+    return groups / model.share if model.share > 0 else inf
+
+
 def short_models(facts: PlanInput) -> frozenset[str]:
     """Return the models that have fewer complete groups for their share than another model has.
 
@@ -70,7 +76,10 @@
     """
     complete = count_complete(facts)
     models = facts.configuration.models
-    highest = max((complete[model.name] / model.share for model in models), default=0.0)
+    highest = max(
+        (supply_of(model, complete[model.name]) for model in models if model.share > 0),
+        default=0.0,
+    )
     return frozenset(
         model.name
         for model in models
