--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -61,7 +61,7 @@
     }
     choices = [
         conversion
-        for group in needs.groups
+        for group in needs.convertible_groups
         if group.model in donors and (conversion := needs.convert(group)) is not None
     ]
     return min(choices, key=lambda item: (len(item.loads), item.group), default=None)
@@ -81,7 +81,7 @@
             for item in facts.instances
             if item.instance not in assigned and item.is_usable and not item.is_drained
         ]
-        self._in_domain = Counter(
+        self._own_groups_in = Counter(
             home_domain(group, self._known) for group in facts.groups if group.model == model.name
         )
 
@@ -91,7 +91,7 @@
         return frozenset(item.failure_domain for item in self._facts.instances if item.is_usable)
 
     @property
-    def groups(self) -> Iterator[Group]:
+    def convertible_groups(self) -> Iterator[Group]:
         """Iterate over the complete groups whose members are all in one domain."""
         for group in self._facts.groups:
             if group not in self._broken and not remote_members(group, self._known):
@@ -114,7 +114,7 @@
         if lacking:
             return min(lacking)
         spares = kept_spares(self._facts.configuration.weights, self._facts.policy)
-        return self._model.instances_per_group + (spares if self._in_domain[domain] else 0)
+        return self._model.instances_per_group + (spares if self._own_groups_in[domain] else 0)
 
     def convert(self, group: Group) -> Conversion | None:
         """Return the conversion of ``group``, or None if its domain has too few instances."""
@@ -123,13 +123,16 @@
         count = self.count(domain)
         if len(available) < count:
             return None
-        chosen = sorted(available, key=lambda item: (not self._has(item), not self._loads(item)))
-        missing = [item for item in chosen[:count] if not self._has(item)]
+        # Instances that need no load come first, then those whose load has begun.
+        chosen = sorted(
+            available, key=lambda item: (not self._has_staged(item), not self._is_loading(item))
+        )
+        missing = [item for item in chosen[:count] if not self._has_staged(item)]
         loads = tuple(item.instance for item in missing if not item.staging_model)
         return Conversion(group.id, self._model.name, loads, not missing)
 
-    def _has(self, item: InstanceFacts) -> bool:
+    def _has_staged(self, item: InstanceFacts) -> bool:
         return not item.staging_model and self._model.name in (item.staged_models or ())
 
-    def _loads(self, item: InstanceFacts) -> bool:
+    def _is_loading(self, item: InstanceFacts) -> bool:
         return item.staging_model == self._model.name
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -5,6 +5,7 @@
 """
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from enum import IntEnum
 from typing import NamedTuple
 
@@ -174,29 +175,41 @@
         Groups are completed by ``idle`` instances, those of short models by ``spares`` too.
         """
         short = [model for model in self._models if model.name in self._short]
-        lacking = [model for model in short if self._is_lacking(model.name)]
-        completable = [model for model in short if self._is_completable(model, spares)]
-        if not lacking and not completable:
-            lacking = [model for model in self._models if self._is_lacking(model.name)]
-        if lacking:
-            model = min(
-                lacking, key=lambda item: self._lacking[item.name] - self._staged[item.name]
-            )
-            return model.name, _Purpose.REPAIR
-        completable = completable or [
-            model for model in self._models if self._is_completable(model, idle)
-        ]
-        if completable:
-            model = min(
-                completable,
-                key=lambda item: (
-                    self._missing(item),
-                    supply_of(item, self._group_counts[item.name]),
-                ),
-            )
-            return model.name, _Purpose.FORM
-        exposed = self._least_protected()
-        return (exposed, _Purpose.SPARE) if exposed is not None else None
+        return (
+            self._repair_need(short)
+            or self._formation_need(short, spares)
+            or self._repair_need(self._models)
+            or self._formation_need(self._models, idle)
+            or self._spare_need()
+        )
+
+    def _repair_need(self, models: Iterable[ModelSpecification]) -> tuple[str, _Purpose] | None:
+        """Return the model whose broken groups wait for the fewest loads, if any."""
+        lacking = [model.name for model in models if self._is_lacking(model.name)]
+        if not lacking:
+            return None
+        model = min(lacking, key=lambda name: self._lacking[name] - self._staged[name])
+        return model, _Purpose.REPAIR
+
+    def _formation_need(
+        self, models: Iterable[ModelSpecification], usable: list[InstanceFacts]
+    ) -> tuple[str, _Purpose] | None:
+        """Return the model for a further group that ``usable`` instances complete, if any."""
+        completable = [model for model in models if self._is_completable(model, usable)]
+        if not completable:
+            return None
+        model = min(
+            completable,
+            key=lambda item: (
+                self._missing(item),
+                supply_of(item, self._group_counts[item.name]),
+            ),
+        )
+        return model.name, _Purpose.FORM
+
+    def _spare_need(self) -> tuple[str, _Purpose] | None:
+        model = self._least_protected()
+        return (model, _Purpose.SPARE) if model is not None else None
 
     def _is_completable(self, model: ModelSpecification, usable: list[InstanceFacts]) -> bool:
         """Return whether staging on ``usable`` instances alone completes a further group."""
