State the voters in the first entry of each term

Until then a voter that restarted took them from its settings, which name other instances once the platform has exchanged the seeds; it then believed to have no vote, and no leader was elected. Change: the no-op entry with which a leader starts its term states the voters.

--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -63,7 +63,11 @@
         return now < self._lease_start + timing.election_timeout * (1 - timing.drift)
 
     def start(self, now: float) -> None:
-        """Start leading the current term by appending a no-op entry of that term."""
+        """Start leading the current term by appending a no-op entry of that term.
+
+        The entry states the voters, so that a voter that restarts with other settings, or on an
+        empty disk, learns them from the log.
+        """
         state = self._state
         state.role = RaftRole.LEADER
         state.leader = state.instance
@@ -72,7 +76,7 @@
         self._round_sent_at = {}
         self._lease_start = now - state.timing.election_timeout
         self._update_followers(now)
-        self._term_start = self.append(now, b"").index
+        self._term_start = self.append(now, b"", state.log.voters).index
         self._broadcast(now)
 
     def tick(self, now: float) -> None:
