Let voters announce themselves to control instances without a disk

Change: each voter names the voters once a second to the configured peers that have no vote; these refer their callers to a voter.

--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration
+from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, GroupState, Preset
 from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
 from jaylatch_core.messages.targets import PublishDeployment
@@ -87,6 +88,12 @@
 )
 
 
+class VotersAnnounced(msgspec.Struct, frozen=True, tag=True):
+    """A voter names the voters of the control log to a control instance that may have no vote."""
+
+    voters: tuple[ControlPeer, ...]
+
+
 class JoinControl(msgspec.Struct, frozen=True, tag=True):
     """A control instance without a vote in ``log`` asks the leader of that log for one."""
 
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -27,6 +27,7 @@
     JoinControl,
     PreparePreset,
     SetDrain,
+    VotersAnnounced,
 )
 from jaylatch_core.messages.journal import (
     AbandonOrder,
@@ -82,6 +83,7 @@
     | PreparePreset
     | SetDrain
     | JoinControl
+    | VotersAnnounced
     | CommandAccepted
     | ClaimOrder
     | LookupOrder
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -46,6 +46,7 @@
         self._shards = settings.journal_shards
         self._peers = peers
         self._leaders: dict[str, str] = {}
+        self._voters: tuple[ControlPeer, ...] = ()
         self._configured_peers = list(settings.peers)
 
     def connect(self) -> None:
@@ -57,6 +58,7 @@
         """Call the current voters first, then the control instances of the settings."""
         if not peers:
             return
+        self._voters = peers
         known = {peer.instance: peer.address for peer in (*peers, *self._configured_peers)}
         if known != self._addresses:
             self._addresses = known
@@ -67,6 +69,11 @@
         """Return the addresses of the control instances, current voters first."""
         return self._order
 
+    @property
+    def voters(self) -> tuple[ControlPeer, ...]:
+        """Return the current voters as far as this process was told, none before that."""
+        return self._voters
+
     async def ask(self, address: str, body: Body, timeout: float) -> Body | None:
         """Call one control instance, leader or not; return None if it does not answer.
 
--- a/packages/node/src/jaylatch_node/control/relay.py
+++ b/packages/node/src/jaylatch_node/control/relay.py
@@ -1,23 +1,28 @@
 """The control role of an instance without a disk."""
 
+from itertools import count
+
 from jaylatch_core.exceptions import NotLeader
 from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.control import VotersAnnounced
 from jaylatch_core.messages.frames import Body
+from jaylatch_node.control.client import ControlClient
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import StreamConnection
 
-NOT_A_VOTER = NotLeader(
-    "this control instance has no disk and never leads; ask another one", InstanceId("")
-)
-
 
 class ControlRelay(NodeRole):
     """Stores nothing and has no vote.
 
     Targets and operators may call the instance: their calls are forwarded to the leader by the
-    process's ``ControlClient``. Calls of other processes are referred to the voters.
+    process's ``client``. Calls of other processes are referred to the voters, which announce
+    themselves, because the only control instances that a process knows at its start may be relays.
     """
 
+    def __init__(self, client: ControlClient) -> None:
+        self._client = client
+        self._turns = count()
+
     def start(self) -> None:
         """Do nothing: the role only answers calls."""
 
@@ -25,7 +30,15 @@
         """Do nothing."""
 
     def handle_call(self, connection: StreamConnection, call: int, body: Body) -> bool:
-        """Refer the caller to another control instance."""
-        if call:
-            connection.reply(call, NOT_A_VOTER)
+        """Note the announced voters; refer any other caller to one of them."""
+        match body:
+            case VotersAnnounced(voters):
+                self._client.update_peers(voters)
+            case _ if call:
+                detail = "this control instance has no disk and never leads; ask another one"
+                connection.reply(call, NotLeader(detail, self._next_voter()))
         return True
+
+    def _next_voter(self) -> InstanceId:
+        voters = self._client.voters
+        return voters[next(self._turns) % len(voters)].instance if voters else InstanceId("")
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -35,6 +35,7 @@
     JoinControl,
     PreparePreset,
     SetDrain,
+    VotersAnnounced,
 )
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.journal import JournalCommand, OrderVerdict
@@ -74,8 +75,8 @@
 LEADER_TICK = 0.1
 """Seconds between two rounds of the leader's duties."""
 JOIN_INTERVAL = 1.0
-"""Seconds between two requests to be admitted as a voter, and before the first one: an instance at
-its first start is admitted by the others sooner than that."""
+"""Seconds between two requests to be admitted as a voter, or two announcements of the voters, and
+before the first one: at a first start the voters elect a leader sooner than that."""
 JOIN_TIMEOUT = 5.0
 """Seconds to wait for the answer to a request for admission."""
 ADMISSION_TIMEOUT = 4.0
@@ -111,7 +112,9 @@
         self._fail = fail
         self._joining: set[str] = set()
         self._admitting: set[str] = set()
-        self._join_timer = PeriodicCallback(self._join, JOIN_INTERVAL * MILLISECONDS_PER_SECOND)
+        period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
+        self._join_timer = PeriodicCallback(self._join, period)
+        self._announcement_timer = PeriodicCallback(self._announce_voters, period)
         self._state = ControlState()
         control = settings.control
         shards = control.journal_shards if control.keeps_journal else 0
@@ -138,11 +141,13 @@
         self._consensus_timer.start()
         self._timer.start()
         self._join_timer.start()
+        self._announcement_timer.start()
 
     def stop(self) -> None:
         """Stop all logs."""
         self._timer.stop()
         self._join_timer.stop()
+        self._announcement_timer.stop()
         self._consensus_timer.stop()
         for log in self._logs.values():
             log.stop()
@@ -177,6 +182,9 @@
                 connection.reply(call, self._deployment())
             case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
+            case VotersAnnounced():
+                # It is meant for instances without a disk; this one learns the voters from the log.
+                pass
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
             case _:
@@ -319,12 +327,24 @@
             return NOT_CURRENT
         return self._leader
 
+    def _announce_voters(self) -> None:
+        """Name the voters to the configured peers that are none: they may know no voter."""
+        if not self._has_vote(self._control):
+            return
+        voters = self._voting_peers()
+        addresses = {voter.address for voter in voters}
+        for peer in self._settings.control.peers:
+            if peer.address not in addresses:
+                self._peers.get(peer.address).send(VotersAnnounced(voters))
+
+    def _has_vote(self, log: ReplicatedLog[Any]) -> bool:
+        return self._board.identity.instance in log.voters and not log.is_recovering
+
     def _join(self) -> None:
         """Request admission to each log in which this instance has no vote."""
         instance = self._board.identity.instance
         for log in self._logs.values():
-            has_vote = instance in log.voters and not log.is_recovering
-            if not has_vote and log.name not in self._joining:
+            if not self._has_vote(log) and log.name not in self._joining:
                 self._joining.add(log.name)
                 create_task(self._request_admission(log.name, instance))
 
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -90,7 +90,7 @@
     if not process.settings.control.keeps_log:
         from jaylatch_node.control.relay import ControlRelay
 
-        return ControlRelay()
+        return ControlRelay(process.client)
     from jaylatch_node.control.role import ControlRole
 
     return ControlRole(
