Derive the free instances and the conversion once a round

Cause: three modules filtered the free instances with the same condition, and the leader's round computed the conversion three times: for the plan, the staging and the recall. Change: the plan's input has free_instances; the leader computes the conversion once and passes it on. Behaviour is unchanged.

--- a/features/steps/staging_steps.py
+++ b/features/steps/staging_steps.py
@@ -149,7 +149,8 @@
 
 @then(r'they stage "(?P<staging>[^"]*)"')
 def step_staging(context: Context, staging: str) -> None:
-    found = plan_staging(plan_input(context))
+    facts = plan_input(context)
+    found = plan_staging(facts, plan_conversion(facts))
     assert " ".join(f"{name}:{model}" for name, model in found.items()) == staging, found
 
 
@@ -157,7 +158,8 @@
 def step_plan(context: Context, plan: str) -> None:
     found = []
     models = {group.id: group.model for group in context.groups}
-    for command in plan_groups(plan_input(context)):
+    facts = plan_input(context)
+    for command in plan_groups(facts, plan_conversion(facts)):
         match command:
             case FormGroup(model, members):
                 found.append(f"form {model}:{''.join(members)}")
--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -1,6 +1,6 @@
 """Formation, repair and dissolution of replica groups; staging and warm-up of free instances."""
 
-from jaylatch_decisions.groups.conversion import plan_conversion
+from jaylatch_decisions.groups.conversion import Conversion, plan_conversion
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.loads import LoadPermit, LoadRequest, grant_load_permits
 from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
@@ -12,6 +12,7 @@
 from jaylatch_decisions.groups.warming import plan_warm_ups
 
 __all__ = [
+    "Conversion",
     "InstanceFacts",
     "LoadRequest",
     "OrderGate",
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -75,12 +75,6 @@
         self._model = model
         self._known = {item.instance: item for item in facts.instances}
         self._broken = facts.broken_groups
-        assigned = facts.assigned
-        self._free = [
-            item
-            for item in facts.instances
-            if item.instance not in assigned and item.is_usable and not item.is_drained
-        ]
         self._own_groups_in = Counter(
             home_domain(group, self._known) for group in facts.groups if group.model == model.name
         )
@@ -99,7 +93,7 @@
 
     def free(self, domain: FailureDomainId) -> list[InstanceFacts]:
         """Return the free instances of a domain."""
-        return [item for item in self._free if item.failure_domain == domain]
+        return [item for item in self._facts.free_instances if item.failure_domain == domain]
 
     def count(self, domain: FailureDomainId) -> int:
         """Return how many instances repair a broken group of the domain, or form a new one."""
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -69,6 +69,15 @@
         members = {member for group in self.groups for member in group.members}
         return frozenset(members | self.occupied.keys())
 
+    @cached_property
+    def free_instances(self) -> list[InstanceFacts]:
+        """Return the usable instances in no group, without those that are drained."""
+        return [
+            item
+            for item in self.instances
+            if item.instance not in self.assigned and item.is_usable and not item.is_drained
+        ]
+
     @cached_property
     def changing_domains(self) -> frozenset[FailureDomainId]:
         """Return the domains of which an instance has just appeared or still leaves a group.
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -16,7 +16,7 @@
     Group,
     RepairGroup,
 )
-from jaylatch_decisions.groups.conversion import plan_conversion
+from jaylatch_decisions.groups.conversion import Conversion
 from jaylatch_decisions.groups.facts import PlanInput
 from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.spanning import (
@@ -29,7 +29,7 @@
 from jaylatch_decisions.groups.weighing import kept_spares, repair_timeout
 
 
-def plan_groups(facts: PlanInput) -> list[ControlCommand]:
+def plan_groups(facts: PlanInput, conversion: Conversion | None = None) -> list[ControlCommand]:
     """Return the commands that bring the groups closer to the configuration."""
     planner = _Planner(facts)
     planner.confirm_releases()
@@ -38,7 +38,7 @@
     planner.form_groups()
     planner.span_domains()
     planner.dissolve_unrepairable_groups()
-    planner.convert_groups()
+    planner.convert_group(conversion)
     return planner.commands
 
 
@@ -127,9 +127,8 @@
         for domain, broken in self._broken.items():
             self._dissolve_donors(domain, broken)
 
-    def convert_groups(self) -> None:
-        """Dissolve a group that gives way to one of a short model, once it has no more work."""
-        conversion = plan_conversion(self._facts)
+    def convert_group(self, conversion: Conversion | None) -> None:
+        """Dissolve the group that gives way to one of a short model, once it has no more work."""
         if conversion is None or not conversion.is_ready:
             return
         group = next(item for item in self._facts.groups if item.id == conversion.group)
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -11,13 +11,13 @@
 
 from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, InstanceId
-from jaylatch_decisions.groups.conversion import plan_conversion
+from jaylatch_decisions.groups.conversion import Conversion
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, scarce_models
 from jaylatch_decisions.groups.supply import short_models, supply_of
 
 
-def plan_staging(facts: PlanInput) -> dict[InstanceId, str]:
+def plan_staging(facts: PlanInput, conversion: Conversion | None) -> dict[InstanceId, str]:
     """Return the model that each free instance should stage, for those that should stage one.
 
     Each domain stages first what a broken group waits for, then what completes a wanted group, then
@@ -38,7 +38,6 @@
         needs = _Domain(facts, domain, domains[domain], group_counts, short, kept)
         if domain not in changing and (needs.has_groups or not facts.may_join_cold):
             loads += needs.plan()
-    conversion = plan_conversion(facts)
     if conversion is not None:
         loads += [_Load(item, conversion.model, _Purpose.FORM) for item in conversion.loads]
     return {load.instance: load.model for load in _limit_loads(facts, loads)}
@@ -93,14 +92,10 @@
         known = {item.instance: item for item in instances}
         all_known = {item.instance: item for item in facts.instances}
         self._groups = [group for group in facts.groups if home_domain(group, all_known) == domain]
-        assigned = facts.assigned
         free = [
             item
-            for item in instances
-            if item.is_usable
-            and not item.is_drained
-            and item.instance not in assigned
-            and item.staged_models is not None
+            for item in facts.free_instances
+            if item.failure_domain == domain and item.staged_models is not None
         ]
         self._free = sorted(free, key=lambda item: item.instance)
         self._staged = Counter(model for item in self._free for model in _models_of(item))
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -36,10 +36,7 @@
     broken = Counter(group.model for group in facts.broken_groups)
     free = Counter[str]()
     loading = Counter[str]()
-    assigned = facts.assigned
-    for item in facts.instances:
-        if item.instance in assigned or not item.is_usable or item.is_drained:
-            continue
+    for item in facts.free_instances:
         if item.staging_model:
             loading[item.staging_model] += 1
         else:
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -30,6 +30,7 @@
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.groups import (
+    Conversion,
     InstanceFacts,
     LoadPermit,
     LoadRequest,
@@ -156,22 +157,26 @@
         self._refresh_view(now)
         self._announce_changes()
         plan_input = self._plan_input(facts) if now >= self._plan_from else None
+        conversion = plan_conversion(plan_input) if plan_input is not None else None
         # The plan comes first: instances that it uses must not be staged or warmed up meanwhile.
         if not self._is_proposing:
-            commands = self._wanted_commands(now, plan_input)
+            commands = self._wanted_commands(now, plan_input, conversion)
             if commands:
                 self._is_proposing = True
                 create_task(self._propose_all(commands))
         if self._targets is not None and plan_input is not None:
             self._log_supply(plan_input)
-            self._send_engine_orders(now, self._targets, plan_input)
+            self._send_engine_orders(now, self._targets, plan_input, conversion)
 
     def _send_engine_orders(
-        self, now: float, targets: TargetController, plan_input: PlanInput
+        self,
+        now: float,
+        targets: TargetController,
+        plan_input: PlanInput,
+        conversion: Conversion | None,
     ) -> None:
         groups = tuple(self._state.groups.values())
         recalled = groups_to_recall(plan_input)
-        conversion = plan_conversion(plan_input)
         if conversion is not None and conversion.is_ready:
             recalled |= {conversion.group}
         targets.recall(now, recalled)
@@ -179,7 +184,7 @@
         warm_ups: dict[InstanceId, str] = {}
         # While a plan is being committed, the set of free instances is about to change.
         if not self._is_proposing:
-            staging = plan_staging(plan_input)
+            staging = plan_staging(plan_input, conversion)
             warm_ups = plan_warm_ups(plan_input, targets.warm_models(groups))
         targets.send_orders(now, groups, staging, warm_ups)
 
@@ -344,14 +349,16 @@
 
     # Proposals
 
-    def _wanted_commands(self, now: float, plan_input: PlanInput | None) -> list[ControlCommand]:
+    def _wanted_commands(
+        self, now: float, plan_input: PlanInput | None, conversion: Conversion | None
+    ) -> list[ControlCommand]:
         commands: list[ControlCommand] = []
         preset = self._state.preset
         prepared = preset.prepared_generation
         if prepared and self._leases.is_preset_prepared(now, prepared):
             commands.append(CommitPreset(prepared))
         if plan_input is not None:
-            commands += plan_groups(plan_input)
+            commands += plan_groups(plan_input, conversion)
             commands += self._rejoin_commands(now, commands)
         return commands
 
