Elect the first leader of a log by all its voters

Cause: at a first start a majority could elect a leader before the last voter had heard from all others. Change: while no voter holds a vote or an entry, a pre-vote is won by all voters; after six rounds a majority is enough, so that a voter lost during the first start does not prevent it.

--- a/features/consensus/raft.feature
+++ b/features/consensus/raft.feature
@@ -21,6 +21,17 @@
       | 4      | everything   | 60        | 150   | 11   |
       | 5      | everything   | 60        | 150   | 12   |
 
+  Scenario Outline: A first start of <voters> voters outlives its first leader, network <network>
+    Given <voters> voters on a network that is "<network>"
+    When the first leader of 200 first starts from seed <seed> is lost at its commit
+    Then after the faults a leader committed and all voters caught up
+
+    Examples:
+      | voters | network | seed |
+      | 3      | perfect | 30   |
+      | 3      | lossy   | 31   |
+      | 5      | lossy   | 32   |
+
   Scenario Outline: The checks detect a voter that <rule>
     Given 3 voters on a network that is "<network>"
     And each voter "<rule>"
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -31,6 +31,16 @@
         context.commits += history.commits
 
 
+@when("the first leader of {histories:d} first starts from seed {seed:d} is lost at its commit")
+def step_lose_first_leader(context: Context, histories: int, seed: int) -> None:
+    context.faults = []
+    for number in range(histories):
+        number += seed * HISTORIES_PER_SEED
+        history = History(context.voters, context.network, number, is_first_start=True)
+        history.lose_first_leader()
+        context.faults += [f"history {number}: {fault}" for fault in history.faults]
+
+
 @when("up to {histories:d} histories of {steps:d} steps run from seed {seed:d}, until one fails")
 def step_run_until_failure(context: Context, histories: int, steps: int, seed: int) -> None:
     context.faults = []
--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -1,5 +1,6 @@
 """Seeded histories of voters over a faulty network, with the invariants checked at each step."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -56,7 +57,15 @@
 class History:
     """One run; ``broken_rule`` makes the voters violate a rule, to test the checks themselves."""
 
-    def __init__(self, voters: int, faults: Faults, seed: int, broken_rule: str = "") -> None:
+    def __init__(
+        self,
+        voters: int,
+        faults: Faults,
+        seed: int,
+        broken_rule: str = "",
+        *,
+        is_first_start: bool = False,
+    ) -> None:
         self._random = Random(seed)
         self._initial_voters = tuple(InstanceId(f"v{number}") for number in range(voters))
         spare = (InstanceId("spare"),) if faults.change else ()
@@ -65,7 +74,7 @@
         self._broken_rule = broken_rule
         self._now = 0.0
         self._disk_count = 0
-        self._starts_empty = self._random.random() < 0.3
+        self._starts_empty = self._random.random() < 0.3 or is_first_start
         self._rates = {
             name: 1 + self._random.uniform(-0.5, 0.5) * TIMING.drift for name in self._instances
         }
@@ -114,6 +123,24 @@
                 return
         self.faults += [f"no progress: {reason}" for reason in self._missing_progress(before)]
 
+    def lose_first_leader(self) -> None:
+        """Start, and lose the leader for good at its first commit; the others must then commit."""
+        self._run_until(lambda: self.commits > 0)
+        first = next(name for name, node in self._nodes.items() if node.commit > 0)
+        del self._nodes[first]
+        before = self.commits
+        self._run_until(lambda: self.commits > before)
+        if self.commits == before:
+            self.faults.append("no progress: the voters left have no quorum")
+
+    def _run_until(self, is_reached: Callable[[], bool]) -> None:
+        end = self._now + 2 * RECOVERY_BOUND
+        while self._now < end and not is_reached():
+            self._now += MAX_STEP_SECONDS / 2
+            self._deliver()
+            self._propose()
+            self._tick()
+
     def _missing_progress(self, before: int) -> list[str]:
         """Return the conditions of a full recovery that do not hold yet."""
         leaders = [node for node in self._nodes.values() if node.role is RaftRole.LEADER]
--- a/packages/decisions/src/jaylatch_decisions/consensus/elections.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/elections.py
@@ -7,6 +7,10 @@
 A voter on an empty disk may have lost votes and entries. It grants no vote until either every
 other voter has reported, after this voter's start, that it is fresh too (a first start), or a
 leader readmits it.
+
+The first leader of a log is elected by all voters rather than by a majority: a voter that has not
+heard from all others by then could be readmitted only by that leader, and the log would have no
+quorum if the leader were lost before.
 """
 
 from jaylatch_core.ids import InstanceId, Term
@@ -14,6 +18,10 @@
 from jaylatch_decisions.consensus.state import VoterState
 from jaylatch_decisions.consensus.types import NOBODY, RaftRole
 
+FIRST_ELECTION_ROUNDS = 6
+"""Pre-votes of a first start that need all voters; after these a majority is enough, so that a voter
+that is lost during the first start does not prevent it."""
+
 
 class Elections:
     """Election logic of one voter. Methods return True when the election is won."""
@@ -22,6 +30,7 @@
         self._state = state
         self._votes: set[InstanceId] = set()
         self._fresh: set[InstanceId] = set()
+        self._first_rounds = 0
 
     def tick(self, now: float) -> bool:
         """Start an election if the election timeout has passed without contact from a leader."""
@@ -87,6 +96,8 @@
             # A sole voter has no peer that could hold votes or entries that it lost.
             state.end_recovery(NOBODY)
             self._votes = {state.instance}
+        if state.is_fresh and not state.recovering_disk:
+            self._first_rounds += 1
         self._request_votes(Term(state.term + 1), is_pre_vote=True)
         return self._count_votes(now)
 
@@ -121,9 +132,15 @@
         if state.recovering_disk or len(self._votes) < state.quorum:
             return False
         if state.role is RaftRole.PRE_CANDIDATE:
-            return self._start_election(now)
+            return not self._needs_all_voters() and self._start_election(now)
         return state.role is RaftRole.CANDIDATE
 
+    def _needs_all_voters(self) -> bool:
+        """Return whether this is a first start in which a voter may still be without a vote."""
+        state = self._state
+        is_first = state.is_fresh and self._first_rounds <= FIRST_ELECTION_ROUNDS
+        return is_first and len(self._votes) < len(state.log.voters)
+
     def _grant_vote(self, now: float, message: VoteRequest) -> bool:
         """Return whether the vote or pre-vote is granted; records a granted vote."""
         state = self._state
