Send gateways the difference between deployments, and refuse rather than apply an old one

Cause: a grant carried the whole deployment document, and so did the log to each voter. The leader's announcement names the number in force; a gateway that has lacked an announced deployment for half of the bound refuses as one without a lease.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -107,6 +107,7 @@
     Then the caller gets 503 and the targets received 0 requests
 
     Examples:
-      | state                      |
-      | whose lease has lapsed     |
-      | that has no deployment yet |
+      | state                                                      |
+      | whose lease has lapsed                                     |
+      | that has no deployment yet                                 |
+      | that was told of a deployment 1.1 s ago which it lacks     |
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -22,7 +22,7 @@
     stream_head,
 )
 
-from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, RequestKind
+from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, DeploymentNumber, RequestKind
 from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
 from jaylatch_decisions.leases import HeldLease
 
@@ -187,11 +187,16 @@
     context.preset_requests = 1 if fault == "does not listen" else 0
 
 
-@given(r"the gateway (?P<state>whose lease has lapsed|that has no deployment yet)")
+@given(
+    r"the gateway (?P<state>whose lease has lapsed|that has no deployment yet"
+    r"|that was told of a deployment 1.1 s ago which it lacks)"
+)
 def step_gateway_state(context: Context, state: str) -> None:
     grant = context.harness.board.grant
     if state == "whose lease has lapsed":
         grant.lease = HeldLease(0.0)
+    elif "was told" in state:
+        grant.announced.note(monotonic() - 1.1, DeploymentNumber(2), DeploymentNumber(1))
     else:
         grant.deployment = Deployment(NO_DEPLOYMENT)
 
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -4,7 +4,7 @@
 
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
-from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment, DeploymentNumber
+from jaylatch_core.deployment import NO_DEPLOYMENT, DeploymentNumber
 from jaylatch_core.enums import Preset, Role, TargetKind
 from jaylatch_core.ids import (
     Epoch,
@@ -144,7 +144,8 @@
 class LeaseGrant(msgspec.Struct, frozen=True, tag=True):
     """Grants a lease that starts at the time the renewal was sent.
 
-    ``configuration``, ``deployment`` and ``view`` are None where the node already has the newest.
+    ``configuration``, ``deployment_change`` and ``view`` are None where the node already has the
+    newest. ``deployment_change`` is a packed change from the deployment that the renewal names.
     ``assignment`` None: the agent's instance belongs to no group. ``control`` lists the voters.
     """
 
@@ -155,14 +156,18 @@
     view: View | None
     assignment: Assignment | None
     is_drained: bool
-    deployment: Deployment | None = None
+    deployment_change: bytes | None = None
     control: tuple[ControlPeer, ...] = ()
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag=True):
-    """Asks a node to renew its lease at once, because the granted state has changed."""
+    """Asks a node to renew its lease at once, because the granted state has changed.
+
+    ``deployment`` is the number of the deployment in force.
+    """
 
     version: int
+    deployment: DeploymentNumber = NO_DEPLOYMENT
 
 
 class MemberPing(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/consensus/elections.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/elections.py
@@ -19,8 +19,8 @@
 from jaylatch_decisions.consensus.types import NOBODY, RaftRole
 
 FIRST_ELECTION_ROUNDS = 6
-"""Pre-votes of a first start that need all voters; after these a majority is enough, so that a voter
-that is lost during the first start does not prevent it."""
+"""Pre-votes of a first start that need all voters; after these a majority is enough, so that a
+voter that is lost during the first start does not prevent it."""
 
 
 class Elections:
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -28,6 +28,7 @@
 )
 from jaylatch_core.messages.membership import PresetState
 from jaylatch_core.messages.targets import DeploymentReport, PublishDeployment
+from jaylatch_decisions.control.deployment_history import DeploymentHistory
 from jaylatch_decisions.control.snapshot import (
     ControlSnapshot,
     RememberedResult,
@@ -52,7 +53,7 @@
     def __init__(self) -> None:
         self.configuration = Configuration()
         self.generation = Generation(0)
-        self.deployment = Deployment(NO_DEPLOYMENT)
+        self.deployments = DeploymentHistory()
         self.published = DeploymentReport(NO_DEPLOYMENT, b"")
         self.preset = PresetState(Preset.ORDINARY, Generation(0), Preset.ORDINARY, Generation(0))
         self.groups: dict[GroupId, Group] = {}
@@ -64,6 +65,11 @@
         self._last_epoch = 0
         self._results: OrderedDict[CommandId, ControlResult] = OrderedDict()
 
+    @property
+    def deployment(self) -> Deployment:
+        """Return the deployment in force."""
+        return self.deployments.current
+
     @classmethod
     def load(cls, data: bytes) -> "ControlState":
         """Decode the result of ``dump``. Raises ``msgspec.DecodeError`` for other bytes."""
@@ -78,7 +84,7 @@
         state.history = list(snapshot.history)
         state._preset_operator = snapshot.preset_operator
         state._last_epoch = snapshot.last_epoch
-        state.deployment = snapshot.deployment
+        state.deployments = DeploymentHistory(snapshot.deployment)
         state.published = DeploymentReport(snapshot.deployment.number, snapshot.published)
         for item in snapshot.results:
             state._results[item.command] = _to_result(item.result)
@@ -196,7 +202,7 @@
         The result contains the number in force, so a resend is acknowledged like the first request.
         """
         if command.deployment.number > self.deployment.number:
-            self.deployment = command.deployment
+            self.deployments.publish(command.deployment)
             self.published = DeploymentReport(command.deployment.number, command.source)
         return Success(CommandAccepted(self.deployment.number))
 
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -21,7 +21,7 @@
     View,
 )
 from jaylatch_core.messages.requests import AttemptStarted, TargetReport
-from jaylatch_decisions.leases import HeldLease
+from jaylatch_decisions.leases import AnnouncedDeployments, HeldLease
 from jaylatch_node.observability import Metrics
 
 NO_GROUP = GroupId("")
@@ -52,6 +52,7 @@
     assignment: Assignment | None = None
     is_drained: bool = False
     deployment: Deployment = Deployment(NO_DEPLOYMENT)
+    announced: AnnouncedDeployments = field(default_factory=AnnouncedDeployments)
 
     @property
     def preset_generation(self) -> Generation:
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -127,10 +127,15 @@
             self._view if self._needs_view(now, renewal) else None,
             self._assignment(now, renewal.instance),
             self._is_drained(renewal.instance, renewal.failure_domain),
-            None if renewal.deployment == self._state.deployment.number else self._state.deployment,
+            self._deployment_change(renewal),
             self._list_peers(),
         )
 
+    def _deployment_change(self, renewal: RenewLease) -> bytes | None:
+        if renewal.deployment == self._state.deployment.number:
+            return None
+        return self._state.deployments.change_since(renewal.deployment)
+
     def on_targets_changed(self, now: float) -> None:
         """Apply a change in the registry of direct targets at once."""
         self._refresh_view(now)
@@ -333,7 +338,7 @@
                 or instance in members
                 or (is_for_view_users and self._is_view_user(instance))
             ):
-                connection.send(ViewChanged(self._view.version))
+                connection.send(ViewChanged(self._view.version, self._state.deployment.number))
 
     def _is_view_user(self, instance: InstanceId) -> bool:
         holder = self._leases.known(instance)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -14,6 +14,7 @@
 from tornado.ioloop import PeriodicCallback
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
+from jaylatch_core.compression import compress_large, expand
 from jaylatch_core.configuration import parse_configuration
 from jaylatch_core.control_peers import ControlPeer, address_of
 from jaylatch_core.event_names import EventName
@@ -239,7 +240,7 @@
         return tuple(ControlPeer(voter, address) for voter, address in peers if address)
 
     def _apply_control(self, command: bytes) -> ControlResult:
-        return self._state.apply(_control_decoder.decode(command))
+        return self._state.apply(_control_decoder.decode(expand(command)))
 
     def _dump_control(self) -> bytes:
         return self._state.dump()
@@ -258,7 +259,7 @@
         self._journals[number] = JournalState.load(data, self._retention)
 
     async def _propose_control(self, command: ControlCommand) -> Body:
-        committed = await self._control.propose(_encoder.encode(command))
+        committed = await self._control.propose(compress_large(_encoder.encode(command)))
         return _flatten(committed.value_or(committed))
 
     async def _propose_journal(self, command: JournalCommand) -> Body:
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -117,7 +117,9 @@
         random: Random,
         suspect: SuspicionHandler,
         places: PlaceClient,
+        apply_bound: float,
     ) -> None:
+        self._apply_bound = apply_bound
         self._places = places
         self._evidence = EvidenceTable()
         self._suspect = suspect
@@ -187,6 +189,8 @@
             return Refusal(RefusalKind.NOT_RUN, "this instance is ending", SHUTDOWN_RETRY)
         if not self._board.grant.lease.is_valid(now) or not self._board.grant.deployment.number:
             return Refusal(RefusalKind.NOT_RUN, "no valid lease", NO_LEASE_RETRY)
+        if self._board.grant.announced.is_overdue(now, self._apply_bound):
+            return Refusal(RefusalKind.NOT_RUN, "a newer deployment is in force", NO_LEASE_RETRY)
         route = self._table.find_route(request.host, request.path)
         if route is None:
             return Refusal(RefusalKind.NO_ROUTE, "no route matches host and path")
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -65,6 +65,7 @@
             Random(board.identity.incarnation),
             self._suspect,
             PlaceClient(client),
+            self._settings.apply_bound,
         )
         self._deployment: Deployment = board.grant.deployment
         self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
@@ -139,5 +140,7 @@
 
     def _is_ready(self) -> bool:
         grant = self._board.grant
-        is_acting = grant.lease.is_valid(monotonic()) and bool(grant.deployment.number)
+        now = monotonic()
+        is_outdated = grant.announced.is_overdue(now, self._settings.apply_bound)
+        is_acting = grant.lease.is_valid(now) and bool(grant.deployment.number) and not is_outdated
         return is_acting and not self._is_stopping
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -1,19 +1,26 @@
 """Renewal of this process's lease, and publication of its grants on the blackboard."""
 
+import logging
 from asyncio import Event, create_task, wait_for
 from collections.abc import Callable
 
+import msgspec
 from returns.pipeline import is_successful
 
 from jaylatch_core.clock import monotonic, wall
+from jaylatch_core.deployment import DeploymentNumber
 from jaylatch_core.enums import Role
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import Generation
+from jaylatch_core.messages.deployment_changes import DeploymentChange, unpack_change
 from jaylatch_core.messages.membership import LeaseGrant, MemberReport, RenewLease
 from jaylatch_core.settings import LeaseSettings
+from jaylatch_decisions.control import apply_change
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 
+_log = logging.getLogger("jaylatch.leases")
+
 MemberReporter = Callable[[float], MemberReport | None]
 
 
@@ -99,8 +106,9 @@
         preset_generation = Generation(
             max(grant.preset.generation, grant.preset.prepared_generation)
         )
-        deployment = grant.deployment
-        is_older_deployment = deployment is not None and deployment.number < known.deployment.number
+        change = _decode_change(grant.deployment_change)
+        deployment = apply_change(known.deployment, change) if change is not None else None
+        is_older_deployment = change is not None and change.number < known.deployment.number
         if (
             grant.generation < known.generation
             or preset_generation < known.preset_generation
@@ -125,6 +133,7 @@
             known.generation = grant.generation
         if deployment is not None:
             known.deployment = deployment
+            known.announced.apply(deployment.number)
         known.preset = grant.preset
         if grant.view is not None:
             known.view = grant.view
@@ -138,6 +147,12 @@
             handler()
         return has_changed
 
+    def note_deployment(self, number: DeploymentNumber) -> None:
+        """Note that the leader announced a deployment, and renew to obtain it."""
+        known = self._board.grant
+        known.announced.note(monotonic(), number, known.deployment.number)
+        self.renew_now()
+
     def _record_lapse(self) -> None:
         """If the lease has lapsed, record the wall-clock time at which it did."""
         now = monotonic()
@@ -176,3 +191,13 @@
                 detail=detail,
                 generation=preset.generation,
             )
+
+
+def _decode_change(data: bytes | None) -> DeploymentChange | None:
+    if data is None:
+        return None
+    try:
+        return unpack_change(data)
+    except msgspec.DecodeError as error:
+        _log.error("the change of the deployment in a grant is unusable: %s", error)
+        return None
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -103,8 +103,8 @@
             case ConsensusBatch():
                 for role in self._roles:
                     role.handle_consensus(body)
-            case ViewChanged():
-                self._leases.renew_now()
+            case ViewChanged(_, deployment):
+                self._leases.note_deployment(deployment)
             case ReadMetrics():
                 connection.reply(call, MetricsReport(self.board.metrics.text()))
             case ReadEvents(event_filter):
