Derive routes at once only for heartbeats that change them

Cause: the leader derived routes, view and announcements anew for each heartbeat, and the registry searched all addresses twice for each. Change: a heartbeat that repeats what is known is recorded only, and reaches the other voters with the others of the leader's round, in one message; what changes routes is forwarded before it is acknowledged, as before. Addresses are indexed, the states of the engines are derived once for each round and change, and drains are looked up only if there are some.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -95,6 +95,39 @@
             context.registry.record_heartbeat(context.now, parse_heartbeat(message))
 
 
+@then(
+    r'before "(?P<heartbeat>[^"]*)" after (?P<seconds>\d+) s more it (?P<says>says|does not say)'
+    r" that routes may change"
+)
+def step_changes_routes(context: Context, heartbeat: str, seconds: str, says: str) -> None:
+    now = context.now + float(seconds)
+    may_change = context.registry.changes_routes(now, parse_heartbeat(heartbeat))
+    assert may_change is (says == "says"), may_change
+
+
+@given(r"a registry of (?P<count>\d+) targets that has derived its routes")
+def step_many_targets(context: Context, count: str) -> None:
+    context.registry = TargetRegistry(HEARTBEAT_TIMEOUT_SECONDS, started_at=0.0)
+    context.count = int(count)
+    for number in range(context.count):
+        context.registry.record_heartbeat(0.0, parse_heartbeat(f"t{number}:{number}:10:1"))
+
+
+@when(r"each of them sends (?P<times>\d+) heartbeats that repeat what is known")
+def step_repeated_heartbeats(context: Context, times: str) -> None:
+    context.changes = 0
+    for sequence in range(2, int(times) + 2):
+        for number in range(context.count):
+            heartbeat = parse_heartbeat(f"t{number}:{number}:10:{sequence}")
+            context.changes += context.registry.changes_routes(float(sequence - 1), heartbeat)
+            assert context.registry.record_heartbeat(float(sequence - 1), heartbeat)
+
+
+@then(r"no heartbeat says that routes may change")
+def step_no_changes(context: Context) -> None:
+    assert context.changes == 0, context.changes
+
+
 @when(
     r"a probe sent (?P<sent_after>[\d.]+) s later is not answered"
     r' and the target then reports "(?P<later>[^"]*)"'
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -26,6 +26,24 @@
       | a new incarnation after a departure                   | a:1:10:1 -a a:1:20:1       | 0       | a      |          |
       | a departure of an unknown target                      | -a a:1:10:1                | 0       | a      |          |
 
+  Scenario Outline: of a heartbeat that <case> it <says> that routes may change
+    Given a registry that has received "a:1:10:1 b:2:20:1", one message a second
+    Then before "<heartbeat>" after <seconds> s more it <says> that routes may change
+
+    Examples:
+      | case                               | heartbeat | seconds | says          |
+      | repeats what is known              | b:2:20:2  | 1       | does not say  |
+      | comes from an unknown target       | c:3:30:1  | 1       | says          |
+      | begins a drain                     | b:2:20:2d | 1       | says          |
+      | comes from a new incarnation       | b:2:30:1  | 1       | says          |
+      | comes from another address         | b:9:20:2  | 1       | says          |
+      | comes after a silence              | b:2:20:2  | 4       | says          |
+
+  Scenario: A thousand targets that only repeat themselves cost the leader no new routes
+    Given a registry of 1000 targets that has derived its routes
+    When each of them sends 3 heartbeats that repeat what is known
+    Then no heartbeat says that routes may change
+
   Scenario Outline: a target that misses its probe <case>
     Given a registry that has received "a:1:10:1", one message a second
     When a probe sent <asked> s later is not answered and the target then reports "<later>"
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -66,6 +66,7 @@
     TargetAcknowledged,
     TargetCheckIn,
     TargetDeparture,
+    TargetMessages,
 )
 
 FailureBody = (
@@ -117,6 +118,7 @@
     | MetricsReport
     | TargetCheckIn
     | TargetDeparture
+    | TargetMessages
     | SuspectTarget
     | TargetAcknowledged
     | PublishDeployment
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -55,6 +55,12 @@
     instance: InstanceId
 
 
+class TargetMessages(msgspec.Struct, frozen=True, tag=True):
+    """Messages of targets, in their order, that the leader forwards to the other voters."""
+
+    messages: tuple[TargetCheckIn | TargetDeparture, ...]
+
+
 class TargetAcknowledged(msgspec.Struct, frozen=True, tag=True):
     """The control leader has processed a heartbeat or a departure."""
 
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -49,6 +49,8 @@
         self._heartbeat_timeout = heartbeat_timeout
         self._complete_at = started_at + heartbeat_timeout
         self._records: dict[InstanceId, TargetRecord] = {}
+        self._holders: dict[str, InstanceId] = {}
+        self._revision = 0
         self._departed: dict[InstanceId, int] = {}
 
     @property
@@ -56,6 +58,11 @@
         """Return the time from which an unknown target certainly sends no heartbeats."""
         return self._complete_at
 
+    @property
+    def revision(self) -> int:
+        """Return a number that changes with each change of the records."""
+        return self._revision
+
     def record(self, instance: InstanceId) -> TargetRecord | None:
         """Return the record of ``instance``, or None."""
         return self._records.get(instance)
@@ -64,6 +71,17 @@
         """Return all records, those of unresponsive targets included."""
         return list(self._records.values())
 
+    def changes_routes(self, now: float, heartbeat: TargetCheckIn) -> bool:
+        """Return whether routes may change once ``heartbeat`` is recorded.
+
+        Load pattern: hundreds of targets send a heartbeat each second, of which nearly all repeat
+        what is known. The routes are derived again at once for the others only.
+        """
+        record = self._records.get(heartbeat.instance)
+        if record is None or not self.is_usable(now, heartbeat.instance):
+            return True
+        return _routing_facts(record.heartbeat) != _routing_facts(heartbeat)
+
     def record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> bool:
         """Record a heartbeat; returns False if a newer incarnation or heartbeat is known."""
         if self._is_obsolete(heartbeat):
@@ -75,9 +93,13 @@
             draining_since = now
         self._evict_address(heartbeat)
         appeared_at = known.appeared_at if known and is_same_incarnation else now
+        if known is not None:
+            del self._holders[known.heartbeat.address]
+        self._holders[heartbeat.address] = heartbeat.instance
         self._records[heartbeat.instance] = TargetRecord(
             heartbeat, now, draining_since, appeared_at=appeared_at
         )
+        self._revision += 1
         return True
 
     def begin_leading(self, now: float) -> None:
@@ -93,6 +115,7 @@
         gap = now - last_contact_at
         if gap >= MAX_LEADERLESS_TIME:
             return
+        self._revision += 1
         for record in self._records.values():
             record.last_contact_at += gap
 
@@ -107,8 +130,9 @@
             return
         self._departed[instance] = record.heartbeat.born_at
         if record.draining_since is not None:
-            del self._records[instance]
+            self._forget(instance)
             return
+        self._revision += 1
         record.draining_since = record.departed_at = now
 
     def is_usable(self, now: float, instance: InstanceId) -> bool:
@@ -128,6 +152,7 @@
         record = self._records.get(instance)
         if record is None or record.last_contact_at >= asked_at:
             return False
+        self._revision += 1
         record.is_lost = True
         return True
 
@@ -135,7 +160,7 @@
         """Drop the targets that have sent no heartbeat for ``retention`` seconds."""
         for instance, record in list(self._records.items()):
             if now >= record.last_contact_at + retention:
-                del self._records[instance]
+                self._forget(instance)
 
     def _is_obsolete(self, heartbeat: TargetCheckIn) -> bool:
         if self._departed.get(heartbeat.instance, -1) >= heartbeat.born_at:
@@ -145,14 +170,31 @@
             newest = (known.heartbeat.born_at, known.heartbeat.sequence)
             if (heartbeat.born_at, heartbeat.sequence) <= newest:
                 return True
-        return any(
-            record.heartbeat.address == heartbeat.address
-            and record.heartbeat.born_at > heartbeat.born_at
-            for record in self._records.values()
-        )
+        holder = self._holders.get(heartbeat.address)
+        return holder is not None and self._records[holder].heartbeat.born_at > heartbeat.born_at
 
     def _evict_address(self, heartbeat: TargetCheckIn) -> None:
         """Drop the target that had the address before: an address belongs to one process."""
-        for instance, record in list(self._records.items()):
-            if instance != heartbeat.instance and record.heartbeat.address == heartbeat.address:
-                del self._records[instance]
+        holder = self._holders.get(heartbeat.address)
+        if holder is not None and holder != heartbeat.instance:
+            self._forget(holder)
+
+    def _forget(self, instance: InstanceId) -> None:
+        """Drop the record of ``instance``, if there is one, and its address."""
+        self._revision += 1
+        record = self._records.pop(instance, None)
+        if record is not None:
+            del self._holders[record.heartbeat.address]
+
+
+def _routing_facts(heartbeat: TargetCheckIn) -> tuple[object, ...]:
+    return (
+        heartbeat.born_at,
+        heartbeat.service,
+        heartbeat.address,
+        heartbeat.failure_domain,
+        heartbeat.fabric_domain,
+        heartbeat.slots,
+        heartbeat.is_draining,
+        heartbeat.membership,
+    )
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -290,6 +290,8 @@
     def _is_draining(self, group: Group) -> bool:
         if group.id in self._retiring or self._effective_configuration.model(group.model) is None:
             return True
+        if not self._state.drains:
+            return False
         if (DrainScope.GROUP, group.id) in self._state.drains:
             return True
         return any(self._is_drained(member, self._domain(member)) for member in group.members)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -49,6 +49,7 @@
     TargetAcknowledged,
     TargetCheckIn,
     TargetDeparture,
+    TargetMessages,
 )
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.consensus import RaftTiming
@@ -108,6 +109,7 @@
         self._board = board
         self._peers = peers
         self._places = PlaceTable()
+        self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
         self._fail = fail
@@ -173,6 +175,10 @@
                 connection.reply(call, self._history())
             case TargetCheckIn() | TargetDeparture():
                 self._handle_target_message(connection, call, body)
+            case TargetMessages(messages):
+                now = monotonic()
+                for message in messages:
+                    self._record_target_message(now, message)
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
             case TakePlace():
@@ -285,29 +291,48 @@
     def _handle_target_message(
         self, connection: StreamConnection, call: int, body: TargetCheckIn | TargetDeparture
     ) -> None:
-        """Record a target's message; the leader forwards it to the other voters.
+        """Record and acknowledge a target's message, as the leader.
 
-        A message that expects no reply was forwarded by the leader.
+        What changes routes is forwarded to the other voters before it is acknowledged; a heartbeat
+        that only repeats what is known follows with the others of the leader's round.
         """
         now = monotonic()
         leader = self._current_leader(now)
-        if call and not isinstance(leader, LeaderController):
+        if not isinstance(leader, LeaderController):
             connection.reply(call, leader)
             return
+        match body:
+            case TargetCheckIn() if not self._registry.changes_routes(now, body):
+                self._record_heartbeat(now, body)
+                self._unforwarded.append(body)
+            case _:
+                self._record_target_message(now, body)
+                leader.on_targets_changed(now)
+                self._forward_to_voters(TargetMessages((body,)))
+        connection.reply(call, TargetAcknowledged(body.instance))
+
+    def _record_target_message(self, now: float, body: TargetCheckIn | TargetDeparture) -> None:
         match body:
             case TargetCheckIn():
-                is_new = self._registry.record(body.instance) is None
-                if self._registry.record_heartbeat(now, body) and (is_new or body.is_draining):
-                    _log_target("draining" if body.is_draining else "ready", body)
+                self._record_heartbeat(now, body)
             case TargetDeparture():
                 self._registry.depart(now, body.instance)
                 log_record(_log, TargetStateChanged(target=body.instance, state="departed"))
-        if call and isinstance(leader, LeaderController):
-            leader.on_targets_changed(now)
-            for peer in self._voting_peers():
-                if peer.instance != self._board.identity.instance:
-                    self._peers.get(peer.address).send(body)
-            connection.reply(call, TargetAcknowledged(body.instance))
+
+    def _record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> None:
+        is_new = self._registry.record(heartbeat.instance) is None
+        if self._registry.record_heartbeat(now, heartbeat) and (is_new or heartbeat.is_draining):
+            _log_target("draining" if heartbeat.is_draining else "ready", heartbeat)
+
+    def _forward_heartbeats(self) -> None:
+        if self._unforwarded:
+            self._forward_to_voters(TargetMessages(tuple(self._unforwarded)))
+            self._unforwarded.clear()
+
+    def _forward_to_voters(self, messages: TargetMessages) -> None:
+        for peer in self._voting_peers():
+            if peer.instance != self._board.identity.instance:
+                self._peers.get(peer.address).send(messages)
 
     def _suspect(self, body: SuspectTarget) -> Body:
         now = monotonic()
@@ -384,6 +409,7 @@
             self._fail(failed)
         if not self._control.is_leader:
             self._leader = None
+            self._unforwarded.clear()
             return
         if not self._control.can_read(now):
             return
@@ -400,6 +426,7 @@
             )
             self._apply_initial_configuration()
         self._leader.tick(now)
+        self._forward_heartbeats()
 
     def _create_target_controller(self, now: float) -> TargetController | None:
         if self._engines is None:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -103,6 +103,8 @@
         self._warm_models: dict[InstanceId, str] = {}
         self._warm_up_orders: dict[InstanceId, JoinGroup] = {}
         self._started_at = now
+        self._states: dict[InstanceId, EngineState] = {}
+        self._states_key = (now, -1)
 
     @property
     def has_served(self) -> bool:
@@ -169,6 +171,7 @@
             for service in deployment.services
             if service.engine is not None
         }
+        self._states_key = (0.0, -1)
 
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
@@ -373,6 +376,14 @@
         return self._leaving_since(group) is not None
 
     def _engine_states(self, now: float) -> dict[InstanceId, EngineState]:
+        """Return the states of the usable engines, derived once for each round and change."""
+        key = (now, self._registry.revision)
+        if key != self._states_key:
+            self._states = self._derive_engine_states(now)
+            self._states_key = key
+        return self._states
+
+    def _derive_engine_states(self, now: float) -> dict[InstanceId, EngineState]:
         return {
             record.heartbeat.instance: EngineState(
                 record.heartbeat.instance,
