Keep models with few large groups complete while members are lost

The only spare of each domain held the small groups' model, a broken small group took the spare of the large one, a lost member of a large group waited 16 s for a load, and a group was converted only if its model stayed better supplied than the other became, which forbids it between 23 of 25 and 4 of 5. Change: a spare goes to the model that loses the largest part of its work by a lost member; members of serving groups store a scarcer model too, so that their group can be converted at once (reserves); the spare of a scarcer model is not taken for a broken group of another; a model is short if it lacks half a group, and a group is converted if the worse supplied of the two models gains. Two rows of tables now list a reserve, and one names the other of two spares.

--- a/features/targets/staging.feature
+++ b/features/targets/staging.feature
@@ -36,7 +36,7 @@
     Examples: members load as they join, so that the first request is served as early as possible
       | case                                  | instances                           | groups       | staging |
       | nothing is staged before groups exist | a=- b=- c=- d=- e=- g=- h=- s=-     |              |         |
-      | each model gets its own spare         | a=v b=v c=v d=v e=f g=f h=f s=- t=- | v:abcd f:egh | s:f t:v |
+      | each model gets its own spare         | a=v b=v c=v d=v e=f g=f h=f s=- t=- | v:abcd f:egh | s:v t:f |
 
   Scenario Outline: after a first start, <case>
     Given the instances "<instances>" of one domain
--- a/features/targets/supply.feature
+++ b/features/targets/supply.feature
@@ -13,10 +13,10 @@
 
     Examples: v has two complete groups, the instances of east are members of groups
       | case                                                | west                                  | east                            | groups                  | short | staging |
-      | an idle instance keeps the short model              | a=v b=v c=v d=v s=f                   | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     |         |
+      | an idle instance keeps the short model              | a=v b=v c=v d=v s=f                   | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     | p:f     |
       | with as many groups it becomes a spare              | a=v b=v c=v d=v s=f                   | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl            |       | s:v     |
-      | the other model's spare completes a group           | a=v b=v c=v d=v s=v e=f g=f           | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     | s:f     |
-      | the spare stays where it would not complete one     | a=v b=v c=v d=v s=v e=f               | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     |         |
+      | the other model's spare completes a group           | a=v b=v c=v d=v s=v e=f g=f           | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     | s:f p:f |
+      | the spare stays where it would not complete one     | a=v b=v c=v d=v s=v e=f               | j=f k=f l=f m=v n=v o=v p=v     | v:abcd f:jkl v:mnop     | f     | p:f     |
       | the short model's broken group is repaired first    | a=v! b=v c=v d=v e=f! g=f h=f t=-     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     | t:f     |
       | the spare of another broken group stays             | a=v! b=v c=v d=v s=v e=f! g=f h=f     | m=v n=v o=v p=v                 | v:abcd f:egh v:mnop     | f     |         |
 
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -17,8 +17,8 @@
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain, remote_members
 from jaylatch_decisions.groups.supply import (
+    can_give_group,
     count_complete,
-    may_gain_group,
     short_models,
     supply_of,
 )
@@ -41,7 +41,7 @@
 def plan_conversion(facts: PlanInput) -> Conversion | None:
     """Return the conversion that needs the fewest loads for the shortest model, or None.
 
-    The model that gives up a group remains at least as well supplied as the other one becomes.
+    The model that gives up a group remains better supplied than the other one is now.
     """
     short = short_models(facts)
     if not short or facts.may_join_cold:
@@ -50,20 +50,19 @@
     models = {model.name: model for model in facts.configuration.models}
     model = models[min(short, key=lambda name: (supply_of(models[name], complete[name]), name))]
     needs = _Needs(facts, model)
-    if any(len(needs.free(domain)) >= needs.count(domain) for domain in needs.domains):
-        # Staging on free instances completes a group.
-        return None
     donors = {
         name
         for name, other in models.items()
-        if other.share > 0
-        and may_gain_group(model, complete[model.name], supply_of(other, complete[name] - 1))
+        if can_give_group(other, complete[name], model, complete[model.name])
     }
     choices = [
         conversion
         for group in needs.convertible_groups
         if group.model in donors and (conversion := needs.convert(group)) is not None
     ]
+    if any(len(needs.free(domain)) >= needs.count(domain) for domain in needs.domains):
+        # Staging on free instances completes a group, but a reserve completes it sooner.
+        choices = [item for item in choices if item.is_ready]
     return min(choices, key=lambda item: (len(item.loads), item.group), default=None)
 
 
--- a/packages/decisions/src/jaylatch_decisions/groups/staging.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/staging.py
@@ -13,18 +13,25 @@
 from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_decisions.groups.conversion import Conversion
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
+from jaylatch_decisions.groups.reserves import plan_reserves
 from jaylatch_decisions.groups.spanning import home_domain, scarce_models
-from jaylatch_decisions.groups.supply import short_models, supply_of
+from jaylatch_decisions.groups.supply import (
+    can_give_group,
+    count_complete,
+    short_models,
+    supply_of,
+)
 
 
 def plan_staging(facts: PlanInput, conversion: Conversion | None) -> dict[InstanceId, str]:
     """Return the model that each free instance should stage, for those that should stage one.
 
     Each domain stages first what a broken group waits for, then what completes a wanted group, then
-    spares for the existing groups. The needs of models that are short of groups come first, and
-    the spares of other models serve them. The members of a group that is converted load its new
-    model. Where instances may join without staging, nothing is staged in a domain without groups,
-    so that no instance stages a model and then joins a group of another.
+    spares for the existing groups, and last reserves among the members of groups. The needs of
+    models that are short of groups come first, and the spares of other models serve them. The
+    members of a group that is converted load its new model. Where instances may join without
+    staging, nothing is staged in a domain without groups, so that no instance stages a model and
+    then joins a group of another.
     """
     domains: dict[FailureDomainId, list[InstanceFacts]] = defaultdict(list)
     for item in facts.instances:
@@ -40,6 +47,7 @@
             loads += needs.plan()
     if conversion is not None:
         loads += [_Load(item, conversion.model, _Purpose.FORM) for item in conversion.loads]
+    loads += [_Load(item, model, _Purpose.RESERVE) for item, model in plan_reserves(facts).items()]
     return {load.instance: load.model for load in _limit_loads(facts, loads)}
 
 
@@ -65,6 +73,7 @@
     REPAIR = 0
     FORM = 1
     SPARE = 2
+    RESERVE = 3
 
 
 class _Load(NamedTuple):
@@ -99,8 +108,11 @@
         ]
         self._free = sorted(free, key=lambda item: item.instance)
         self._staged = Counter(model for item in self._free for model in _models_of(item))
+        self._complete = count_complete(facts)
         self._lacking = Counter[str]()
+        self._exposed = Counter[str]()
         for group in self._groups:
+            self._exposed[group.model] += len(group.members)
             # A remote member serves slowly until an instance of this domain replaces it.
             self._lacking[group.model] += sum(
                 1
@@ -129,8 +141,13 @@
             model, purpose = need
             chosen = [item for item in idle if model not in _models_of(item)]
             if not chosen and purpose is not _Purpose.SPARE:
-                # A group that is broken or missing takes precedence over a serving one's spare.
-                chosen = [item for item in spares if model not in _models_of(item)]
+                # A group that is broken or missing takes precedence over a serving one's spare,
+                # unless the loss of a group would hurt that one's model more.
+                chosen = [
+                    item
+                    for item in spares
+                    if model not in _models_of(item) and not self._protects_scarcer(item, model)
+                ]
             if not chosen:
                 return loads
             # Empty instances first: another staged model may be wanted again.
@@ -151,6 +168,20 @@
         """Return whether the instance has staged a model that is short or that a group lacks."""
         return any(self._lacking[model] or model in self._kept for model in _models_of(item))
 
+    def _protects_scarcer(self, item: InstanceFacts, model: str) -> bool:
+        """Return whether the instance is the spare of a model that can lose a group less easily."""
+        models = {known.name: known for known in self._models}
+        wanted = models.get(model)
+        return any(
+            wanted is not None and self._exposed[stored]
+            # The group that waits for the instance is not complete: the model has given it up.
+            and can_give_group(
+                wanted, self._complete[model] + 1, models[stored], self._complete[stored] - 1
+            )
+            for stored in _models_of(item)
+            if stored in models
+        )
+
     def _is_lacking(self, model: str) -> bool:
         """Return whether more members are lacking than free instances have staged ``model``."""
         return self._lacking[model] > self._staged[model]
@@ -215,13 +246,14 @@
         return model.instances_per_group - (self._staged[model.name] - self._lacking[model.name])
 
     def _least_protected(self) -> str | None:
-        """Return the model whose groups of this domain have the fewest spares for their size."""
-        exposed = Counter[str]()
-        for group in self._groups:
-            exposed[group.model] += len(group.members)
-        if not exposed:
-            return None
-        return min(exposed, key=lambda model: (self._staged[model] / exposed[model], model))
+        """Return the model that loses most, for its spares, if a member is lost by chance.
+
+        A lost member stops one group: a larger part of the work of a model with few groups.
+        """
+        return min(self._exposed, key=lambda model: (-self._risk(model), model), default=None)
+
+    def _risk(self, model: str) -> float:
+        return self._exposed[model] / self._group_counts[model] / (1 + self._staged[model])
 
 
 def _models_of(item: InstanceFacts) -> tuple[str, ...]:
--- a/packages/decisions/src/jaylatch_decisions/groups/supply.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/supply.py
@@ -14,7 +14,10 @@
 from jaylatch_decisions.groups.facts import PlanInput
 
 GROUP_TOLERANCE = 0.25
-"""Fraction of a group by which a model may exceed its share: shares are seldom whole groups."""
+"""Fraction of a group by which the better supplied of two models must differ, so that shares that
+are no whole groups do not move groups back and forth."""
+SHORT_BY = 0.5
+"""Fraction of a group that a model must lack to be short."""
 
 
 class ModelSupply(msgspec.Struct, frozen=True):
@@ -68,8 +71,7 @@
 def short_models(facts: PlanInput) -> frozenset[str]:
     """Return the models that have fewer complete groups for their share than another model has.
 
-    A model is short if one more complete group would still not give it more than the other, and if
-    the configuration wants one more.
+    A model is short if it lacks more than half a group, and if the configuration wants one more.
     """
     complete = count_complete(facts)
     models = facts.configuration.models
@@ -81,10 +83,19 @@
         model.name
         for model in models
         if (model.groups == 0 or complete[model.name] < model.groups)
-        and may_gain_group(model, complete[model.name], highest)
+        and complete[model.name] + SHORT_BY <= highest * model.share
     )
 
 
-def may_gain_group(model: ModelSpecification, complete: int, supply: float) -> bool:
-    """Return whether one more group gives ``model`` no more for its share than ``supply``."""
-    return complete + 1 <= supply * model.share + GROUP_TOLERANCE
+def can_give_group(
+    donor: ModelSpecification, donor_groups: int, model: ModelSpecification, groups: int
+) -> bool:
+    """Return whether the worse supplied of two models gains if ``donor`` gives up a group.
+
+    ``donor_groups`` and ``groups`` are the complete groups that each has before; ``model`` has or
+    gets one more for it.
+    """
+    if donor.name == model.name or donor.share <= 0:
+        return False
+    left = supply_of(donor, donor_groups - 1)
+    return left * model.share >= groups + GROUP_TOLERANCE
