Keep groups in the view that generate although control does not hear from them

Change: a gateway names in its renewals the groups and epochs that sent it events since the last one. A group generates nothing while a member is missing, so the leader takes all members to have been at work then; a missed probe from before is void. A load record is kept only within an epoch. Without such a sign a group is lost as before.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -48,6 +48,18 @@
       | stream | stalls before its first event             | every event once | 2     |
       | stream | omits an event                            | every event once | 2     |
 
+  Scenario Outline: a target of kind stream that <fault> gives <reports> report of progress
+    Given a gateway with two targets, of which the first one used <fault>
+    But both are granted as heads of groups only
+    When a request of kind stream is sent
+    Then the gateway has <reports> groups whose progress it reports
+
+    Examples: only events of an answer show that a group is complete
+      | fault                        | reports |
+      | answers                      | 1       |
+      | closes before it answers     | 1       |
+      | stalls after some events     | 2       |
+
   Scenario Outline: the only target stalls after some events, and another one is granted <after> s after the request
     Given a gateway with two targets, of which the first one used stalls after some events
     But only one of them is granted
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -240,6 +240,12 @@
     grant_targets(context, context.targets[:1])
 
 
+@given(r"both are granted as heads of groups only")
+def step_heads_granted(context: Context) -> None:
+    routes = [make_route(kind) for kind in RequestKind]
+    context.harness.grant(routes, {RequestKind.STREAM: context.targets})
+
+
 def grant_targets(context: Context, targets: list[ScriptedTarget]) -> None:
     routes = [make_route(kind) for kind in RequestKind]
     context.harness.grant(routes, dict.fromkeys(RequestKind, targets))
@@ -321,6 +327,12 @@
     assert count == int(requests), count
 
 
+@then(r"the gateway has (?P<count>\d) groups whose progress it reports")
+def step_progress_reports(context: Context, count: str) -> None:
+    reported = context.harness.role.report_progress(monotonic())
+    assert len(reported) == int(count), reported
+
+
 @then(r"the caller gets 503 with a retry delay within 0.3 s")
 def step_refused_immediately(context: Context) -> None:
     assert context.answer.status == 503, context.answer
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -56,11 +56,23 @@
     draining_epoch: Epoch = Epoch(0)
 
 
+class GroupProgress(msgspec.Struct, frozen=True, array_like=True):
+    """A gateway received part of an answer from a group ``age`` seconds before it sent this.
+
+    A group generates nothing while one of its members is missing, so all were there.
+    """
+
+    group: GroupId
+    epoch: Epoch
+    age: float
+
+
 class RenewLease(msgspec.Struct, frozen=True, tag=True):
     """Asks for a lease and acknowledges the generations that the node applies.
 
     ``preset`` is the newest preset generation that the node knows, prepared or in force;
-    ``preset_in_force`` is the one that it knows to be in force.
+    ``preset_in_force`` is the one that it knows to be in force. ``progress`` lists the groups that
+    have served this gateway since its last renewal.
     """
 
     instance: InstanceId
@@ -74,6 +86,7 @@
     member: MemberReport | None
     preset_in_force: Generation = Generation(0)
     deployment: DeploymentNumber = NO_DEPLOYMENT
+    progress: tuple[GroupProgress, ...] = ()
 
 
 class Assignment(msgspec.Struct, frozen=True):
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 from random import Random
 
-from jaylatch_core.ids import FailureDomainId, InstanceId
+from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
 
 FAILURE_PAUSE = 1.0
 """Seconds for which a target is skipped after a failure; doubled for each further one."""
@@ -32,7 +32,8 @@
 
     ``own_in_flight`` counts this node's requests in flight, ``reported`` is the number of requests
     in the target's last report, and ``own_at_report`` this node's part of them. ``failures`` counts
-    the consecutive failures.
+    the consecutive failures. ``progress_at`` is when the target last sent part of an answer that it
+    generates as the head of ``group`` under ``epoch``; both are unset for a plain service.
     """
 
     instance: InstanceId
@@ -44,6 +45,9 @@
     reported_at: float = 0.0
     failures: int = 0
     usable_from: float = 0.0
+    group: GroupId = GroupId("")
+    epoch: Epoch = Epoch(0)
+    progress_at: float = 0.0
 
     def record_report(self, now: float, busy: int) -> None:
         """Record that the target runs or queues ``busy`` requests."""
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -25,15 +25,15 @@
 
     ``last_contact_at`` is when it arrived, ``draining_since`` when the target first announced that
     it drains, ``departed_at`` when it announced that it reports no more, ``appeared_at`` when the
-    first heartbeat of its incarnation arrived. ``is_lost``: it did not answer a probe that was sent
-    after this heartbeat.
+    first heartbeat of its incarnation arrived. ``missed_probe_at`` is when a probe was
+    sent that it did not answer, after its last contact.
     """
 
     heartbeat: TargetCheckIn
     last_contact_at: float
     draining_since: float | None = None
     departed_at: float | None = None
-    is_lost: bool = False
+    missed_probe_at: float | None = None
     appeared_at: float = 0.0
 
 
@@ -138,7 +138,7 @@
     def is_usable(self, now: float, instance: InstanceId) -> bool:
         """Return whether ``instance`` sends heartbeats or finishes its work, and is not lost."""
         record = self._records.get(instance)
-        if record is None or record.is_lost:
+        if record is None or record.missed_probe_at is not None:
             return False
         if record.departed_at is not None:
             return now < record.departed_at + DEPARTURE_GRACE_PERIOD
@@ -153,9 +153,22 @@
         if record is None or record.last_contact_at >= asked_at:
             return False
         self._revision += 1
-        record.is_lost = True
+        record.missed_probe_at = asked_at
         return True
 
+    def confirm(self, at: float, instance: InstanceId) -> None:
+        """Record that the target was working at ``at``, as others than itself have seen.
+
+        Fault covered: a partition between the targets and control, while the gateways reach them.
+        """
+        record = self._records.get(instance)
+        if record is None or record.last_contact_at >= at:
+            return
+        self._revision += 1
+        record.last_contact_at = at
+        if record.missed_probe_at is not None and record.missed_probe_at < at:
+            record.missed_probe_at = None
+
     def forget_unresponsive(self, now: float, retention: float) -> None:
         """Drop the targets that have sent no heartbeat for ``retention`` seconds."""
         for instance, record in list(self._records.items()):
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -118,6 +118,7 @@
         self._leases.grant(now, renewal)
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
+        self._confirm_progress(now, renewal)
         has_configuration = renewal.configuration == self._state.generation
         return LeaseGrant(
             self._leases.duration,
@@ -131,6 +132,12 @@
             self._list_peers(),
         )
 
+    def _confirm_progress(self, now: float, renewal: RenewLease) -> None:
+        for progress in renewal.progress:
+            group = self._state.groups.get(progress.group)
+            if group is not None and group.epoch == progress.epoch and self._targets is not None:
+                self._targets.confirm_members(now - progress.age, group)
+
     def _deployment_change(self, renewal: RenewLease) -> bytes | None:
         if renewal.deployment == self._state.deployment.number:
             return None
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -161,6 +161,11 @@
                 self._probed_at[member] = now
                 create_task(self._probe_target(now, member))
 
+    def confirm_members(self, at: float, group: Group) -> None:
+        """Record that a group generated tokens at ``at``, which it does only with all members."""
+        for member in group.members:
+            self._registry.confirm(at, member)
+
     def use_deployment(self, deployment: Deployment) -> None:
         """Use the services of ``deployment`` from now on."""
         if deployment is self._deployment:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -64,6 +64,7 @@
         self._is_stalled = False
         self._watchdog: _ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
+        self._target: TargetLoad | None = None
 
     @property
     def last_event(self) -> int:
@@ -83,6 +84,7 @@
         ``has_attempts_left`` allows an unresponsive target to be abandoned for another one.
         """
         self._reset()
+        self._target = target
         now = monotonic()
         connection = self._pool.take(now, address) or await self._pool.connect(address)
         if connection is None:
@@ -158,6 +160,8 @@
                 self._connection.close()
         if not events:
             return
+        if self._target is not None:
+            self._target.progress_at = self._progress_at
         if self._caller.has_started:
             self._caller.send(events)
             return
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from jaylatch_core.ids import InstanceId
-from jaylatch_core.messages.membership import View
+from jaylatch_core.messages.membership import GroupProgress, View
 from jaylatch_decisions.targets import TargetLoad
 
 
@@ -32,8 +32,8 @@
     def update(self, view: View) -> set[InstanceId]:
         """Use the targets of ``view``; return the heads that no longer serve their groups.
 
-        The known load of a target is kept while its address is the same. The head of a group that
-        was ending is not returned, because it finishes its remaining work.
+        The known load of a target is kept while its address and epoch are the same. The head of a
+        group that was ending is not returned, because it finishes its remaining work.
         """
         if view is self._view:
             return set()
@@ -48,7 +48,13 @@
         self._by_service, self._by_model = {}, {}
         for group in view.groups:
             if group.service:
-                load = TargetLoad(group.head, group.slots, group.failure_domain)
+                load = TargetLoad(
+                    group.head,
+                    group.slots,
+                    group.failure_domain,
+                    group=group.group,
+                    epoch=group.epoch,
+                )
                 known = self._add(old, group.address, load)
                 if not group.is_ending:
                     self._by_model.setdefault((group.service, group.model), []).append(known.load)
@@ -65,6 +71,14 @@
             return self._by_service.get(service, [])
         return self._by_model.get((service, model), [])
 
+    def progress_since(self, since: float, now: float) -> tuple[GroupProgress, ...]:
+        """Return the groups that have sent part of an answer since ``since``."""
+        return tuple(
+            GroupProgress(load.group, load.epoch, now - load.progress_at)
+            for load in (known.load for known in self._targets.values())
+            if load.group and load.progress_at > since
+        )
+
     def address(self, instance: InstanceId) -> str | None:
         """Return the address of a target, or None if the view no longer contains it."""
         known = self._targets.get(instance)
@@ -74,7 +88,7 @@
         self, old: dict[InstanceId, KnownTarget], address: str, load: TargetLoad
     ) -> KnownTarget:
         known = old.get(load.instance)
-        if known is None or known.address != address:
+        if known is None or known.address != address or known.load.epoch != load.epoch:
             known = KnownTarget(address, load)
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -10,6 +10,7 @@
 from jaylatch_core.deployment import ConnectionLimits, Deployment
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.messages.membership import GroupProgress
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.retry import RetryBudget
@@ -71,6 +72,7 @@
         self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
+        self._progress_reported_at = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -107,6 +109,11 @@
             detail=f"{self._server.in_flight} requests cut",
         )
 
+    def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
+        """Return the groups that have served this gateway since the last report."""
+        since, self._progress_reported_at = self._progress_reported_at, now
+        return self._directory.progress_since(since, now)
+
     def on_grant(self) -> None:
         """Apply a new deployment and a new view."""
         grant = self._board.grant
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -13,7 +13,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import Generation
 from jaylatch_core.messages.deployment_changes import DeploymentChange, unpack_change
-from jaylatch_core.messages.membership import LeaseGrant, MemberReport, RenewLease
+from jaylatch_core.messages.membership import GroupProgress, LeaseGrant, MemberReport, RenewLease
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import apply_change
 from jaylatch_node.blackboard import Blackboard
@@ -22,6 +22,7 @@
 _log = logging.getLogger("jaylatch.leases")
 
 MemberReporter = Callable[[float], MemberReport | None]
+ProgressReporter = Callable[[float], tuple[GroupProgress, ...]]
 
 
 class LeaseController:
@@ -34,12 +35,14 @@
         roles: tuple[Role, ...],
         client: ControlClient,
         report_member: MemberReporter,
+        report_progress: ProgressReporter = lambda now: (),
     ) -> None:
         self._board = board
         self._settings = settings
         self._roles = roles
         self._client = client
         self._report_member = report_member
+        self._report_progress = report_progress
         self._wake = Event()
         self._had_lease = False
         self._grant_handlers: list[Callable[[], None]] = []
@@ -99,6 +102,7 @@
             self._report_member(monotonic()),
             grant.preset.generation,
             grant.deployment.number,
+            self._report_progress(monotonic()),
         )
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -17,7 +17,7 @@
 )
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
-from jaylatch_core.messages.membership import MemberReport, ViewChanged
+from jaylatch_core.messages.membership import GroupProgress, MemberReport, ViewChanged
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.leases import HeldLease
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
@@ -59,7 +59,12 @@
         self._failure: Future[Failure] = get_running_loop().create_future()
         self._roles = [factory(self) for factory in factories]
         self._leases = LeaseController(
-            self.board, settings.lease, settings.roles, self.client, self._report_member
+            self.board,
+            settings.lease,
+            settings.roles,
+            self.client,
+            self._report_member,
+            self._report_progress,
         )
         for role in self._roles:
             self._leases.on_grant(role.on_grant)
@@ -98,6 +103,9 @@
         reports = (role.report_member(now) for role in self._roles)
         return next((report for report in reports if report is not None), None)
 
+    def _report_progress(self, now: float) -> tuple[GroupProgress, ...]:
+        return tuple(item for role in self._roles for item in role.report_progress(now))
+
     def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
         match body:
             case ConsensusBatch():
--- a/packages/node/src/jaylatch_node/role.py
+++ b/packages/node/src/jaylatch_node/role.py
@@ -4,7 +4,7 @@
 
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
-from jaylatch_core.messages.membership import MemberReport
+from jaylatch_core.messages.membership import GroupProgress, MemberReport
 from jaylatch_node.streams import StreamConnection
 
 
@@ -32,3 +32,7 @@
     def report_member(self, now: float) -> MemberReport | None:
         """Return the state of this process's target, or None without a target."""
         return None
+
+    def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
+        """Return the groups that have served this process since the last report."""
+        return ()
