Let gateways without a view follow every view of a new leader

Cause: a new leader withholds its views for 2.6 s, as it does not know all heads yet. A gateway without any view got the leader's first one, usually empty, and then none until that time was over. Change: views are withheld only from nodes whose view is that of an earlier leader.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -1,5 +1,6 @@
 """Steps on groups whose heartbeats stop while gateways still receive tokens from them."""
 
+import msgspec
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
 from direct_target_steps import HEARTBEAT_TIMEOUT_SECONDS
@@ -24,7 +25,13 @@
 )
 from jaylatch_core.messages.control import ControlCommand, FormGroup, Group
 from jaylatch_core.messages.frames import Body
-from jaylatch_core.messages.membership import GroupProgress, GroupRoute, RenewLease, View
+from jaylatch_core.messages.membership import (
+    GroupProgress,
+    GroupRoute,
+    LeaseGrant,
+    RenewLease,
+    View,
+)
 from jaylatch_core.messages.targets import (
     MemberState,
     PublishDeployment,
@@ -72,6 +79,12 @@
     for rank in range(len(members)):
         registry.record_heartbeat(STARTED_AT, make_heartbeat(group, rank))
 
+    context.state = state
+    context.group = group
+    create_leader(context, state, registry)
+
+
+def create_leader(context: Context, state: ControlState, registry: TargetRegistry) -> None:
     async def propose(command: ControlCommand) -> object:
         return None
 
@@ -87,7 +100,6 @@
     context.leader = LeaderController(
         board, state, LeaseSettings(), Term(1), propose, STARTED_AT, targets
     )
-    context.group = group
 
 
 def make_heartbeat(group: Group, rank: int) -> TargetCheckIn:
@@ -121,6 +133,45 @@
     )
 
 
+@given(r"a leader that has just been elected and hears from the group (?P<heard>[\d.]+) s later")
+def step_new_leader(context: Context, heard: str) -> None:
+    context.registry = TargetRegistry(HEARTBEAT_TIMEOUT_SECONDS, STARTED_AT)
+    create_leader(context, context.state, context.registry)
+    context.heard_at = STARTED_AT + float(heard)
+
+
+@when(
+    r"the gateway renews its lease at once and again after that, with the view"
+    r' "(?P<view>none|of an earlier leader)"'
+)
+def step_renews_twice(context: Context, view: str) -> None:
+    async def run() -> None:
+        known = 0 if view == "none" else 7
+        context.leader.tick(STARTED_AT)
+        first = renew(context, STARTED_AT, known)
+        known = first.view.version if first.view is not None else known
+        for rank in range(len(context.group.members)):
+            context.registry.record_heartbeat(context.heard_at, make_heartbeat(context.group, rank))
+        context.leader.on_targets_changed(context.heard_at)
+        context.grant = renew(context, context.heard_at, known)
+
+    context.runner.run(run())
+
+
+def renew(context: Context, now: float, view: int) -> LeaseGrant:
+    renewal = msgspec.structs.replace(make_renewal(()), view=view)
+    return context.leader.renew(now, renewal, SilentConnection())
+
+
+@then(r"the second grant (?P<second>lists the group|leaves it its own)")
+def step_second_grant(context: Context, second: str) -> None:
+    view = context.grant.view
+    if second == "lists the group":
+        assert view is not None and [route.group for route in view.groups] == [context.group.id]
+    else:
+        assert view is None, view
+
+
 @when(
     r"the gateway reports progress of (?P<reported>.+) until (?P<until>[\d.]+) s after the last"
     r" heartbeat"
--- a/features/targets/cut_off.feature
+++ b/features/targets/cut_off.feature
@@ -17,6 +17,17 @@
       | tokens of an older epoch arrive          | an older epoch        | 8.0   | 2.5   | 3.5  |
       | the report names a group that is unknown | another group         | 8.0   | 2.5   | 3.5  |
 
+  Scenario Outline: a new leader, and a gateway whose view is <view>
+    Given a group of 3 whose heartbeats stop, and a gateway that renews its lease each 0.5 s
+    And a leader that has just been elected and hears from the group <heard> s later
+    When the gateway renews its lease at once and again after that, with the view "<view>"
+    Then the second grant <second>
+
+    Examples: a gateway without a view needs each that the leader has, another one has a better one
+      | view                  | heard | second            |
+      | none                  | 0.3   | lists the group   |
+      | of an earlier leader  | 0.3   | leaves it its own |
+
   Scenario Outline: a probe sent at 5 s is missed, and tokens were seen at <seen> s
     Given a registry that has received "a:1:10:1", one message a second
     When a probe sent 4 s later is not answered and it is seen at work at <seen> s
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -241,11 +241,14 @@
     def _needs_view(self, now: float, renewal: RenewLease) -> bool:
         """Return whether the node uses views and lacks the current one.
 
-        A new leader does not know all heads yet, so for a while a node keeps the view that it has.
+        A new leader does not know all heads yet, so for a while a node keeps the view that an
+        earlier leader gave it. A node without one, as after a restart of all processes, follows
+        every view of this leader.
         """
         if not _uses_views(renewal) or renewal.view == self._view.version:
             return False
-        return renewal.view == NO_VIEW or now >= self._view_from
+        is_own_view = renewal.view >= self._term * VIEW_VERSIONS_PER_TERM
+        return renewal.view == NO_VIEW or is_own_view or now >= self._view_from
 
     def _refresh_view(self, now: float) -> None:
         admitting = [group for group in self._state.groups.values() if not self._is_draining(group)]
