Count only whole events as progress of a stream

Change: the progress of a stream is its last whole event. Measured: the new row of features/gateway/path "sends a byte of an event now and then" fails before and gets every event once after; "sends whole events slowly" passes before and after, from one target.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -47,6 +47,8 @@
       | stream | stalls after some events                  | every event once | 2     |
       | stream | stalls before its first event             | every event once | 2     |
       | stream | omits an event                            | every event once | 2     |
+      | stream | sends a byte of an event now and then     | every event once | 2     |
+      | stream | sends whole events slowly                 | every event once | 1     |
 
   Scenario Outline: a target of kind stream that <fault> gives <reports> report of progress
     Given a gateway with two targets, of which the first one used <fault>
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -28,6 +28,8 @@
 
 EVENT_COUNT = 6
 EVENTS_BEFORE_FAULT = 3
+DRIBBLE_SECONDS = 0.2
+"""Shorter than any time after which a silent target is abandoned."""
 STALL_SECONDS = 6.0
 WORK_SECONDS = 5.0
 KIND_PATTERN = "once|idempotent|stream"
@@ -122,6 +124,20 @@
                 writer.write(event_chunk(number))
             await sleep(STALL_SECONDS)
             return False
+        case "sends a byte of an event now and then":
+            writer.write(stream_head(request))
+            writer.write(event_chunk(0))
+            for byte in b"id: 1\ndata: " + b"x" * 40:
+                writer.write(b"1\r\n" + bytes([byte]) + b"\r\n")
+                await sleep(DRIBBLE_SECONDS)
+            return False
+        case "sends whole events slowly":
+            writer.write(stream_head(request))
+            for number in range(EVENT_COUNT):
+                await sleep(DRIBBLE_SECONDS)
+                writer.write(event_chunk(number))
+            writer.write(END_OF_STREAM)
+            return True
         case "omits an event":
             writer.write(stream_head(request))
             for number in (0, 1, 3, 4, 5):
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -147,8 +147,8 @@
         return True
 
     def _take_data(self, data: bytes) -> None:
-        self._progress_at = monotonic()
         if not self._is_stream:
+            self._progress_at = monotonic()
             self._body.append(data)
             return
         if self._has_gap:
@@ -159,7 +159,9 @@
             if self._connection is not None:
                 self._connection.close()
         if not events:
+            # Part of an event is no progress: a stalled target may send a byte now and then.
             return
+        self._progress_at = monotonic()
         if self._target is not None:
             self._target.progress_at = self._progress_at
         if self._caller.has_started:
