Give new requests of a model precedence over those that return

Cause: a request that was refused was admitted up to 1.4 requests a slot when it returned, a new one up to 1.1. While a load beyond the capacity lasts, those who return then fill all places: everybody is refused first and served late afterwards. Change: a returning request gets a free slot (1.0) and makes no new one wait.

--- a/features/steps/place_steps.py
+++ b/features/steps/place_steps.py
@@ -2,10 +2,11 @@
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
+from support.place_load import Outcome, PlaceLoad
 
 from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.places import PlaceCandidate, PlaceTaken, TakePlace
-from jaylatch_decisions.places import OwnerTable, PlaceTable
+from jaylatch_decisions.places import OwnerTable, PlaceLimits, PlaceTable
 
 FIRST, SECOND = 0, 1
 LONG_DURATION_SECONDS = 9.0
@@ -52,6 +53,56 @@
     assert f"{name} {found.load:.1f}" == answer, found
 
 
+@given(r"two targets of 24 slots, answers of 0.6 s to 1.8 s and first events due in 0.25 s")
+def step_load(context: Context) -> None:
+    """The figures are those of ``support.place_load``."""
+
+
+@when(
+    r"callers arrive for (?P<seconds>\d+) s at (?P<load>[\d.]+) times what these can serve,"
+    r" seeds 0 to (?P<last>\d+)"
+)
+def step_overload(context: Context, seconds: str, load: str, last: str) -> None:
+    def replay(limits: PlaceLimits) -> Outcome:
+        total = Outcome()
+        for seed in range(int(last) + 1):
+            outcome = PlaceLoad(PlaceTable(limits), float(load), float(seconds), seed).run()
+            total.in_time += outcome.in_time
+            total.late += outcome.late
+            total.refused += outcome.refused
+        return total
+
+    context.outcome = replay(PlaceLimits())
+    context.preferring = replay(PlaceLimits(returning=1.4))
+    context.unordered = replay(PlaceLimits(returning=PlaceLimits().new))
+
+
+@then(r"the owner serves at least (?P<part>[\d.]+) of the callers that it serves in time")
+def step_in_time(context: Context, part: str) -> None:
+    outcome = context.outcome
+    assert outcome.in_time >= float(part) * outcome.served, outcome
+
+
+@then(
+    r"it serves at least (?P<part>[\d.]+) times as many callers as an owner that prefers those"
+    r" who return"
+)
+def step_served(context: Context, part: str) -> None:
+    assert context.outcome.served >= float(part) * context.preferring.served, (
+        context.outcome,
+        context.preferring,
+    )
+
+
+@then(
+    r"it serves at least as many callers in time as one that prefers those who return,"
+    r" one without order"
+)
+def step_baselines(context: Context) -> None:
+    for baseline in (context.preferring, context.unordered):
+        assert context.outcome.in_time >= baseline.in_time, (context.outcome, baseline)
+
+
 @given(r'the control instances "(?P<addresses>[^"]*)"')
 def step_instances(context: Context, addresses: str) -> None:
     context.addresses = addresses.split()
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -5,9 +5,15 @@
 whose first answers then came after 1.2 s to 1.9 s. The count here is exact except for lost
 messages; a place that is never released expires with its request. Times are seconds of the
 monotonic clock.
+
+Load pattern: more requests than the targets can serve, for seconds; each refused caller returns
+once. If those who return were preferred, they would fill all places as long as the load lasts:
+every request would first be refused and then answered late. So new requests come first, which can
+still be in time, and those who return get the places that would otherwise stay empty.
 """
 
 from collections import defaultdict
+from dataclasses import dataclass
 
 from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
@@ -15,9 +21,9 @@
 NEW_REQUEST_LOAD_LIMIT = 1.1
 """Maximum requests for each slot at which a new one is admitted: one in ten waits for a slot, which
 becomes free within a tenth of a second."""
-RETURNING_REQUEST_LOAD_LIMIT = 1.4
-"""The same for a request that was refused before: it has waited already, and its caller returns
-only once. A slot becomes free within a quarter of a second, about the latency objective."""
+RETURNING_REQUEST_LOAD_LIMIT = 1.0
+"""The same for a request that was refused before and is late already: it gets a slot that is free,
+but makes no new one wait."""
 RESUMED_STREAM_LOAD_LIMIT = 2.0
 """The same for a resumed stream, as a refusal fails its caller for good."""
 REFUSAL_RETENTION = 4.0
@@ -26,10 +32,23 @@
 """Refused requests that are remembered; the oldest are dropped first."""
 
 
+@dataclass(frozen=True)
+class PlaceLimits:
+    """Maximum requests for each slot of a target, by what is known of the request."""
+
+    new: float = NEW_REQUEST_LOAD_LIMIT
+    returning: float = RETURNING_REQUEST_LOAD_LIMIT
+    resumed: float = RESUMED_STREAM_LOAD_LIMIT
+
+
+DEFAULT_LIMITS = PlaceLimits()
+
+
 class PlaceTable:
     """The permits of the models whose places this process owns."""
 
-    def __init__(self) -> None:
+    def __init__(self, limits: PlaceLimits = DEFAULT_LIMITS) -> None:
+        self._limits = limits
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
@@ -59,10 +78,10 @@
 
     def _limit(self, now: float, request: TakePlace) -> float:
         if request.is_resumed:
-            return RESUMED_STREAM_LOAD_LIMIT
+            return self._limits.resumed
         refused_at = self._refused.get(request.digest)
         is_returning = refused_at is not None and now < refused_at + REFUSAL_RETENTION
-        return RETURNING_REQUEST_LOAD_LIMIT if is_returning else NEW_REQUEST_LOAD_LIMIT
+        return self._limits.returning if is_returning else self._limits.new
 
     def _count(self, now: float, instance: InstanceId) -> int:
         expiries = self._expiries[instance]
