Test that commands of the log read back, compressed or not

Cause: that logs of earlier versions stay readable was claimed without a scenario. Change: three rows in features/dissemination/deployment_storm.

--- a/features/dissemination/deployment_storm.feature
+++ b/features/dissemination/deployment_storm.feature
@@ -39,6 +39,17 @@
       | of another base        |
       | a bomb of 64 MiB       |
 
+  Scenario Outline: A command of the log with <routes> routes, written <written>
+    Given a command that publishes a deployment of <routes> routes
+    When it is written <written>
+    Then it takes <size> and reads back as the same command
+
+    Examples: logs of earlier versions are not compressed
+      | routes | written            | size                     |
+      | 1      | by this version    | its plain form           |
+      | 1500   | by this version    | less than 25% of its plain form |
+      | 1500   | without compression | its plain form          |
+
   Scenario Outline: A node that was told of <announced> and has <applied>, after <age> s of <bound> s
     Given the deployments <announced> announced 0.2 s apart while 4 is in force
     When the node applies <applied>
--- a/features/steps/deployment_storm_steps.py
+++ b/features/steps/deployment_storm_steps.py
@@ -10,6 +10,7 @@
 from behave.runner import Context
 from returns.result import Success
 
+from jaylatch_core.compression import compress_large, expand
 from jaylatch_core.deployment import (
     NO_DEPLOYMENT,
     Deployment,
@@ -297,6 +298,32 @@
     step_newest(context)
 
 
+@given(r"a command that publishes a deployment of (?P<routes>\d+) routes")
+def step_command(context: Context, routes: str) -> None:
+    deployment = make_deployment(1, dict.fromkeys(range(int(routes)), 0))
+    context.command = PublishDeployment(deployment, b"")
+    context.plain = msgspec.msgpack.encode(context.command)
+
+
+@when(r"it is written (?P<how>by this version|without compression)")
+def step_written(context: Context, how: str) -> None:
+    is_plain = how == "without compression"
+    context.written = context.plain if is_plain else compress_large(context.plain)
+
+
+@then(
+    r"it takes (?P<size>its plain form|less than 25% of its plain form)"
+    r" and reads back as the same command"
+)
+def step_read_back(context: Context, size: str) -> None:
+    if size == "its plain form":
+        assert context.written == context.plain
+    else:
+        assert len(context.written) < 0.25 * len(context.plain), len(context.written)
+    decoded = msgspec.msgpack.decode(expand(context.written), type=PublishDeployment)
+    assert decoded == context.command
+
+
 @given(
     r"the deployments (?P<announced>[\d ]+) announced (?P<gap>[\d.]+) s apart while 4 is in force"
 )
