Quarantine parts of prompts that end their targets

Cause: the evidence of the quarantine is the digest of a whole request, which never recurs. The deaths themselves were recorded in time: the leader's log has each within 0.1 s of the crash. Change: gateways name the shared parts of interrupted requests that no answer has proven sound; the control leader blames the parts that explain the deaths, lists them in the view and keeps them in the control log; gateways refuse requests with them at once, also interrupted ones. A log line names quarantined and suspected parts. Why it works: a fatal part is in every death and never in an answer; sound parts of the same requests are answered elsewhere, and a death that a blamed part explains counts against no other.

--- a/features/control/state.feature
+++ b/features/control/state.feature
@@ -20,3 +20,4 @@
       | form a b; repair 1 a c                    | form b d         | refused     |
       | form a b; repair 1 a c; release b 1       | form b d         | accepted 3  |
       | drain d instance a                        | drain d instance a | accepted 1 |
+      | quarantine p q                            | quarantine p     | accepted 1  |
--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -14,6 +14,30 @@
       | 2      | once       | 503                 | 0     |
       | 2      | stream     | 503                 | 0     |
 
+  Scenario Outline: a request with the parts <parts> after the part p has been quarantined
+    Given a gateway with two targets, of which the first one used answers
+    And the part p of prompts is quarantined
+    When a stream with the parts "<parts>" is requested
+    Then the caller gets <answer> and the targets received <asked> requests
+
+    Examples:
+      | parts | answer           | asked |
+      |       | every event once | 1     |
+      | s t   | every event once | 1     |
+      | s p   | 503              | 0     |
+      | p     | 503              | 0     |
+
+  Scenario Outline: the part p is quarantined while a request with <parts> runs at a target that <fault>
+    Given a gateway with two targets, of which the first one used <fault>
+    When a stream with the parts "<parts>" is requested, and the part p is quarantined meanwhile
+    Then the caller gets <answer> and the targets received <asked> requests
+
+    Examples:
+      | parts | fault                              | answer               | asked |
+      | s     | stalls before its first event      | every event once     | 2     |
+      | s p   | stalls before its first event      | 502                  | 1     |
+      | s p   | stalls after some events           | an incomplete stream | 1     |
+
   Scenario Outline: control probes a target whose connection ended and that <state>
     Given control and a target that <state> when it is probed
     When a gateway reports that the connection of request "p" to it ended
--- /dev/null
+++ b/features/policy/prompt_parts.feature
@@ -0,0 +1,52 @@
+Feature: Parts of prompts that end their targets are told from sound ones
+
+  Each death lists the requests in flight there, with the shared parts of their prompts. The part p
+  is fatal, all others are sound.
+
+  Scenario Outline: <what>
+    Given the deaths and answers "<history>"
+    Then the quarantined parts are "<quarantined>"
+
+    Examples: one fatal part
+      | what                                               | history                                                       | quarantined |
+      | two deaths are not enough                          | t1 a=p b=p; t2 c=p d=p                                        |             |
+      | three deaths with three requests                   | t1 a=p; t2 b=p; t3 c=p                                        | p           |
+      | one request in three deaths                        | t1 a=p; t2 a=p; t3 a=p                                        |             |
+      | a death reported twice counts once                 | t1 a=p; t1 b=p; t1 c=p                                        |             |
+      | a request is reported after the death              | t1 a=p; t2 b=p; t3 c=q; late t3 d=p                           | p           |
+      | a connection that ended without a death            | t1 a=p; t2 b=p; alive t3 c=p                                  |             |
+      | the same target dies again later                   | t1 a=p; 5 s; t1 b=p; 5 s; t1 c=p                              | p           |
+      | deaths over a minute ago do not count              | t1 a=p; t2 b=p; 61 s; t3 c=p                                  |             |
+
+    Examples: sound parts beside it
+      | what                                               | history                                                       | quarantined |
+      | the sound part is in fewer deaths                  | t1 a=p.s b=s; t2 c=p.s d=s; t3 e=p                            | p           |
+      | the sound part is in more requests                 | t1 a=p.s b=s; t2 c=p.s d=s; t3 e=p.s                          | p           |
+      | parts that cannot be told apart wait               | t1 a=p.s; t2 b=p.s; t3 c=p.s; t4 d=p.s                        |             |
+      | but not after five deaths                          | t1 a=p.s; t2 b=p.s; t3 c=p.s; t4 d=p.s; t5 e=p.s              | p s         |
+      | an answer to the sound part tells them apart       | t1 a=p.s; t2 b=p.s; t3 c=p.s; answered s; t4 d=p.s            | p           |
+      | an answer ends a quarantine                        | t1 a=s; t2 b=s; t3 c=s; answered s                            |             |
+      | requests sent again together to the next target    | t1 a=p b=s c=q; t2 a=p b=s c=q d=p; t3 d=p e=p                | p           |
+
+    Examples: two fatal parts
+      | what                                               | history                                                       | quarantined |
+      | one after the other                                | t1 a=p; t2 b=p; t3 c=p; t4 d=q; t5 e=q; t6 f=q                | p q         |
+      | at the same targets                                | t1 a=p b=p c=q; t2 d=p e=q; t3 f=p g=p h=q; t4 i=p; t5 j=p; t6 k=p | p q    |
+
+    Examples: quarantines end, and are kept by the next leader
+      | what                                               | history                                                       | quarantined |
+      | after the time of the policy                       | t1 a=p; t2 b=p; t3 c=p; 601 s                                 |             |
+      | not before it                                      | t1 a=p; t2 b=p; t3 c=p; 599 s                                 | p           |
+      | a new leader                                       | t1 a=p; t2 b=p; t3 c=p; 1 s; new leader                       | p           |
+
+  Scenario Outline: a gateway that has received <answers> reports, of a prompt with a and b
+    Given a gateway's answers to prompts with "<answers>"
+    Then <later> s later it reports "<unproven>" of an interrupted request with "a b"
+    And it reports an answer to "<proven>" of the suspected parts "a b"
+
+    Examples:
+      | answers | later | unproven | proven |
+      |         | 0     | a b      |        |
+      | a       | 0     | b        | a      |
+      | a b     | 30    |          | a b    |
+      | a       | 61    | a b      |        |
--- a/features/steps/control_state_steps.py
+++ b/features/steps/control_state_steps.py
@@ -7,7 +7,7 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.enums import DrainScope, Preset
 from jaylatch_core.exceptions import GenerationConflict
-from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
+from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId, PromptPartId
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommitPreset,
@@ -16,6 +16,7 @@
     DissolveGroup,
     FormGroup,
     PreparePreset,
+    QuarantineParts,
     RepairGroup,
     SetDrain,
 )
@@ -48,6 +49,8 @@
             return ConfirmRelease(InstanceId(words[0]), Epoch(int(words[1])))
         case "drain":
             return SetDrain(CommandId(words[0]), DrainScope(words[1]), words[2], True)
+        case "quarantine":
+            return QuarantineParts(tuple(PromptPartId(word) for word in words))
         case _:
             raise ValueError(f"unknown command {text!r}")
 
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -1,13 +1,14 @@
 """Steps on the quarantine of requests that cause deaths of their direct targets."""
 
-from asyncio import sleep
+from asyncio import create_task, sleep
 
+import msgspec
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
-from features.support.gateway import DOMAIN, HOST
+from features.support.gateway import DOMAIN, HOST, MODEL, Answer, RawCaller, request_bytes
 from tornado.httputil import HTTPHeaders
 
-from jaylatch_core.ids import AttemptId, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.ids import AttemptId, InstanceId, PromptPartId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_core.messages.targets import TargetCheckIn
 from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
@@ -16,6 +17,8 @@
 from jaylatch_node.targets import InboundRequest, OrderOutcome
 
 TARGET = InstanceId("target")
+QUARANTINE_DELAY_SECONDS = 0.1
+"""After the request was sent, and before the gateway abandons a silent target."""
 
 use_step_matcher("re")
 
@@ -34,6 +37,43 @@
     context.harness.role.on_grant()
 
 
+@given(r"the part p of prompts is quarantined")
+def step_part_quarantined(context: Context) -> None:
+    quarantine_part(context)
+
+
+def quarantine_part(context: Context) -> None:
+    grant = context.harness.board.grant
+    grant.view = msgspec.structs.replace(
+        grant.view, version=grant.view.version + 1, quarantined_parts=(PromptPartId("p"),)
+    )
+    context.harness.role.on_grant()
+
+
+async def request_stream(context: Context, parts: str) -> Answer:
+    caller = await RawCaller.connect(context.harness.address)
+    return await caller.ask(request_bytes("/stream/x", X_Model=MODEL, X_Parts=parts))
+
+
+@when(r'a stream with the parts "(?P<parts>[^"]*)" is requested')
+def step_stream_with_parts(context: Context, parts: str) -> None:
+    context.answer = context.runner.run(request_stream(context, parts))
+
+
+@when(
+    r'a stream with the parts "(?P<parts>[^"]*)" is requested,'
+    r" and the part p is quarantined meanwhile"
+)
+def step_quarantined_meanwhile(context: Context, parts: str) -> None:
+    async def request_and_quarantine() -> Answer:
+        answer = create_task(request_stream(context, parts))
+        await sleep(QUARANTINE_DELAY_SECONDS)
+        quarantine_part(context)
+        return await answer
+
+    context.answer = context.runner.run(request_and_quarantine())
+
+
 @given(r"control and a target that (?P<state>answers|does not answer) when it is probed")
 def step_control(context: Context, state: str) -> None:
     async def probe(record: TargetRecord) -> bool:
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -33,6 +33,7 @@
     GroupId,
     Incarnation,
     InstanceId,
+    PromptPartId,
 )
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, View
 from jaylatch_core.settings import GatewaySettings, NodeSettings
@@ -90,6 +91,7 @@
             headers.get("X-Key"),
             headers.get("X-Model"),
             int(last) if last else None,
+            tuple(PromptPartId(part) for part in headers.get("X-Parts", "").split()),
         )
 
     def write_request(
--- a/packages/core/src/jaylatch_core/event_names.py
+++ b/packages/core/src/jaylatch_core/event_names.py
@@ -122,6 +122,10 @@
         "plan.ConfirmRelease",
         "The leader recorded that an instance has left its group.",
     )
+    PLAN_QUARANTINE_PARTS = (
+        "plan.QuarantineParts",
+        "The leader recorded the parts of prompts whose requests are refused.",
+    )
     PLAN_COMMIT_PRESET = (
         "plan.CommitPreset",
         "The leader completed a preset switch that every lease holder had acknowledged.",
--- a/packages/core/src/jaylatch_core/ids.py
+++ b/packages/core/src/jaylatch_core/ids.py
@@ -49,5 +49,8 @@
 
 NO_DIGEST = RequestDigest("")
 
+PromptPartId = NewType("PromptPartId", str)
+"""A part of a prompt, as the caller names it; requests may share it."""
+
 TargetDeathId = NewType("TargetDeathId", str)
 """A death of a target: its unplanned end."""
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -128,6 +128,13 @@
     requests: tuple[str, ...]
 
 
+class PartsQuarantined(LogRecord, frozen=True, kw_only=True, tag="quarantine"):
+    """The parts of prompts whose requests are refused, or that are suspected, have changed."""
+
+    quarantined: tuple[str, ...]
+    suspected: tuple[str, ...]
+
+
 class EngineOrdered(LogRecord, frozen=True, kw_only=True, tag="engine order"):
     """An order was sent to an engine; ``outcome`` is its answer, unknown if there was none."""
 
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -5,7 +5,7 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, GroupState, Preset
-from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
+from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId, PromptPartId
 from jaylatch_core.messages.targets import PublishDeployment
 
 
@@ -75,6 +75,12 @@
     is_draining: bool
 
 
+class QuarantineParts(msgspec.Struct, frozen=True, tag=True):
+    """Replaces the parts of prompts whose requests are refused because they end their targets."""
+
+    parts: tuple[PromptPartId, ...]
+
+
 ControlCommand = (
     ApplyConfiguration
     | PreparePreset
@@ -85,6 +91,7 @@
     | ConfirmRelease
     | SetDrain
     | PublishDeployment
+    | QuarantineParts
 )
 
 
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -13,6 +13,7 @@
     GroupId,
     Incarnation,
     InstanceId,
+    PromptPartId,
     RequestDigest,
     TargetDeathId,
     TargetId,
@@ -72,7 +73,8 @@
 
     ``preset`` is the newest preset generation that the node knows, prepared or in force;
     ``preset_in_force`` is the one that it knows to be in force. ``progress`` lists the groups that
-    have served this gateway since its last renewal.
+    have served this gateway since its last renewal. ``answered_parts`` are those suspected parts of
+    prompts to which it has received an answer.
     """
 
     instance: InstanceId
@@ -87,6 +89,7 @@
     preset_in_force: Generation = Generation(0)
     deployment: DeploymentNumber = NO_DEPLOYMENT
     progress: tuple[GroupProgress, ...] = ()
+    answered_parts: tuple[PromptPartId, ...] = ()
 
 
 class Assignment(msgspec.Struct, frozen=True):
@@ -145,13 +148,17 @@
 class View(msgspec.Struct, frozen=True):
     """Routing table of entries and gateways; ``version`` changes with the content.
 
-    ``deaths`` are the latest deaths of direct targets with requests in flight.
+    ``deaths`` are the latest deaths of direct targets with requests in flight. Requests with one of
+    ``quarantined_parts`` in their prompts are not sent. Gateways report answers to requests with
+    one of ``suspected_parts``.
     """
 
     version: int
     groups: tuple[GroupRoute, ...]
     services: tuple[ServiceRoute, ...]
     deaths: tuple[TargetDeath, ...] = ()
+    quarantined_parts: tuple[PromptPartId, ...] = ()
+    suspected_parts: tuple[PromptPartId, ...] = ()
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -5,7 +5,15 @@
 import msgspec
 
 from jaylatch_core.deployment import Deployment, DeploymentNumber
-from jaylatch_core.ids import NO_DIGEST, Epoch, FailureDomainId, GroupId, InstanceId, RequestDigest
+from jaylatch_core.ids import (
+    NO_DIGEST,
+    Epoch,
+    FailureDomainId,
+    GroupId,
+    InstanceId,
+    PromptPartId,
+    RequestDigest,
+)
 
 
 class MemberState(str, Enum):
@@ -71,10 +79,12 @@
     """A gateway reports an unresponsive group head, or a target to which it cannot connect.
 
     ``digest`` is that of a request during which the target closed its connection, else empty.
+    ``parts`` are the shared parts of that request's prompt that no answer has proven sound.
     """
 
     instance: InstanceId
     digest: RequestDigest = NO_DIGEST
+    parts: tuple[PromptPartId, ...] = ()
 
 
 class PublishDeployment(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/control/snapshot.py
+++ b/packages/decisions/src/jaylatch_decisions/control/snapshot.py
@@ -6,7 +6,7 @@
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import DrainScope
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
-from jaylatch_core.ids import CommandId, Epoch, Generation, InstanceId
+from jaylatch_core.ids import CommandId, Epoch, Generation, InstanceId, PromptPartId
 from jaylatch_core.messages.control import CommandAccepted, ConfigurationRecord, Group
 from jaylatch_core.messages.membership import PresetState
 
@@ -33,6 +33,7 @@
     preset_operator: str = ""
     deployment: Deployment = Deployment(NO_DEPLOYMENT)
     published: bytes = b""
+    quarantined_parts: tuple[PromptPartId, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -11,7 +11,7 @@
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import DrainScope, GroupState, Preset
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
-from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId
+from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId, PromptPartId
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
@@ -23,6 +23,7 @@
     FormGroup,
     Group,
     PreparePreset,
+    QuarantineParts,
     RepairGroup,
     SetDrain,
 )
@@ -43,7 +44,7 @@
 
 
 class ControlState:
-    """Configuration, preset, groups and drains that the control quorum has committed.
+    """Configuration, preset, groups, drains and quarantine that the control quorum has committed.
 
     ``occupied`` maps each instance that left a group without a confirmed release to the epoch
     under which it may still act. Such an instance cannot join a group. ``published`` is the
@@ -60,6 +61,7 @@
         self.occupied: dict[InstanceId, Epoch] = {}
         self.drains: set[tuple[DrainScope, str]] = set()
         self.history: list[ConfigurationRecord] = []
+        self.quarantined_parts: tuple[PromptPartId, ...] = ()
         self._effective: tuple[Configuration, Deployment, Configuration] | None = None
         self._preset_operator = ""
         self._last_epoch = 0
@@ -82,6 +84,7 @@
         state.occupied = dict(snapshot.occupied)
         state.drains = set(snapshot.drains)
         state.history = list(snapshot.history)
+        state.quarantined_parts = snapshot.quarantined_parts
         state._preset_operator = snapshot.preset_operator
         state._last_epoch = snapshot.last_epoch
         state.deployments = DeploymentHistory(snapshot.deployment)
@@ -110,6 +113,7 @@
                 self._preset_operator,
                 self.deployment,
                 self.published.source,
+                self.quarantined_parts,
             )
         )
 
@@ -130,6 +134,9 @@
                 return self._confirm_release(command)
             case PublishDeployment():
                 return self._publish(command)
+            case QuarantineParts(parts):
+                self.quarantined_parts = parts
+                return Success(CommandAccepted(len(parts)))
 
     def effective_configuration(self) -> Configuration:
         """Return the configuration including the models that the deployment defines."""
--- a/packages/decisions/src/jaylatch_decisions/quarantine/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/quarantine/__init__.py
@@ -1,5 +1,13 @@
-"""Detection of requests that cause the death of the targets that run them."""
+"""Detection of requests, and of parts of prompts, that cause the death of their targets."""
 
 from jaylatch_decisions.quarantine.evidence import DeathRecorder, EvidenceTable, QuarantineStatus
+from jaylatch_decisions.quarantine.prompt_parts import AnsweredParts, PartEvidence, SharedParts
 
-__all__ = ["DeathRecorder", "EvidenceTable", "QuarantineStatus"]
+__all__ = [
+    "AnsweredParts",
+    "DeathRecorder",
+    "EvidenceTable",
+    "PartEvidence",
+    "QuarantineStatus",
+    "SharedParts",
+]
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -14,9 +14,9 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
-from jaylatch_core.log_records import PlanCommitted, SupplyChanged, ViewPublished
+from jaylatch_core.log_records import PartsQuarantined, PlanCommitted, SupplyChanged, ViewPublished
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
-from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group
+from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group, QuarantineParts
 from jaylatch_core.messages.membership import (
     Assignment,
     GroupRoute,
@@ -119,6 +119,7 @@
         self._renewed_at[renewal.instance] = now
         self._connections[renewal.instance] = connection
         self._confirm_progress(now, renewal)
+        self._clear_parts(renewal)
         has_configuration = renewal.configuration == self._state.generation
         return LeaseGrant(
             self._leases.duration,
@@ -138,6 +139,10 @@
             if group is not None and group.epoch == progress.epoch and self._targets is not None:
                 self._targets.confirm_members(now - progress.age, group)
 
+    def _clear_parts(self, renewal: RenewLease) -> None:
+        if self._targets is not None:
+            self._targets.part_evidence.clear(renewal.answered_parts)
+
     def _deployment_change(self, renewal: RenewLease) -> bytes | None:
         if renewal.deployment == self._state.deployment.number:
             return None
@@ -152,7 +157,9 @@
         """Check whether a direct target, or a member of its group, is lost."""
         if self._targets is not None:
             groups = self._state.groups.values()
-            self._targets.suspect(now, suspicion.instance, groups, suspicion.digest)
+            self._targets.suspect(
+                now, suspicion.instance, groups, suspicion.digest, suspicion.parts
+            )
 
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
@@ -162,6 +169,8 @@
         """Update metrics and view, notify nodes, send engine orders and propose commands."""
         if self._targets is not None:
             self._targets.use_deployment(self._state.deployment)
+            policy = self._state.configuration.policy(self._state.preset.preset)
+            self._targets.part_evidence.expire(now, policy.quarantine_time)
         facts = self._facts(now)
         self._update_metrics(now, facts)
         self._update_retiring(facts)
@@ -262,15 +271,29 @@
             services += tuple(
                 sorted(self._targets.service_routes(now), key=lambda route: route.instance)
             )
-        deaths = self._targets.deaths if self._targets is not None else ()
-        view = self._view
-        if (groups, services, deaths) != (view.groups, view.services, view.deaths):
-            self._view = View(view.version + 1, groups, services, deaths)
+        view = View(self._view.version, groups, services)
+        if self._targets is not None:
+            evidence = self._targets.part_evidence
+            view = msgspec.structs.replace(
+                view,
+                deaths=self._targets.deaths,
+                quarantined_parts=evidence.quarantined,
+                suspected_parts=evidence.suspected,
+            )
+        if view != self._view:
+            self._log_quarantine(view)
+            self._view = msgspec.structs.replace(view, version=view.version + 1)
             names = tuple(
                 f"{route.group}@{route.epoch}{'!' if route.is_ending else ''}" for route in groups
             )
             log_record(_log, ViewPublished(version=self._view.version, groups=names))
 
+    def _log_quarantine(self, view: View) -> None:
+        """Log the parts of prompts that ``view`` names, if they are not those of the last view."""
+        parts = (view.quarantined_parts, view.suspected_parts)
+        if parts != (self._view.quarantined_parts, self._view.suspected_parts):
+            log_record(_log, PartsQuarantined(quarantined=parts[0], suspected=parts[1]))
+
     def _route(self, now: float, group: Group) -> GroupRoute | None:
         holder = self._leases.holder(now, group.head)
         return group_route(group, holder.renewal) if holder is not None else None
@@ -374,11 +397,19 @@
         prepared = preset.prepared_generation
         if prepared and self._leases.is_preset_prepared(now, prepared):
             commands.append(CommitPreset(prepared))
+        commands += self._quarantine_commands()
         if plan_input is not None:
             commands += plan_groups(plan_input, conversion)
             commands += self._rejoin_commands(now, commands)
         return commands
 
+    def _quarantine_commands(self) -> list[ControlCommand]:
+        """Return the command that keeps the quarantine for the next leader, if it has changed."""
+        if self._targets is None:
+            return []
+        parts = self._targets.part_evidence.quarantined
+        return [QuarantineParts(parts)] if parts != self._state.quarantined_parts else []
+
     def _rejoin_commands(self, now: float, planned: list[ControlCommand]) -> list[ControlCommand]:
         """Return repairs of groups whose members are all usable but no longer joined."""
         if self._targets is None:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -439,6 +439,7 @@
             self._engines.probe,
             bool(self._state.groups),
             now,
+            self._state.quarantined_parts,
         )
 
     def _apply_initial_configuration(self) -> None:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -12,6 +12,7 @@
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
 from jaylatch_core.messages.targets import MemberState, TargetCheckIn
 from jaylatch_decisions.groups import InstanceFacts
+from jaylatch_decisions.quarantine import PartEvidence, SharedParts
 from jaylatch_decisions.targets import (
     CloseGroup,
     EngineOrder,
@@ -83,7 +84,9 @@
         probe: TargetProber,
         has_served: bool,
         now: float,
+        quarantined_parts: SharedParts = (),
     ) -> None:
+        self._part_evidence = PartEvidence(now, quarantined_parts)
         self._registry = registry
         self._probe = probe
         self._probed_at: dict[InstanceId, float] = {}
@@ -141,18 +144,26 @@
         """Return the latest deaths of targets that had requests in flight."""
         return tuple(self._deaths)
 
+    @property
+    def part_evidence(self) -> PartEvidence:
+        """Return the evidence against parts of prompts."""
+        return self._part_evidence
+
     def suspect(
         self,
         now: float,
         instance: InstanceId,
         groups: Iterable[Group],
         digest: RequestDigest = NO_DIGEST,
+        parts: SharedParts = (),
     ) -> None:
         """Probe the target that a gateway suspects, and the members of the group that it heads.
 
-        ``digest`` identifies a request that ran there when its connection ended.
+        ``digest`` identifies a request that ran there when its connection ended; ``parts`` are the
+        shared parts of its prompt that no answer has proven sound.
         """
         if digest:
+            self._part_evidence.record_interruption(now, instance, digest, parts)
             self._interrupted_requests.setdefault(instance, {})[digest] = now
         group = next((item for item in groups if item.head == instance), None)
         members = group.members if group is not None else (instance,)
@@ -461,6 +472,7 @@
 
     def _record_death(self, now: float, instance: InstanceId) -> None:
         """Record the requests that ran at a target when it died, as evidence for the quarantine."""
+        self._part_evidence.record_death(now, instance)
         interrupted = self._interrupted_requests.pop(instance, {})
         recent = tuple(digest for digest, at in interrupted.items() if now - at < DEATH_WINDOW)
         if recent:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -5,7 +5,8 @@
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
-from jaylatch_core.ids import NO_DIGEST, AccountId, InstanceId, RequestDigest
+from jaylatch_core.ids import AccountId, InstanceId, RequestDigest
+from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
 from jaylatch_decisions.targets.attempts import (
@@ -25,9 +26,8 @@
     TargetPool,
 )
 
-SuspicionHandler = Callable[[InstanceId, RequestDigest], None]
-"""Called with an unresponsive target, or with a target that closed the connection while it ran the
-request with this digest."""
+SuspicionHandler = Callable[[SuspectTarget], None]
+"""Called for an unresponsive target, and for one that closed the connection of a request."""
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
@@ -71,6 +71,11 @@
         """Return the id of the last event that the caller has, or -1."""
         return self._splitter.last_id
 
+    @property
+    def is_success(self) -> bool:
+        """Return whether the target's answer states success."""
+        return self._head is not None and self._head.status in SUCCESS
+
     async def send(
         self,
         address: str,
@@ -89,7 +94,7 @@
         connection = self._pool.take(now, address) or await self._pool.connect(address)
         if connection is None:
             target.record_failure(monotonic())
-            self._suspect(target.instance, NO_DIGEST)
+            self._suspect(SuspectTarget(target.instance))
             return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
@@ -188,7 +193,8 @@
             connection.close()
             target.record_failure(now)
             if failure is ExchangeFailed.CLOSED and not self._is_stalled:
-                self._suspect(target.instance, self._digest)
+                parts = self._request.shared_parts
+                self._suspect(SuspectTarget(target.instance, self._digest, parts))
             return AttemptOutcome.STALLED if self._is_stalled else AttemptOutcome.BROKEN
         self._pool.release(now, address, connection, facts.keep_alive)
         if facts.is_not_run:
@@ -243,7 +249,7 @@
 
     def report_unresponsive(self, instance: InstanceId) -> None:
         """Report to control that a target is unresponsive."""
-        self._suspect(instance, NO_DIGEST)
+        self._suspect(SuspectTarget(instance))
 
     def mark_stalled(self) -> None:
         """Record that the target was abandoned because it was unresponsive."""
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -24,7 +24,7 @@
     RequestRefused,
 )
 from jaylatch_core.messages.membership import TargetDeath
-from jaylatch_decisions.quarantine import EvidenceTable, QuarantineStatus
+from jaylatch_decisions.quarantine import AnsweredParts, EvidenceTable, QuarantineStatus
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target, may_admit
 from jaylatch_decisions.targets.attempts import (
@@ -72,6 +72,8 @@
 
 DIGEST_BYTES = 12
 
+QUARANTINED_PART = "targets that answered a part of this prompt ended"
+
 _log = logging.getLogger("jaylatch.request")
 
 
@@ -118,7 +120,9 @@
         suspect: SuspicionHandler,
         places: PlaceClient,
         apply_bound: float,
+        answered_parts: AnsweredParts,
     ) -> None:
+        self._answered_parts = answered_parts
         self._apply_bound = apply_bound
         self._places = places
         self._evidence = EvidenceTable()
@@ -200,6 +204,8 @@
         digest = digest_of(request, account)
         if len(self._evidence) and self._is_quarantined(now, digest):
             return Refusal(RefusalKind.NOT_RUN, "targets that ran this request ended")
+        if self._has_quarantined_part(request):
+            return Refusal(RefusalKind.NOT_RUN, QUARANTINED_PART)
         time_left = route.timeout
         if request.time_left is not None:
             time_left = min(time_left, request.time_left)
@@ -209,6 +215,10 @@
         duration = self._board.grant.policy().quarantine_time
         return self._evidence.status(now, digest, duration) is QuarantineStatus.QUARANTINED
 
+    def _has_quarantined_part(self, request: InboundRequest) -> bool:
+        quarantined = self._board.grant.view.quarantined_parts
+        return any(part in quarantined for part in request.shared_parts)
+
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or fails."""
         attempt = Attempt(
@@ -242,6 +252,12 @@
                 if place is not None:
                     place.release()
                 continue
+            if self._has_quarantined_part(job.request):
+                # It was quarantined while this request waited or was running elsewhere.
+                if place is not None:
+                    place.release()
+                self._give_up(job, QUARANTINED_PART, 0.0)
+                return
             job.attempted[target.instance] = target
             job.placements += 1
             self._record_placement(job, target, place, len(candidates), attempt.last_event)
@@ -252,6 +268,8 @@
                     place.release()
             if outcome is None:
                 self._evidence.clear([job.digest])
+                if attempt.is_success:
+                    self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
                 return
             if self._decide_next(job, outcome, target) is NextStep.RETRY:
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -9,10 +9,11 @@
 from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.deployment import ConnectionLimits, Deployment
 from jaylatch_core.event_names import EventName
-from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.ids import InstanceId, PromptPartId
 from jaylatch_core.messages.membership import GroupProgress
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
+from jaylatch_decisions.quarantine import AnsweredParts
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
@@ -54,6 +55,7 @@
         self._board = board
         self._directory = TargetDirectory()
         self._pool = TargetPool()
+        self._answered_parts = AnsweredParts()
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
@@ -67,6 +69,7 @@
             self._suspect,
             PlaceClient(client),
             self._settings.apply_bound,
+            self._answered_parts,
         )
         self._deployment: Deployment = board.grant.deployment
         self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
@@ -114,6 +117,10 @@
         since, self._progress_reported_at = self._progress_reported_at, now
         return self._directory.progress_since(since, now)
 
+    def report_answered_parts(self, now: float) -> tuple[PromptPartId, ...]:
+        """Return the suspected parts of prompts to which this gateway has received answers."""
+        return self._answered_parts.proven(now, self._board.grant.view.suspected_parts)
+
     def on_grant(self) -> None:
         """Apply a new deployment and a new view."""
         grant = self._board.grant
@@ -127,17 +134,18 @@
             self._forwarder.abandon_targets(lost)
         self._pool.retain(self._directory.addresses)
 
-    def _suspect(self, instance: InstanceId, digest: RequestDigest) -> None:
+    def _suspect(self, suspicion: SuspectTarget) -> None:
         """Report an unresponsive target to the control leader, no more often than it probes.
 
         A request whose connection the target ended is always reported.
         """
         now = monotonic()
-        if digest or now >= self._suspected_at.get(instance, 0.0) + SUSPICION_INTERVAL:
+        instance = suspicion.instance
+        if suspicion.digest or now >= self._suspected_at.get(instance, 0.0) + SUSPICION_INTERVAL:
             self._suspected_at[instance] = now
-            create_task(
-                self._client.call(CONTROL_LOG, SuspectTarget(instance, digest), SUSPICION_TIMEOUT)
-            )
+            parts = self._answered_parts.unproven(now, suspicion.parts)
+            report = SuspectTarget(instance, suspicion.digest, parts)
+            create_task(self._client.call(CONTROL_LOG, report, SUSPICION_TIMEOUT))
 
     def _answer_readiness(self, request: HTTPServerRequest) -> None:
         connection = request.connection
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -11,7 +11,7 @@
 from jaylatch_core.deployment import DeploymentNumber
 from jaylatch_core.enums import Role
 from jaylatch_core.event_names import EventName
-from jaylatch_core.ids import Generation
+from jaylatch_core.ids import Generation, PromptPartId
 from jaylatch_core.messages.deployment_changes import DeploymentChange, unpack_change
 from jaylatch_core.messages.membership import GroupProgress, LeaseGrant, MemberReport, RenewLease
 from jaylatch_core.settings import LeaseSettings
@@ -23,6 +23,7 @@
 
 MemberReporter = Callable[[float], MemberReport | None]
 ProgressReporter = Callable[[float], tuple[GroupProgress, ...]]
+AnsweredPartsReporter = Callable[[float], tuple[PromptPartId, ...]]
 
 
 class LeaseController:
@@ -36,6 +37,7 @@
         client: ControlClient,
         report_member: MemberReporter,
         report_progress: ProgressReporter = lambda now: (),
+        report_answered_parts: AnsweredPartsReporter = lambda now: (),
     ) -> None:
         self._board = board
         self._settings = settings
@@ -43,6 +45,7 @@
         self._client = client
         self._report_member = report_member
         self._report_progress = report_progress
+        self._report_answered_parts = report_answered_parts
         self._wake = Event()
         self._had_lease = False
         self._grant_handlers: list[Callable[[], None]] = []
@@ -103,6 +106,7 @@
             grant.preset.generation,
             grant.deployment.number,
             self._report_progress(monotonic()),
+            self._report_answered_parts(monotonic()),
         )
 
     def _accept(self, sent_at: float, grant: LeaseGrant) -> bool:
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -8,7 +8,7 @@
 from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import Failure
-from jaylatch_core.ids import Incarnation
+from jaylatch_core.ids import Incarnation, PromptPartId
 from jaylatch_core.messages.administration import (
     EventReport,
     MetricsReport,
@@ -65,6 +65,7 @@
             self.client,
             self._report_member,
             self._report_progress,
+            self._report_answered_parts,
         )
         for role in self._roles:
             self._leases.on_grant(role.on_grant)
@@ -106,6 +107,9 @@
     def _report_progress(self, now: float) -> tuple[GroupProgress, ...]:
         return tuple(item for role in self._roles for item in role.report_progress(now))
 
+    def _report_answered_parts(self, now: float) -> tuple[PromptPartId, ...]:
+        return tuple(item for role in self._roles for item in role.report_answered_parts(now))
+
     def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
         match body:
             case ConsensusBatch():
--- a/packages/node/src/jaylatch_node/role.py
+++ b/packages/node/src/jaylatch_node/role.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 
+from jaylatch_core.ids import PromptPartId
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import GroupProgress, MemberReport
@@ -36,3 +37,7 @@
     def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have served this process since the last report."""
         return ()
+
+    def report_answered_parts(self, now: float) -> tuple[PromptPartId, ...]:
+        """Return the suspected parts of prompts to which this process has received answers."""
+        return ()
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -9,7 +9,7 @@
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from jaylatch_core.ids import AccountId, AttemptId, InstanceId
+from jaylatch_core.ids import AccountId, AttemptId, InstanceId, PromptPartId
 from jaylatch_decisions.targets import EngineOrder
 from jaylatch_node.targets.connection import OutboundRequest, ResponseHead
 
@@ -19,7 +19,8 @@
     """A caller's request. ``time_left`` is the seconds that the caller will wait, if stated.
 
     ``model`` is None for a call of a plain service. ``resume_after`` is the id of the last event
-    that the caller has, if it resumes a stream.
+    that the caller has, if it resumes a stream. ``shared_parts`` are the parts of its prompt that
+    other requests may share.
     """
 
     attempt: AttemptId
@@ -32,6 +33,7 @@
     key: str | None
     model: str | None
     resume_after: int | None
+    shared_parts: tuple[PromptPartId, ...] = ()
 
     @property
     def path(self) -> str:
