List the quarantine line among the log records, and tell operators what it means

Cause: the line of the quarantine of prompt parts was missing in the list that the command line and the reference read.

--- a/packages/cli/src/jaylatch_cli/request_trace.py
+++ b/packages/cli/src/jaylatch_cli/request_trace.py
@@ -15,6 +15,7 @@
     InternalError,
     LinesSuppressed,
     LogRecord,
+    PartsQuarantined,
     PlanCommitted,
     RequestEnded,
     RequestPlaced,
@@ -96,6 +97,8 @@
             return f"{record.target} was probed: {record.outcome}"
         case TargetDied():
             return f"{record.target} died with {len(record.requests)} requests in flight"
+        case PartsQuarantined():
+            return f"quarantined parts of prompts: {', '.join(record.quarantined) or 'none'}"
         case EngineOrdered():
             return f"{record.target} was ordered {record.order}: {record.outcome}"
         case ViewPublished():
@@ -117,7 +120,7 @@
 def _is_related(record: LogRecord, targets: set[str], is_unserved: bool) -> bool:
     if isinstance(record, TARGET_RECORDS):
         return record.target in targets
-    if isinstance(record, ViewPublished | PlanCommitted):
+    if isinstance(record, ViewPublished | PlanCommitted | PartsQuarantined):
         return is_unserved or any(target in describe(record) for target in targets)
     return isinstance(record, LinesSuppressed)
 
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -224,6 +224,7 @@
     TargetStateChanged,
     TargetProbed,
     TargetDied,
+    PartsQuarantined,
     EngineOrdered,
     ViewPublished,
     PlanCommitted,
