Give up a stream whose event does not end

Callers of a gateway would see every answer late while a target sends bytes without end inside an event: the splitter kept up to 16 MiB of them and searched all of it again for each piece. Change: an event above 256 KiB breaks the stream, as a skipped id does, and it is resumed elsewhere; only new bytes are searched. Rows for heads, bodies and events without end: the first two are bounded by the limits of the connection.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -21,6 +21,8 @@
       | once | sends the answer twice                    | the complete answer   | 1     |
       | once | answers without a length and closes       | the complete answer   | 1     |
       | once | answers without a length and resets       | 502                   | 1     |
+      | once | sends a head without end                  | 502                   | 1     |
+      | once | sends a body without end                  | 502                   | 1     |
       | once | fails with 500                            | 500 and its signature | 1     |
       | once | fails with 500 and closes in the middle   | 502                   | 1     |
 
@@ -29,6 +31,8 @@
       | idempotent | closes before it answers                | the complete answer | 2     |
       | idempotent | closes in the middle of the answer      | the complete answer | 2     |
       | idempotent | sends bytes that are not HTTP           | the complete answer | 2     |
+      | idempotent | sends a head without end                | the complete answer | 2     |
+      | idempotent | sends a body without end                | the complete answer | 2     |
       | idempotent | answers without its signature           | the complete answer | 2     |
       | idempotent | answers in an encoding                  | the complete answer | 2     |
       | idempotent | answers without a length and resets     | the complete answer | 2     |
@@ -44,6 +48,8 @@
       | stream | closes before it answers                  | every event once | 2     |
       | stream | closes in the middle of an event          | every event once | 2     |
       | stream | ends the stream in the middle of an event | every event once | 2     |
+      | stream | sends a head without end                  | every event once | 2     |
+      | stream | sends an event without end                | every event once | 2     |
       | stream | stalls after some events                  | every event once | 2     |
       | stream | stalls before its first event             | every event once | 2     |
       | stream | omits an event                            | every event once | 2     |
--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -21,6 +21,7 @@
 from jaylatch_core.ids import AccountId, Epoch, FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import Group
 from jaylatch_core.messages.targets import MemberState, ReportedMembership, TargetCheckIn
+from jaylatch_core.units import KIBIBYTE
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import (
     CloseGroup,
@@ -372,6 +373,18 @@
     assert context.splitter.has_partial == (left == "yes")
 
 
+@when(r"an event of (?P<size>\d+) KiB arrives in pieces of (?P<piece>\d+) KiB")
+def step_large_event(context: Context, size: str, piece: str) -> None:
+    for _ in range(int(size) // int(piece)):
+        context.splitter.feed(b"x" * int(piece) * KIBIBYTE)
+
+
+@then(r"the stream is (?P<state>still usable|given up), and at most (?P<held>\d+) KiB are held")
+def step_large_event_held(context: Context, state: str, held: str) -> None:
+    assert context.splitter.is_broken == (state == "given up"), state
+    assert context.splitter.pending_size <= int(held) * KIBIBYTE, context.splitter.pending_size
+
+
 @given(r"a load budget at a (?P<start>first|later) start")
 def step_budget(context: Context, start: str) -> None:
     context.budget = LoadBudget(0.0, is_first_start=start == "first")
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -32,6 +32,7 @@
 """Shorter than any time after which a silent target is abandoned."""
 STALL_SECONDS = 6.0
 WORK_SECONDS = 5.0
+ENDLESS_BYTES = b"x" * 4096
 KIND_PATTERN = "once|idempotent|stream"
 
 use_step_matcher("re")
@@ -88,6 +89,13 @@
         case "sends bytes that are not HTTP":
             writer.write(b"\x00\x01 nothing of HTTP\r\n\r\n")
             return False
+        case "sends a head without end":
+            return await send_without_end(writer, b"HTTP/1.1 200 OK\r\n")
+        case "sends a body without end":
+            return await send_without_end(writer, without_length[: -len(body)])
+        case "sends an event without end":
+            unframed = stream_head(request).replace(b"Transfer-Encoding: chunked\r\n", b"")
+            return await send_without_end(writer, unframed + b"id: 0\ndata: ")
         case "answers without its signature":
             writer.write(complete.replace(b"X-Proof: proof\r\n", b""))
             return True
@@ -150,6 +158,15 @@
     raise AssertionError(fault)
 
 
+async def send_without_end(writer: StreamWriter, head: bytes) -> bool:
+    """Send bytes until the gateway closes the connection."""
+    writer.write(head)
+    while not writer.is_closing():
+        writer.write(ENDLESS_BYTES)
+        await writer.drain()
+    return False
+
+
 async def interrupt_stream(request: Received, writer: StreamWriter, ends_properly: bool) -> bool:
     writer.write(stream_head(request))
     for number in range(EVENTS_BEFORE_FAULT):
--- a/features/targets/streams.feature
+++ b/features/targets/streams.feature
@@ -16,3 +16,13 @@
       | several events in one piece                     | -1   | 0+1+2-      | 0 1    | yes  |
       | an event is missing                             | -1   | 0+2+3       | 0      | no   |
       | a new target after a gap                        | -1   | 0+2 \| 1+2  | 0 1 2  | no   |
+
+  Scenario Outline: an event of <size> KiB that arrives in pieces of 16 KiB
+    Given a caller that has the events up to -1
+    When an event of <size> KiB arrives in pieces of 16 KiB
+    Then the stream is <state>, and at most <held> KiB are held
+
+    Examples: bytes that are no events may come without end
+      | size  | state         | held |
+      | 128   | still usable  | 128  |
+      | 4096  | given up      | 256  |
--- a/packages/decisions/src/jaylatch_decisions/events/splitter.py
+++ b/packages/decisions/src/jaylatch_decisions/events/splitter.py
@@ -4,6 +4,10 @@
 can resume at another target after the last one.
 """
 
+from jaylatch_core.units import KIBIBYTE
+
+MAX_EVENT_SIZE = 256 * KIBIBYTE
+"""Bytes without the end of an event after which a stream is given up: events hold a few tokens."""
 END_OF_EVENT = b"\n\n"
 ID_FIELD = b"id:"
 
@@ -15,9 +19,9 @@
     """
 
     def __init__(self, last_id: int = -1) -> None:
-        self._pending = b""
+        self._pending = bytearray()
         self._last_id = last_id
-        self._has_gap = False
+        self._is_broken = False
 
     @property
     def last_id(self) -> int:
@@ -30,26 +34,36 @@
         return bool(self._pending)
 
     @property
-    def has_gap(self) -> bool:
-        """Return whether an event id was skipped since the last ``restart``."""
-        return self._has_gap
+    def pending_size(self) -> int:
+        """Return the size of the incomplete event in bytes."""
+        return len(self._pending)
+
+    @property
+    def is_broken(self) -> bool:
+        """Return whether an event id was skipped, or an event is too large, since ``restart``."""
+        return self._is_broken
 
     def restart(self) -> None:
         """Begin the stream of another target, which continues after the last complete event."""
-        self._pending = b""
-        self._has_gap = False
+        self._pending.clear()
+        self._is_broken = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, unchanged.
 
         After a gap in the event ids, events with an id are dropped until ``restart``.
         """
+        # The end of an event may be divided between two pieces.
+        searched = max(len(self._pending) - len(END_OF_EVENT) + 1, 0)
         self._pending += data
-        end = self._pending.rfind(END_OF_EVENT)
+        end = self._pending.rfind(END_OF_EVENT, searched)
         if end < 0:
+            if len(self._pending) > MAX_EVENT_SIZE:
+                self._is_broken = True
+                self._pending.clear()
             return b""
-        complete = self._pending[: end + len(END_OF_EVENT)]
-        self._pending = self._pending[end + len(END_OF_EVENT) :]
+        complete = bytes(self._pending[: end + len(END_OF_EVENT)])
+        del self._pending[: end + len(END_OF_EVENT)]
         return b"".join(self._filter_event(event) for event in _split(complete))
 
     def _filter_event(self, event: bytes) -> bytes:
@@ -59,8 +73,8 @@
             return event
         if number <= self._last_id:
             return b""
-        if self._has_gap or 0 <= self._last_id < number - 1:
-            self._has_gap = True
+        if self._is_broken or 0 <= self._last_id < number - 1:
+            self._is_broken = True
             return b""
         self._last_id = number
         return event
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -59,7 +59,7 @@
         self._facts: ResponseFacts | None = None
         self._body: list[bytes] = []
         self._is_stream = False
-        self._has_gap = False
+        self._is_broken = False
         self._progress_at = 0.0
         self._is_stalled = False
         self._watchdog: _ResponseWatchdog | None = None
@@ -121,7 +121,7 @@
         """Forward a target's complete error answer unchanged; return False if there is none."""
         if self._caller.has_started or self._head is None or self._is_stream:
             return False
-        if self._facts is None or not self._facts.has_signature or self._has_gap:
+        if self._facts is None or not self._facts.has_signature or self._is_broken:
             return False
         if self._head.status in SUCCESS or self._facts.is_not_run:
             return False
@@ -133,7 +133,7 @@
         self._facts = None
         self._body = []
         self._is_stream = False
-        self._has_gap = False
+        self._is_broken = False
         self._is_stalled = False
         self._splitter.restart()
         self._progress_at = monotonic()
@@ -156,11 +156,11 @@
             self._progress_at = monotonic()
             self._body.append(data)
             return
-        if self._has_gap:
+        if self._is_broken:
             return
         events = self._splitter.feed(data)
-        if self._splitter.has_gap:
-            self._has_gap = True
+        if self._splitter.is_broken:
+            self._is_broken = True
             if self._connection is not None:
                 self._connection.close()
         if not events:
@@ -211,7 +211,7 @@
         return None
 
     def _end_stream(self, now: float, target: TargetLoad) -> AttemptOutcome | None:
-        if self._has_gap or self._splitter.has_partial:
+        if self._is_broken or self._splitter.has_partial:
             target.record_failure(now)
             return AttemptOutcome.BROKEN
         target.record_success()
