Report a target that resets an unframed stream as one that may have died

Cause: an answer without length or chunks that ends with a reset is an incomplete exchange, not a closed one, and only closed ones were reported to control; so a target that died in such a stream left no evidence (found by a row for the quarantine of prompt parts; the users' pages say that streams may come without framing). Change: both failures are reported. Measured: the row 'resets a stream that has no framing' failed before ([] reported), and passes.

--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -38,6 +38,21 @@
       | s p   | stalls before its first event      | 502                  | 1     |
       | s p   | stalls after some events           | an incomplete stream | 1     |
 
+  Scenario Outline: a target that <fault> while it runs a request with the parts s and t
+    Given a gateway with two targets, of which the first one used <fault>
+    And control, which records what the gateway reports
+    When a stream with the parts "s t" is requested
+    Then control was told of interrupted requests with the parts "<parts>"
+
+    Examples: a target that dies closes its connections
+      | fault                                      | parts |
+      | answers                                    |       |
+      | reports that it did not run it             |       |
+      | closes before it answers                   | s t   |
+      | closes in the middle of an event           | s t   |
+      | resets a stream that has no framing        | s t   |
+      | closes a stream that has no framing        |       |
+
   Scenario Outline: control probes a target whose connection ended and that <state>
     Given control and a target that <state> when it is probed
     When a gateway reports that the connection of request "p" to it ended
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -94,8 +94,16 @@
         case "sends a body without end":
             return await send_without_end(writer, without_length[: -len(body)])
         case "sends an event without end":
-            unframed = stream_head(request).replace(b"Transfer-Encoding: chunked\r\n", b"")
-            return await send_without_end(writer, unframed + b"id: 0\ndata: ")
+            return await send_without_end(writer, unframed_head(request) + b"id: 0\ndata: ")
+        case "resets a stream that has no framing":
+            writer.write(unframed_head(request))
+            await writer.drain()
+            await sleep(0.1)
+            reset(writer)
+            return False
+        case "closes a stream that has no framing":
+            writer.write(unframed_head(request))
+            return False
         case "answers without its signature":
             writer.write(complete.replace(b"X-Proof: proof\r\n", b""))
             return True
@@ -158,6 +166,11 @@
     raise AssertionError(fault)
 
 
+def unframed_head(request: Received) -> bytes:
+    """Return the head of a stream that ends with its connection."""
+    return stream_head(request).replace(b"Transfer-Encoding: chunked\r\n", b"")
+
+
 async def send_without_end(writer: StreamWriter, head: bytes) -> bool:
     """Send bytes until the gateway closes the connection."""
     writer.write(head)
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -8,9 +8,10 @@
 from features.support.gateway import DOMAIN, HOST, MODEL, Answer, RawCaller, request_bytes
 from tornado.httputil import HTTPHeaders
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.ids import AttemptId, InstanceId, PromptPartId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.membership import TargetDeath
-from jaylatch_core.messages.targets import TargetCheckIn
+from jaylatch_core.messages.targets import SuspectTarget, TargetAcknowledged, TargetCheckIn
 from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.gateway.forwarder import digest_of
@@ -74,6 +75,36 @@
     context.answer = context.runner.run(request_and_quarantine())
 
 
+@given(r"control, which records what the gateway reports")
+def step_recording_control(context: Context) -> None:
+    context.reported = []
+
+    async def record(log: str, body: SuspectTarget, timeout: float) -> object:
+        context.reported.append(body)
+        return TargetAcknowledged(body.instance)
+
+    context.harness.client.call = record
+
+
+@then(r'control was told of interrupted requests with the parts "(?P<parts>[^"]*)"')
+def step_told(context: Context, parts: str) -> None:
+    found = [item.parts for item in context.reported if item.digest]
+    assert found == ([tuple(parts.split())] if parts else []), context.reported
+
+
+@when(r'the leader suspects the parts "(?P<parts>[^"]*)"')
+def step_suspected(context: Context, parts: str) -> None:
+    grant = context.harness.board.grant
+    suspected = tuple(PromptPartId(part) for part in parts.split())
+    grant.view = msgspec.structs.replace(grant.view, suspected_parts=suspected)
+
+
+@then(r'the gateway reports an answer to "(?P<parts>[^"]*)"')
+def step_answer_reported(context: Context, parts: str) -> None:
+    found = context.harness.role.report_answered_parts(monotonic())
+    assert found == tuple(parts.split()), found
+
+
 @given(r"control and a target that (?P<state>answers|does not answer) when it is probed")
 def step_control(context: Context, state: str) -> None:
     async def probe(record: TargetRecord) -> bool:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -31,6 +31,8 @@
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
+CONNECTION_ENDED = (ExchangeFailed.CLOSED, ExchangeFailed.INCOMPLETE)
+"""Failures of an exchange that a target causes when it dies."""
 
 
 class Attempt:
@@ -192,7 +194,7 @@
         if failure is not None or facts is None or self._head is None:
             connection.close()
             target.record_failure(now)
-            if failure is ExchangeFailed.CLOSED and not self._is_stalled:
+            if failure in CONNECTION_ENDED and not self._is_stalled:
                 parts = self._request.shared_parts
                 self._suspect(SuspectTarget(target.instance, self._digest, parts))
             return AttemptOutcome.STALLED if self._is_stalled else AttemptOutcome.BROKEN
