Take no empty stream for a proof that a part of a prompt is sound

Cause: a target that dies before the first event of an unframed stream may close the connection in order, which looks like an empty answer; the gateway counted it as an answer to the fatal part and reported the part as sound. Change: only answers with content count. Measured: the row 'closes a stream that has no framing' failed before (('s',) reported), and passes.

--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -53,6 +53,18 @@
       | resets a stream that has no framing        | s t   |
       | closes a stream that has no framing        |       |
 
+  Scenario Outline: a part that a target <fault> before is <proven>
+    Given a gateway with two targets, of which the first one used <fault>
+    And control, which records what the gateway reports
+    When a stream with the parts "s" is requested
+    And the leader suspects the parts "s t"
+    Then the gateway reports an answer to "<answered>"
+
+    Examples:
+      | fault                                         | answered | proven     |
+      | answers                                       | s        | proven     |
+      | closes a stream that has no framing           |          | not proven |
+
   Scenario Outline: control probes a target whose connection ended and that <state>
     Given control and a target that <state> when it is probed
     When a gateway reports that the connection of request "p" to it ended
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -63,6 +63,7 @@
         self._is_stream = False
         self._is_broken = False
         self._progress_at = 0.0
+        self._has_content = False
         self._is_stalled = False
         self._watchdog: _ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
@@ -74,9 +75,12 @@
         return self._splitter.last_id
 
     @property
-    def is_success(self) -> bool:
-        """Return whether the target's answer states success."""
-        return self._head is not None and self._head.status in SUCCESS
+    def has_answered(self) -> bool:
+        """Return whether the target has answered with success, and with some content.
+
+        A stream without framing also ends when its target dies before the first event.
+        """
+        return self._head is not None and self._head.status in SUCCESS and self._has_content
 
     async def send(
         self,
@@ -136,6 +140,7 @@
         self._body = []
         self._is_stream = False
         self._is_broken = False
+        self._has_content = False
         self._is_stalled = False
         self._splitter.restart()
         self._progress_at = monotonic()
@@ -156,6 +161,7 @@
     def _take_data(self, data: bytes) -> None:
         if not self._is_stream:
             self._progress_at = monotonic()
+            self._has_content = True
             self._body.append(data)
             return
         if self._is_broken:
@@ -168,6 +174,7 @@
         if not events:
             # Part of an event is no progress: a stalled target may send a byte now and then.
             return
+        self._has_content = True
         self._progress_at = monotonic()
         if self._target is not None:
             self._target.progress_at = self._progress_at
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -268,7 +268,7 @@
                     place.release()
             if outcome is None:
                 self._evidence.clear([job.digest])
-                if attempt.is_success:
+                if attempt.has_answered:
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
                 return
