Blame the part deepest in the prompts, and name none right after a start

Callers could lose a whole route: after a restart of all gateways no part has been answered yet, and three targets lost then would quarantine a part that all requests share, for ten minutes; five deaths with parts that always come together quarantined all of them. Change: of parts that cannot be told apart only the one deepest in the prompts is blamed; a gateway suspects no parts in the first 5 s after its start (gateway.evidence_warm_up). A row of the table that expected both parts now expects the deeper one, with a row more that shows that the other follows if targets still die.

--- a/features/policy/prompt_parts.feature
+++ b/features/policy/prompt_parts.feature
@@ -23,7 +23,8 @@
       | the sound part is in fewer deaths                  | t1 a=p.s b=s; t2 c=p.s d=s; t3 e=p                            | p           |
       | the sound part is in more requests                 | t1 a=p.s b=s; t2 c=p.s d=s; t3 e=p.s                          | p           |
       | parts that cannot be told apart wait               | t1 a=p.s; t2 b=p.s; t3 c=p.s; t4 d=p.s                        |             |
-      | but not after five deaths                          | t1 a=p.s; t2 b=p.s; t3 c=p.s; t4 d=p.s; t5 e=p.s              | p s         |
+      | after five deaths the one deeper in the prompt     | t1 a=s.p; t2 b=s.p; t3 c=s.p; t4 d=s.p; t5 e=s.p              | p           |
+      | and the other one if targets still die             | t1 a=p.s; t2 b=p.s; t3 c=p.s; t4 d=p.s; t5 e=p.s; t6 f=p; t7 g=p; t8 h=p | p s |
       | an answer to the sound part tells them apart       | t1 a=p.s; t2 b=p.s; t3 c=p.s; answered s; t4 d=p.s            | p           |
       | an answer ends a quarantine                        | t1 a=s; t2 b=s; t3 c=s; answered s                            |             |
       | requests sent again together to the next target    | t1 a=p b=s c=q; t2 a=p b=s c=q d=p; t3 d=p e=p                | p           |
@@ -40,13 +41,18 @@
       | a new leader                                       | t1 a=p; t2 b=p; t3 c=p; 1 s; new leader                       | p           |
 
   Scenario Outline: a gateway that has received <answers> reports, of a prompt with a and b
-    Given a gateway's answers to prompts with "<answers>"
+    Given a gateway that started <age> s ago and has answers to prompts with "<answers>"
     Then <later> s later it reports "<unproven>" of an interrupted request with "a b"
     And it reports an answer to "<proven>" of the suspected parts "a b"
 
     Examples:
-      | answers | later | unproven | proven |
-      |         | 0     | a b      |        |
-      | a       | 0     | b        | a      |
-      | a b     | 30    |          | a b    |
-      | a       | 61    | a b      |        |
+      | answers | age | later | unproven | proven |
+      |         | 60  | 0     | a b      |        |
+      | a       | 60  | 0     | b        | a      |
+      | a b     | 60  | 30    |          | a b    |
+      | a       | 60  | 61    | a b      |        |
+
+    Examples: a gateway that has just started has had no time for answers
+      | answers | age | later | unproven | proven |
+      | a       | 0   | 4     |          | a      |
+      | a       | 0   | 6     | b        | a      |
--- a/features/steps/prompt_part_evidence_steps.py
+++ b/features/steps/prompt_part_evidence_steps.py
@@ -8,6 +8,7 @@
 
 QUARANTINE_SECONDS = 600.0
 INTERVAL_SECONDS = 0.1
+WARM_UP_SECONDS = 5.0
 
 use_step_matcher("re")
 
@@ -53,9 +54,12 @@
     assert set(context.evidence.quarantined) <= set(context.evidence.suspected)
 
 
-@given(r'a gateway\'s answers to prompts with "(?P<parts>[^"]*)"')
-def step_answers(context: Context, parts: str) -> None:
-    context.answered = AnsweredParts()
+@given(
+    r"a gateway that started (?P<age>\d+) s ago"
+    r' and has answers to prompts with "(?P<parts>[^"]*)"'
+)
+def step_answers(context: Context, age: str, parts: str) -> None:
+    context.answered = AnsweredParts(WARM_UP_SECONDS - float(age))
     context.answered.record(0.0, parse_parts(parts))
 
 
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -319,7 +319,7 @@
     def __init__(self, settings: GatewaySettings | None = None) -> None:
         http, readiness, stream = free_addresses(3)
         gateway = msgspec.structs.replace(
-            settings or GatewaySettings(), http=http, readiness=readiness
+            settings or GatewaySettings(evidence_warm_up=0.001), http=http, readiness=readiness
         )
         self.address = http
         self.settings = NodeSettings(
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -111,7 +111,8 @@
     ``grace`` is the time from SIGTERM until the process must have ended, and ``rotation`` the part
     of it in which new callers still arrive. ``repeat_ratio`` and ``repeat_burst`` are this
     process's part of the retry budget. ``apply_bound`` is the time from the announcement of a
-    deployment after which a process that lacks it refuses requests.
+    deployment after which a process that lacks it refuses requests. ``evidence_warm_up`` is the
+    time after the start in which it suspects no parts of prompts, since it has had few answers.
     """
 
     http: str = "127.0.0.1:8081"
@@ -119,6 +120,7 @@
     grace: Interval = 8.0
     rotation: Interval = 2.8
     apply_bound: Interval = 1.0
+    evidence_warm_up: Interval = 5.0
     repeat_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     repeat_burst: Annotated[float, Meta(ge=0)] = 10.0
 
--- a/packages/decisions/src/jaylatch_decisions/quarantine/prompt_parts.py
+++ b/packages/decisions/src/jaylatch_decisions/quarantine/prompt_parts.py
@@ -20,7 +20,7 @@
 """Different requests in these deaths: an interrupted request is often sent to a second target, so
 its parts are found in two deaths even if they are sound."""
 MAX_AMBIGUOUS_DEATHS = 5
-"""Deaths after which parts that cannot be told apart are all quarantined."""
+"""Deaths after which one of several parts that cannot be told apart is quarantined."""
 SUSPECTED_DEATHS = 2
 """Deaths after which gateways are asked whether they have seen an answer to a part."""
 DEATH_WINDOW = 2.0
@@ -168,11 +168,20 @@
             leading = [part for part in blamable if (deaths[part], -requests[part]) == best]
             if len(leading) > 1 and best[0] < MAX_AMBIGUOUS_DEATHS:
                 return
-            for part in leading:
-                self._quarantined[part] = now
+            # The requests are the same, so the part that is shared by least other traffic will do.
+            self._quarantined[max(leading, key=self._depth)] = now
             while len(self._quarantined) > MAX_QUARANTINED_PARTS:
                 del self._quarantined[min(self._quarantined, key=self._quarantined.__getitem__)]
 
+    def _depth(self, part: PromptPartId) -> int:
+        """Return the greatest position of a part in the prompts of the recorded deaths."""
+        return max(
+            shared.index(part)
+            for death in self._deaths
+            for shared in death.requests.values()
+            if part in shared
+        )
+
     def _count_unexplained(self) -> tuple[Counter[PromptPartId], Counter[PromptPartId]]:
         """Return the deaths and the different requests of each part.
 
@@ -191,9 +200,13 @@
 
 
 class AnsweredParts:
-    """Parts of the prompts to which one gateway has received complete answers."""
+    """Parts of the prompts to which one gateway has received complete answers.
+
+    Until ``conclusive_from``, the gateway has had too few answers for their lack to say anything.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, conclusive_from: float) -> None:
+        self._conclusive_from = conclusive_from
         self._answered_at: dict[PromptPartId, float] = {}
 
     def record(self, now: float, parts: SharedParts) -> None:
@@ -210,6 +223,8 @@
 
     def unproven(self, now: float, parts: Iterable[PromptPartId]) -> SharedParts:
         """Return those of ``parts`` that no recent answer proves to be sound."""
+        if now < self._conclusive_from:
+            return ()
         return tuple(part for part in parts if not self._is_proven(now, part))
 
     def _is_proven(self, now: float, part: PromptPartId) -> bool:
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -55,7 +55,7 @@
         self._board = board
         self._directory = TargetDirectory()
         self._pool = TargetPool()
-        self._answered_parts = AnsweredParts()
+        self._answered_parts = AnsweredParts(monotonic() + self._settings.evidence_warm_up)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
