Blame a part of prompts only when gateways had time to report answers, and it leads alone

Cause: three deaths often follow each other within 0.4 s, sooner than a gateway that has received an answer can say so; and of parts in equally many deaths the rarest was blamed at once. Change: a part is suspected for 0.6 s, more than a renewal, before it is blamed; several parts in as many deaths wait for five; a leading part with too few requests makes the others wait too.

--- a/packages/decisions/src/jaylatch_decisions/quarantine/prompt_parts.py
+++ b/packages/decisions/src/jaylatch_decisions/quarantine/prompt_parts.py
@@ -23,6 +23,9 @@
 """Deaths after which one of several parts that cannot be told apart is quarantined."""
 SUSPECTED_DEATHS = 2
 """Deaths after which gateways are asked whether they have seen an answer to a part."""
+PROOF_TIME = 0.6
+"""Seconds for which a part is suspected before it is quarantined, so that each gateway renews its
+lease once and can report an answer."""
 DEATH_WINDOW = 2.0
 """Longest time in seconds between the end of a connection and the target's death that ended it."""
 EVIDENCE_TIME = 60.0
@@ -63,7 +66,7 @@
         self._interruptions: dict[InstanceId, dict[RequestDigest, _Interruption]] = {}
         self._deaths: list[_Death] = []
         self._quarantined = dict.fromkeys(quarantined, now)
-        self._suspected: SharedParts | None = None
+        self._suspected_since: dict[PromptPartId, float] = {}
 
     @property
     def quarantined(self) -> SharedParts:
@@ -73,11 +76,7 @@
     @property
     def suspected(self) -> SharedParts:
         """Return the parts for which an answer would be evidence, in a fixed order."""
-        if self._suspected is None:
-            deaths, _ = self._count_unexplained()
-            found = {part for part, count in deaths.items() if count >= SUSPECTED_DEATHS}
-            self._suspected = tuple(sorted(found | self._quarantined.keys()))
-        return self._suspected
+        return tuple(sorted(self._suspected_since.keys() | self._quarantined.keys()))
 
     def record_interruption(
         self, now: float, target: InstanceId, digest: RequestDigest, parts: SharedParts
@@ -94,7 +93,7 @@
             interrupted[digest] = _Interruption(now, parts)
             return
         death.requests[digest] = parts
-        self._blame(now)
+        self._evaluate(now)
 
     def record_death(self, now: float, target: InstanceId) -> None:
         """Record that a target died."""
@@ -109,16 +108,16 @@
             self._deaths.append(_Death(target, now, requests))
         else:
             death.requests.update(requests)
-        self._blame(now)
+        self._evaluate(now)
 
     def clear(self, parts: Iterable[PromptPartId]) -> None:
         """Withdraw the evidence against parts to which a gateway has received an answer."""
         cleared = set(parts)
         if not cleared:
             return
-        self._suspected = None
         for part in cleared:
             self._quarantined.pop(part, None)
+            self._suspected_since.pop(part, None)
         for death in self._deaths:
             death.requests = {
                 digest: tuple(part for part in shared if part not in cleared)
@@ -126,7 +125,7 @@
             }
 
     def expire(self, now: float, duration: float) -> None:
-        """Drop old evidence, and parts quarantined for ``duration`` seconds."""
+        """Drop old evidence, and parts quarantined for ``duration`` seconds; blame those due."""
         deaths = [death for death in self._deaths if now < death.at + EVIDENCE_TIME]
         self._interruptions = {
             target: items
@@ -134,9 +133,10 @@
             if any(now < item.at + DEATH_WINDOW for item in items.values())
         }
         quarantined = {part: at for part, at in self._quarantined.items() if now < at + duration}
-        if len(deaths) < len(self._deaths) or len(quarantined) < len(self._quarantined):
-            self._suspected = None
+        has_expired = len(deaths) < len(self._deaths) or len(quarantined) < len(self._quarantined)
         self._deaths, self._quarantined = deaths, quarantined
+        if self._suspected_since or has_expired:
+            self._evaluate(now)
 
     def _recent_death(self, now: float, target: InstanceId) -> _Death | None:
         return next(
@@ -148,30 +148,44 @@
             None,
         )
 
-    def _blame(self, now: float) -> None:
-        """Quarantine the parts that explain the deaths, those in most deaths first.
+    def _evaluate(self, now: float) -> None:
+        """Update the suspected parts, and quarantine those that have had time for a proof."""
+        while self._update_suspects(now) and self._blame(now):
+            pass
+
+    def _update_suspects(self, now: float) -> bool:
+        """Update the suspected parts; return whether there are any."""
+        deaths, _ = self._count_unexplained()
+        self._suspected_since = {
+            part: self._suspected_since.get(part, now)
+            for part, count in deaths.items()
+            if count >= SUSPECTED_DEATHS
+        }
+        return bool(self._suspected_since)
+
+    def _blame(self, now: float) -> bool:
+        """Quarantine the part that explains most deaths; return whether there is one.
 
-        Of parts in equally many deaths the one of fewest requests is blamed, so that a part shared
-        by most of the traffic is not.
+        Of parts in equally many deaths the one of fewest requests is blamed, and of these the one
+        deepest in the prompts, so that a part shared by most of the traffic is not.
         """
-        self._suspected = None
-        while True:
-            deaths, requests = self._count_unexplained()
-            blamable = [
-                part
-                for part, count in deaths.items()
-                if count >= MIN_DEATHS and requests[part] >= MIN_REQUESTS
-            ]
-            if not blamable:
-                return
-            best = max((deaths[part], -requests[part]) for part in blamable)
-            leading = [part for part in blamable if (deaths[part], -requests[part]) == best]
-            if len(leading) > 1 and best[0] < MAX_AMBIGUOUS_DEATHS:
-                return
-            # The requests are the same, so the part that is shared by least other traffic will do.
-            self._quarantined[max(leading, key=self._depth)] = now
-            while len(self._quarantined) > MAX_QUARANTINED_PARTS:
-                del self._quarantined[min(self._quarantined, key=self._quarantined.__getitem__)]
+        deaths, requests = self._count_unexplained()
+        most = max(deaths.values(), default=0)
+        leading = [part for part, count in deaths.items() if count == most]
+        if most < MIN_DEATHS or (len(leading) > 1 and most < MAX_AMBIGUOUS_DEATHS):
+            return False
+        blamable = [
+            part
+            for part in leading
+            if requests[part] >= MIN_REQUESTS and now >= self._suspected_since[part] + PROOF_TIME
+        ]
+        if not blamable:
+            return False
+        blamed = min(blamable, key=lambda part: (requests[part], -self._depth(part)))
+        self._quarantined[blamed] = now
+        while len(self._quarantined) > MAX_QUARANTINED_PARTS:
+            del self._quarantined[min(self._quarantined, key=self._quarantined.__getitem__)]
+        return True
 
     def _depth(self, part: PromptPartId) -> int:
         """Return the greatest position of a part in the prompts of the recorded deaths."""
