Do not lose the cancellation of a task that waits with a time limit

Cause: asyncio.wait_for of Python 3.11 returns or raises the result and drops the cancellation if both arrive in the same turn of the loop. A peer that is closed as its connection fails reconnects for ever; a request whose caller leaves as a connection to a target is made could still be sent.

--- a/features/steps/stream_steps.py
+++ b/features/steps/stream_steps.py
@@ -1,7 +1,7 @@
 """Steps on the streams between processes."""
 
 import socket
-from asyncio import sleep
+from asyncio import all_tasks, sleep
 from time import monotonic
 
 from behave import given, then, use_step_matcher, when
@@ -19,10 +19,49 @@
 from jaylatch_standins.proxy import FaultProxy
 
 LONGEST_WAIT_SECONDS = 15.0
+CLOSING_SECONDS = 0.5
+"""Longer than the pause between two attempts to connect."""
 
 use_step_matcher("re")
 
 
+@when(
+    r"(?P<peers>\d+) peers of an address that refuses connections"
+    r" are each closed one turn of the loop later"
+)
+def step_close_peers(context: Context, peers: str) -> None:
+    context.left_over = context.runner.run(close_peers(int(peers)))
+
+
+async def close_peers(number: int) -> int:
+    """Close each peer one turn later than the one before; return how many tasks still run."""
+    (address,) = free_addresses(1)
+    before = all_tasks()
+    for turns in range(number):
+        pool = PeerPool(EventLog("client"), Traffic(Metrics()), ignore)
+        pool.get(address)
+        for _ in range(turns):
+            await sleep(0)
+        pool.close()
+    await sleep(CLOSING_SECONDS)
+    left_over = all_tasks() - before
+    while running := all_tasks() - before:
+        # Ends what the scenario found, so that it does not outlive it.
+        for task in running:
+            task.cancel()
+        await sleep(0)
+    return len(left_over)
+
+
+def ignore(connection: StreamConnection, call: int, body: Body) -> None:
+    """Ignore a body."""
+
+
+@then(r"none of them is connecting any more")
+def step_none_left(context: Context) -> None:
+    assert context.left_over == 0, context.left_over
+
+
 @given(r"two processes connected through a proxy")
 def step_connected(context: Context) -> None:
     context.runner.run(connect(context))
--- a/packages/node/src/jaylatch_node/entry/claims.py
+++ b/packages/node/src/jaylatch_node/entry/claims.py
@@ -1,6 +1,6 @@
 """Commits to the order journal, and resolution of claimed orders with unknown result."""
 
-from asyncio import Task, create_task, shield, sleep, wait_for
+from asyncio import Task, create_task, shield, sleep
 from collections.abc import Coroutine
 from typing import Any
 
@@ -30,6 +30,7 @@
     StartAttempt,
 )
 from jaylatch_node.control.client import ControlClient
+from jaylatch_node.deadlines import time_limit
 from jaylatch_node.entry.agents import AgentConnections
 from jaylatch_node.entry.dispatcher import RETRY_AFTER, Dispatcher, refusal_of
 from jaylatch_node.entry.requests import ServiceRequest
@@ -79,7 +80,8 @@
         command = CompleteOrder(order, attempt, answer, wall())
         task = self.run_in_background(self.commit(command, monotonic() + LATE_COMMIT_TIMEOUT))
         try:
-            verdict = await wait_for(shield(task), max(deadline - monotonic(), 0.0))
+            async with time_limit(max(deadline - monotonic(), 0.0)):
+                verdict = await shield(task)
         except TimeoutError:
             return answer
         is_stored = verdict is not None and verdict.verdict is ClaimVerdict.COMPLETED
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -1,7 +1,7 @@
 """Renewal of this process's lease, and publication of its grants on the blackboard."""
 
 import logging
-from asyncio import Event, create_task, wait_for
+from asyncio import Event, create_task
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +18,7 @@
 from jaylatch_decisions.control import apply_change
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
+from jaylatch_node.deadlines import time_limit
 
 _log = logging.getLogger("jaylatch.leases")
 
@@ -75,7 +76,8 @@
                 # Acknowledges the new generations without waiting for the next interval.
                 continue
             try:
-                await wait_for(self._wake.wait(), self._settings.renew_interval)
+                async with time_limit(self._settings.renew_interval):
+                    await self._wake.wait()
             except TimeoutError:
                 continue
 
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -4,7 +4,7 @@
 before it parses it.
 """
 
-from asyncio import Future, get_running_loop, wait_for
+from asyncio import Future, get_running_loop
 from collections.abc import Callable
 
 import msgspec
@@ -18,6 +18,7 @@
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed, Unavailable
 from jaylatch_core.messages.frames import Body, Frame, decode_frame, encode_frame
+from jaylatch_node.deadlines import time_limit
 from jaylatch_node.sockets import detect_dead_peer
 from jaylatch_node.streams.traffic import Traffic
 
@@ -98,7 +99,8 @@
         received_bytes = self._received_bytes
         self._send_frame(number, body)
         try:
-            return await wait_for(future, timeout)
+            async with time_limit(timeout):
+                return await future
         except TimeoutError:
             if self._received_bytes == received_bytes:
                 # No bytes have arrived since the call was sent: the connection may be dead.
--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -1,7 +1,7 @@
 """Connecting side of the streams: one persistent connection to each address."""
 
 import socket
-from asyncio import Event, Task, create_task, sleep, wait_for
+from asyncio import Event, Task, create_task, sleep
 from collections.abc import Callable
 from contextlib import suppress
 
@@ -13,6 +13,7 @@
 from jaylatch_core.exceptions import StreamClosed
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.settings import split_address
+from jaylatch_node.deadlines import time_limit
 from jaylatch_node.streams.connection import BodyHandler, CallResult, StreamConnection
 from jaylatch_node.streams.traffic import Traffic
 
@@ -86,7 +87,8 @@
         Waits for the connection first; the wait and the call each take at most ``timeout`` seconds.
         """
         with suppress(TimeoutError):
-            await wait_for(self._is_connected.wait(), timeout)
+            async with time_limit(timeout):
+                await self._is_connected.wait()
         connection = self.connection
         if connection is None:
             return Err(StreamClosed(f"{self._address} is not connected; the call was not sent"))
@@ -109,7 +111,8 @@
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         stream = IOStream(raw, max_buffer_size=IO_BUFFER_SIZE)
         try:
-            await wait_for(stream.connect(split_address(self._address)), CONNECT_TIMEOUT)
+            async with time_limit(CONNECT_TIMEOUT):
+                await stream.connect(split_address(self._address))
         except (StreamClosedError, TimeoutError, OSError):
             stream.close()
             return None
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -5,7 +5,6 @@
 """
 
 import socket
-from asyncio import wait_for
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
@@ -22,6 +21,7 @@
 
 from jaylatch_core.settings import split_address
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
+from jaylatch_node.deadlines import time_limit
 from jaylatch_node.sockets import detect_dead_peer
 
 HEADER_LIMIT = 32 * KIBIBYTE
@@ -122,7 +122,8 @@
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         stream = TargetStream(raw, max_buffer_size=BODY_LIMIT)
         try:
-            await wait_for(stream.connect(split_address(address)), timeout)
+            async with time_limit(timeout):
+                await stream.connect(split_address(address))
         except (StreamClosedError, TimeoutError, OSError):
             stream.close()
             return None
--- a/packages/standins/src/jaylatch_standins/agents.py
+++ b/packages/standins/src/jaylatch_standins/agents.py
@@ -15,7 +15,7 @@
     run,
     sleep,
     start_server,
-    wait_for,
+    timeout,
 )
 from contextlib import suppress
 from random import Random
@@ -131,7 +131,8 @@
 
     async def _wait_for_next_renewal(self) -> None:
         with suppress(TimeoutError):
-            await wait_for(self._view_changed.wait(), self._options.renew_interval)
+            async with timeout(self._options.renew_interval):
+                await self._view_changed.wait()
 
     def _handle(self, wire: Wire, call: int, body: Body) -> None:
         if isinstance(body, ViewChanged):
--- a/packages/standins/src/jaylatch_standins/wire.py
+++ b/packages/standins/src/jaylatch_standins/wire.py
@@ -1,6 +1,13 @@
 """A small client and server of the stream protocol, for stand-ins."""
 
-from asyncio import Future, StreamReader, StreamWriter, get_running_loop, open_connection, wait_for
+from asyncio import (
+    Future,
+    StreamReader,
+    StreamWriter,
+    get_running_loop,
+    open_connection,
+    timeout_at,
+)
 from collections.abc import Callable
 from contextlib import suppress
 from time import time
@@ -42,7 +49,8 @@
         self._calls[number] = future
         self.send(body, number)
         try:
-            return await wait_for(future, timeout)
+            async with timeout_at(get_running_loop().time() + timeout):
+                return await future
         finally:
             self._calls.pop(number, None)
 
