Log the limit of requests that a target states in its answers

Change: the dialect reads the limit, and a gateway writes a 'target condition' line when it changes. Nothing acts on it yet. A 421 comes from another target than the expected one and states nothing about it. Checked: features/logs, features/gateway, features/docs, adapter/translation pass.

--- a/packages/cli/src/jaylatch_cli/request_trace.py
+++ b/packages/cli/src/jaylatch_cli/request_trace.py
@@ -20,6 +20,7 @@
     RequestEnded,
     RequestPlaced,
     RequestRefused,
+    TargetConditionChanged,
     TargetDied,
     TargetProbed,
     TargetStateChanged,
@@ -31,7 +32,13 @@
 """Time before a request in which lines may be related to it: a repair takes 3 s."""
 LOOKAHEAD_TIME = timedelta(seconds=2)
 """Time after its last line: an unresponsive target is reported lost within a second."""
-TARGET_RECORDS = (TargetStateChanged, TargetProbed, TargetDied, EngineOrdered)
+TARGET_RECORDS = (
+    TargetStateChanged,
+    TargetProbed,
+    TargetDied,
+    TargetConditionChanged,
+    EngineOrdered,
+)
 UNSERVED_REASONS = ("no target", "full")
 STREAM_INTERRUPTED = "stream_cut"
 
@@ -47,7 +54,7 @@
 
 def trace_request(request: str, lines: list[LogLine]) -> RequestTrace | None:
     """Return the trace of ``request``, or None if no line names it."""
-    own_lines = [line for line in lines if getattr(line.record, "request", None) == request]
+    own_lines = [line for line in lines if _names(line.record, request)]
     if not own_lines:
         return None
     first, last = _time(own_lines[0]) - LOOKBACK_TIME, _time(own_lines[-1]) + LOOKAHEAD_TIME
@@ -58,7 +65,9 @@
         for line in own_lines
     )
     related_lines = [
-        line for line in nearby_lines if _is_related(line.record, targets, is_unserved)
+        line
+        for line in nearby_lines
+        if _is_related(line.record, targets, is_unserved) and not _names(line.record, request)
     ]
     return RequestTrace(request, own_lines, related_lines, _find_cause(own_lines, related_lines))
 
@@ -99,6 +108,8 @@
             return f"{record.target} died with {len(record.requests)} requests in flight"
         case PartsQuarantined():
             return f"quarantined parts of prompts: {', '.join(record.quarantined) or 'none'}"
+        case TargetConditionChanged():
+            return f"{record.target} states: {record.condition} {record.value:.1f}"
         case EngineOrdered():
             return f"{record.target} was ordered {record.order}: {record.outcome}"
         case ViewPublished():
@@ -117,6 +128,10 @@
     return datetime.strptime(line.at, TIME_FORMAT)
 
 
+def _names(record: LogRecord, request: str) -> bool:
+    return getattr(record, "request", None) == request
+
+
 def _is_related(record: LogRecord, targets: set[str], is_unserved: bool) -> bool:
     if isinstance(record, TARGET_RECORDS):
         return record.target in targets
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -135,6 +135,19 @@
     suspected: tuple[str, ...]
 
 
+class TargetConditionChanged(LogRecord, frozen=True, kw_only=True, tag="target condition"):
+    """The answer of a target to ``request`` states another condition than those before it.
+
+    ``condition`` is ``limit``, with the requests a second that the target takes from all gateways
+    together as its ``value``, or ``limit ended``.
+    """
+
+    target: str
+    request: str
+    condition: str
+    value: float = 0.0
+
+
 class EngineOrdered(LogRecord, frozen=True, kw_only=True, tag="engine order"):
     """An order was sent to an engine; ``outcome`` is its answer, unknown if there was none."""
 
@@ -225,6 +238,7 @@
     TargetProbed,
     TargetDied,
     PartsQuarantined,
+    TargetConditionChanged,
     EngineOrdered,
     ViewPublished,
     PlanCommitted,
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -1,6 +1,7 @@
 """Direct targets: registry, engine orders and the choice of a target for a request."""
 
 from jaylatch_decisions.targets.choice import TargetLoad, choose_target, may_admit
+from jaylatch_decisions.targets.conditions import StatedLimit, TargetConditions
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
     DrainGroup,
@@ -23,6 +24,8 @@
     "OpenGroup",
     "RouteTable",
     "StageModel",
+    "StatedLimit",
+    "TargetConditions",
     "TargetLoad",
     "TargetRecord",
     "TargetRegistry",
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -5,7 +5,7 @@
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
-from jaylatch_core.ids import AccountId, InstanceId, RequestDigest
+from jaylatch_core.ids import AccountId, AttemptId, InstanceId, RequestDigest
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
@@ -28,6 +28,8 @@
 
 SuspicionHandler = Callable[[SuspectTarget], None]
 """Called for an unresponsive target, and for one that closed the connection of a request."""
+ConditionHandler = Callable[[InstanceId, AttemptId, ResponseFacts], None]
+"""Called for each answer of a target, with the request's attempt id and what the head states."""
 
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
@@ -47,8 +49,10 @@
         dialect: TargetDialect,
         pool: TargetPool,
         suspect: SuspicionHandler,
+        record_conditions: ConditionHandler,
     ) -> None:
         self._suspect = suspect
+        self._record_conditions = record_conditions
         self._request = request
         self._digest = digest
         self._caller = caller
@@ -152,6 +156,8 @@
         facts = self._dialect.read_response(head)
         if facts.attempt is not None and facts.attempt != self._request.attempt:
             return False
+        if self._target is not None and not facts.is_misdirected:
+            self._record_conditions(self._target.instance, self._request.attempt, facts)
         self._progress_at = monotonic()
         self._head, self._facts = head, facts
         is_success = head.status in SUCCESS and facts.has_signature and not facts.is_encoded
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -15,18 +15,25 @@
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
 from jaylatch_core.deployment import AccountProfile, RouteSpecification
-from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.ids import AttemptId, InstanceId, RequestDigest
 from jaylatch_core.log_records import (
     AttemptEnded,
     InternalError,
     RequestEnded,
     RequestPlaced,
     RequestRefused,
+    TargetConditionChanged,
 )
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import AnsweredParts, EvidenceTable, QuarantineStatus
 from jaylatch_decisions.retry import RetryBudget
-from jaylatch_decisions.targets import RouteTable, TargetLoad, choose_target, may_admit
+from jaylatch_decisions.targets import (
+    RouteTable,
+    TargetConditions,
+    TargetLoad,
+    choose_target,
+    may_admit,
+)
 from jaylatch_decisions.targets.attempts import (
     AttemptHistory,
     AttemptOutcome,
@@ -46,6 +53,7 @@
     InboundRequest,
     Refusal,
     RefusalKind,
+    ResponseFacts,
     TargetDialect,
     TargetPool,
 )
@@ -123,6 +131,7 @@
         answered_parts: AnsweredParts,
     ) -> None:
         self._answered_parts = answered_parts
+        self._conditions = TargetConditions()
         self._apply_bound = apply_bound
         self._places = places
         self._evidence = EvidenceTable()
@@ -229,6 +238,7 @@
             self._dialect,
             self._pool,
             self._suspect,
+            self._record_conditions,
         )
         while True:
             candidates = self._candidates(job)
@@ -359,6 +369,20 @@
             target.own_in_flight -= 1
             running.discard(attempt)
 
+    def _record_conditions(
+        self, instance: InstanceId, request: AttemptId, facts: ResponseFacts
+    ) -> None:
+        """Record the conditions that an answer of a target states, and log their changes."""
+        if self._conditions.record_limit(monotonic(), instance, facts.limit):
+            condition = "limit ended" if facts.limit is None else "limit"
+            value = facts.limit or 0.0
+            log_record(
+                _log,
+                TargetConditionChanged(
+                    target=instance, request=request, condition=condition, value=value
+                ),
+            )
+
     def _candidates(self, job: Job) -> Sequence[TargetLoad]:
         return self._directory.candidates(self._choose_service(job), job.request.model)
 
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -49,6 +49,9 @@
     guarantee that it did not run the request and never will. ``server_load`` is the number of
     requests that it runs or queues, None if it is not stated. ``is_encoded`` is whether the body
     has a content encoding. ``keep_alive`` is the target's idle timeout in seconds, if stated.
+    ``is_misdirected`` is whether the answer comes from another target than the expected one.
+    ``limit`` is the number of requests a second that the target takes from all gateways together,
+    if it states one.
     """
 
     attempt: AttemptId | None
@@ -57,6 +60,8 @@
     server_load: int | None
     is_encoded: bool
     keep_alive: float | None
+    is_misdirected: bool = False
+    limit: float | None = None
 
 
 class RefusalKind(Enum):
