Move the choice of a request's target out of the forwarder

Job and Placer have modules of their own; what they decide is unchanged. Checked: features/gateway (87 scenarios) and features/targets pass.

--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -14,7 +14,7 @@
 from jaylatch_core.messages.targets import SuspectTarget, TargetAcknowledged, TargetCheckIn
 from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
 from jaylatch_node.control.targets import TargetController
-from jaylatch_node.gateway.forwarder import digest_of
+from jaylatch_node.gateway.job import digest_of
 from jaylatch_node.targets import InboundRequest, OrderOutcome
 
 TARGET = InstanceId("target")
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -4,17 +4,13 @@
 """
 
 import logging
-from asyncio import CancelledError, sleep, timeout_at
+from asyncio import CancelledError, timeout_at
 from collections import defaultdict
-from collections.abc import Sequence
-from dataclasses import dataclass, field
-from hashlib import blake2b
 from random import Random
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
-from jaylatch_core.deployment import AccountProfile, RouteSpecification
 from jaylatch_core.ids import AttemptId, InstanceId, RequestDigest
 from jaylatch_core.log_records import (
     AttemptEnded,
@@ -27,15 +23,8 @@
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_decisions.quarantine import AnsweredParts, EvidenceTable, QuarantineStatus
 from jaylatch_decisions.retry import RetryBudget
-from jaylatch_decisions.targets import (
-    RouteTable,
-    TargetConditions,
-    TargetLoad,
-    choose_target,
-    may_admit,
-)
+from jaylatch_decisions.targets import RouteTable, TargetConditions, TargetLoad
 from jaylatch_decisions.targets.attempts import (
-    AttemptHistory,
     AttemptOutcome,
     NextStep,
     decide_next,
@@ -45,9 +34,9 @@
 from jaylatch_node.deadlines import loop_time
 from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
 from jaylatch_node.gateway.caller import Caller
-from jaylatch_node.gateway.directory import TargetDirectory
+from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
-from jaylatch_node.gateway.places import Place, PlaceClient
+from jaylatch_node.gateway.placement import NoPlacement, Obstacle, Placement, Placer
 from jaylatch_node.observability import log_record
 from jaylatch_node.targets import (
     InboundRequest,
@@ -64,11 +53,6 @@
 FULL_RETRY = 0.4
 """Seconds after which a caller refused by full targets should retry: a place becomes free after the
 mean answer time divided by the slots of a target, and the jitter below spreads the callers."""
-RESUME_WAIT = 1.5
-"""Seconds for which an interrupted stream waits for a target: a group with a spare is repaired in
-0.7 s, and callers disconnect after a gap of two."""
-RESUME_POLL = 0.1
-"""Seconds between two checks for such a target."""
 RETRY_JITTER = 0.5
 """Fraction by which a retry delay is varied, so that callers do not return at the same time."""
 NO_LEASE_RETRY = 0.5
@@ -78,40 +62,11 @@
 RETRY_DELAY_LIMIT = 2.0
 """Longest retry delay in seconds."""
 
-DIGEST_BYTES = 12
-
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
 
 _log = logging.getLogger("jaylatch.request")
 
 
-@dataclass
-class Job:
-    """One request in flight. Times are seconds of the monotonic clock."""
-
-    request: InboundRequest
-    caller: Caller
-    route: RouteSpecification
-    account: AccountProfile | None
-    arrived_at: float
-    deadline: float
-    digest: RequestDigest
-    history: AttemptHistory = field(default_factory=AttemptHistory)
-    placements: int = 0
-    attempted: dict[InstanceId, TargetLoad] = field(default_factory=dict)
-
-    def was_attempted(self, target: TargetLoad) -> bool:
-        """Return whether the request was sent there and the target has been listed ever since."""
-        return self.attempted.get(target.instance) is target
-
-
-def digest_of(request: InboundRequest, account: AccountProfile | None) -> RequestDigest:
-    """Return the digest that identifies repeats of a request within its account."""
-    name = account.name if account is not None else ""
-    text = f"{name}\0{request.method}\0{request.target}\0".encode()
-    return RequestDigest(blake2b(text + request.body, digest_size=DIGEST_BYTES).hexdigest())
-
-
 class Forwarder:
     """Handles the requests of one gateway process."""
 
@@ -119,28 +74,26 @@
         self,
         board: Blackboard,
         dialect: TargetDialect,
-        directory: TargetDirectory,
+        placer: Placer,
         pool: TargetPool,
         budget: RetryBudget,
         repeat_ratio: float,
         metrics: GatewayMetrics,
         random: Random,
         suspect: SuspicionHandler,
-        places: PlaceClient,
         apply_bound: float,
         answered_parts: AnsweredParts,
     ) -> None:
         self._answered_parts = answered_parts
         self._conditions = TargetConditions()
         self._apply_bound = apply_bound
-        self._places = places
+        self._placer = placer
         self._evidence = EvidenceTable()
         self._suspect = suspect
         self._is_shutting_down = False
         self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
         self._board = board
         self._dialect = dialect
-        self._directory = directory
         self._pool = pool
         self._budget = budget
         self._repeat_ratio = repeat_ratio
@@ -241,41 +194,27 @@
             self._record_conditions,
         )
         while True:
-            candidates = self._candidates(job)
-            place = await self._take_place(job, candidates)
-            if place is not None and place.target is None:
-                self._give_up(job, "full", FULL_RETRY, place.load, len(candidates))
-                return
-            target = self._choose(job, candidates) if place is None else place.target
-            if target is None:
-                if await self._wait_for_target(job):
+            placement = await self._placer.place(job)
+            if isinstance(placement, NoPlacement):
+                is_missing = placement.obstacle is Obstacle.NO_TARGET
+                if is_missing and await self._placer.wait_for_target(job):
                     continue
-                self._give_up(job, "no target", NO_TARGET_RETRY)
-                return
-            if place is None and not self._may_admit(job, target):
-                load = target.expected_load(monotonic())
-                self._give_up(job, "full", FULL_RETRY, load, len(candidates))
+                retry_after = NO_TARGET_RETRY if is_missing else FULL_RETRY
+                self._give_up(job, placement.obstacle.value, retry_after, placement)
                 return
-            address = self._directory.address(target.instance)
-            if address is None:
-                # The view has changed since the candidates were chosen.
-                if place is not None:
-                    place.release()
-                continue
             if self._has_quarantined_part(job.request):
                 # It was quarantined while this request waited or was running elsewhere.
-                if place is not None:
-                    place.release()
+                placement.release()
                 self._give_up(job, QUARANTINED_PART, 0.0)
                 return
+            target = placement.target
             job.attempted[target.instance] = target
             job.placements += 1
-            self._record_placement(job, target, place, len(candidates), attempt.last_event)
+            self._record_placement(job, placement, attempt.last_event)
             try:
-                outcome = await self._send(job, attempt, target, address)
+                outcome = await self._send(job, attempt, target, placement.address)
             finally:
-                if place is not None:
-                    place.release()
+                placement.release()
             if outcome is None:
                 self._evidence.clear([job.digest])
                 if attempt.has_answered:
@@ -290,46 +229,6 @@
             self._give_up(job, outcome.value, FULL_RETRY)
             return
 
-    async def _take_place(self, job: Job, candidates: Sequence[TargetLoad]) -> Place | None:
-        """Take a place for a request of a model.
-
-        Return None for a request of a plain service, or if no target is usable or no owner answers.
-        """
-        now = monotonic()
-        if job.request.model is None:
-            return None
-        return await self._places.take(
-            job.request.model,
-            job.request.attempt,
-            [
-                item
-                for item in candidates
-                if not job.was_attempted(item) and item.usable_from <= now
-            ],
-            job.deadline - now,
-            job.digest,
-            job.caller.has_started,
-        )
-
-    async def _wait_for_target(self, job: Job) -> bool:
-        """Wait for a repaired group, if a stream has started; return whether there is one.
-
-        A request whose answer has not started is refused at once with a retry delay.
-        """
-        until = monotonic() + RESUME_WAIT
-        while job.caller.has_started and monotonic() < until:
-            await sleep(RESUME_POLL)
-            # A repaired group often keeps its head, with a new load record since it was lost.
-            if any(not job.was_attempted(item) for item in self._candidates(job)):
-                return True
-        return False
-
-    def _may_admit(self, job: Job, target: TargetLoad) -> bool:
-        """Return whether the target has a free place as far as this process knows."""
-        if job.request.model is None:
-            return True
-        return may_admit(monotonic(), target, job.caller.has_started)
-
     def _decide_next(self, job: Job, outcome: AttemptOutcome, target: TargetLoad) -> NextStep:
         """Record the outcome of a send; a repeat is taken from the retry budget."""
         record_outcome(job.history, outcome)
@@ -383,28 +282,12 @@
                 ),
             )
 
-    def _candidates(self, job: Job) -> Sequence[TargetLoad]:
-        return self._directory.candidates(self._choose_service(job), job.request.model)
-
-    def _choose(self, job: Job, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
-        domain = self._board.identity.failure_domain
-        attempted = frozenset(item.instance for item in candidates if job.was_attempted(item))
-        return choose_target(monotonic(), candidates, domain, self._random, attempted)
-
-    def _choose_service(self, job: Job) -> str:
-        shares = job.route.shares
-        if len(shares) == 1:
-            return shares[0].service
-        weights = [share.weight for share in shares]
-        return self._random.choices(shares, weights)[0].service
-
     def _give_up(
         self,
         job: Job,
         reason: str,
         retry_after: float,
-        load: float = 0.0,
-        candidates: int = 0,
+        found: NoPlacement | None = None,
     ) -> None:
         """End a request that no target answers."""
         if job.caller.has_started:
@@ -415,7 +298,7 @@
             refusal = Refusal(RefusalKind.FAILED, reason)
         else:
             refusal = Refusal(RefusalKind.NOT_RUN, reason, self._add_jitter(retry_after))
-        self._refuse(job.caller, job.request, refusal, job.route.name, load, candidates)
+        self._refuse(job.caller, job.request, refusal, job.route.name, found)
 
     def _add_jitter(self, retry_after: float) -> float:
         factor = 1 + RETRY_JITTER * (2 * self._random.random() - 1)
@@ -436,10 +319,9 @@
         request: InboundRequest | None,
         refusal: Refusal,
         route: str,
-        load: float = 0.0,
-        candidates: int = 0,
+        found: NoPlacement | None = None,
     ) -> None:
-        """Refuse a request; ``load`` is that of the least loaded target, if it is the reason."""
+        """Refuse a request; ``found`` is set if no target took it."""
         attempt = request.attempt if request is not None else None
         caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
         self._metrics.count_refusal(refusal.kind.value)
@@ -454,8 +336,8 @@
                 reason=refusal.reason,
                 retry_after=round(refusal.retry_after, 3),
                 lease_left=round(grant.lease.expires_at - now, 3),
-                load=round(load, 2),
-                candidates=candidates,
+                load=round(found.load, 2) if found is not None else 0.0,
+                candidates=found.candidates if found is not None else 0,
                 view=grant.view.version,
                 deployment=grant.deployment.number,
                 model=(request.model if request is not None else None) or "",
@@ -480,14 +362,8 @@
             ),
         )
 
-    def _record_placement(
-        self,
-        job: Job,
-        target: TargetLoad,
-        place: Place | None,
-        candidates: int,
-        last_event: int,
-    ) -> None:
+    def _record_placement(self, job: Job, placement: Placement, last_event: int) -> None:
+        target, place = placement.target, placement.place
         now = monotonic()
         age = (now - target.reported_at) * MILLISECONDS_PER_SECOND if target.reported_at else -1
         log_record(
@@ -499,7 +375,7 @@
                 send=job.placements,
                 load=round(place.load if place is not None else target.expected_load(now), 2),
                 report_age_ms=0 if place is not None else int(age),
-                candidates=candidates,
+                candidates=placement.candidates,
                 view=self._board.grant.view.version,
                 time_left_ms=int((job.deadline - now) * MILLISECONDS_PER_SECOND),
                 resume_after=last_event,
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -20,6 +20,7 @@
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.forwarder import Forwarder
 from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.gateway.placement import Placer
 from jaylatch_node.gateway.places import PlaceClient
 from jaylatch_node.gateway.server import GatewayServer
 from jaylatch_node.listening import listen_at
@@ -56,18 +57,19 @@
         self._directory = TargetDirectory()
         self._pool = TargetPool()
         self._answered_parts = AnsweredParts(monotonic() + self._settings.evidence_warm_up)
+        random = Random(board.identity.incarnation)
+        placer = Placer(self._directory, PlaceClient(client), board.identity.failure_domain, random)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
             dialect,
-            self._directory,
+            placer,
             self._pool,
             budget,
             self._settings.repeat_ratio,
             GatewayMetrics(board.metrics),
-            Random(board.identity.incarnation),
+            random,
             self._suspect,
-            PlaceClient(client),
             self._settings.apply_bound,
             self._answered_parts,
         )
