Keep to the limit of requests that a target states, over all gateways

Cause: no process read the limit. Class: a statement of a target that nothing acts on. Change: gateways name the limits that they were told with each request for a place; the owner of the places keeps one token bucket for each target and grants or refuses, so the limit is shared by demand. Plain services ask an owner only where a target has a limit. A stand-in owner grants a quarter while the first one lives; a gateway that reaches no owner uses its equal part of a half. Callers without a target are refused at once with the time of the next free request, spread. The cap of retry delays never took effect and is gone.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -34,6 +34,7 @@
     TargetLoad,
     TargetRegistry,
     choose_target,
+    list_unattempted,
     may_admit,
     plan_orders,
 )
@@ -317,13 +318,15 @@
 def step_failures(context: Context, failures: str, attempted: str) -> None:
     for name in failures.split():
         next(item for item in context.targets if item.instance == name).record_failure(10.0)
-    context.attempted = frozenset(InstanceId(name) for name in attempted.split())
+    by_name = {item.instance: item for item in context.targets}
+    context.attempted = {InstanceId(name): by_name[InstanceId(name)] for name in attempted.split()}
 
 
 @then(r'after (?P<seconds>\d+) s the choice is "(?P<choice>\w+)"')
 def step_choice(context: Context, seconds: str, choice: str) -> None:
     now = 10.0 + float(seconds)
-    chosen = choose_target(now, context.targets, DOMAIN, Random(1), context.attempted)
+    candidates = list_unattempted(context.targets, context.attempted)
+    chosen = choose_target(now, candidates, DOMAIN, Random(1))
     assert (chosen.instance if chosen is not None else "none") == choice, chosen
 
 
--- a/features/steps/explain_steps.py
+++ b/features/steps/explain_steps.py
@@ -88,7 +88,12 @@
 
 @given(r'log lines of request r: "(?P<lines>[^"]*)"')
 def step_lines(context: Context, lines: str) -> None:
-    texts = lines.replace("R:no ", "R:no_").replace("_valid ", "_valid_").split()
+    texts = (
+        lines.replace("R:no ", "R:no_")
+        .replace("R:at ", "R:at_")
+        .replace("_valid ", "_valid_")
+        .split()
+    )
     context.lines = [
         LogLine(f"2026-01-01 00:00:{number:02d},000", "i", make_record(text))
         for number, text in enumerate(texts)
--- a/packages/cli/src/jaylatch_cli/request_trace.py
+++ b/packages/cli/src/jaylatch_cli/request_trace.py
@@ -39,7 +39,7 @@
     TargetConditionChanged,
     EngineOrdered,
 )
-UNSERVED_REASONS = ("no target", "full")
+UNSERVED_REASONS = ("no target", "full", "at limit")
 STREAM_INTERRUPTED = "stream_cut"
 
 
@@ -156,6 +156,8 @@
                 f"every group was full: the least loaded of {last.candidates} had "
                 f"{last.load:.2f} requests per slot"
             )
+        case RequestRefused(reason="at limit"):
+            return f"each of {last.candidates} targets had reached the limit that it states"
         case RequestRefused(reason="no target"):
             return "no target that could run it was in the view"
         case RequestRefused():
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -167,6 +167,7 @@
     ``configuration``, ``deployment_change`` and ``view`` are None where the node already has the
     newest. ``deployment_change`` is a packed change from the deployment that the renewal names.
     ``assignment`` None: the agent's instance belongs to no group. ``control`` lists the voters.
+    ``gateways`` is the number of gateways with a lease, 0 while the leader may not know them all.
     """
 
     duration: float
@@ -178,6 +179,7 @@
     is_drained: bool
     deployment_change: bytes | None = None
     control: tuple[ControlPeer, ...] = ()
+    gateways: int = 0
 
 
 class ViewChanged(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -5,11 +5,26 @@
 from jaylatch_core.ids import InstanceId, RequestDigest
 
 
+class CandidateLimit(msgspec.Struct, frozen=True):
+    """A target stated ``age`` seconds ago how many requests a second it takes from all gateways.
+
+    ``rate`` is None if it takes any number again.
+    """
+
+    rate: float | None
+    age: float
+
+
 class PlaceCandidate(msgspec.Struct, frozen=True):
-    """A target that may be chosen, and the number of requests it takes at once."""
+    """A target that may be chosen, and the number of requests that it takes at once.
+
+    ``slots`` 0: its places are not counted, only its ``limit`` is kept. ``limit`` is None if the
+    gateway has been told none.
+    """
 
     instance: InstanceId
     slots: int
+    limit: CandidateLimit | None = None
 
 
 class TakePlace(msgspec.Struct, frozen=True, tag=True):
@@ -17,6 +32,7 @@
 
     ``permit`` names the place until it is released, or for ``duration`` seconds. ``digest``
     identifies a request that is sent again after a refusal; ``is_resumed``: its stream has begun.
+    ``absent_owner`` is the address of an owner that comes first and did not answer the gateway.
     """
 
     permit: str
@@ -24,6 +40,7 @@
     duration: float
     digest: RequestDigest
     is_resumed: bool = False
+    absent_owner: str = ""
 
 
 class PlaceTaken(msgspec.Struct, frozen=True, tag=True):
@@ -34,9 +51,13 @@
 
 
 class PlacesFull(msgspec.Struct, frozen=True, tag=True):
-    """No candidate has a free place; the least loaded has ``load`` requests per slot."""
+    """No candidate has a free place; the least loaded has ``load`` requests per slot.
+
+    ``wait`` is set if all candidates have reached their limits: the seconds until one has not.
+    """
 
     load: float
+    wait: float = 0.0
 
 
 class GiveBackPlace(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -1,6 +1,7 @@
 """The places of direct targets, counted centrally for each model instead of in each gateway."""
 
-from jaylatch_decisions.places.owners import OwnerTable
+from jaylatch_decisions.places.limits import STAND_IN_FRACTION
+from jaylatch_decisions.places.owners import OwnerTable, first_owner
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
-__all__ = ["OwnerTable", "PlaceLimits", "PlaceTable"]
+__all__ = ["STAND_IN_FRACTION", "OwnerTable", "PlaceLimits", "PlaceTable", "first_owner"]
--- a/packages/decisions/src/jaylatch_decisions/places/owners.py
+++ b/packages/decisions/src/jaylatch_decisions/places/owners.py
@@ -20,12 +20,17 @@
     def choose(self, now: float, subject: str, addresses: Sequence[str]) -> str | None:
         """Return the address of the owner of ``subject``, or None if all failed recently."""
         usable = [item for item in addresses if self._usable_from.get(item, 0.0) <= now]
-        return max(usable, key=lambda address: _weight(subject, address), default=None)
+        return first_owner(subject, usable)
 
     def record_failure(self, now: float, address: str) -> None:
         """Skip the owner for ``FAILED_OWNER_PAUSE``."""
         self._usable_from[address] = now + FAILED_OWNER_PAUSE
 
 
+def first_owner(subject: str, addresses: Sequence[str]) -> str | None:
+    """Return the address of the owner of ``subject`` if all of ``addresses`` answer."""
+    return max(addresses, key=lambda address: _weight(subject, address), default=None)
+
+
 def _weight(subject: str, address: str) -> bytes:
     return blake2b(f"{subject}\0{address}".encode(), digest_size=8).digest()
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -16,7 +16,8 @@
 from dataclasses import dataclass
 
 from jaylatch_core.ids import InstanceId, RequestDigest
-from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
+from jaylatch_core.messages.places import PlaceCandidate, PlacesFull, PlaceTaken, TakePlace
+from jaylatch_decisions.places.limits import LimitTable
 
 NEW_REQUEST_LOAD_LIMIT = 1.1
 """Maximum requests for each slot at which a new one is admitted: one in ten waits for a slot, which
@@ -48,24 +49,39 @@
     """The permits of the models whose places this process owns."""
 
     def __init__(self, limits: PlaceLimits = DEFAULT_LIMITS) -> None:
-        self._limits = limits
+        self._load_limits = limits
+        self._request_limits = LimitTable()
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
 
-    def take(self, now: float, request: TakePlace) -> PlaceTaken | PlacesFull:
-        """Grant a place at the least loaded candidate, or report its load."""
+    def take(
+        self, now: float, request: TakePlace, fraction: float = 1.0
+    ) -> PlaceTaken | PlacesFull:
+        """Grant a place at the least loaded candidate below its limit, or report its load.
+
+        ``fraction`` is the part of each limit that this process may grant.
+        """
         self.release(request.permit)
         if not request.candidates:
             return PlacesFull(0.0)
+        for item in request.candidates:
+            self._request_limits.record(now, item)
+        waits = {
+            item.instance: self._request_limits.wait(now, item.instance, fraction)
+            for item in request.candidates
+        }
+        wait = min(waits.values())
         load, instance = min(
-            ((self._count(now, item.instance) + 1) / max(item.slots, 1), item.instance)
+            (self._load_with(now, item), item.instance)
             for item in request.candidates
+            if wait > 0 or not waits[item.instance]
         )
-        if load > self._limit(now, request):
+        if wait > 0 or load > self._load_limit(now, request):
             self._remember_refusal(now, request.digest)
-            return PlacesFull(load)
+            return PlacesFull(load, wait)
         self._refused.pop(request.digest, None)
+        self._request_limits.take(instance)
         self._expiries[instance][request.permit] = now + request.duration
         self._holders[request.permit] = instance
         return PlaceTaken(instance, load)
@@ -76,12 +92,18 @@
         if instance is not None:
             self._expiries[instance].pop(permit, None)
 
-    def _limit(self, now: float, request: TakePlace) -> float:
+    def _load_with(self, now: float, candidate: PlaceCandidate) -> float:
+        """Return the requests for each slot of the target with one more."""
+        if not candidate.slots:
+            return 0.0
+        return (self._count(now, candidate.instance) + 1) / candidate.slots
+
+    def _load_limit(self, now: float, request: TakePlace) -> float:
         if request.is_resumed:
-            return self._limits.resumed
+            return self._load_limits.resumed
         refused_at = self._refused.get(request.digest)
         is_returning = refused_at is not None and now < refused_at + REFUSAL_RETENTION
-        return self._limits.returning if is_returning else self._limits.new
+        return self._load_limits.returning if is_returning else self._load_limits.new
 
     def _count(self, now: float, instance: InstanceId) -> int:
         expiries = self._expiries[instance]
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -1,6 +1,11 @@
 """Direct targets: registry, engine orders and the choice of a target for a request."""
 
-from jaylatch_decisions.targets.choice import TargetLoad, choose_target, may_admit
+from jaylatch_decisions.targets.choice import (
+    TargetLoad,
+    choose_target,
+    list_unattempted,
+    may_admit,
+)
 from jaylatch_decisions.targets.conditions import StatedLimit, TargetConditions
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
@@ -30,6 +35,7 @@
     "TargetRecord",
     "TargetRegistry",
     "choose_target",
+    "list_unattempted",
     "may_admit",
     "plan_orders",
 ]
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -6,7 +6,7 @@
 attract requests. Times are seconds of the monotonic clock.
 """
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -84,24 +84,29 @@
     return target.expected_load(now) < limit
 
 
+def list_unattempted(
+    candidates: Sequence[TargetLoad], attempted: Mapping[InstanceId, TargetLoad]
+) -> list[TargetLoad]:
+    """Return the candidates that a request was not sent to, or that were listed anew since."""
+    return [item for item in candidates if attempted.get(item.instance) is not item]
+
+
 def choose_target(
     now: float,
     candidates: Sequence[TargetLoad],
     local_domain: FailureDomainId,
     random: Random,
-    attempted: frozenset[InstanceId] = frozenset(),
 ) -> TargetLoad | None:
-    """Return the target with the least expected load, or None if all were attempted.
+    """Return the target with the least expected load, or None if there is no candidate.
 
-    Targets in ``attempted`` are left out. If all others failed recently, the one whose pause ends
-    first is returned, since the request would certainly be refused otherwise.
+    If all failed recently, the one whose pause ends first is returned, since the request would
+    certainly be refused otherwise.
     """
-    unattempted = [item for item in candidates if item.instance not in attempted]
-    if not unattempted:
+    if not candidates:
         return None
-    usable = [item for item in unattempted if item.usable_from <= now]
+    usable = [item for item in candidates if item.usable_from <= now]
     if not usable:
-        return min(unattempted, key=lambda item: item.usable_from)
+        return min(candidates, key=lambda item: item.usable_from)
     return min(
         usable,
         key=lambda item: (
--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -5,8 +5,17 @@
 """
 
 from dataclasses import dataclass
+from random import Random
 
 from jaylatch_core.ids import InstanceId
+from jaylatch_core.messages.places import CandidateLimit
+from jaylatch_decisions.rates import RateBucket
+
+LIMIT_RETENTION = 120.0
+"""Seconds after which a limit is forgotten that no answer to this process has stated again."""
+UNSHARED_FRACTION = 0.5
+"""Fraction of a limit that all gateways together use while no owner shares it among them. If some
+still reach an owner, which grants all of it, the sum exceeds the limit by less than half."""
 
 
 @dataclass(frozen=True)
@@ -20,13 +29,69 @@
 class TargetConditions:
     """What the newest answer of each target to this process states."""
 
-    def __init__(self) -> None:
+    def __init__(self, random: Random) -> None:
+        self._random = random
         self._limits: dict[InstanceId, StatedLimit] = {}
+        self._unshared_since = 0.0
+        self._unshared: dict[InstanceId, RateBucket] = {}
 
     def record_limit(self, now: float, instance: InstanceId, rate: float | None) -> bool:
         """Record the limit that an answer states; return whether the one before stated another."""
         known = self._limits.get(instance)
         if known is None and rate is None:
             return False
+        if known is None:
+            self._forget_old(now)
         self._limits[instance] = StatedLimit(rate, now)
         return known is None or known.rate != rate
+
+    def stated_limit(self, now: float, instance: InstanceId) -> CandidateLimit | None:
+        """Return what the target last stated about its limit, or None if it stated nothing."""
+        stated = self._limits.get(instance)
+        if stated is None or now >= stated.stated_at + LIMIT_RETENTION:
+            return None
+        return CandidateLimit(stated.rate, now - stated.stated_at)
+
+    def limit(self, now: float, instance: InstanceId) -> float | None:
+        """Return the limit of the target, None if it takes any number of requests."""
+        stated = self.stated_limit(now, instance)
+        return stated.rate if stated is not None else None
+
+    # Limits that no owner shares among the gateways
+
+    def record_owner(self, now: float, has_answered: bool) -> None:
+        """Record whether an owner of places answers this process."""
+        if has_answered:
+            self._unshared_since = 0.0
+            self._unshared.clear()
+        elif not self._unshared_since:
+            self._unshared_since = now
+
+    def take_unshared(self, now: float, instance: InstanceId, gateways: int) -> bool:
+        """Take one request of this process's equal part of a limit; return False if none is left.
+
+        Without an owner ``gateways`` processes may send to the target, 0 if their number is not
+        known. Nothing is left over from the time in which an owner answered.
+        """
+        limit = self.limit(now, instance)
+        if limit is None:
+            return True
+        if not gateways or not limit:
+            return False
+        bucket = self._unshared.get(instance)
+        if bucket is None:
+            # Otherwise all gateways would send their first request in the same instant.
+            bucket = RateBucket(self._unshared_since, -self._random.random())
+            self._unshared[instance] = bucket
+        if bucket.wait(now, limit * UNSHARED_FRACTION / gateways, 1.0) > 0:
+            return False
+        bucket.take()
+        return True
+
+    def _forget_old(self, now: float) -> None:
+        oldest = now - LIMIT_RETENTION
+        self._limits = {
+            instance: stated
+            for instance, stated in self._limits.items()
+            if stated.stated_at > oldest
+        }
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -40,7 +40,10 @@
 
 @dataclass
 class GrantBoard:
-    """Contents of the latest lease grant."""
+    """Contents of the latest lease grant.
+
+    ``gateways`` is the number of gateways that a leader last knew of, 0 if it was never told.
+    """
 
     lease: HeldLease
     generation: Generation = Generation(0)
@@ -53,6 +56,7 @@
     is_drained: bool = False
     deployment: Deployment = Deployment(NO_DEPLOYMENT)
     announced: AnnouncedDeployments = field(default_factory=AnnouncedDeployments)
+    gateways: int = 0
 
     @property
     def preset_generation(self) -> Generation:
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -106,6 +106,7 @@
         self._announced = _AnnouncedState()
         self._is_proposing = False
         self._supply: tuple[ModelSupply, ...] = ()
+        self._gateways = 0
         self._metrics = GroupMetrics(now)
 
     @property
@@ -131,8 +132,15 @@
             self._is_drained(renewal.instance, renewal.failure_domain),
             self._deployment_change(renewal),
             self._list_peers(),
+            self._gateways,
         )
 
+    def _count_gateways(self, now: float) -> int:
+        """Return the number of gateways with a lease, 0 while some may be unknown."""
+        if not self._leases.knows_all(now):
+            return 0
+        return sum(Role.GATEWAY in holder.renewal.roles for holder in self._leases.live(now))
+
     def _confirm_progress(self, now: float, renewal: RenewLease) -> None:
         for progress in renewal.progress:
             group = self._state.groups.get(progress.group)
@@ -171,6 +179,7 @@
             self._targets.use_deployment(self._state.deployment)
             policy = self._state.configuration.policy(self._state.preset.preset)
             self._targets.part_evidence.expire(now, policy.quarantine_time)
+        self._gateways = self._count_gateways(now)
         facts = self._facts(now)
         self._update_metrics(now, facts)
         self._update_retiring(facts)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -57,7 +57,7 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
-from jaylatch_decisions.places import PlaceTable
+from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
@@ -182,7 +182,8 @@
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
             case TakePlace():
-                connection.reply(call, self._places.take(monotonic(), body))
+                fraction = self._limit_fraction(body)
+                connection.reply(call, self._places.take(monotonic(), body, fraction))
             case GiveBackPlace():
                 self._places.release(body.permit)
             case ReadDeployment():
@@ -279,6 +280,16 @@
             return leader.renew(now, renewal, connection)
         return leader
 
+    def _limit_fraction(self, request: TakePlace) -> float:
+        """Return the part of the targets' limits that this instance may grant.
+
+        An owner that does not answer a gateway, but is connected to this instance, may still grant
+        all of them to other gateways.
+        """
+        absent = request.absent_owner
+        is_absent_here = not absent or self._peers.get(absent).connection is None
+        return 1.0 if is_absent_here else STAND_IN_FRACTION
+
     def _status(self) -> Body:
         now = monotonic()
         leader = self._current_leader(now)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -59,8 +59,6 @@
 """Seconds after which a node without a lease may have one again: one renewal interval."""
 SHUTDOWN_RETRY = 0.02
 """Seconds after which a caller may retry at another instance."""
-RETRY_DELAY_LIMIT = 2.0
-"""Longest retry delay in seconds."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
 
@@ -75,6 +73,7 @@
         board: Blackboard,
         dialect: TargetDialect,
         placer: Placer,
+        conditions: TargetConditions,
         pool: TargetPool,
         budget: RetryBudget,
         repeat_ratio: float,
@@ -85,7 +84,7 @@
         answered_parts: AnsweredParts,
     ) -> None:
         self._answered_parts = answered_parts
-        self._conditions = TargetConditions()
+        self._conditions = conditions
         self._apply_bound = apply_bound
         self._placer = placer
         self._evidence = EvidenceTable()
@@ -196,9 +195,9 @@
         while True:
             placement = await self._placer.place(job)
             if isinstance(placement, NoPlacement):
-                is_missing = placement.obstacle is Obstacle.NO_TARGET
-                if is_missing and await self._placer.wait_for_target(job):
+                if await self._placer.wait_for_target(job, placement):
                     continue
+                is_missing = placement.obstacle is Obstacle.NO_TARGET
                 retry_after = NO_TARGET_RETRY if is_missing else FULL_RETRY
                 self._give_up(job, placement.obstacle.value, retry_after, placement)
                 return
@@ -297,12 +296,12 @@
         if job.history.may_have_run:
             refusal = Refusal(RefusalKind.FAILED, reason)
         else:
-            refusal = Refusal(RefusalKind.NOT_RUN, reason, self._add_jitter(retry_after))
+            wait = found.wait if found is not None else 0.0
+            refusal = Refusal(RefusalKind.NOT_RUN, reason, wait + self._add_jitter(retry_after))
         self._refuse(job.caller, job.request, refusal, job.route.name, found)
 
     def _add_jitter(self, retry_after: float) -> float:
-        factor = 1 + RETRY_JITTER * (2 * self._random.random() - 1)
-        return min(retry_after * factor, RETRY_DELAY_LIMIT)
+        return retry_after * (1 + RETRY_JITTER * (2 * self._random.random() - 1))
 
     def _time_out(self, job: Job) -> None:
         """Answer a request whose deadline has passed."""
--- a/packages/node/src/jaylatch_node/gateway/job.py
+++ b/packages/node/src/jaylatch_node/gateway/job.py
@@ -28,10 +28,6 @@
     placements: int = 0
     attempted: dict[InstanceId, TargetLoad] = field(default_factory=dict)
 
-    def was_attempted(self, target: TargetLoad) -> bool:
-        """Return whether the request was sent there and the target has been listed ever since."""
-        return self.attempted.get(target.instance) is target
-
 
 def digest_of(request: InboundRequest, account: AccountProfile | None) -> RequestDigest:
     """Return the digest that identifies repeats of a request within its account."""
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -7,12 +7,20 @@
 from random import Random
 
 from jaylatch_core.clock import monotonic
-from jaylatch_core.ids import FailureDomainId
-from jaylatch_decisions.targets import TargetLoad, choose_target, may_admit
+from jaylatch_decisions.targets import (
+    TargetConditions,
+    TargetLoad,
+    choose_target,
+    list_unattempted,
+    may_admit,
+)
+from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
 from jaylatch_node.gateway.places import Place, PlaceClient
 
+_Found = tuple[TargetLoad, Place | None]
+
 RESUME_WAIT = 1.5
 """Seconds for which an interrupted stream waits for a target: a group with a spare is repaired in
 0.7 s, and callers disconnect after a gap of two."""
@@ -25,6 +33,7 @@
 
     NO_TARGET = "no target"
     FULL = "full"
+    AT_LIMIT = "at limit"
 
 
 @dataclass(frozen=True)
@@ -44,11 +53,15 @@
 
 @dataclass(frozen=True)
 class NoPlacement:
-    """No target takes the request; ``load`` is that of the least loaded of the candidates."""
+    """No target takes the request; ``load`` is that of the least loaded of the candidates.
+
+    ``wait`` is the number of seconds after which one certainly takes requests, 0 if not known.
+    """
 
     obstacle: Obstacle
     load: float = 0.0
     candidates: int = 0
+    wait: float = 0.0
 
 
 class Placer:
@@ -56,29 +69,30 @@
 
     def __init__(
         self,
+        board: Blackboard,
         directory: TargetDirectory,
         places: PlaceClient,
-        local_domain: FailureDomainId,
+        conditions: TargetConditions,
         random: Random,
     ) -> None:
+        self._board = board
         self._directory = directory
         self._places = places
-        self._local_domain = local_domain
+        self._conditions = conditions
         self._random = random
 
     async def place(self, job: Job) -> Placement | NoPlacement:
         """Return the target to which the request is sent next."""
         while True:
-            candidates = self._candidates(job)
-            place = await self._take_place(job, candidates)
-            if place is not None and place.target is None:
-                return NoPlacement(Obstacle.FULL, place.load, len(candidates))
-            target = self._choose(job, candidates) if place is None else place.target
-            if target is None:
-                return NoPlacement(Obstacle.NO_TARGET)
-            if place is None and not self._may_admit(job, target):
-                load = target.expected_load(monotonic())
-                return NoPlacement(Obstacle.FULL, load, len(candidates))
+            service = self._choose_service(job)
+            candidates = self._candidates(job, service)
+            if job.request.model is None:
+                found = await self._choose_plain(job, service, candidates)
+            else:
+                found = await self._choose_engine(job, job.request.model, candidates)
+            if isinstance(found, NoPlacement):
+                return found
+            target, place = found
             address = self._directory.address(target.instance)
             if address is not None:
                 return Placement(target, address, place, len(candidates))
@@ -86,52 +100,119 @@
             if place is not None:
                 place.release()
 
-    async def wait_for_target(self, job: Job) -> bool:
-        """Wait for a repaired group, if a stream has started; return whether there is one.
+    async def wait_for_target(self, job: Job, found: NoPlacement) -> bool:
+        """Wait for a target, if a stream has started; return whether there may be one now.
 
         A request whose answer has not started is refused at once with a retry delay.
         """
+        if not job.caller.has_started:
+            return False
+        match found.obstacle:
+            case Obstacle.NO_TARGET:
+                return await self._wait_for_repair(job)
+            case Obstacle.AT_LIMIT if 0 < found.wait <= RESUME_WAIT:
+                await sleep(found.wait)
+                return True
+        return False
+
+    async def _wait_for_repair(self, job: Job) -> bool:
+        """Wait until a group has been repaired; return False if it takes too long."""
         until = monotonic() + RESUME_WAIT
-        while job.caller.has_started and monotonic() < until:
+        while monotonic() < until:
             await sleep(RESUME_POLL)
             # A repaired group often keeps its head, with a new load record since it was lost.
-            if any(not job.was_attempted(item) for item in self._candidates(job)):
+            if self._candidates(job, self._choose_service(job)):
                 return True
         return False
 
-    async def _take_place(self, job: Job, candidates: Sequence[TargetLoad]) -> Place | None:
-        """Take a place for a request of a model.
+    def _candidates(self, job: Job, service: str) -> list[TargetLoad]:
+        listed = self._directory.candidates(service, job.request.model)
+        return list_unattempted(listed, job.attempted)
+
+    async def _choose_engine(
+        self, job: Job, model: str, candidates: Sequence[TargetLoad]
+    ) -> _Found | NoPlacement:
+        """Return the head of a group that the owner of the model's places grants.
 
-        Return None for a request of a plain service, or if no target is usable or no owner answers.
+        Without an answer of an owner the choice is this process's own, and limits are kept to by
+        its part of them.
         """
         now = monotonic()
-        if job.request.model is None:
-            return None
+        usable = [item for item in candidates if item.usable_from <= now]
+        place = await self._take_place(job, model, usable, counts_places=True)
+        if place is not None:
+            if place.target is not None:
+                return place.target, place
+            obstacle = Obstacle.AT_LIMIT if place.wait else Obstacle.FULL
+            return NoPlacement(obstacle, place.load, len(candidates), place.wait)
+        now = monotonic()
+        unlimited = [
+            item for item in candidates if self._conditions.limit(now, item.instance) is None
+        ]
+        target = self._choose(now, unlimited)
+        if target is not None and may_admit(now, target, job.caller.has_started):
+            return target, None
+        part = self._choose_unshared(now, candidates)
+        if part is not None:
+            return part, None
+        if target is not None:
+            return NoPlacement(Obstacle.FULL, target.expected_load(now), len(candidates))
+        obstacle = Obstacle.AT_LIMIT if candidates else Obstacle.NO_TARGET
+        return NoPlacement(obstacle, candidates=len(candidates))
+
+    async def _choose_plain(
+        self, job: Job, service: str, candidates: Sequence[TargetLoad]
+    ) -> _Found | NoPlacement:
+        """Return the least loaded target of a plain service that has not reached its limit.
+
+        Only requests to targets with limits are granted by an owner.
+        """
+        left = list(candidates)
+        waits = []
+        while (target := self._choose(monotonic(), left)) is not None:
+            if self._conditions.limit(monotonic(), target.instance) is None:
+                return target, None
+            place = await self._take_place(job, service, [target], counts_places=False)
+            if place is not None and place.target is not None:
+                return target, place
+            if place is None and self._choose_unshared(monotonic(), [target]) is not None:
+                return target, None
+            waits.append(place.wait if place is not None else 0.0)
+            left.remove(target)
+        if not waits:
+            return NoPlacement(Obstacle.NO_TARGET)
+        return NoPlacement(Obstacle.AT_LIMIT, 0.0, len(candidates), min(waits))
+
+    async def _take_place(
+        self, job: Job, subject: str, usable: Sequence[TargetLoad], counts_places: bool
+    ) -> Place | None:
         return await self._places.take(
-            job.request.model,
+            subject,
             job.request.attempt,
-            [
-                item
-                for item in candidates
-                if not job.was_attempted(item) and item.usable_from <= now
-            ],
-            job.deadline - now,
+            usable,
+            job.deadline - monotonic(),
             job.digest,
             job.caller.has_started,
+            counts_places,
         )
 
-    def _may_admit(self, job: Job, target: TargetLoad) -> bool:
-        """Return whether the target has a free place as far as this process knows."""
-        if job.request.model is None:
-            return True
-        return may_admit(monotonic(), target, job.caller.has_started)
-
-    def _candidates(self, job: Job) -> Sequence[TargetLoad]:
-        return self._directory.candidates(self._choose_service(job), job.request.model)
+    def _choose_unshared(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
+        """Return a target of whose limit this process's own part is not used up, or None."""
+        gateways = self._board.grant.gateways
+        return next(
+            (
+                item
+                for item in candidates
+                if item.usable_from <= now
+                and self._conditions.limit(now, item.instance) is not None
+                and self._conditions.take_unshared(now, item.instance, gateways)
+            ),
+            None,
+        )
 
-    def _choose(self, job: Job, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
-        attempted = frozenset(item.instance for item in candidates if job.was_attempted(item))
-        return choose_target(monotonic(), candidates, self._local_domain, self._random, attempted)
+    def _choose(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
+        domain = self._board.identity.failure_domain
+        return choose_target(now, candidates, domain, self._random)
 
     def _choose_service(self, job: Job) -> str:
         shares = job.route.shares
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -11,8 +11,8 @@
     PlaceTaken,
     TakePlace,
 )
-from jaylatch_decisions.places import OwnerTable
-from jaylatch_decisions.targets import TargetLoad
+from jaylatch_decisions.places import OwnerTable, first_owner
+from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
 
 OWNER_COUNT = 3
@@ -24,7 +24,10 @@
 
 
 class Place:
-    """A place that a request holds; ``target`` is None if all targets are full."""
+    """A place that a request holds; ``target`` is None if no target takes the request.
+
+    ``wait`` is then set if all have reached their limits: the seconds until one has not.
+    """
 
     def __init__(self, client: ControlClient, owner: str, permit: str) -> None:
         self._client = client
@@ -32,6 +35,7 @@
         self._permit = permit
         self.target: TargetLoad | None = None
         self.load = 0.0
+        self.wait = 0.0
 
     def release(self) -> None:
         """Notify the owner that the request has ended."""
@@ -41,35 +45,51 @@
 class PlaceClient:
     """Takes places for the requests of one gateway."""
 
-    def __init__(self, client: ControlClient) -> None:
+    def __init__(self, client: ControlClient, conditions: TargetConditions) -> None:
         self._client = client
+        self._conditions = conditions
         self._owners = OwnerTable()
 
     async def take(
         self,
-        model: str,
+        subject: str,
         attempt: AttemptId,
         usable: Sequence[TargetLoad],
         time_left: float,
         digest: RequestDigest,
         is_resumed: bool,
+        counts_places: bool = True,
     ) -> Place | None:
-        """Return the place, whose ``target`` is None if all are full.
+        """Return the place, whose ``target`` is None if no target takes the request.
 
-        Return None if no target is usable or no owner answers.
+        ``subject`` is the model or, where only limits are kept and no places are counted, the
+        service. Return None if no target is usable or no owner answers.
         """
         now = monotonic()
-        owner = self._owners.choose(now, model, self._client.addresses[:OWNER_COUNT])
-        if owner is None or not usable:
+        if not usable:
+            return None
+        owners = self._client.addresses[:OWNER_COUNT]
+        owner = self._owners.choose(now, subject, owners)
+        if owner is None:
+            self._conditions.record_owner(now, has_answered=False)
             return None
+        first = first_owner(subject, owners)
         permit = f"{attempt}/{now}"
         place = Place(self._client, owner, permit)
         request = TakePlace(
             permit,
-            tuple(PlaceCandidate(item.instance, item.slots) for item in usable),
+            tuple(
+                PlaceCandidate(
+                    item.instance,
+                    max(item.slots, 1) if counts_places else 0,
+                    self._conditions.stated_limit(now, item.instance),
+                )
+                for item in usable
+            ),
             time_left + EXPIRY_MARGIN,
             digest,
             is_resumed,
+            first if first is not None and first != owner else "",
         )
         has_answer = False
         try:
@@ -79,13 +99,14 @@
             if not has_answer:
                 # The owner may have granted it nevertheless.
                 place.release()
+        self._conditions.record_owner(now, has_answer)
         match answer:
             case PlaceTaken(instance, load):
                 place.target = next(item for item in usable if item.instance == instance)
                 place.load = load
                 return place
-            case PlacesFull(load):
-                place.load = load
+            case PlacesFull(load, wait):
+                place.load, place.wait = load, wait
                 return place
             case _:
                 self._owners.record_failure(now, owner)
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -15,6 +15,7 @@
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.quarantine import AnsweredParts
 from jaylatch_decisions.retry import RetryBudget
+from jaylatch_decisions.targets import TargetConditions
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 from jaylatch_node.gateway.directory import TargetDirectory
@@ -58,12 +59,15 @@
         self._pool = TargetPool()
         self._answered_parts = AnsweredParts(monotonic() + self._settings.evidence_warm_up)
         random = Random(board.identity.incarnation)
-        placer = Placer(self._directory, PlaceClient(client), board.identity.failure_domain, random)
+        conditions = TargetConditions(random)
+        places = PlaceClient(client, conditions)
+        placer = Placer(board, self._directory, places, conditions, random)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
             dialect,
             placer,
+            conditions,
             self._pool,
             budget,
             self._settings.repeat_ratio,
--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -149,6 +149,7 @@
             known.view = grant.view
         known.assignment = grant.assignment
         known.is_drained = grant.is_drained
+        known.gateways = grant.gateways or known.gateways
         known.lease.extend(sent_at, grant.duration)
         if not self._had_lease and known.lease.is_valid(monotonic()):
             self._had_lease = True
