Log the rest that a target asks for when it turns a request away

Change: the dialect reads the time, and a gateway writes a 'target condition' line when a rest begins.

--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -1,6 +1,7 @@
 """Conditions that targets state in their answers about the requests that they take.
 
 A target that states a limit states it in each answer, until it takes any number of requests again.
+One that turns a request away may ask for rest: it wants no request from this gateway for a time.
 Times are seconds of the monotonic clock.
 """
 
@@ -32,6 +33,7 @@
     def __init__(self, random: Random) -> None:
         self._random = random
         self._limits: dict[InstanceId, StatedLimit] = {}
+        self._resting_until: dict[InstanceId, float] = {}
         self._unshared_since = 0.0
         self._unshared: dict[InstanceId, RateBucket] = {}
 
@@ -45,6 +47,16 @@
         self._limits[instance] = StatedLimit(rate, now)
         return known is None or known.rate != rate
 
+    def record_rest(self, now: float, instance: InstanceId, duration: float) -> bool:
+        """Record that a target asks for rest; return whether it was not resting before."""
+        is_new = not self.is_resting(now, instance)
+        self._resting_until[instance] = max(now + duration, self._resting_until.get(instance, 0.0))
+        return is_new
+
+    def is_resting(self, now: float, instance: InstanceId) -> bool:
+        """Return whether the target wants no request from this process now."""
+        return now < self._resting_until.get(instance, 0.0)
+
     def stated_limit(self, now: float, instance: InstanceId) -> CandidateLimit | None:
         """Return what the target last stated about its limit, or None if it stated nothing."""
         stated = self._limits.get(instance)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -271,9 +271,13 @@
         self, instance: InstanceId, request: AttemptId, facts: ResponseFacts
     ) -> None:
         """Record the conditions that an answer of a target states, and log their changes."""
-        if self._conditions.record_limit(monotonic(), instance, facts.limit):
-            condition = "limit ended" if facts.limit is None else "limit"
-            value = facts.limit or 0.0
+        now = monotonic()
+        changes = []
+        if self._conditions.record_limit(now, instance, facts.limit):
+            changes.append(("limit ended" if facts.limit is None else "limit", facts.limit or 0.0))
+        if facts.rest and self._conditions.record_rest(now, instance, facts.rest):
+            changes.append(("rest", facts.rest))
+        for condition, value in changes:
             log_record(
                 _log,
                 TargetConditionChanged(
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -51,7 +51,8 @@
     has a content encoding. ``keep_alive`` is the target's idle timeout in seconds, if stated.
     ``is_misdirected`` is whether the answer comes from another target than the expected one.
     ``limit`` is the number of requests a second that the target takes from all gateways together,
-    if it states one.
+    if it states one. ``rest`` is the number of seconds for which it wants no request from this
+    gateway, set only if it turned the request away.
     """
 
     attempt: AttemptId | None
@@ -62,6 +63,7 @@
     keep_alive: float | None
     is_misdirected: bool = False
     limit: float | None = None
+    rest: float | None = None
 
 
 class RefusalKind(Enum):
