--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -46,6 +46,10 @@
     return b"answer to " + request.headers["X-Id"].encode()
 
 
+def expected_events() -> bytes:
+    return b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(EVENT_COUNT))
+
+
 def first_event(request: Received) -> int:
     return int(request.headers.get("X-Last", "-1")) + 1
 
@@ -81,6 +85,10 @@
             refused = {"X-Not-Run": "1"}
             writer.write(answer_bytes(request, b"", "503 Service Unavailable", **refused))
             return True
+        case "asks for 1.5 s of rest":
+            refused = {"X-Not-Run": "1", "X-Rest": "1.5"}
+            writer.write(answer_bytes(request, b"", "503 Service Unavailable", **refused))
+            return True
         case "closes before it answers":
             return False
         case "closes in the middle of the answer":
@@ -361,8 +369,7 @@
         case "the complete answer":
             assert (got.status, got.body, got.is_complete) == (200, b"answer to r1", True), got
         case "every event once":
-            events = b"".join(f"id: {n}\ndata: text {n}\n\n".encode() for n in range(EVENT_COUNT))
-            assert (got.status, got.body, got.is_complete) == (200, events, True), got
+            assert (got.status, got.body, got.is_complete) == (200, expected_events(), True), got
         case "an incomplete stream":
             assert (got.status, got.is_complete) in ((200, False), (0, False)), got
         case "500 and its signature":
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -112,6 +112,7 @@
     def read_response(self, head: ResponseHead) -> ResponseFacts:
         """Return the facts that the head of a response carries."""
         attempt = head.headers.get("X-Id")
+        rest = head.headers.get("X-Rest")
         return ResponseFacts(
             AttemptId(attempt) if attempt else None,
             "X-Proof" in head.headers,
@@ -119,6 +120,7 @@
             None,
             "Content-Encoding" in head.headers,
             None,
+            rest=float(rest) if rest else None,
         )
 
     def write_refusal(
