Send no request to a target that asked this gateway for rest

What callers saw: with one of a few groups resting, over a tenth of flavour-chat and mix-suggest was not served for five seconds, as each request was first sent to the resting head and used up the budget of second sends. The head got 6 requests from one gateway in 3 s of rest, where 2 are allowed (BUDGET). Cause: nobody read the time to come back, and a target that turns all away runs nothing, so it is the least loaded of all. Class: a statement of a target that nothing acts on. Change: the gateway keeps the end of a rest by instance, apart from load records, which each epoch makes anew, and resting targets are no candidates for any choice, the last resort among failing ones included. If all rest, callers are told when the first ends.

--- a/features/logs/explain.feature
+++ b/features/logs/explain.feature
@@ -33,6 +33,7 @@
       | P L B E:stream_cut:full | t was lost while serving it, and it could not be resumed elsewhere: full |
       | R:no target             | no target that could run it was in the view                              |
       | R:no valid lease        | refused by jaylatch: no valid lease                                      |
+      | R:resting               | each of 0 targets had asked this gateway for rest                        |
       | R:at limit              | each of 0 targets had reached the limit that it states                   |
       | P E:caller_gone         | ended without an answer: caller_gone                                     |
       | P                       | the end of the request is not in these logs                              |
--- a/features/steps/gateway_condition_steps.py
+++ b/features/steps/gateway_condition_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
 from features.steps.gateway_path_steps import KIND_PATTERN, ask, expected_events, grant_targets
-from features.support.gateway import Answer, Received, ScriptedTarget
+from features.support.gateway import Answer, Received
 
 from jaylatch_core.ids import Epoch
 from jaylatch_core.messages.places import PlaceTaken, TakePlace
@@ -38,8 +38,7 @@
 
 async def send_around(context: Context, kind: str, what: str) -> list[Answer]:
     answers = [await ask_timed(context, f"r{number}") for number in range(4)]
-    context.resting = first_used(context)
-    others = [item for item in context.targets if item is not context.resting]
+    others = [item for item in context.targets if item is not context.first_used]
     match what:
         case "the groups get a new epoch":
             view = context.harness.board.grant.view
@@ -66,19 +65,10 @@
     return False
 
 
-def first_used(context: Context) -> ScriptedTarget:
-    """Return the target that received the first request, and asked for rest."""
-    return next(
-        target
-        for target in context.targets
-        if any(request.headers["X-Id"] == "r0" for request in target.received[:1])
-    )
-
-
 @then(r"that target received 1 request in its rest, and each caller got its answer")
 def step_kept(context: Context) -> None:
     rest_ends_at = context.sent_at["r0"] + REST_SECONDS
-    requests = [request.headers["X-Id"] for request in context.resting.received]
+    requests = [request.headers["X-Id"] for request in context.first_used.received]
     in_rest = [request for request in requests if context.sent_at[request] < rest_ends_at]
     assert in_rest == ["r0"], in_rest
     expected = 4 if context.has_failing_target else 8
@@ -98,7 +88,7 @@
             await ask(context, context.kind, f"t{number}")
 
     context.runner.run(send())
-    assert len(context.resting.received) > 1, context.resting.received
+    assert len(context.first_used.received) > 1, context.first_used.received
 
 
 @when(rf"3 requests of kind (?P<kind>{KIND_PATTERN}) are sent in a row")
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -214,6 +214,8 @@
 
     async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
         is_first = sum(len(item.received) for item in context.targets) == 1
+        if is_first:
+            context.first_used = next(item for item in context.targets if item.received)
         if fault == "sends the answer twice":
             is_first = is_first or context.faulty is writer.get_extra_info("sockname")
         return (
--- a/packages/cli/src/jaylatch_cli/request_trace.py
+++ b/packages/cli/src/jaylatch_cli/request_trace.py
@@ -39,7 +39,7 @@
     TargetConditionChanged,
     EngineOrdered,
 )
-UNSERVED_REASONS = ("no target", "full", "at limit")
+UNSERVED_REASONS = ("no target", "full", "at limit", "resting")
 STREAM_INTERRUPTED = "stream_cut"
 
 
@@ -158,6 +158,8 @@
             )
         case RequestRefused(reason="at limit"):
             return f"each of {last.candidates} targets had reached the limit that it states"
+        case RequestRefused(reason="resting"):
+            return f"each of {last.candidates} targets had asked this gateway for rest"
         case RequestRefused(reason="no target"):
             return "no target that could run it was in the view"
         case RequestRefused():
--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -49,13 +49,16 @@
 
     def record_rest(self, now: float, instance: InstanceId, duration: float) -> bool:
         """Record that a target asks for rest; return whether it was not resting before."""
-        is_new = not self.is_resting(now, instance)
-        self._resting_until[instance] = max(now + duration, self._resting_until.get(instance, 0.0))
-        return is_new
+        self._resting_until = {
+            other: until for other, until in self._resting_until.items() if now < until
+        }
+        known_until = self._resting_until.get(instance, 0.0)
+        self._resting_until[instance] = max(now + duration, known_until)
+        return not known_until
 
-    def is_resting(self, now: float, instance: InstanceId) -> bool:
-        """Return whether the target wants no request from this process now."""
-        return now < self._resting_until.get(instance, 0.0)
+    def rest_left(self, now: float, instance: InstanceId) -> float:
+        """Return the seconds for which the target wants no request from this process."""
+        return max(self._resting_until.get(instance, 0.0) - now, 0.0)
 
     def stated_limit(self, now: float, instance: InstanceId) -> CandidateLimit | None:
         """Return what the target last stated about its limit, or None if it stated nothing."""
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -34,6 +34,7 @@
     NO_TARGET = "no target"
     FULL = "full"
     AT_LIMIT = "at limit"
+    RESTING = "resting"
 
 
 @dataclass(frozen=True)
@@ -85,7 +86,11 @@
         """Return the target to which the request is sent next."""
         while True:
             service = self._choose_service(job)
-            candidates = self._candidates(job, service)
+            listed = self._directory.candidates(service, job.request.model)
+            rest = min((self._rest_left(item) for item in listed), default=0.0)
+            if rest > 0:
+                return NoPlacement(Obstacle.RESTING, candidates=len(listed), wait=rest)
+            candidates = self._awake_unattempted(job, listed)
             if job.request.model is None:
                 found = await self._choose_plain(job, service, candidates)
             else:
@@ -110,7 +115,7 @@
         match found.obstacle:
             case Obstacle.NO_TARGET:
                 return await self._wait_for_repair(job)
-            case Obstacle.AT_LIMIT if 0 < found.wait <= RESUME_WAIT:
+            case Obstacle.AT_LIMIT | Obstacle.RESTING if 0 < found.wait <= RESUME_WAIT:
                 await sleep(found.wait)
                 return True
         return False
@@ -121,13 +126,18 @@
         while monotonic() < until:
             await sleep(RESUME_POLL)
             # A repaired group often keeps its head, with a new load record since it was lost.
-            if self._candidates(job, self._choose_service(job)):
+            listed = self._directory.candidates(self._choose_service(job), job.request.model)
+            if self._awake_unattempted(job, listed):
                 return True
         return False
 
-    def _candidates(self, job: Job, service: str) -> list[TargetLoad]:
-        listed = self._directory.candidates(service, job.request.model)
-        return list_unattempted(listed, job.attempted)
+    def _awake_unattempted(self, job: Job, listed: Sequence[TargetLoad]) -> list[TargetLoad]:
+        """Return the targets that do not rest and to which the request was not sent."""
+        unattempted = list_unattempted(listed, job.attempted)
+        return [item for item in unattempted if not self._rest_left(item)]
+
+    def _rest_left(self, target: TargetLoad) -> float:
+        return self._conditions.rest_left(monotonic(), target.instance)
 
     async def _choose_engine(
         self, job: Job, model: str, candidates: Sequence[TargetLoad]
