Send no new request to a target that said in an answer that it leaves

Class: a statement of a target that nothing acts on, the same as of LIMIT and BUDGET. Change: the dialect reads the statement; the gateway keeps it by instance for 60 s and lists the target for no new request. Requests that run there end there. Evidence: nine rows of features/gateway/conditions, at first refusals and answers, new epochs and views that lack the target, failed with the statement logged only, and pass.

--- a/features/gateway/conditions.feature
+++ b/features/gateway/conditions.feature
@@ -1,4 +1,4 @@
-Feature: A gateway keeps to the rest that a target asks for
+Feature: A gateway keeps to what a target says in its answers about the requests that it takes
 
   # Guards against the incident BUDGET (rest), in which a target got 6 requests in 3 s of rest.
   Scenario Outline: a target of kind <kind> asks for 1.5 s of rest, <owner> grants places, and <what>
@@ -33,3 +33,22 @@
       | once       |
       | idempotent |
       | stream     |
+
+  # Guards against requests to a target that leaves, from a gateway that control does not reach.
+  Scenario Outline: a target of kind <kind> says in <answer> that it leaves, <owner> grants places, and <what>
+    Given a gateway with two targets, of which the first one used says in <answer> that it leaves
+    And <owner> that grants places
+    When 4 requests of kind <kind> are sent, <what>, and 4 more are sent
+    Then that target received 1 request in all, and each caller got its answer
+
+    Examples: the view still lists it
+      | kind       | answer        | owner    | what                                     |
+      | once       | its answer    | no owner | nothing happens                          |
+      | idempotent | its answer    | no owner | nothing happens                          |
+      | stream     | its answer    | no owner | nothing happens                          |
+      | stream     | its answer    | an owner | nothing happens                          |
+      | stream     | its answer    | an owner | the groups get a new epoch               |
+      | once       | its answer    | no owner | that target is not in the view for 0.1 s |
+      | once       | a refusal     | no owner | nothing happens                          |
+      | stream     | a refusal     | no owner | nothing happens                          |
+      | once       | its answer    | no owner | the other target fails                   |
--- a/features/steps/gateway_condition_steps.py
+++ b/features/steps/gateway_condition_steps.py
@@ -71,6 +71,11 @@
     requests = [request.headers["X-Id"] for request in context.first_used.received]
     in_rest = [request for request in requests if context.sent_at[request] < rest_ends_at]
     assert in_rest == ["r0"], in_rest
+    assert_answers(context)
+
+
+def assert_answers(context: Context) -> None:
+    """Check that all callers were answered but those after the other target had failed."""
     expected = 4 if context.has_failing_target else 8
     for number, answer in enumerate(context.answers[:expected]):
         assert answer.status == 200 and answer.is_complete, (number, answer)
@@ -80,6 +85,12 @@
         assert answer.status in FAILURES, answer
 
 
+@then(r"that target received 1 request in all, and each caller got its answer")
+def step_left_alone(context: Context) -> None:
+    assert len(context.first_used.received) == 1, context.first_used.received
+    assert_answers(context)
+
+
 @then(r"1.5 s later that target receives requests again")
 def step_used_again(context: Context) -> None:
     async def send() -> None:
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -85,6 +85,20 @@
             refused = {"X-Not-Run": "1"}
             writer.write(answer_bytes(request, b"", "503 Service Unavailable", **refused))
             return True
+        case "says in its answer that it leaves":
+            if not is_stream(request):
+                writer.write(answer_bytes(request, body, **{"X-Leaving": "1"}))
+                return True
+            head = stream_head(request).replace(b"X-Proof", b"X-Leaving: 1\r\nX-Proof")
+            writer.write(head)
+            for number in range(EVENT_COUNT):
+                writer.write(event_chunk(number))
+            writer.write(END_OF_STREAM)
+            return True
+        case "says in a refusal that it leaves":
+            leaving = {"X-Not-Run": "1", "X-Leaving": "1"}
+            writer.write(answer_bytes(request, b"", "503 Service Unavailable", **leaving))
+            return True
         case "asks for 1.5 s of rest":
             refused = {"X-Not-Run": "1", "X-Rest": "1.5"}
             writer.write(answer_bytes(request, b"", "503 Service Unavailable", **refused))
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -121,6 +121,7 @@
             "Content-Encoding" in head.headers,
             None,
             rest=float(rest) if rest else None,
+            is_leaving="X-Leaving" in head.headers,
         )
 
     def write_refusal(
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -139,8 +139,8 @@
     """The answer of a target to ``request`` states another condition than those before it.
 
     ``condition`` is ``limit``, with the requests a second that the target takes from all gateways
-    together as its ``value``, or ``limit ended``, or ``rest``, with the seconds for which it wants
-    no request from this gateway.
+    together as its ``value``, or ``limit ended``, ``rest``, with the seconds for which it wants no
+    request from this gateway, or ``leaving``.
     """
 
     target: str
--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -2,6 +2,7 @@
 
 A target that states a limit states it in each answer, until it takes any number of requests again.
 One that turns a request away may ask for rest: it wants no request from this gateway for a time.
+One that leaves says so in each answer, and takes no new request until it ends.
 Times are seconds of the monotonic clock.
 """
 
@@ -14,6 +15,9 @@
 
 LIMIT_RETENTION = 120.0
 """Seconds after which a limit is forgotten that no answer to this process has stated again."""
+LEAVING_RETENTION = 60.0
+"""Seconds after which a target that said that it leaves may be another incarnation of its id: it
+serves for some seconds after it has said so."""
 UNSHARED_FRACTION = 0.5
 """Fraction of a limit that all gateways together use while no owner shares it among them. If some
 still reach an owner, which grants all of it, the sum exceeds the limit by less than half."""
@@ -34,6 +38,7 @@
         self._random = random
         self._limits: dict[InstanceId, StatedLimit] = {}
         self._resting_until: dict[InstanceId, float] = {}
+        self._leaving_since: dict[InstanceId, float] = {}
         self._unshared_since = 0.0
         self._unshared: dict[InstanceId, RateBucket] = {}
 
@@ -60,6 +65,19 @@
         """Return the seconds for which the target wants no request from this process."""
         return max(self._resting_until.get(instance, 0.0) - now, 0.0)
 
+    def record_leaving(self, now: float, instance: InstanceId) -> bool:
+        """Record that a target says that it leaves; return whether it had not said so before."""
+        oldest = now - LEAVING_RETENTION
+        self._leaving_since = {
+            other: since for other, since in self._leaving_since.items() if since > oldest
+        }
+        return self._leaving_since.setdefault(instance, now) == now
+
+    def is_leaving(self, now: float, instance: InstanceId) -> bool:
+        """Return whether the target has said that it leaves."""
+        since = self._leaving_since.get(instance)
+        return since is not None and now < since + LEAVING_RETENTION
+
     def stated_limit(self, now: float, instance: InstanceId) -> CandidateLimit | None:
         """Return what the target last stated about its limit, or None if it stated nothing."""
         stated = self._limits.get(instance)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -277,6 +277,8 @@
             changes.append(("limit ended" if facts.limit is None else "limit", facts.limit or 0.0))
         if facts.rest and self._conditions.record_rest(now, instance, facts.rest):
             changes.append(("rest", facts.rest))
+        if facts.is_leaving and self._conditions.record_leaving(now, instance):
+            changes.append(("leaving", 0.0))
         for condition, value in changes:
             log_record(
                 _log,
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -86,7 +86,7 @@
         """Return the target to which the request is sent next."""
         while True:
             service = self._choose_service(job)
-            listed = self._directory.candidates(service, job.request.model)
+            listed = self._list_staying(service, job)
             rest = min((self._rest_left(item) for item in listed), default=0.0)
             if rest > 0:
                 return NoPlacement(Obstacle.RESTING, candidates=len(listed), wait=rest)
@@ -126,11 +126,17 @@
         while monotonic() < until:
             await sleep(RESUME_POLL)
             # A repaired group often keeps its head, with a new load record since it was lost.
-            listed = self._directory.candidates(self._choose_service(job), job.request.model)
+            listed = self._list_staying(self._choose_service(job), job)
             if self._awake_unattempted(job, listed):
                 return True
         return False
 
+    def _list_staying(self, service: str, job: Job) -> list[TargetLoad]:
+        """Return the targets of the service or model that have not said that they leave."""
+        now = monotonic()
+        listed = self._directory.candidates(service, job.request.model)
+        return [item for item in listed if not self._conditions.is_leaving(now, item.instance)]
+
     def _awake_unattempted(self, job: Job, listed: Sequence[TargetLoad]) -> list[TargetLoad]:
         """Return the targets that do not rest and to which the request was not sent."""
         unattempted = list_unattempted(listed, job.attempted)
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -52,7 +52,8 @@
     ``is_misdirected`` is whether the answer comes from another target than the expected one.
     ``limit`` is the number of requests a second that the target takes from all gateways together,
     if it states one. ``rest`` is the number of seconds for which it wants no request from this
-    gateway, set only if it turned the request away.
+    gateway, set only if it turned the request away. ``is_leaving`` is whether the target says that
+    it ends soon.
     """
 
     attempt: AttemptId | None
@@ -64,6 +65,7 @@
     is_misdirected: bool = False
     limit: float | None = None
     rest: float | None = None
+    is_leaving: bool = False
 
 
 class RefusalKind(Enum):
