--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -1,7 +1,14 @@
 """The places of direct targets, counted centrally for each model instead of in each gateway."""
 
-from jaylatch_decisions.places.limits import STAND_IN_FRACTION
+from jaylatch_decisions.places.limits import LIMIT_RETENTION, STAND_IN_FRACTION
 from jaylatch_decisions.places.owners import OwnerTable, first_owner
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
-__all__ = ["STAND_IN_FRACTION", "OwnerTable", "PlaceLimits", "PlaceTable", "first_owner"]
+__all__ = [
+    "LIMIT_RETENTION",
+    "STAND_IN_FRACTION",
+    "OwnerTable",
+    "PlaceLimits",
+    "PlaceTable",
+    "first_owner",
+]
--- a/packages/decisions/src/jaylatch_decisions/places/limits.py
+++ b/packages/decisions/src/jaylatch_decisions/places/limits.py
@@ -17,7 +17,8 @@
 MIN_RATE = 0.1
 """Requests a second to a target that takes none: its answer tells whether the limit still holds."""
 LIMIT_RETENTION = 120.0
-"""Seconds after which a limit is forgotten that no answer has stated again."""
+"""Seconds after which a limit is forgotten that no answer has stated again, at owners and
+gateways."""
 STAND_IN_FRACTION = 0.25
 """Fraction of a limit that an owner grants in place of one that may still grant all of it."""
 
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -6,7 +6,7 @@
     list_unattempted,
     may_admit,
 )
-from jaylatch_decisions.targets.conditions import StatedLimit, TargetConditions
+from jaylatch_decisions.targets.conditions import TargetConditions
 from jaylatch_decisions.targets.orders import (
     CloseGroup,
     DrainGroup,
@@ -29,7 +29,6 @@
     "OpenGroup",
     "RouteTable",
     "StageModel",
-    "StatedLimit",
     "TargetConditions",
     "TargetLoad",
     "TargetRecord",
--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -11,10 +11,9 @@
 
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.places import CandidateLimit
+from jaylatch_decisions.places import LIMIT_RETENTION
 from jaylatch_decisions.rates import RateBucket
 
-LIMIT_RETENTION = 120.0
-"""Seconds after which a limit is forgotten that no answer to this process has stated again."""
 LEAVING_RETENTION = 60.0
 """Seconds after which a target that said that it leaves may be another incarnation of its id: it
 serves for some seconds after it has said so."""
@@ -71,7 +70,10 @@
         self._leaving_since = {
             other: since for other, since in self._leaving_since.items() if since > oldest
         }
-        return self._leaving_since.setdefault(instance, now) == now
+        if instance in self._leaving_since:
+            return False
+        self._leaving_since[instance] = now
+        return True
 
     def is_leaving(self, now: float, instance: InstanceId) -> bool:
         """Return whether the target has said that it leaves."""
