--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -48,7 +48,11 @@
 
 
 class AttemptEnded(LogRecord, frozen=True, kw_only=True, tag="attempt ended"):
-    """An attempt ended incomplete. ``step`` is the next step, with ``budget`` retries left."""
+    """An attempt ended incomplete. ``step`` is the next step, with ``budget`` retries left.
+
+    ``silent_ms`` is the time without progress. ``abandoned`` states why the gateway abandoned the
+    target, and is empty if the target itself ended the attempt.
+    """
 
     lines_per_second: ClassVar[float] = 200.0
 
@@ -58,6 +62,8 @@
     step: str
     sends: int
     budget: float
+    silent_ms: int = 0
+    abandoned: str = ""
 
 
 class RequestRefused(LogRecord, frozen=True, kw_only=True, tag="refused"):
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -68,7 +68,7 @@
         self._is_broken = False
         self._progress_at = 0.0
         self._has_content = False
-        self._is_stalled = False
+        self._abandoned_because = ""
         self._watchdog: _ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
         self._target: TargetLoad | None = None
@@ -86,6 +86,11 @@
         """
         return self._head is not None and self._head.status in SUCCESS and self._has_content
 
+    @property
+    def abandoned_because(self) -> str:
+        """Return why the latest target was abandoned for another one, or an empty text."""
+        return self._abandoned_because
+
     async def send(
         self,
         address: str,
@@ -145,7 +150,7 @@
         self._is_stream = False
         self._is_broken = False
         self._has_content = False
-        self._is_stalled = False
+        self._abandoned_because = ""
         self._splitter.restart()
         self._progress_at = monotonic()
 
@@ -207,10 +212,10 @@
         if failure is not None or facts is None or self._head is None:
             connection.close()
             target.record_failure(now)
-            if failure in CONNECTION_ENDED and not self._is_stalled:
+            if failure in CONNECTION_ENDED and not self._abandoned_because:
                 parts = self._request.shared_parts
                 self._suspect(SuspectTarget(target.instance, self._digest, parts))
-            return AttemptOutcome.STALLED if self._is_stalled else AttemptOutcome.BROKEN
+            return AttemptOutcome.STALLED if self._abandoned_because else AttemptOutcome.BROKEN
         self._pool.release(now, address, connection, facts.keep_alive)
         if facts.is_not_run:
             return AttemptOutcome.NOT_RUN
@@ -246,7 +251,7 @@
     def abandon_target(self) -> None:
         """Abandon the current target for another one, if the request may be repeated."""
         if self._watchdog is not None:
-            self._watchdog.abandon_target()
+            self._watchdog.abandon_target("not in the view")
 
     def idle_time(self, now: float) -> float:
         """Return the seconds since the last progress."""
@@ -266,9 +271,9 @@
         """Report to control that a target is unresponsive."""
         self._suspect(SuspectTarget(instance))
 
-    def mark_stalled(self) -> None:
-        """Record that the target was abandoned because it was unresponsive."""
-        self._is_stalled = True
+    def mark_abandoned(self, reason: str) -> None:
+        """Record that the target was abandoned for another one, and why."""
+        self._abandoned_because = reason
 
 
 class _ResponseWatchdog:
@@ -294,10 +299,10 @@
         self._may_abandon = False
         self._timer.cancel()
 
-    def abandon_target(self) -> None:
+    def abandon_target(self, reason: str) -> None:
         """End the exchange, so that the request continues at another target."""
         if self._may_abandon:
-            self._attempt.mark_stalled()
+            self._attempt.mark_abandoned(reason)
             self._connection.close()
 
     def _check(self) -> None:
@@ -305,7 +310,7 @@
         response_timeout = self._attempt.response_timeout()
         suspicion = self._attempt.suspicion_limit()
         if idle >= response_timeout and self._may_abandon:
-            self.abandon_target()
+            self.abandon_target("silent")
             return
         if idle < suspicion:
             self._is_reported = False
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -220,7 +220,7 @@
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
                 return
-            if self._decide_next(job, outcome, target) is NextStep.RETRY:
+            if self._decide_next(job, outcome, target, attempt) is NextStep.RETRY:
                 continue
             if outcome is AttemptOutcome.FAILED and attempt.forward_failure():
                 self._record_end(job, "failure_passed", target)
@@ -228,7 +228,9 @@
             self._give_up(job, outcome.value, FULL_RETRY)
             return
 
-    def _decide_next(self, job: Job, outcome: AttemptOutcome, target: TargetLoad) -> NextStep:
+    def _decide_next(
+        self, job: Job, outcome: AttemptOutcome, target: TargetLoad, attempt: Attempt
+    ) -> NextStep:
         """Record the outcome of a send; a repeat is taken from the retry budget."""
         record_outcome(job.history, outcome)
         self._metrics.count_outcome(outcome)
@@ -243,6 +245,8 @@
                 step=step.value,
                 sends=job.history.sends,
                 budget=round(self._budget.available, 1),
+                silent_ms=int(attempt.idle_time(monotonic()) * MILLISECONDS_PER_SECOND),
+                abandoned=attempt.abandoned_because,
             ),
         )
         if step is NextStep.RETRY and outcome is not AttemptOutcome.NOT_SENT:
