--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -162,6 +162,21 @@
                 writer.write(event_chunk(number))
             await sleep(STALL_SECONDS)
             return False
+        case "ends its connection after some events":
+            writer.write(stream_head(request))
+            for number in range(EVENTS_BEFORE_FAULT):
+                writer.write(event_chunk(number))
+            await writer.drain()
+            await sleep(0.1)
+            return False
+        case "pauses for 1.2 s after some events" | "pauses for 3 s after some events":
+            writer.write(stream_head(request))
+            for number in range(EVENT_COUNT):
+                if number == EVENTS_BEFORE_FAULT:
+                    await sleep(float(fault.split()[2]))
+                writer.write(event_chunk(number))
+            writer.write(END_OF_STREAM)
+            return True
         case "sends a byte of an event now and then":
             writer.write(stream_head(request))
             writer.write(event_chunk(0))
@@ -249,7 +264,7 @@
         # makes the script of the remaining target answer correctly from the first request on.
         candidates = [ScriptedTarget("absent", script), *candidates[:1]]
         context.targets[0].received.append(Received("", "", {}, b""))
-    context.harness = GatewayHarness()
+    context.harness = GatewayHarness(getattr(context, "gateway_settings", None))
     context.harness.start()
     context.harness.grant(
         [make_route(kind) for kind in RequestKind], dict.fromkeys(RequestKind, candidates)
@@ -312,8 +327,12 @@
 
 @given(r"both are granted as heads of groups only")
 def step_heads_granted(context: Context) -> None:
+    grant_heads(context, context.targets)
+
+
+def grant_heads(context: Context, targets: list[ScriptedTarget]) -> None:
     routes = [make_route(kind) for kind in RequestKind]
-    context.harness.grant(routes, {RequestKind.STREAM: context.targets})
+    context.harness.grant(routes, {RequestKind.STREAM: targets})
 
 
 def grant_targets(context: Context, targets: list[ScriptedTarget]) -> None:
