Leave an unresponsive target only for one that takes its stream over

Callers of a begun stream got an answer that was cut in its middle although their server would have gone on after its silence. The gateway closed the connection to a target that was silent for 0.6 s to 0.9 s, or that control took for lost, before it knew of another one; without retry budget, a free place or a target in the view nothing was left, and the caller's connection was closed.

The place and the retry are now reserved first (SuccessorReservation), and the target is left in the same step; until then it keeps the request and the search is repeated. A target that makes progress again keeps it too, also if control took it for lost. A reservation that is not used is given back.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -68,16 +68,21 @@
       | closes before it answers     | 1       |
       | stalls after some events     | 2       |
 
-  Scenario Outline: the only target stalls after some events, and another one is granted <after> s after the request
-    Given a gateway with two targets, of which the first one used stalls after some events
+  Scenario Outline: the only target <fault>, and another one is granted <after> s after the request
+    Given a gateway with two targets, of which the first one used <fault>
     But only one of them is granted
     When a request of kind stream is sent, and both are granted <after> s later
     Then the caller gets <answer> and the targets received <asked> requests
 
-    Examples: a stream in progress waits up to 1.5 s for a repaired group, starting at 0.6 s
-      | after | answer               | asked |
-      | 1.2   | every event once     | 2     |
-      | 4     | an incomplete stream | 1     |
+    Examples: a silent target is left once another one takes the stream
+      | fault                    | after | answer           | asked |
+      | stalls after some events | 1.2   | every event once | 2     |
+      | stalls after some events | 4     | every event once | 2     |
+
+    Examples: a stream whose target has ended waits up to 1.5 s for a repaired group
+      | fault                                 | after | answer               | asked |
+      | ends its connection after some events | 1.2   | every event once     | 2     |
+      | ends its connection after some events | 4     | an incomplete stream | 1     |
 
   Scenario Outline: the owner of the places <keeper>
     Given a gateway with two targets, of which the first one used answers
--- a/packages/decisions/src/jaylatch_decisions/retry/budget.py
+++ b/packages/decisions/src/jaylatch_decisions/retry/budget.py
@@ -23,3 +23,7 @@
             return False
         self._available -= 1.0
         return True
+
+    def give_back(self) -> None:
+        """Return a retry that was taken and not made."""
+        self._available = min(self._available + 1.0, self._burst)
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -1,6 +1,6 @@
 """Sending of a request to targets, and forwarding of complete answers and events to its caller."""
 
-from asyncio import TimerHandle, get_running_loop
+from asyncio import Task, TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Callable
 
 from jaylatch_core.clock import monotonic
@@ -16,6 +16,7 @@
     suspicion_timeout,
 )
 from jaylatch_node.gateway.caller import Caller
+from jaylatch_node.gateway.successor import SuccessorReservation
 from jaylatch_node.targets import (
     ExchangeFailed,
     InboundRequest,
@@ -35,6 +36,9 @@
 SERVER_ERROR = 500
 CONNECTION_ENDED = (ExchangeFailed.CLOSED, ExchangeFailed.INCOMPLETE)
 """Failures of an exchange that a target causes when it dies."""
+SUCCESSOR_POLL = 0.2
+"""Seconds between two searches for a successor of an unresponsive target; each may ask the owner of
+the places."""
 
 
 class Attempt:
@@ -50,7 +54,9 @@
         pool: TargetPool,
         suspect: SuspicionHandler,
         record_conditions: ConditionHandler,
+        successor: SuccessorReservation,
     ) -> None:
+        self._successor = successor
         self._suspect = suspect
         self._record_conditions = record_conditions
         self._request = request
@@ -86,11 +92,22 @@
         """
         return self._head is not None and self._head.status in SUCCESS and self._has_content
 
+    @property
+    def target(self) -> InstanceId:
+        """Return the target that the request was sent to last."""
+        assert self._target is not None
+        return self._target.instance
+
     @property
     def abandoned_because(self) -> str:
         """Return why the latest target was abandoned for another one, or an empty text."""
         return self._abandoned_because
 
+    @property
+    def _has_begun(self) -> bool:
+        """Return whether the target answers with a stream that the caller has begun to receive."""
+        return self._is_stream and self._caller.has_started
+
     async def send(
         self,
         address: str,
@@ -101,7 +118,7 @@
     ) -> AttemptOutcome | None:
         """Send to one target; return None if the caller got its answer.
 
-        ``has_attempts_left`` allows an unresponsive target to be abandoned for another one.
+        ``has_attempts_left`` allows an unresponsive target to be abandoned for a successor.
         """
         self._reset()
         self._target = target
@@ -119,7 +136,12 @@
         watchdog = None
         if self._route.kind is RequestKind.STREAM:
             may_abandon = has_attempts_left and self._route.may_repeat
-            watchdog = _ResponseWatchdog(self, connection, target.instance, may_abandon)
+            watchdog = _ResponseWatchdog(
+                self,
+                connection,
+                target.instance,
+                self._successor if may_abandon else None,
+            )
             self._watchdog = watchdog
         try:
             failure = await connection.exchange(outbound, self._take_head, self._take_data)
@@ -248,10 +270,10 @@
 
     # Unresponsive targets
 
-    def abandon_target(self) -> None:
-        """Abandon the current target for another one, if the request may be repeated."""
+    def mark_lost(self) -> None:
+        """Handle that control takes the current target for lost."""
         if self._watchdog is not None:
-            self._watchdog.abandon_target("not in the view")
+            self._watchdog.mark_lost(monotonic())
 
     def idle_time(self, now: float) -> float:
         """Return the seconds since the last progress."""
@@ -259,13 +281,17 @@
 
     def suspicion_limit(self) -> float:
         """Return the seconds without progress after which the target is reported."""
-        return suspicion_timeout(self._route, self._is_stream and self._caller.has_started)
+        return suspicion_timeout(self._route, self._has_begun)
 
-    def response_timeout(self) -> float:
-        """Return the seconds without progress after which the target is abandoned."""
-        if self._is_stream and self._caller.has_started:
-            return stall_timeout(self._route)
-        return first_answer_timeout(self._route)
+    def response_timeout(self, is_lost: bool) -> float:
+        """Return the seconds without progress after which a successor is sought.
+
+        ``is_lost`` states that control takes the target for lost. It may be wrong, so an answer
+        that has begun goes on while there are events.
+        """
+        if is_lost:
+            return self.suspicion_limit() if self._has_begun else 0.0
+        return stall_timeout(self._route) if self._has_begun else first_answer_timeout(self._route)
 
     def report_unresponsive(self, instance: InstanceId) -> None:
         """Report to control that a target is unresponsive."""
@@ -277,47 +303,76 @@
 
 
 class _ResponseWatchdog:
-    """Reports a target that sends nothing on a connection, and later closes the connection."""
+    """Reports a target that sends nothing on a connection, and abandons it for a successor.
+
+    Without a successor the target keeps the request: it may go on after its silence, while closing
+    the connection would end the answer.
+    """
 
     def __init__(
         self,
         attempt: Attempt,
         connection: TargetConnection,
         instance: InstanceId,
-        may_abandon: bool,
+        successor: SuccessorReservation | None,
     ) -> None:
         self._attempt = attempt
         self._connection = connection
         self._instance = instance
-        self._may_abandon = may_abandon
+        self._successor = successor
         self._is_reported = False
+        self._lost_at: float | None = None
+        self._search: Task[None] | None = None
         self._timer: TimerHandle
         self._check()
 
     def cancel(self) -> None:
         """Stop watching."""
-        self._may_abandon = False
         self._timer.cancel()
+        if self._search is not None:
+            self._search.cancel()
 
-    def abandon_target(self, reason: str) -> None:
-        """End the exchange, so that the request continues at another target."""
-        if self._may_abandon:
-            self._attempt.mark_abandoned(reason)
-            self._connection.close()
+    def mark_lost(self, now: float) -> None:
+        """Seek a successor soon, unless the target makes progress after ``now``."""
+        self._lost_at = now
+        if self._search is None:
+            self._timer.cancel()
+            self._check()
 
     def _check(self) -> None:
+        """Report the target, or start to seek a successor, if it is silent for too long."""
         idle = self._attempt.idle_time(monotonic())
-        response_timeout = self._attempt.response_timeout()
         suspicion = self._attempt.suspicion_limit()
-        if idle >= response_timeout and self._may_abandon:
-            self.abandon_target("silent")
-            return
         if idle < suspicion:
             self._is_reported = False
-            wait = suspicion - idle
-        else:
-            if not self._is_reported:
-                self._is_reported = True
-                self._attempt.report_unresponsive(self._instance)
-            wait = max(response_timeout - idle, suspicion)
+        elif not self._is_reported:
+            self._is_reported = True
+            self._attempt.report_unresponsive(self._instance)
+        limit = self._response_timeout()
+        if self._successor is not None and idle >= limit:
+            self._search = create_task(self._seek_successor(self._successor))
+            return
+        wait = min((item - idle for item in (suspicion, limit) if item > idle), default=suspicion)
         self._timer = get_running_loop().call_later(wait, self._check)
+
+    async def _seek_successor(self, successor: SuccessorReservation) -> None:
+        """Abandon the target once a successor is reserved, unless it makes progress before."""
+        while self._is_unresponsive():
+            if await successor.reserve():
+                if self._is_unresponsive():
+                    self._attempt.mark_abandoned("silent" if self._lost_at is None else "lost")
+                    self._connection.close()
+                    return
+                successor.release()
+            await sleep(SUCCESSOR_POLL)
+        self._search = None
+        self._check()
+
+    def _is_unresponsive(self) -> bool:
+        return self._attempt.idle_time(monotonic()) >= self._response_timeout()
+
+    def _response_timeout(self) -> float:
+        now = monotonic()
+        if self._lost_at is not None and self._attempt.idle_time(now) < now - self._lost_at:
+            self._lost_at = None
+        return self._attempt.response_timeout(is_lost=self._lost_at is not None)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -37,6 +37,7 @@
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
 from jaylatch_node.gateway.placement import NoPlacement, Obstacle, Placement, Placer
+from jaylatch_node.gateway.successor import SuccessorReservation
 from jaylatch_node.observability import log_record
 from jaylatch_node.targets import (
     InboundRequest,
@@ -116,7 +117,7 @@
         """Abandon targets that no longer serve, for all requests that may be repeated."""
         for instance in lost:
             for attempt in tuple(self._attempts.pop(instance, ())):
-                attempt.abandon_target()
+                attempt.mark_lost()
 
     async def handle(
         self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
@@ -182,6 +183,13 @@
 
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or fails."""
+        successor = SuccessorReservation(lambda: self._placer.place(job), self._budget)
+        try:
+            await self._run_attempts(job, successor)
+        finally:
+            successor.release()
+
+    async def _run_attempts(self, job: Job, successor: SuccessorReservation) -> None:
         attempt = Attempt(
             job.request,
             job.digest,
@@ -191,9 +199,10 @@
             self._pool,
             self._suspect,
             self._record_conditions,
+            successor,
         )
         while True:
-            placement = await self._placer.place(job)
+            placement = successor.take() or await self._placer.place(job)
             if isinstance(placement, NoPlacement):
                 if await self._placer.wait_for_target(job, placement):
                     continue
@@ -220,7 +229,7 @@
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
                 return
-            if self._decide_next(job, outcome, target, attempt) is NextStep.RETRY:
+            if self._decide_next(job, outcome, attempt, successor) is NextStep.RETRY:
                 continue
             if outcome is AttemptOutcome.FAILED and attempt.forward_failure():
                 self._record_end(job, "failure_passed", target)
@@ -229,18 +238,26 @@
             return
 
     def _decide_next(
-        self, job: Job, outcome: AttemptOutcome, target: TargetLoad, attempt: Attempt
+        self,
+        job: Job,
+        outcome: AttemptOutcome,
+        attempt: Attempt,
+        successor: SuccessorReservation,
     ) -> NextStep:
-        """Record the outcome of a send; a repeat is taken from the retry budget."""
+        """Record the outcome of a send; a repeat is taken from the retry budget.
+
+        A reserved successor includes its part of the budget.
+        """
         record_outcome(job.history, outcome)
         self._metrics.count_outcome(outcome)
-        has_budget = outcome is AttemptOutcome.NOT_SENT or self._budget.available >= 1.0
+        is_paid = outcome is AttemptOutcome.NOT_SENT or successor.is_reserved
+        has_budget = is_paid or self._budget.available >= 1.0
         step = decide_next(job.route, job.history, outcome, has_budget)
         log_record(
             _log,
             AttemptEnded(
                 request=job.request.attempt,
-                target=target.instance,
+                target=attempt.target,
                 outcome=outcome.value,
                 step=step.value,
                 sends=job.history.sends,
@@ -249,7 +266,7 @@
                 abandoned=attempt.abandoned_because,
             ),
         )
-        if step is NextStep.RETRY and outcome is not AttemptOutcome.NOT_SENT:
+        if step is NextStep.RETRY and not is_paid:
             self._budget.spend()
         return step
 
