Leave a sound target its streams through a silence of a second

A gateway sent a stream to another target after 0.6 s to 0.9 s of silence. The least time is now 1.4 s: above such a silence, and early enough for a resumed stream to go on before callers disconnect after two seconds.

The two rows of features/gateway/silence in which a stream was sent twice pass now.

--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -78,7 +78,7 @@
 
 
 def stall_timeout(route: RouteSpecification) -> float:
-    """Return the seconds without an event after which a stream resumes at another target."""
+    """Return the seconds without an event after which a stream may resume at another target."""
     return max(STALL_GAPS * route.event_gap, MIN_STALL_TIMEOUT)
 
 
@@ -102,5 +102,6 @@
 """Minimum seconds: a full queue at a busy target takes this long."""
 STALL_GAPS = 3.0
 """Multiple of the allowed event gap after which a stream counts as stalled."""
-MIN_STALL_TIMEOUT = 0.6
-"""Minimum seconds: a long prompt that is processed between two events takes up to half of this."""
+MIN_STALL_TIMEOUT = 1.4
+"""Minimum seconds: a sound target may be silent for a second or so, and callers disconnect after a
+gap of two."""
