Let a begun stream wait for a place, not only for a repaired group

A stream whose target ended in its middle was cut at once if the other targets were full, at their limits or resting for longer than 1.5 s just then, while one that found no target at all waited up to 1.5 s. The wait is one rule for all obstacles now: 1.5 s in all for each interruption, with a search every 0.1 s at most.

--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -218,6 +218,7 @@
             target = placement.target
             job.attempted[target.instance] = target
             job.placements += 1
+            job.waits_since = None
             self._record_placement(job, placement, attempt.last_event)
             try:
                 outcome = await self._send(job, attempt, target, placement.address)
--- a/packages/node/src/jaylatch_node/gateway/job.py
+++ b/packages/node/src/jaylatch_node/gateway/job.py
@@ -15,7 +15,10 @@
 
 @dataclass
 class Job:
-    """One request in flight. Times are seconds of the monotonic clock."""
+    """One request in flight. Times are seconds of the monotonic clock.
+
+    ``waits_since`` is when the search for a target that resumes its stream began.
+    """
 
     request: InboundRequest
     caller: Caller
@@ -26,6 +29,7 @@
     digest: RequestDigest
     history: AttemptHistory = field(default_factory=AttemptHistory)
     placements: int = 0
+    waits_since: float | None = None
     attempted: dict[InstanceId, TargetLoad] = field(default_factory=dict)
 
 
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -25,7 +25,7 @@
 """Seconds for which an interrupted stream waits for a target: a group with a spare is repaired in
 0.7 s, and callers disconnect after a gap of two."""
 RESUME_POLL = 0.1
-"""Seconds between two checks for such a target."""
+"""Least seconds between two searches for such a target."""
 
 
 class Obstacle(Enum):
@@ -112,24 +112,14 @@
         """
         if not job.caller.has_started:
             return False
-        match found.obstacle:
-            case Obstacle.NO_TARGET:
-                return await self._wait_for_repair(job)
-            case Obstacle.AT_LIMIT | Obstacle.RESTING if 0 < found.wait <= RESUME_WAIT:
-                await sleep(found.wait)
-                return True
-        return False
-
-    async def _wait_for_repair(self, job: Job) -> bool:
-        """Wait until a group has been repaired; return False if it takes too long."""
-        until = monotonic() + RESUME_WAIT
-        while monotonic() < until:
-            await sleep(RESUME_POLL)
-            # A repaired group often keeps its head, with a new load record since it was lost.
-            listed = self._list_staying(self._choose_service(job), job)
-            if self._awake_unattempted(job, listed):
-                return True
-        return False
+        now = monotonic()
+        if job.waits_since is None:
+            job.waits_since = now
+        wait = max(found.wait, RESUME_POLL)
+        if now + wait > job.waits_since + RESUME_WAIT:
+            return False
+        await sleep(wait)
+        return True
 
     def _list_staying(self, service: str, job: Job) -> list[TargetLoad]:
         """Return the targets of the service or model that have not said that they leave."""
