Answer a request, or close its connection, whatever error ends its handling

What callers saw: nothing. An error in the reading of a request, in its admission or in the writing of a refusal ended the task without an answer, and the connection stayed open until the caller gave up. After an error that followed a complete answer, the connection was closed, with what had not been sent yet. Cause: only the part that sends requests to targets was guarded against errors. Class: a task whose failure nobody handles. Change: before a request is placed, an error is answered as a refusal that promises that nothing ran. What the forwarder cannot answer at all, the server logs, and closes the connection. A complete answer is not aborted any more.

--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -16,6 +16,7 @@
         self._connection = connection
         self._must_close = must_close
         self.has_started = False
+        self.has_finished = False
         self.started_at = 0.0
         self.is_disconnected = False
 
@@ -25,7 +26,7 @@
             return
         headers["Content-Length"] = str(len(body))
         self._start(status, reason, headers, body)
-        self._connection.finish()
+        self._finish()
 
     def start_stream(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         """Send the head of a stream and its first events."""
@@ -40,12 +41,20 @@
     def finish(self) -> None:
         """End a stream that is complete."""
         if not self.is_disconnected:
-            self._connection.finish()
+            self._finish()
 
     def abort(self) -> None:
-        """Close the connection, so that a partial answer does not look complete."""
-        self.is_disconnected = True
-        self._connection.close()
+        """Close the connection, so that a partial answer does not look complete.
+
+        After a complete answer, whose last bytes may not have been sent yet, do nothing.
+        """
+        if not self.has_finished:
+            self.is_disconnected = True
+            self._connection.close()
+
+    def _finish(self) -> None:
+        self._connection.finish()
+        self.has_finished = True
 
     def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         self.has_started = True
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -61,6 +61,7 @@
 """Seconds after which a caller may retry at another instance."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
+INTERNAL_ERROR = "an error of this instance"
 
 _log = logging.getLogger("jaylatch.request")
 
@@ -121,19 +122,26 @@
     async def handle(
         self, start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
     ) -> None:
-        """Answer one request; raise only the cancellation when the caller disconnects."""
+        """Answer one request; the server closes the connection of one that cannot be answered."""
         now = monotonic()
-        request = self._dialect.read_request(start_line, headers, body)
-        if isinstance(request, Refusal):
-            self._refuse(caller, None, request, "")
-            return
-        admitted = self._admit(now, request, caller)
+        request: InboundRequest | None = None
+        try:
+            read = self._dialect.read_request(start_line, headers, body)
+            if isinstance(read, Refusal):
+                admitted: Job | Refusal = read
+            else:
+                request = read
+                admitted = self._admit(now, request, caller)
+        except Exception as error:
+            # Nothing has been sent to a target, so the caller may be told that nothing ran.
+            self._log_error(request, error)
+            admitted = Refusal(RefusalKind.NOT_RUN, INTERNAL_ERROR)
         if isinstance(admitted, Refusal):
             self._refuse(caller, request, admitted, "")
             return
-        self._metrics.count_request(admitted.route.name)
-        self._budget.earn(self._repeat_ratio)
         try:
+            self._metrics.count_request(admitted.route.name)
+            self._budget.earn(self._repeat_ratio)
             async with timeout_at(loop_time(admitted.deadline)):
                 await self._run(admitted)
         except TimeoutError:
@@ -143,10 +151,15 @@
             raise
         except Exception as error:
             # An internal error must not leave the caller without an answer.
-            _log.exception("unexpected error while handling a request")
-            log_record(_log, InternalError(request=request.attempt, error=repr(error)))
-            admitted.history.may_have_run = True
-            self._give_up(admitted, "an error of this instance", 0.0)
+            self._log_error(request, error)
+            if not caller.has_finished:
+                admitted.history.may_have_run = True
+                self._give_up(admitted, INTERNAL_ERROR, 0.0)
+
+    def _log_error(self, request: InboundRequest | None, error: Exception) -> None:
+        _log.exception("unexpected error while handling a request")
+        attempt = request.attempt if request is not None else ""
+        log_record(_log, InternalError(request=attempt, error=repr(error)))
 
     def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
         """Return the job of a request that may be forwarded, or the refusal."""
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -1,5 +1,6 @@
 """HTTP server for callers, below tornado's web framework so that bodies pass unchanged."""
 
+import logging
 from asyncio import Task, create_task
 from collections.abc import Awaitable, Callable
 
@@ -24,6 +25,8 @@
 CHUNK_SIZE = 64 * 1024
 """Bytes of a body that are read at once."""
 
+_log = logging.getLogger("jaylatch.gateway")
+
 
 class GatewayServer(HTTPServerConnectionDelegate):
     """Accepts callers' connections and passes each complete request to ``handle``."""
@@ -90,6 +93,10 @@
     async def _run(self, message: "_InboundMessage") -> None:
         try:
             await self._handle(message.start_line, message.headers, message.body, message.caller)
+        except Exception:
+            # The caller must not wait for an answer that will not come.
+            _log.exception("a request was not answered; its connection is closed")
+            message.caller.abort()
         finally:
             self._messages.discard(message)
 
