Refuse a HEAD request without a body

What callers saw: a closed connection instead of the refusal of a HEAD request. Cause: the refusal was written with its body, which the HTTP library does not allow in an answer to HEAD; it closed the connection. Change: the body of a complete answer is left out, and its length is stated.

--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -10,11 +10,15 @@
 
 
 class Caller:
-    """Writes one answer, complete or as a stream; writes nothing after a disconnect."""
+    """Writes one answer, complete or as a stream; writes nothing after a disconnect.
+
+    ``expects_body`` is False for a HEAD request, whose answer has no body.
+    """
 
     def __init__(self, connection: HTTP1Connection, must_close: Callable[[], bool]) -> None:
         self._connection = connection
         self._must_close = must_close
+        self.expects_body = True
         self.has_started = False
         self.has_finished = False
         self.started_at = 0.0
@@ -25,7 +29,7 @@
         if self.is_disconnected:
             return
         headers["Content-Length"] = str(len(body))
-        self._start(status, reason, headers, body)
+        self._start(status, reason, headers, body if self.expects_body else b"")
         self._finish()
 
     def start_stream(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -126,6 +126,7 @@
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
+        self.caller.expects_body = start_line.method != "HEAD"
         self._server.mark_active(self)
 
     def data_received(self, chunk: bytes) -> None:
