Reproduce: a request goes on although its caller reset the connection as it was read

The close of the connection is handled in the turn between the reading of the request and the start of its handling, which asks to be told of a close only then.

--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -69,6 +69,12 @@
       | 5     |
       | 6     |
 
+  # Guards against requests that go on at targets although their callers have gone.
+  Scenario: a request whose caller resets its connection at once is not handled to its end
+    Given a server of a gateway with a kept connection
+    When a request that takes 0.5 s is sent on it, and the connection is reset at once
+    Then its handling has not begun, or it was cancelled
+
   # Guards against a leak of the state of connections that callers close while they are idle.
   Scenario: connections that callers have closed take no memory
     Given a server of a gateway with a kept connection
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import socket
+import struct
 from asyncio import StreamReader, StreamWriter, create_task, sleep
 from typing import Any
 
@@ -340,12 +341,14 @@
 
 
 async def start_server_alone(context: Context) -> None:
-    context.handled = []
+    context.handled, context.finished = [], []
 
     async def handle(
         start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
     ) -> None:
         context.handled.append(headers["X-Id"])
+        await sleep(float(headers.get("X-Work", "0")))
+        context.finished.append(headers["X-Id"])
         caller.send_answer(200, "OK", HTTPHeaders(), ANSWER_BODY)
 
     context.address = free_addresses(1)[0]
@@ -379,6 +382,24 @@
     assert has_answer == ("r1" in context.handled), (context.answer, context.handled)
 
 
+@when(r"a request that takes 0.5 s is sent on it, and the connection is reset at once")
+def step_reset(context: Context) -> None:
+    context.runner.run(send_and_reset(context))
+
+
+async def send_and_reset(context: Context) -> None:
+    raw: socket.socket = context.caller.writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    os.write(raw.fileno(), request_of("once", X_Work="0.5"))
+    context.caller.writer.transport.abort()
+    await sleep(1.0)
+
+
+@then(r"its handling has not begun, or it was cancelled")
+def step_not_finished(context: Context) -> None:
+    assert "r1" not in context.finished
+
+
 @when(r"(?P<count>\d+) callers connect, send a request each and disconnect")
 def step_many_callers(context: Context, count: str) -> None:
     context.runner.run(connect_many(context, int(count)))
