Forget the idle connections of a gateway that have been closed

What callers saw: nothing; the gateway's memory grew with each connection that ended while no request was under way on it. Cause: such a connection was kept in the set of idle ones, because the HTTP library tells nobody of the end of a connection on which no request has begun. Class: a resource without an owner of its end. Change: closed connections leave the set once a second.

--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -1,7 +1,7 @@
 """HTTP server for callers, below tornado's web framework so that bodies pass unchanged."""
 
 import logging
-from asyncio import Task, create_task
+from asyncio import Task, TimerHandle, create_task, get_running_loop
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -22,6 +22,8 @@
 
 IDLE_MARGIN = 5.0
 """Seconds added to the stated idle timeout, so that a request at its very end is still served."""
+SWEEP_INTERVAL = 1.0
+"""Seconds between two checks for connections that have ended while they were idle."""
 CHUNK_SIZE = 64 * 1024
 """Bytes of a body that are read at once."""
 
@@ -36,6 +38,7 @@
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
         self._idle: set[_InboundMessage] = set()
+        self._sweep_timer: TimerHandle | None = None
         self._http = HTTPServer(
             self,
             max_body_size=limits.body_bytes,
@@ -52,6 +55,7 @@
     def listen(self, port: int, address: str, *, backlog: int) -> None:
         """Accept connections; the kernel holds up to ``backlog`` until then."""
         self._http.listen(port, address, backlog=backlog)
+        self._sweep()
 
     def drain(self) -> None:
         """Close each connection after its next answer."""
@@ -60,6 +64,8 @@
     def stop(self) -> None:
         """Accept no more connections."""
         self._http.stop()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -91,6 +97,11 @@
         self._messages.add(message)
         return create_task(self._run(message))
 
+    def _sweep(self) -> None:
+        """Forget idle connections that have been closed, of which the HTTP library tells nobody."""
+        self._idle = {message for message in self._idle if not message.is_closed}
+        self._sweep_timer = get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
+
     async def _run(self, message: "_InboundMessage") -> None:
         try:
             await self._handle(message.start_line, message.headers, message.body, message.caller)
@@ -115,6 +126,11 @@
         self._task: Task[None] | None = None
         self.caller = Caller(connection, server.is_draining)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection has been closed."""
+        return self._connection.stream.closed()
+
     @property
     def is_idle(self) -> bool:
         """Return whether nothing has been read that the HTTP library has yet to pass on."""
@@ -141,7 +157,7 @@
 
     def finish(self) -> None:
         """Handle the request, which is now complete, unless its connection has been closed."""
-        if self._connection.stream.closed():
+        if self.is_closed:
             return
         self._connection.set_close_callback(self.on_connection_close)
         self._task = self._server.start_handling(self)
