Apply the limits of a deployment to the connections of callers

What callers saw: heads and bodies that the deployment allows were turned away above 16 KiB and 4 MiB with a closed connection or a 400, and connections were closed after 20 s without a request whatever idle timeout the deployment states. Cause: the gateway's HTTP server was made with the built-in limits and never got others. Class: a part of the document that nothing acts on. Change: a new deployment sets the limits of the server. A body is held to the limit when its head arrives, so kept connections are included. The gateway closes idle connections itself; the HTTP library would apply an idle timeout only from the next request on. The time for a head is still bounded by the idle timeout alone.

--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -7,7 +7,7 @@
 from tornado.httputil import HTTPServerRequest
 
 from jaylatch_core.clock import monotonic, wall
-from jaylatch_core.deployment import ConnectionLimits, Deployment
+from jaylatch_core.deployment import Deployment
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId, PromptPartId
 from jaylatch_core.messages.membership import GroupProgress
@@ -78,7 +78,7 @@
             self._answered_parts,
         )
         self._deployment: Deployment = board.grant.deployment
-        self._server = GatewayServer(self._forwarder.handle, ConnectionLimits())
+        self._server = GatewayServer(self._forwarder.handle, self._deployment.limits)
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
         self._progress_reported_at = 0.0
@@ -133,6 +133,7 @@
         if grant.deployment is not self._deployment:
             self._deployment = grant.deployment
             self._forwarder.update_routes()
+            self._server.apply_limits(grant.deployment.limits)
         if grant.view.deaths:
             self._forwarder.record_deaths(monotonic(), grant.view.deaths)
         lost = self._directory.update(grant.view)
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -15,6 +15,7 @@
     ResponseStartLine,
 )
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import ConnectionLimits
 from jaylatch_node.gateway.caller import Caller
 
@@ -23,7 +24,7 @@
 IDLE_MARGIN = 5.0
 """Seconds added to the stated idle timeout, so that a request at its very end is still served."""
 SWEEP_INTERVAL = 1.0
-"""Seconds between two checks for connections that have ended while they were idle."""
+"""Seconds between two checks of the idle connections."""
 CHUNK_SIZE = 64 * 1024
 """Bytes of a body that are read at once."""
 
@@ -39,19 +40,28 @@
         self._messages: set[_InboundMessage] = set()
         self._idle: set[_InboundMessage] = set()
         self._sweep_timer: TimerHandle | None = None
-        self._http = HTTPServer(
-            self,
-            max_body_size=limits.body_bytes,
-            max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.idle_timeout + IDLE_MARGIN,
-            chunk_size=CHUNK_SIZE,
-        )
+        # Without an idle timeout: the library would keep to the one of a connection's last request.
+        self._http = HTTPServer(self, chunk_size=CHUNK_SIZE)
+        self.apply_limits(limits)
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that have no complete answer yet."""
         return len(self._messages)
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    def apply_limits(self, limits: ConnectionLimits) -> None:
+        """Use ``limits`` for all connections.
+
+        On a kept connection the limit of a head applies from the request after the next one.
+        """
+        self._limits = limits
+        self._http.conn_params.max_header_size = limits.header_bytes
+
     def listen(self, port: int, address: str, *, backlog: int) -> None:
         """Accept connections; the kernel holds up to ``backlog`` until then."""
         self._http.listen(port, address, backlog=backlog)
@@ -98,7 +108,14 @@
         return create_task(self._run(message))
 
     def _sweep(self) -> None:
-        """Forget idle connections that have been closed, of which the HTTP library tells nobody."""
+        """Close the connections that have been idle for too long.
+
+        Forget those that have been closed, of which the HTTP library tells nobody.
+        """
+        expired_at = monotonic() - self._limits.idle_timeout - IDLE_MARGIN
+        for message in self._idle:
+            if message.is_idle and message.idle_since < expired_at:
+                message.close()
         self._idle = {message for message in self._idle if not message.is_closed}
         self._sweep_timer = get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
 
@@ -122,6 +139,7 @@
     def __init__(self, server: GatewayServer, connection: HTTP1Connection) -> None:
         self._server = server
         self._connection = connection
+        self.idle_since = monotonic()
         self._chunks: list[bytes] = []
         self._task: Task[None] | None = None
         self.caller = Caller(connection, server.is_draining)
@@ -149,6 +167,7 @@
         self.start_line = start_line
         self.headers = headers
         self.caller.expects_body = start_line.method != "HEAD"
+        self._connection.set_max_body_size(self._server.limits.body_bytes)
         self._server.mark_active(self)
 
     def data_received(self, chunk: bytes) -> None:
