Answer the requests that are still under way when a gateway ends

What callers saw: a closed connection instead of an answer, if the target had sent nothing by the end of the grace period. Cause: the exit of the process cancelled the handling of these requests, which was taken for the disconnect of their callers. Class: one signal with two meanings. Change: at the end of the drain the handling is cancelled, and a cancellation without a disconnect is answered: as failed, or as not run if the request had not been placed.

--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -61,6 +61,7 @@
 """Seconds after which a caller may retry at another instance."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
+ENDING = "this instance is ending"
 INTERNAL_ERROR = "an error of this instance"
 
 _log = logging.getLogger("jaylatch.request")
@@ -147,7 +148,12 @@
         except TimeoutError:
             self._time_out(admitted)
         except CancelledError:
-            self._record_end(admitted, "caller_gone")
+            if caller.is_disconnected:
+                self._record_end(admitted, "caller_gone")
+            else:
+                # This process ends before the target has answered.
+                admitted.history.may_have_run |= admitted.placements > 0
+                self._give_up(admitted, ENDING, SHUTDOWN_RETRY)
             raise
         except Exception as error:
             # An internal error must not leave the caller without an answer.
@@ -164,7 +170,7 @@
     def _admit(self, now: float, request: InboundRequest, caller: Caller) -> Job | Refusal:
         """Return the job of a request that may be forwarded, or the refusal."""
         if self._is_shutting_down:
-            return Refusal(RefusalKind.NOT_RUN, "this instance is ending", SHUTDOWN_RETRY)
+            return Refusal(RefusalKind.NOT_RUN, ENDING, SHUTDOWN_RETRY)
         if not self._board.grant.lease.is_valid(now) or not self._board.grant.deployment.number:
             return Refusal(RefusalKind.NOT_RUN, "no valid lease", NO_LEASE_RETRY)
         if self._board.grant.announced.is_overdue(now, self._apply_bound):
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -117,6 +117,8 @@
             EventName.GATEWAY_DRAINED,
             detail=f"{self._server.in_flight} requests cut",
         )
+        self._server.interrupt()
+        await sleep(DRAIN_POLL)
 
     def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have served this gateway since the last report."""
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -98,6 +98,11 @@
                 message.close()
                 self._idle.discard(message)
 
+    def interrupt(self) -> None:
+        """Cancel the handling of all requests, which are then answered as failed."""
+        for message in tuple(self._messages):
+            message.interrupt()
+
     def is_draining(self) -> bool:
         """Return whether connections are closed after their next answer."""
         return self._is_draining
@@ -189,5 +194,9 @@
         """Stop work for a caller that has disconnected."""
         self.caller.is_disconnected = True
         self._server.mark_active(self)
+        self.interrupt()
+
+    def interrupt(self) -> None:
+        """Cancel the handling of the request."""
         if self._task is not None:
             self._task.cancel()
