Take a silent server for lost only after 1.2 s of unanswered probes

Callers of a group lost begun answers when one of its servers was silent for a second, reports included, and went on: two probes of 0.2 s made it lost, its group left the view and was formed anew.

A probe now has an outcome instead of a yes or no. A new connection that the server accepts and leaves unanswered shows silence: its machine is there. Control waits, and the server is lost if it leaves a probe sent 1.2 s after the first one unanswered too (TargetRegistry.judge_probe, SILENCE_LIMIT). What accepts no connection, refuses or ends it, or answers as another instance is lost after two probes, as before. The second probe of a round opens a connection, because an old one shows nothing of the machine.

Number of probes: a silent server that is suspected once gets one if it goes on, and one more at the limit if not (two before); each later suspicion costs one more, at most every 0.4 s.

--- a/features/gateway/quarantine.feature
+++ b/features/gateway/quarantine.feature
@@ -71,6 +71,7 @@
     Then the deaths that control reports are "<deaths>"
 
     Examples:
-      | state          | deaths |
-      | answers        |        |
-      | does not answer | p     |
+      | state                        | deaths |
+      | answers                      |        |
+      | accepts connections silently |        |
+      | does not answer              | p      |
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -41,7 +41,7 @@
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.leases import HeldLease
-from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
+from jaylatch_decisions.targets import EngineOrder, ProbeOutcome, TargetRecord, TargetRegistry
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
 from jaylatch_node.control.leader import LeaderController
 from jaylatch_node.control.targets import TargetController
@@ -91,8 +91,8 @@
     async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
         return OrderOutcome.UNKNOWN
 
-    async def probe(record: TargetRecord) -> bool:
-        return False
+    async def probe(record: TargetRecord, is_repeated: bool) -> ProbeOutcome:
+        return ProbeOutcome.UNREACHABLE
 
     identity = Identity(InstanceId("c-1"), Incarnation("c"), DOMAIN, "10.0.0.9:1")
     board = Blackboard(identity, EventLog("c-1"), GrantBoard(HeldLease(0.0)))
--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -30,6 +30,8 @@
     JoinGroup,
     LeaveGroup,
     OpenGroup,
+    ProbeOutcome,
+    ProbeVerdict,
     RouteTable,
     TargetLoad,
     TargetRegistry,
@@ -141,6 +143,36 @@
         context.registry.record_heartbeat(context.now, parse_heartbeat(message))
 
 
+@when(r'the target a has "(?P<history>[^"]*)" s later')
+def step_probe_history(context: Context, history: str) -> None:
+    target, sequence = InstanceId("a"), 1
+    for what, _, after in (item.partition(":") for item in history.split()):
+        now = context.now + float(after)
+        match what:
+            case "heartbeat":
+                sequence += 1
+                heartbeat = parse_heartbeat(f"a:1:10:{sequence}")
+                assert context.registry.record_heartbeat(now, heartbeat)
+            case "seen":
+                context.registry.confirm(now, target)
+            case "term":
+                context.registry.begin_leading(now)
+            case _:
+                context.verdict = context.registry.judge_probe(now, target, ProbeOutcome(what))
+
+
+@then(r'the last probe says "(?P<verdict>[^"]*)", and a further one is due after (?P<due>[\d.]*) s')
+def step_probe_verdict(context: Context, verdict: str, due: str) -> None:
+    assert context.verdict is ProbeVerdict(verdict), context.verdict
+    times = [context.now + tick / 10 + 0.05 for tick in range(40)]
+    overdue = [now for now in times if context.registry.overdue_silences(now)]
+    if not due:
+        assert not overdue, overdue
+        return
+    assert overdue and abs(overdue[0] - context.now - float(due)) < 0.1, overdue
+    assert context.registry.is_usable(context.now, InstanceId("a")), "a silent target is left"
+
+
 @when(r"the control instance becomes the leader (?P<gap>\d+) s later")
 def step_begin_leading(context: Context, gap: str) -> None:
     context.now += float(gap)
--- a/features/steps/gateway_quarantine_steps.py
+++ b/features/steps/gateway_quarantine_steps.py
@@ -12,7 +12,7 @@
 from jaylatch_core.ids import AttemptId, InstanceId, PromptPartId, RequestDigest, TargetDeathId
 from jaylatch_core.messages.membership import TargetDeath
 from jaylatch_core.messages.targets import SuspectTarget, TargetAcknowledged, TargetCheckIn
-from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
+from jaylatch_decisions.targets import EngineOrder, ProbeOutcome, TargetRecord, TargetRegistry
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.gateway.job import digest_of
 from jaylatch_node.targets import InboundRequest, OrderOutcome
@@ -105,10 +105,17 @@
     assert found == tuple(parts.split()), found
 
 
-@given(r"control and a target that (?P<state>answers|does not answer) when it is probed")
+@given(
+    r"control and a target that"
+    r" (?P<state>answers|does not answer|accepts connections silently) when it is probed"
+)
 def step_control(context: Context, state: str) -> None:
-    async def probe(record: TargetRecord) -> bool:
-        return state == "answers"
+    async def probe(record: TargetRecord, is_repeated: bool) -> ProbeOutcome:
+        return {
+            "answers": ProbeOutcome.ANSWERED,
+            "does not answer": ProbeOutcome.UNREACHABLE,
+            "accepts connections silently": ProbeOutcome.SILENT,
+        }[state]
 
     async def send(record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
         return OrderOutcome.ACCEPTED
--- a/features/steps/group_route_steps.py
+++ b/features/steps/group_route_steps.py
@@ -13,7 +13,7 @@
 )
 from jaylatch_core.ids import FailureDomainId, InstanceId
 from jaylatch_core.messages.targets import TargetCheckIn
-from jaylatch_decisions.targets import EngineOrder, TargetRecord, TargetRegistry
+from jaylatch_decisions.targets import EngineOrder, ProbeOutcome, TargetRecord, TargetRegistry
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.targets import OrderOutcome
 
@@ -29,9 +29,9 @@
     return OrderOutcome.ACCEPTED
 
 
-async def probe(record: TargetRecord) -> bool:
+async def probe(record: TargetRecord, is_repeated: bool) -> ProbeOutcome:
     """Pass any health check."""
-    return True
+    return ProbeOutcome.ANSWERED
 
 
 @given(r'the direct targets "(?P<targets>[^"]*)"')
--- a/features/steps/leader_plan_steps.py
+++ b/features/steps/leader_plan_steps.py
@@ -24,7 +24,13 @@
 from jaylatch_core.settings import LeaseSettings
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.leases import HeldLease
-from jaylatch_decisions.targets import EngineOrder, JoinGroup, TargetRecord, TargetRegistry
+from jaylatch_decisions.targets import (
+    EngineOrder,
+    JoinGroup,
+    ProbeOutcome,
+    TargetRecord,
+    TargetRegistry,
+)
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
 from jaylatch_node.control.leader import LeaderController
 from jaylatch_node.control.targets import TargetController
@@ -59,8 +65,8 @@
         context.orders.append((record.heartbeat.instance, order))
         return context.outcome
 
-    async def probe(record: TargetRecord) -> bool:
-        return True
+    async def probe(record: TargetRecord, is_repeated: bool) -> ProbeOutcome:
+        return ProbeOutcome.ANSWERED
 
     identity = Identity(InstanceId("c-1"), Incarnation("c"), DOMAIN, "10.0.0.9:1")
     board = Blackboard(identity, EventLog("c-1"), GrantBoard(HeldLease(0.0)))
--- a/features/steps/target_silence_steps.py
+++ b/features/steps/target_silence_steps.py
@@ -61,6 +61,7 @@
         self.name = InstanceId(name)
         self.address = free_addresses(1)[0]
         self.reports = True
+        self.received = 0
         self._host, _, port = self.address.rpartition(":")
         self._port = int(port)
         self._status = "200 OK"
@@ -132,6 +133,7 @@
         with suppress(EOFError, ConnectionError):
             while True:
                 await read_request(reader)
+                self.received += 1
                 await self._answers.wait()
                 if writer not in self._muted:
                     writer.write(f"HTTP/1.1 {self._status}\r\nContent-Length: 0\r\n\r\n".encode())
@@ -287,4 +289,9 @@
     assert float(first) <= context.left_after <= float(last), context.left_after
 
 
+@then(r"the leader has sent it at most (?P<most>\d) probes")
+def step_few_probes(context: Context, most: str) -> None:
+    assert 1 <= context.servers["a"].received <= int(most), context.servers["a"].received
+
+
 use_step_matcher("parse")
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -54,6 +54,31 @@
       | is lost immediately             | 0.5   |          |        |
       | is back with its next heartbeat | 0.5   | a:1:10:2 | a      |
 
+  Scenario Outline: <case>: the last probe says "<verdict>"
+    Given a registry that has received "a:1:10:1", one message a second
+    When the target a has "<history>" s later
+    Then the last probe says "<verdict>", and a further one is due after <due> s
+
+    Examples: a target that accepts connections is lost only if it is silent for long
+      | case                                    | history                               | verdict     | due |
+      | a silent target                         | silent:0.5                            | silent      | 1.7 |
+      | a target that is silent for a second    | silent:0.5 silent:0.9 silent:1.6      | silent      | 1.7 |
+      | a mute target                           | silent:0.5 silent:0.9 silent:1.9      | lost        |     |
+      | it has answered another probe           | silent:0.5 answered:0.9 silent:1.9    | silent      | 3.1 |
+      | it has sent a heartbeat                 | silent:0.5 heartbeat:0.9 silent:1.9   | silent      | 3.1 |
+      | it has been seen at work                | silent:0.5 seen:0.9 silent:1.9        | silent      | 3.1 |
+      | it was seen at work before              | silent:0.5 seen:0.4 silent:1.9        | lost        |     |
+      | another term has begun                  | silent:0.5 term:0.9 silent:1.9        | silent      | 3.1 |
+      | it answers at last                      | silent:0.5 answered:1.9               | sound       |     |
+      | a heartbeat arrives during the probe    | heartbeat:0.6 silent:0.5              | heard again |     |
+
+    Examples: a target that does not is lost immediately
+      | case                                    | history                               | verdict     | due |
+      | no connection                           | unreachable:0.5                       | lost        |     |
+      | another instance at its address         | refused:0.5                           | lost        |     |
+      | it ends while it is silent              | silent:0.5 unreachable:0.9            | lost        |     |
+      | it is back already                      | heartbeat:0.6 unreachable:0.5         | heard again |     |
+
   Scenario Outline: a control instance becomes the leader <gap> s after the last heartbeat that reached it
     Given a registry that has received "a:1:10:1", one message a second
     When the control instance becomes the leader <gap> s later
--- a/features/targets/silence.feature
+++ b/features/targets/silence.feature
@@ -29,3 +29,13 @@
       | A head is mute                         | no connections  | head   | is silent for good               | each 0.4 s | is left within 1.2 to 2.5 s |
       | A mute head is suspected only once     | no connections  | head   | is silent for good               | once       | is left within 1.2 to 2.5 s |
       | A member is mute                       | old connections | member | is silent for good               | each 0.4 s | is left within 1.2 to 2.5 s |
+
+  Scenario Outline: A head that <fault> costs few probes
+    Given the leader of a group of 3 and a spare, to whose servers it holds no connections
+    When the group's head <fault>, and gateways suspect the head once
+    Then the leader has sent it at most <most> probes
+
+    Examples: one shows the silence, and one is sent at its limit
+      | fault               | most |
+      | is silent for 1.2 s | 2    |
+      | is silent for good  | 2    |
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -115,7 +115,7 @@
 
 
 class TargetProbed(LogRecord, frozen=True, kw_only=True, tag="probe"):
-    """A suspected target answered no probe: it is lost, or has sent a heartbeat since."""
+    """A suspected target answered no probe: it is lost or silent, or has sent a heartbeat since."""
 
     target: str
     outcome: str
--- a/packages/decisions/src/jaylatch_decisions/targets/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/__init__.py
@@ -17,7 +17,12 @@
     StageModel,
     plan_orders,
 )
-from jaylatch_decisions.targets.registry import TargetRecord, TargetRegistry
+from jaylatch_decisions.targets.registry import (
+    ProbeOutcome,
+    ProbeVerdict,
+    TargetRecord,
+    TargetRegistry,
+)
 from jaylatch_decisions.targets.routes import RouteTable
 
 __all__ = [
@@ -27,6 +32,8 @@
     "JoinGroup",
     "LeaveGroup",
     "OpenGroup",
+    "ProbeOutcome",
+    "ProbeVerdict",
     "RouteTable",
     "StageModel",
     "TargetConditions",
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -2,11 +2,12 @@
 
 Faults covered: a heartbeat that a partition delayed until its sender had crashed, an address that
 another target has taken over, an id that is used again after a restart, a target whose heartbeats
-stop, and an older heartbeat that arrives after a departure. Times are seconds of the monotonic
-clock.
+stop, a sound target that is silent for a moment, and an older heartbeat that arrives after a
+departure. Times are seconds of the monotonic clock.
 """
 
 from dataclasses import dataclass
+from enum import Enum
 
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.targets import TargetCheckIn
@@ -17,6 +18,33 @@
 DEPARTURE_GRACE_PERIOD = 8.0
 """Seconds for which a target that departs without draining may finish its work: it serves for at
 least 2 s and, as a member, until the head of its group has no work left, at most 10 s."""
+SILENCE_LIMIT = 1.2
+"""Seconds after the first probe that a target accepts without an answer until one shows its loss. A
+sound target may be silent for a second or so; it is probed only after a part of that, so it answers
+in time."""
+
+
+class ProbeOutcome(Enum):
+    """Outcome of a probe.
+
+    ``SILENT``: the target accepts connections, but has not answered in time. ``REFUSED``: an answer
+    other than success, as from another instance at its address. ``UNREACHABLE``: it does not accept
+    a connection in time, or ends it without an answer.
+    """
+
+    ANSWERED = "answered"
+    SILENT = "silent"
+    REFUSED = "refused"
+    UNREACHABLE = "unreachable"
+
+
+class ProbeVerdict(Enum):
+    """What a probe shows of a target. ``HEARD_AGAIN``: it has sent a heartbeat since."""
+
+    SOUND = "sound"
+    SILENT = "silent"
+    LOST = "lost"
+    HEARD_AGAIN = "heard again"
 
 
 @dataclass
@@ -26,7 +54,8 @@
     ``last_contact_at`` is when it arrived, ``draining_since`` when the target first announced that
     it drains, ``departed_at`` when it announced that it reports no more, ``appeared_at`` when the
     first heartbeat of its incarnation arrived. ``missed_probe_at`` is when a probe was
-    sent that it did not answer, after its last contact.
+    sent that showed its loss, ``silent_since`` when the first probe was sent that it accepted, but
+    did not answer; both after its last contact.
     """
 
     heartbeat: TargetCheckIn
@@ -34,6 +63,7 @@
     draining_since: float | None = None
     departed_at: float | None = None
     missed_probe_at: float | None = None
+    silent_since: float | None = None
     appeared_at: float = 0.0
 
 
@@ -107,8 +137,10 @@
 
         An instance that does not lead receives heartbeats from the leader, and none while that is
         cut off, so heartbeats missing since then are no sign of a loss. A target that was
-        unresponsive before remains so.
+        unresponsive before remains so. Its own probes were those of another term.
         """
+        for record in self._records.values():
+            record.silent_since = None
         last_contact_at = max(
             (record.last_contact_at for record in self._records.values()), default=now
         )
@@ -144,8 +176,40 @@
             return now < record.departed_at + DEPARTURE_GRACE_PERIOD
         return now < record.last_contact_at + self._heartbeat_timeout
 
+    def judge_probe(
+        self, asked_at: float, instance: InstanceId, outcome: ProbeOutcome
+    ) -> ProbeVerdict:
+        """Record the outcome of a probe sent at ``asked_at``; return what it shows.
+
+        A target that accepts connections and is silent is lost only after ``SILENCE_LIMIT``: its
+        process exists and may go on. One without a process or a machine accepts none.
+        """
+        record = self._records.get(instance)
+        if record is not None and outcome is ProbeOutcome.ANSWERED:
+            record.silent_since = None
+            return ProbeVerdict.SOUND
+        if record is None or record.last_contact_at >= asked_at:
+            return ProbeVerdict.HEARD_AGAIN
+        if outcome is ProbeOutcome.SILENT:
+            if record.silent_since is None:
+                record.silent_since = asked_at
+            if asked_at < record.silent_since + SILENCE_LIMIT:
+                return ProbeVerdict.SILENT
+        self.mark_lost(instance, asked_at)
+        return ProbeVerdict.LOST
+
+    def overdue_silences(self, now: float) -> list[InstanceId]:
+        """Return the targets whose silence has reached its limit, to be probed a last time."""
+        return [
+            instance
+            for instance, record in self._records.items()
+            if record.silent_since is not None
+            and record.missed_probe_at is None
+            and now >= record.silent_since + SILENCE_LIMIT
+        ]
+
     def mark_lost(self, instance: InstanceId, asked_at: float) -> bool:
-        """Mark a target as lost that did not answer a probe sent at ``asked_at``.
+        """Mark a target as lost, as shown by a probe sent at ``asked_at``.
 
         Returns False if it has sent a heartbeat since. A later heartbeat clears the mark.
         """
@@ -168,6 +232,8 @@
         record.last_contact_at = at
         if record.missed_probe_at is not None and record.missed_probe_at < at:
             record.missed_probe_at = None
+        if record.silent_since is not None and record.silent_since < at:
+            record.silent_since = None
 
     def forget_unresponsive(self, now: float, retention: float) -> None:
         """Drop the targets that have sent no heartbeat for ``retention`` seconds."""
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -18,6 +18,8 @@
     EngineOrder,
     JoinGroup,
     LeaveGroup,
+    ProbeOutcome,
+    ProbeVerdict,
     StageModel,
     TargetRecord,
     TargetRegistry,
@@ -64,7 +66,8 @@
 PROBE_ATTEMPTS = 2
 """Probes that a target must miss to count as lost, so that one lost packet is not enough."""
 
-TargetProber = Callable[[TargetRecord], Awaitable[bool]]
+TargetProber = Callable[[TargetRecord, bool], Awaitable[ProbeOutcome]]
+"""Probes a target; the flag says that a probe of the same round was missed before."""
 OrderSender = Callable[[TargetRecord, EngineOrder, int], Awaitable[OrderOutcome]]
 
 _log = logging.getLogger("jaylatch.targets")
@@ -167,10 +170,7 @@
             self._interrupted_requests.setdefault(instance, {})[digest] = now
         group = next((item for item in groups if item.head == instance), None)
         members = group.members if group is not None else (instance,)
-        for member in members:
-            if now >= self._probed_at.get(member, 0.0) + PROBE_INTERVAL:
-                self._probed_at[member] = now
-                create_task(self._probe_target(now, member))
+        self._start_probes(now, members)
 
     def confirm_members(self, at: float, group: Group) -> None:
         """Record that a group generated tokens at ``at``, which it does only with all members."""
@@ -192,6 +192,7 @@
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
         self._registry.forget_unresponsive(now, RECORD_RETENTION)
+        self._start_probes(now, self._registry.overdue_silences(now))
         leaving = self._leaving_heads(now, groups)
         return [
             self._instance_facts(now, record, leaving)
@@ -459,16 +460,27 @@
         engine = self._engines[record.heartbeat.service]
         return self._load_budget.take(now, engine.load_rate)
 
+    def _start_probes(self, now: float, instances: Iterable[InstanceId]) -> None:
+        for instance in instances:
+            if now >= self._probed_at.get(instance, 0.0) + PROBE_INTERVAL:
+                self._probed_at[instance] = now
+                create_task(self._probe_target(now, instance))
+
     async def _probe_target(self, asked_at: float, instance: InstanceId) -> None:
-        for _ in range(PROBE_ATTEMPTS):
+        outcome = ProbeOutcome.UNREACHABLE
+        for attempt in range(PROBE_ATTEMPTS):
             record = self._registry.record(instance)
-            if record is None or await self._probe(record):
+            if record is None:
                 return
-        is_lost = self._registry.mark_lost(instance, asked_at)
-        self._record_death(asked_at, instance)
-        log_record(
-            _log, TargetProbed(target=instance, outcome="lost" if is_lost else "heard again")
-        )
+            outcome = await self._probe(record, attempt > 0)
+            if outcome in (ProbeOutcome.ANSWERED, ProbeOutcome.SILENT):
+                break
+        verdict = self._registry.judge_probe(asked_at, instance, outcome)
+        if verdict is ProbeVerdict.SOUND:
+            return
+        if verdict is ProbeVerdict.LOST or outcome is not ProbeOutcome.SILENT:
+            self._record_death(asked_at, instance)
+        log_record(_log, TargetProbed(target=instance, outcome=verdict.value))
 
     def _record_death(self, now: float, instance: InstanceId) -> None:
         """Record the requests that ran at a target when it died, as evidence for the quarantine."""
--- a/packages/node/src/jaylatch_node/targets/orders.py
+++ b/packages/node/src/jaylatch_node/targets/orders.py
@@ -3,7 +3,7 @@
 from asyncio import timeout
 
 from jaylatch_core.clock import monotonic
-from jaylatch_decisions.targets import EngineOrder, TargetRecord
+from jaylatch_decisions.targets import EngineOrder, ProbeOutcome, TargetRecord
 from jaylatch_node.targets.connection import OutboundRequest, ResponseHead
 from jaylatch_node.targets.dialect import OrderOutcome, TargetDialect
 from jaylatch_node.targets.pool import TargetPool
@@ -27,24 +27,37 @@
         """Send ``order``; return the engine's outcome, UNKNOWN if it did not answer."""
         heartbeat = record.heartbeat
         request = self._dialect.write_order(order, heartbeat.instance, fence)
-        head = await self._exchange(heartbeat.address, request, ORDER_TIMEOUT)
-        return OrderOutcome.UNKNOWN if head is None else self._dialect.read_order_outcome(head)
+        answer = await self._exchange(heartbeat.address, request, ORDER_TIMEOUT)
+        if isinstance(answer, ProbeOutcome):
+            return OrderOutcome.UNKNOWN
+        return self._dialect.read_order_outcome(answer)
 
-    async def probe(self, record: TargetRecord) -> bool:
-        """Return whether the target, and no other one, answers at its address."""
+    async def probe(self, record: TargetRecord, is_repeated: bool) -> ProbeOutcome:
+        """Return whether the target, and no other one, answers at its address.
+
+        A repeated probe opens a connection: an old one may be mute while new ones are answered, and
+        does not show whether the target still accepts any.
+        """
         heartbeat = record.heartbeat
         request = self._dialect.write_probe(heartbeat.instance)
-        head = await self._exchange(heartbeat.address, request, PROBE_TIMEOUT)
-        return head is not None and head.status == SUCCESS
+        answer = await self._exchange(heartbeat.address, request, PROBE_TIMEOUT, not is_repeated)
+        if isinstance(answer, ProbeOutcome):
+            return answer
+        return ProbeOutcome.ANSWERED if answer.status == SUCCESS else ProbeOutcome.REFUSED
 
     def close(self) -> None:
         """Close all connections."""
         self._pool.close()
 
     async def _exchange(
-        self, address: str, request: OutboundRequest, limit: float
-    ) -> ResponseHead | None:
-        """Return the head of a complete answer that arrives within ``limit`` seconds, else None."""
+        self, address: str, request: OutboundRequest, limit: float, may_reuse: bool = True
+    ) -> ResponseHead | ProbeOutcome:
+        """Return the head of a complete answer within ``limit`` seconds, else the cause.
+
+        Only a new connection that is not answered shows a silent target. ``may_reuse`` allows an
+        old one.
+        """
+        no_answer = ProbeOutcome.UNREACHABLE
         heads: list[ResponseHead] = []
 
         def take_head(head: ResponseHead) -> bool:
@@ -53,15 +66,17 @@
 
         try:
             async with timeout(limit):
-                connection = self._pool.take(monotonic(), address)
-                connection = connection or await self._pool.connect(address)
+                connection = self._pool.take(monotonic(), address) if may_reuse else None
                 if connection is None:
-                    return None
+                    connection = await self._pool.connect(address)
+                    if connection is None:
+                        return no_answer
+                    no_answer = ProbeOutcome.SILENT
                 failure = await connection.exchange(request, take_head, lambda data: None)
         except TimeoutError:
-            return None
+            return no_answer
         if failure is not None or not heads:
             connection.close()
-            return None
+            return ProbeOutcome.UNREACHABLE
         self._pool.release(monotonic(), address, connection, None)
         return heads[0]
