Hold two old connections in the tests of a silent server

With one, the first probe closes it, so that the second opens a new connection in any case: a prober whose repeated probe uses old connections passed.

--- a/features/steps/target_silence_steps.py
+++ b/features/steps/target_silence_steps.py
@@ -1,7 +1,7 @@
 """Steps that run a leader's probes against servers that fall silent, crash or are cut off."""
 
 import socket
-from asyncio import Event, StreamReader, StreamWriter, create_task, sleep, start_server
+from asyncio import Event, StreamReader, StreamWriter, create_task, gather, sleep, start_server
 from collections.abc import Coroutine
 from contextlib import suppress
 
@@ -62,6 +62,7 @@
         self.address = free_addresses(1)[0]
         self.reports = True
         self.received = 0
+        self.connections = 0
         self._host, _, port = self.address.rpartition(":")
         self._port = int(port)
         self._status = "200 OK"
@@ -129,6 +130,7 @@
             item.close()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
         self._writers.add(writer)
         with suppress(EOFError, ConnectionError):
             while True:
@@ -166,8 +168,9 @@
         report_server(context, server, 1)
         if has_connections:
             record = context.registry.record(server.name)
-            outcome = await context.client.send(record, StageModel(MODEL), 1)
-            assert outcome is OrderOutcome.ACCEPTED, outcome
+            orders = [context.client.send(record, StageModel(MODEL), 1) for _ in range(2)]
+            assert await gather(*orders) == [OrderOutcome.ACCEPTED] * 2
+            assert server.connections == 2, server.connections
 
     async def propose(command: ControlCommand) -> object:
         return state.apply(command)
