Tell control at once that a target goes on which it has taken for lost

Gateways told control of progress only with their next renewal, and never of a target that the view did not contain any more.

A gateway whose target sends an event after its loss now renews at once, and reports progress of such targets as of listed ones. The new row of features/gateway/silence fails without either.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -28,6 +28,15 @@
       | 3    | both targets leave the view         | 1     |
       | 3    | the silent target leaves the view   | 2     |
 
+  # Guards against the repair of a group whose head goes on after control has taken it for lost.
+  Scenario: control hears at once of a target that goes on after it has left the view
+    Given both targets leave the view when a target is silent
+    And a gateway with two targets, of which the first one used pauses for 1.2 s after some events
+    But both are granted as heads of groups only
+    When a request of kind stream is sent, and the disturbance comes
+    Then the gateway has 1 groups whose progress it reports
+    And the gateway has renewed its lease 1 time beside the usual renewals
+
   Scenario Outline: a stream whose target ends waits for a place, and <what>
     Given a gateway with two targets, of which the first one used ends its connection after some events
     And the owner of the places reports all as full from the second request on, until <until> s later
--- a/features/steps/gateway_silence_steps.py
+++ b/features/steps/gateway_silence_steps.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, sleep
 from time import monotonic
 
-from behave import given, use_step_matcher, when
+from behave import given, then, use_step_matcher, when
 from behave.runner import Context
 from features.steps.gateway_path_steps import ask, grant_heads
 from features.support.gateway import Answer
@@ -80,3 +80,8 @@
         return PlaceTaken(body.candidates[0].instance, 0.1)
 
     context.harness.client.ask = ask_owner
+
+
+@then(r"the gateway has renewed its lease (?P<count>\d) time beside the usual renewals")
+def step_renewals(context: Context, count: str) -> None:
+    assert context.harness.renewals == int(count), context.harness.renewals
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -335,7 +335,10 @@
         self.board = Blackboard(identity, events, GrantBoard(lease))
         peers = PeerPool(events, Traffic(Metrics()), lambda connection, call, body: None)
         self.client = ControlClient(self.settings.control, peers)
-        self.role = GatewayRole(self.settings, self.board, self.client, PlainDialect())
+        self.renewals = 0
+        self.role = GatewayRole(
+            self.settings, self.board, self.client, PlainDialect(), self._count_renewal
+        )
 
     def grant(
         self, routes: list[RouteSpecification], targets: dict[RequestKind, list[ScriptedTarget]]
@@ -372,6 +375,9 @@
         self.board.grant.view = View(version, groups, service_routes)
         self.role.on_grant()
 
+    def _count_renewal(self) -> None:
+        self.renewals += 1
+
     def start(self) -> None:
         """Start the role on the running loop."""
         self.role.start()
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -29,6 +29,8 @@
 
 SuspicionHandler = Callable[[SuspectTarget], None]
 """Called for an unresponsive target, and for one that closed the connection of a request."""
+RecoveryHandler = Callable[[TargetLoad], None]
+"""Called when a target sends events of a stream after control has taken it for lost."""
 ConditionHandler = Callable[[InstanceId, AttemptId, ResponseFacts], None]
 """Called for each answer of a target, with the request's attempt id and what the head states."""
 
@@ -54,9 +56,11 @@
         pool: TargetPool,
         suspect: SuspicionHandler,
         record_conditions: ConditionHandler,
+        report_recovery: RecoveryHandler,
         successor: SuccessorReservation,
     ) -> None:
         self._successor = successor
+        self._report_recovery = report_recovery
         self._suspect = suspect
         self._record_conditions = record_conditions
         self._request = request
@@ -211,6 +215,8 @@
         self._progress_at = monotonic()
         if self._target is not None:
             self._target.progress_at = self._progress_at
+            if self._watchdog is not None and self._watchdog.mark_recovered():
+                self._report_recovery(self._target)
         if self._caller.has_started:
             self._caller.send(events)
             return
@@ -273,7 +279,7 @@
     def mark_lost(self) -> None:
         """Handle that control takes the current target for lost."""
         if self._watchdog is not None:
-            self._watchdog.mark_lost(monotonic())
+            self._watchdog.mark_lost()
 
     def idle_time(self, now: float) -> float:
         """Return the seconds since the last progress."""
@@ -321,7 +327,7 @@
         self._instance = instance
         self._successor = successor
         self._is_reported = False
-        self._lost_at: float | None = None
+        self._is_lost = False
         self._search: Task[None] | None = None
         self._timer: TimerHandle
         self._check()
@@ -332,13 +338,18 @@
         if self._search is not None:
             self._search.cancel()
 
-    def mark_lost(self, now: float) -> None:
-        """Seek a successor soon, unless the target makes progress after ``now``."""
-        self._lost_at = now
+    def mark_lost(self) -> None:
+        """Seek a successor soon, unless the target makes progress from now on."""
+        self._is_lost = True
         if self._search is None:
             self._timer.cancel()
             self._check()
 
+    def mark_recovered(self) -> bool:
+        """Record progress; return whether control had taken the target for lost."""
+        was_lost, self._is_lost = self._is_lost, False
+        return was_lost
+
     def _check(self) -> None:
         """Report the target, or start to seek a successor, if it is silent for too long."""
         idle = self._attempt.idle_time(monotonic())
@@ -360,7 +371,7 @@
         while self._is_unresponsive():
             if await successor.reserve():
                 if self._is_unresponsive():
-                    self._attempt.mark_abandoned("silent" if self._lost_at is None else "lost")
+                    self._attempt.mark_abandoned("lost" if self._is_lost else "silent")
                     self._connection.close()
                     return
                 successor.release()
@@ -372,7 +383,4 @@
         return self._attempt.idle_time(monotonic()) >= self._response_timeout()
 
     def _response_timeout(self) -> float:
-        now = monotonic()
-        if self._lost_at is not None and self._attempt.idle_time(now) < now - self._lost_at:
-            self._lost_at = None
-        return self._attempt.response_timeout(is_lost=self._lost_at is not None)
+        return self._attempt.response_timeout(self._is_lost)
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -23,6 +23,7 @@
         self._targets: dict[InstanceId, KnownTarget] = {}
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._by_model: dict[tuple[str, str], list[TargetLoad]] = {}
+        self._unlisted: dict[InstanceId, TargetLoad] = {}
 
     @property
     def addresses(self) -> set[str]:
@@ -73,12 +74,20 @@
 
     def progress_since(self, since: float, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have sent part of an answer since ``since``."""
+        self._unlisted = {
+            instance: load for instance, load in self._unlisted.items() if load.progress_at > since
+        }
+        listed = [known.load for known in self._targets.values()]
         return tuple(
             GroupProgress(load.group, load.epoch, now - load.progress_at)
-            for load in (known.load for known in self._targets.values())
+            for load in (*listed, *self._unlisted.values())
             if load.group and load.progress_at > since
         )
 
+    def note_unlisted(self, load: TargetLoad) -> None:
+        """Include a target that the view no longer contains while it sends parts of answers."""
+        self._unlisted[load.instance] = load
+
     def address(self, instance: InstanceId) -> str | None:
         """Return the address of a target, or None if the view no longer contains it."""
         known = self._targets.get(instance)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -32,7 +32,7 @@
 )
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.deadlines import loop_time
-from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
+from jaylatch_node.gateway.attempt import Attempt, RecoveryHandler, SuspicionHandler
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -83,6 +83,7 @@
         metrics: GatewayMetrics,
         random: Random,
         suspect: SuspicionHandler,
+        report_recovery: RecoveryHandler,
         apply_bound: float,
         answered_parts: AnsweredParts,
     ) -> None:
@@ -92,6 +93,7 @@
         self._placer = placer
         self._evidence = EvidenceTable()
         self._suspect = suspect
+        self._report_recovery = report_recovery
         self._is_shutting_down = False
         self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
         self._board = board
@@ -218,6 +220,7 @@
             self._pool,
             self._suspect,
             self._record_conditions,
+            self._report_recovery,
             successor,
         )
         while True:
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -1,6 +1,7 @@
 """The gateway role of a process."""
 
 from asyncio import create_task, sleep
+from collections.abc import Callable
 from random import Random
 
 from tornado.httpserver import HTTPServer
@@ -15,7 +16,7 @@
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.quarantine import AnsweredParts
 from jaylatch_decisions.retry import RetryBudget
-from jaylatch_decisions.targets import TargetConditions
+from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 from jaylatch_node.gateway.directory import TargetDirectory
@@ -50,7 +51,9 @@
         board: Blackboard,
         client: ControlClient,
         dialect: TargetDialect,
+        renew_now: Callable[[], None],
     ) -> None:
+        self._renew_now = renew_now
         self._client = client
         self._suspected_at: dict[InstanceId, float] = {}
         self._settings = settings.gateway
@@ -74,6 +77,7 @@
             GatewayMetrics(board.metrics),
             random,
             self._suspect,
+            self._report_recovery,
             self._settings.apply_bound,
             self._answered_parts,
         )
@@ -156,6 +160,11 @@
             report = SuspectTarget(instance, suspicion.digest, parts)
             create_task(self._client.call(CONTROL_LOG, report, SUSPICION_TIMEOUT))
 
+    def _report_recovery(self, target: TargetLoad) -> None:
+        """Tell control at once that a target goes on which the view no longer contains."""
+        self._directory.note_unlisted(target)
+        self._renew_now()
+
     def _answer_readiness(self, request: HTTPServerRequest) -> None:
         connection = request.connection
         assert connection is not None
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -91,6 +91,10 @@
             role.start()
         self._leases.start()
 
+    def renew_now(self) -> None:
+        """Renew the lease without waiting for the next interval."""
+        self._leases.renew_now()
+
     def stop(self) -> None:
         """Stop all roles and close all streams."""
         self._events.record(wall(), EventName.PROCESS_STOPPED, self.board.identity.incarnation)
