--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -53,21 +53,26 @@
       | a kept connection                    | idle under 0.5 s when it gets | 15      | carries another request     |
       | a connection with a request of 2.8 s | opened under                  | 0.5     | has got the complete answer |
 
-  # Guards against requests that were forwarded although the gateway had closed their connections.
-  Scenario Outline: the idle connections are closed <turns> turns of the loop after a request was sent
+  # Guards against requests that were handled although the gateway had closed their connections.
+  Scenario Outline: <what> <turns> turns of the loop after a request was sent
     Given a server of a gateway with a kept connection
-    When a request is sent on it, and <turns> turns later the idle connections are closed
+    When a request is sent on it, and <turns> turns later <what>
     Then the request was <result>
 
     Examples: the request is read and passed on in several turns
-      | turns | result                       |
-      | 0     | neither handled nor answered |
-      | 1     | neither handled nor answered |
-      | 2     | handled and answered         |
-      | 3     | handled and answered         |
-      | 4     | handled and answered         |
-      | 5     | handled and answered         |
-      | 6     | handled and answered         |
+      | what                            | turns | result                       |
+      | the idle connections are closed | 0     | neither handled nor answered |
+      | the idle connections are closed | 1     | neither handled nor answered |
+      | the idle connections are closed | 2     | handled and answered         |
+      | the idle connections are closed | 3     | handled and answered         |
+      | the idle connections are closed | 4     | handled and answered         |
+      | the idle connections are closed | 5     | handled and answered         |
+      | the idle connections are closed | 6     | handled and answered         |
+      | the idle time is over           | 0     | neither handled nor answered |
+      | the idle time is over           | 1     | neither handled nor answered |
+      | the idle time is over           | 2     | handled and answered         |
+      | the idle time is over           | 3     | handled and answered         |
+      | the idle time is over           | 4     | handled and answered         |
 
   # Guards against requests that go on at targets although their callers have gone.
   Scenario: a request whose caller resets its connection at once is not handled to its end
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -360,19 +360,26 @@
     await sleep(0.05)
 
 
-@when(r"a request is sent on it, and (?P<turns>\d) turns later the idle connections are closed")
-def step_close_idle(context: Context, turns: str) -> None:
-    context.runner.run(send_and_close_idle(context, int(turns)))
+@when(
+    r"a request is sent on it, and (?P<turns>\d) turns later"
+    r" the idle (?P<what>connections are closed|time is over)"
+)
+def step_close_idle(context: Context, turns: str, what: str) -> None:
+    context.runner.run(send_and_close_idle(context, int(turns), what == "time is over"))
 
 
-async def send_and_close_idle(context: Context, turns: int) -> None:
+async def send_and_close_idle(context: Context, turns: int, is_time_over: bool) -> None:
     raw: socket.socket = context.caller.writer.get_extra_info("socket")
     data = request_of("once")
     # Written past the event loop, so that the request arrives before the first turn.
     assert os.write(raw.fileno(), data) == len(data)
     for _ in range(turns):
         await sleep(0)
-    context.server.close_idle()
+    if is_time_over:
+        context.server.apply_limits(ConnectionLimits(idle_timeout=-gateway_server.IDLE_MARGIN))
+        context.server._sweep()
+    else:
+        context.server.close_idle()
     context.answer = await context.caller.read(1.0)
 
 
@@ -419,7 +426,8 @@
 def step_state_of_one(context: Context) -> None:
     gc.collect()
     kind = gateway_server._InboundMessage
-    held = [item for item in gc.get_objects() if type(item) is kind]
+    messages = [item for item in gc.get_objects() if type(item) is kind]
+    held = [item for item in messages if item._server is context.server]
     assert len(held) <= 1, len(held)
 
 
