Reproduce: a stream without framing that the gateway leaves looks complete

A target answers with a stream that ends with its connection, sends three events and falls silent. The caller gets these three as a complete answer after 1.4 s, though another target has room.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -52,6 +52,7 @@
       | stream | sends an event without end                | every event once | 2     |
       | stream | stalls after some events                  | every event once | 2     |
       | stream | stalls before its first event             | every event once | 2     |
+      | stream | stalls after some events without framing  | every event once | 2     |
       | stream | omits an event                            | every event once | 2     |
       | stream | sends a byte of an event now and then     | every event once | 2     |
       | stream | sends whole events slowly                 | every event once | 1     |
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -16,6 +16,7 @@
     Received,
     ScriptedTarget,
     answer_bytes,
+    event_bytes,
     event_chunk,
     make_route,
     request_bytes,
@@ -177,6 +178,12 @@
                 writer.write(event_chunk(number))
             writer.write(END_OF_STREAM)
             return True
+        case "stalls after some events without framing":
+            writer.write(unframed_head(request))
+            for number in range(EVENTS_BEFORE_FAULT):
+                writer.write(event_bytes(number))
+            await sleep(STALL_SECONDS)
+            return False
         case "sends a byte of an event now and then":
             writer.write(stream_head(request))
             writer.write(event_chunk(0))
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -222,9 +222,14 @@
     ).encode()
 
 
+def event_bytes(number: int) -> bytes:
+    """Return one event without framing."""
+    return f"id: {number}\ndata: text {number}\n\n".encode()
+
+
 def event_chunk(number: int) -> bytes:
     """Return one event as an HTTP chunk."""
-    event = f"id: {number}\ndata: text {number}\n\n".encode()
+    event = event_bytes(number)
     return f"{len(event):x}\r\n".encode() + event + b"\r\n"
 
 
