Take a stream without framing for complete only if its target ended it

Callers saw a truncated stream as a complete answer, and it was not resumed, if the gateway left its target and the target's answer had no framing. The close by the gateway itself looked like the target's end of the body. A connection now knows that it was closed on this side.

--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -113,6 +113,7 @@
 
     def __init__(self, stream: TargetStream) -> None:
         self._stream = stream
+        self._was_closed_here = False
         self.idle_since = 0.0
         self.usable_until = float("inf")
 
@@ -140,6 +141,7 @@
 
     def close(self) -> None:
         """Close the connection; an exchange in progress ends as CLOSED or INCOMPLETE."""
+        self._was_closed_here = True
         self._stream.close()
 
     def watch(self, on_close: Callable[[], None]) -> None:
@@ -193,9 +195,13 @@
     def _classify(self, exchange: Exchange) -> ExchangeFailed | None:
         if exchange.head is None:
             return ExchangeFailed.MALFORMED
-        # A body without a length ends with its connection; after a reset it is incomplete.
+        # A body without a length ends with its connection; after a reset, or a close by this
+        # process, it is incomplete.
+        headers = exchange.head.headers
+        is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
+        was_cut = self._was_closed_here and not is_framed
         was_reset = self._stream.closed() and self._stream.error is not None
-        if not exchange.is_complete or was_reset:
+        if not exchange.is_complete or was_reset or was_cut:
             return ExchangeFailed.INCOMPLETE
         if exchange.head.headers.get("Connection", "").lower() == "close":
             self._stream.close()
