Reproduce: a silent server that has all its connections is taken for lost

The second probe of a round opens a connection. A server that takes no more of them resets it, which counts as unreachable, so the group is left 0.21 s after the first suspicion although the server goes on 1 s later.

--- a/features/steps/target_silence_steps.py
+++ b/features/steps/target_silence_steps.py
@@ -65,6 +65,7 @@
         self._host, _, port = self.address.rpartition(":")
         self._port = int(port)
         self._status = "200 OK"
+        self._resets = False
         self._answers = Event()
         self._answers.set()
         self._muted: set[StreamWriter] = set()
@@ -83,6 +84,12 @@
         self._answers.set()
         self.reports = True
 
+    async def be_silent_when_full(self, seconds: float) -> None:
+        """Be silent, and reset new connections, as a server does beyond its number of them."""
+        self._resets = True
+        await self.be_silent(seconds)
+        self._resets = False
+
     async def crash(self) -> None:
         """Close all connections and refuse new ones."""
         self.reports = False
@@ -129,6 +136,9 @@
             item.close()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        if self._resets:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         with suppress(EOFError, ConnectionError):
             while True:
@@ -224,6 +234,8 @@
         case ["is", "silent", "for", seconds, "s", "and", "crashes"]:
             await server.be_silent(float(seconds))
             await server.crash()
+        case ["is", "silent", "for", seconds, "s", "and", "full"]:
+            await server.be_silent_when_full(float(seconds))
         case ["refuses", "connections"]:
             await server.crash()
         case ["accepts", "no", "connections"]:
--- a/features/targets/silence.feature
+++ b/features/targets/silence.feature
@@ -16,6 +16,7 @@
       | A head was suspected only once         | no connections  | head   | is silent for 1.2 s | once       | stays listed under its epoch  |
       | A member is silent for 1.2 s           | no connections  | member | is silent for 1.2 s | each 0.4 s | stays listed under its epoch  |
       | Only kept connections are silent       | old connections | head   | mutes old channels  | each 0.4 s | stays listed under its epoch  |
+      | A full head is silent                  | old connections | head   | is silent for 1.2 s and full | each 0.4 s | stays listed under its epoch |
       | A head is silent on kept connections   | old connections | head   | is silent for 1.2 s | each 0.4 s | stays listed under its epoch  |
 
     Examples: a server that is lost
