Reproduce: a request is told of the first loss of its target only

A stream whose target is taken for lost, goes on and is lost again waits for 1.4 s instead of 0.2 s before it is sent to another one.

--- a/features/gateway/silence.feature
+++ b/features/gateway/silence.feature
@@ -38,3 +38,11 @@
       | what                            | until | answer               | asked |
       | a place becomes free            | 0.8   | every event once     | 2     |
       | none becomes free within 1.5 s  | 5     | an incomplete stream | 1     |
+
+  # Guards against a request that is told of the first loss of its target only.
+  Scenario: a target that control takes for lost twice is left soon after the second time
+    Given a gateway with two targets, of which the first one used sends an event after 0.7 s of silence, and then none
+    But both are granted as heads of groups only
+    When a request of kind stream is sent, and its target leaves the view twice
+    Then the caller gets every event once and the targets received 2 requests
+    And the answer was complete within 0.8 s of the second loss
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -184,6 +184,14 @@
                 writer.write(event_bytes(number))
             await sleep(STALL_SECONDS)
             return False
+        case "sends an event after 0.7 s of silence, and then none":
+            writer.write(stream_head(request))
+            for number in range(EVENTS_BEFORE_FAULT + 1):
+                if number == EVENTS_BEFORE_FAULT:
+                    await sleep(0.7)
+                writer.write(event_chunk(number))
+            await sleep(STALL_SECONDS)
+            return False
         case "sends a byte of an event now and then":
             writer.write(stream_head(request))
             writer.write(event_chunk(0))
--- a/features/steps/gateway_silence_steps.py
+++ b/features/steps/gateway_silence_steps.py
@@ -3,7 +3,7 @@
 from asyncio import create_task, sleep
 from time import monotonic
 
-from behave import given, use_step_matcher, when
+from behave import given, then, use_step_matcher, when
 from behave.runner import Context
 from features.steps.gateway_path_steps import ask, grant_heads
 from features.support.gateway import Answer
@@ -53,6 +53,31 @@
     return await answer
 
 
+@when(r"a request of kind stream is sent, and its target leaves the view twice")
+def step_lost_twice(context: Context) -> None:
+    context.answer = context.runner.run(ask_while_lost_twice(context))
+
+
+async def ask_while_lost_twice(context: Context) -> Answer:
+    answer = create_task(ask(context, "stream"))
+    await sleep(DISTURBANCE_SECONDS)
+    others = [target for target in context.targets if target is not context.first_used]
+    grant_heads(context, [])
+    await sleep(DISTURBANCE_SECONDS)
+    grant_heads(context, context.targets)
+    await sleep(0.1)
+    grant_heads(context, others)
+    context.lost_at = monotonic()
+    result = await answer
+    context.took = monotonic() - context.lost_at
+    return result
+
+
+@then(r"the answer was complete within (?P<time>[\d.]+) s of the second loss")
+def step_soon_after_loss(context: Context, time: str) -> None:
+    assert context.took < float(time), context.took
+
+
 @given(
     r"the owner of the places reports all as full from the second request on,"
     r" until (?P<until>[\d.]+) s later"
