Tell a request of each loss of its target

A stream at a target that was taken for lost, went on and was lost again was sent to another one only after 1.4 s of silence. The requests of a target were forgotten with its first loss; since a request may stay at such a target, they now stay listed until they end there. Targets without requests leave the table, which kept an entry for each one ever used.

--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -118,7 +118,7 @@
     def abandon_targets(self, lost: set[InstanceId]) -> None:
         """Abandon targets that no longer serve, for all requests that may be repeated."""
         for instance in lost:
-            for attempt in tuple(self._attempts.pop(instance, ())):
+            for attempt in tuple(self._attempts.get(instance, ())):
                 attempt.mark_lost()
 
     async def handle(
@@ -307,6 +307,8 @@
         finally:
             target.own_in_flight -= 1
             running.discard(attempt)
+            if not running:
+                del self._attempts[target.instance]
 
     def _record_conditions(
         self, instance: InstanceId, request: AttemptId, facts: ResponseFacts
