Take a full server that is silent for silent, not for lost

A server that is silent and has all the connections it takes resets the new connection of the second probe. Control took that for the end of its process, and its group left the view 0.21 s after the first suspicion. A connection that was accepted and then ended shows a process; one that has ended refuses the next connection.

--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -27,9 +27,9 @@
 class ProbeOutcome(Enum):
     """Outcome of a probe.
 
-    ``SILENT``: the target accepts connections, but has not answered in time. ``REFUSED``: an answer
+    ``SILENT``: the target accepts a connection, but does not answer on it. ``REFUSED``: an answer
     other than success, as from another instance at its address. ``UNREACHABLE``: it does not accept
-    a connection in time, or ends it without an answer.
+    a connection in time.
     """
 
     ANSWERED = "answered"
--- a/packages/node/src/jaylatch_node/targets/orders.py
+++ b/packages/node/src/jaylatch_node/targets/orders.py
@@ -54,8 +54,8 @@
     ) -> ResponseHead | ProbeOutcome:
         """Return the head of a complete answer within ``limit`` seconds, else the cause.
 
-        Only a new connection that is not answered shows a silent target. ``may_reuse`` allows an
-        old one.
+        Only a new connection that is accepted and not answered shows a silent target; a full one
+        resets it. ``may_reuse`` allows an old one.
         """
         no_answer = ProbeOutcome.UNREACHABLE
         heads: list[ResponseHead] = []
@@ -77,6 +77,6 @@
             return no_answer
         if failure is not None or not heads:
             connection.close()
-            return ProbeOutcome.UNREACHABLE
+            return no_answer
         self._pool.release(monotonic(), address, connection, None)
         return heads[0]
