--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -10,12 +10,17 @@
 
 
 class Caller:
-    """Writes one answer, complete or as a stream; writes nothing after a disconnect."""
+    """Writes one answer, complete or as a stream; writes nothing after a disconnect.
+
+    ``expects_body`` is False for a HEAD request, whose answer has no body.
+    """
 
     def __init__(self, connection: HTTP1Connection, must_close: Callable[[], bool]) -> None:
         self._connection = connection
         self._must_close = must_close
+        self.expects_body = True
         self.has_started = False
+        self.has_finished = False
         self.started_at = 0.0
         self.is_disconnected = False
 
@@ -24,8 +29,8 @@
         if self.is_disconnected:
             return
         headers["Content-Length"] = str(len(body))
-        self._start(status, reason, headers, body)
-        self._connection.finish()
+        self._start(status, reason, headers, body if self.expects_body else b"")
+        self._finish()
 
     def start_stream(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         """Send the head of a stream and its first events."""
@@ -40,12 +45,20 @@
     def finish(self) -> None:
         """End a stream that is complete."""
         if not self.is_disconnected:
-            self._connection.finish()
+            self._finish()
 
     def abort(self) -> None:
-        """Close the connection, so that a partial answer does not look complete."""
-        self.is_disconnected = True
-        self._connection.close()
+        """Close the connection, so that a partial answer does not look complete.
+
+        After a complete answer, whose last bytes may not have been sent yet, do nothing.
+        """
+        if not self.has_finished:
+            self.is_disconnected = True
+            self._connection.close()
+
+    def _finish(self) -> None:
+        self._connection.finish()
+        self.has_finished = True
 
     def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         self.has_started = True
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, below tornado's web framework so that bodies pass unchanged."""
 
-from asyncio import Task, create_task
+import logging
+from asyncio import Task, TimerHandle, create_task, get_running_loop
 from collections.abc import Awaitable, Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -14,6 +15,7 @@
     ResponseStartLine,
 )
 
+from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import ConnectionLimits
 from jaylatch_node.gateway.caller import Caller
 
@@ -21,9 +23,13 @@
 
 IDLE_MARGIN = 5.0
 """Seconds added to the stated idle timeout, so that a request at its very end is still served."""
+SWEEP_INTERVAL = 1.0
+"""Seconds between two checks of the idle connections."""
 CHUNK_SIZE = 64 * 1024
 """Bytes of a body that are read at once."""
 
+_log = logging.getLogger("jaylatch.gateway")
+
 
 class GatewayServer(HTTPServerConnectionDelegate):
     """Accepts callers' connections and passes each complete request to ``handle``."""
@@ -33,22 +39,33 @@
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
         self._idle: set[_InboundMessage] = set()
-        self._http = HTTPServer(
-            self,
-            max_body_size=limits.body_bytes,
-            max_header_size=limits.header_bytes,
-            idle_connection_timeout=limits.idle_timeout + IDLE_MARGIN,
-            chunk_size=CHUNK_SIZE,
-        )
+        self._sweep_timer: TimerHandle | None = None
+        # Without an idle timeout: the library would keep to the one of a connection's last request.
+        self._http = HTTPServer(self, chunk_size=CHUNK_SIZE)
+        self.apply_limits(limits)
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that have no complete answer yet."""
         return len(self._messages)
 
+    @property
+    def limits(self) -> ConnectionLimits:
+        """Return the limits in force."""
+        return self._limits
+
+    def apply_limits(self, limits: ConnectionLimits) -> None:
+        """Use ``limits`` for all connections.
+
+        On a kept connection the limit of a head applies from the request after the next one.
+        """
+        self._limits = limits
+        self._http.conn_params.max_header_size = limits.header_bytes
+
     def listen(self, port: int, address: str, *, backlog: int) -> None:
         """Accept connections; the kernel holds up to ``backlog`` until then."""
         self._http.listen(port, address, backlog=backlog)
+        self._sweep()
 
     def drain(self) -> None:
         """Close each connection after its next answer."""
@@ -57,6 +74,8 @@
     def stop(self) -> None:
         """Accept no more connections."""
         self._http.stop()
+        if self._sweep_timer is not None:
+            self._sweep_timer.cancel()
 
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
@@ -75,8 +94,14 @@
     def close_idle(self) -> None:
         """Close the connections on which no request has begun to arrive."""
         for message in tuple(self._idle):
-            message.close()
-        self._idle.clear()
+            if message.is_idle:
+                message.close()
+                self._idle.discard(message)
+
+    def interrupt(self) -> None:
+        """Cancel the handling of all requests, which are then answered as failed."""
+        for message in tuple(self._messages):
+            message.interrupt()
 
     def is_draining(self) -> bool:
         """Return whether connections are closed after their next answer."""
@@ -87,9 +112,25 @@
         self._messages.add(message)
         return create_task(self._run(message))
 
+    def _sweep(self) -> None:
+        """Close the connections that have been idle for too long.
+
+        Forget those that have been closed, of which the HTTP library tells nobody.
+        """
+        expired_at = monotonic() - self._limits.idle_timeout - IDLE_MARGIN
+        for message in self._idle:
+            if message.is_idle and message.idle_since < expired_at:
+                message.close()
+        self._idle = {message for message in self._idle if not message.is_closed}
+        self._sweep_timer = get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
+
     async def _run(self, message: "_InboundMessage") -> None:
         try:
             await self._handle(message.start_line, message.headers, message.body, message.caller)
+        except Exception:
+            # The caller must not wait for an answer that will not come.
+            _log.exception("a request was not answered; its connection is closed")
+            message.caller.abort()
         finally:
             self._messages.discard(message)
 
@@ -103,10 +144,21 @@
     def __init__(self, server: GatewayServer, connection: HTTP1Connection) -> None:
         self._server = server
         self._connection = connection
+        self.idle_since = monotonic()
         self._chunks: list[bytes] = []
         self._task: Task[None] | None = None
         self.caller = Caller(connection, server.is_draining)
 
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection has been closed."""
+        return self._connection.stream.closed()
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing has been read that the HTTP library has yet to pass on."""
+        return self._connection.stream.reading()
+
     @property
     def body(self) -> bytes:
         """Return the complete body."""
@@ -119,6 +171,8 @@
         assert isinstance(start_line, RequestStartLine)
         self.start_line = start_line
         self.headers = headers
+        self.caller.expects_body = start_line.method != "HEAD"
+        self._connection.set_max_body_size(self._server.limits.body_bytes)
         self._server.mark_active(self)
 
     def data_received(self, chunk: bytes) -> None:
@@ -126,7 +180,9 @@
         self._chunks.append(chunk)
 
     def finish(self) -> None:
-        """Handle the request, which is now complete."""
+        """Handle the request, which is now complete, unless its connection has been closed."""
+        if self.is_closed:
+            return
         self._connection.set_close_callback(self.on_connection_close)
         self._task = self._server.start_handling(self)
 
@@ -138,5 +194,9 @@
         """Stop work for a caller that has disconnected."""
         self.caller.is_disconnected = True
         self._server.mark_active(self)
+        self.interrupt()
+
+    def interrupt(self) -> None:
+        """Cancel the handling of the request."""
         if self._task is not None:
             self._task.cancel()
