--- a/features/steps/target_silence_steps.py
+++ b/features/steps/target_silence_steps.py
@@ -1,7 +1,7 @@
 """Steps that run a leader's probes against servers that fall silent, crash or are cut off."""
 
 import socket
-from asyncio import Event, StreamReader, StreamWriter, create_task, sleep, start_server
+from asyncio import Event, StreamReader, StreamWriter, create_task, gather, sleep, start_server
 from collections.abc import Coroutine
 from contextlib import suppress
 
@@ -62,9 +62,11 @@
         self.address = free_addresses(1)[0]
         self.reports = True
         self.received = 0
+        self.connections = 0
         self._host, _, port = self.address.rpartition(":")
         self._port = int(port)
         self._status = "200 OK"
+        self._resets = False
         self._answers = Event()
         self._answers.set()
         self._muted: set[StreamWriter] = set()
@@ -83,6 +85,12 @@
         self._answers.set()
         self.reports = True
 
+    async def be_silent_when_full(self, seconds: float) -> None:
+        """Be silent, and reset new connections, as a server does beyond its number of them."""
+        self._resets = True
+        await self.be_silent(seconds)
+        self._resets = False
+
     async def crash(self) -> None:
         """Close all connections and refuse new ones."""
         self.reports = False
@@ -129,6 +137,10 @@
             item.close()
 
     async def _serve(self, reader: StreamReader, writer: StreamWriter) -> None:
+        self.connections += 1
+        if self._resets:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         with suppress(EOFError, ConnectionError):
             while True:
@@ -166,8 +178,9 @@
         report_server(context, server, 1)
         if has_connections:
             record = context.registry.record(server.name)
-            outcome = await context.client.send(record, StageModel(MODEL), 1)
-            assert outcome is OrderOutcome.ACCEPTED, outcome
+            orders = [context.client.send(record, StageModel(MODEL), 1) for _ in range(2)]
+            assert await gather(*orders) == [OrderOutcome.ACCEPTED] * 2
+            assert server.connections == 2, server.connections
 
     async def propose(command: ControlCommand) -> object:
         return state.apply(command)
@@ -224,6 +237,8 @@
         case ["is", "silent", "for", seconds, "s", "and", "crashes"]:
             await server.be_silent(float(seconds))
             await server.crash()
+        case ["is", "silent", "for", seconds, "s", "and", "full"]:
+            await server.be_silent_when_full(float(seconds))
         case ["refuses", "connections"]:
             await server.crash()
         case ["accepts", "no", "connections"]:
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -32,7 +32,7 @@
 )
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.deadlines import loop_time
-from jaylatch_node.gateway.attempt import Attempt, SuspicionHandler
+from jaylatch_node.gateway.attempt import Attempt, RecoveryHandler, SuspicionHandler
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -83,6 +83,7 @@
         metrics: GatewayMetrics,
         random: Random,
         suspect: SuspicionHandler,
+        report_recovery: RecoveryHandler,
         apply_bound: float,
         answered_parts: AnsweredParts,
     ) -> None:
@@ -92,6 +93,7 @@
         self._placer = placer
         self._evidence = EvidenceTable()
         self._suspect = suspect
+        self._report_recovery = report_recovery
         self._is_shutting_down = False
         self._attempts: dict[InstanceId, set[Attempt]] = defaultdict(set)
         self._board = board
@@ -115,10 +117,10 @@
         """Refuse every further request: this process is shutting down."""
         self._is_shutting_down = True
 
-    def abandon_targets(self, lost: set[InstanceId]) -> None:
-        """Abandon targets that no longer serve, for all requests that may be repeated."""
+    def mark_lost(self, lost: set[InstanceId]) -> None:
+        """Tell the requests at ``lost`` targets that control takes these for lost."""
         for instance in lost:
-            for attempt in tuple(self._attempts.pop(instance, ())):
+            for attempt in tuple(self._attempts.get(instance, ())):
                 attempt.mark_lost()
 
     async def handle(
@@ -218,6 +220,7 @@
             self._pool,
             self._suspect,
             self._record_conditions,
+            self._report_recovery,
             successor,
         )
         while True:
@@ -307,6 +310,8 @@
         finally:
             target.own_in_flight -= 1
             running.discard(attempt)
+            if not running:
+                del self._attempts[target.instance]
 
     def _record_conditions(
         self, instance: InstanceId, request: AttemptId, facts: ResponseFacts
