Add the types shared by evacuation, cold targets, queueing and balancing

Cause: the parts for hard load are built side by side and meet in messages and settings. Nothing reads them yet.

--- a/packages/core/src/jaylatch_core/deployment.py
+++ b/packages/core/src/jaylatch_core/deployment.py
@@ -4,7 +4,7 @@
 the configuration, which is changed by compare-and-set. Durations are seconds, sizes are bytes.
 """
 
-from collections import Counter
+from collections import Counter, defaultdict
 from enum import Enum
 from typing import NewType
 
@@ -120,12 +120,20 @@
 class ServiceProfile(msgspec.Struct, frozen=True):
     """A service of direct targets. Each accepts ``connection_limit`` connections in total.
 
-    ``engine`` is None for a plain service.
+    ``engine`` is None for a plain service. A target is cold for ``cold_time`` after it starts
+    during traffic, and tolerates ``cold_rate`` requests a second meanwhile (0: it is never cold).
     """
 
     name: str
     connection_limit: int
     engine: EngineProfile | None = None
+    cold_time: float = 0.0
+    cold_rate: float = 0.0
+
+    @property
+    def may_be_cold(self) -> bool:
+        """Return whether the rate of requests to a target of this service is limited at times."""
+        return self.cold_time > 0 and self.cold_rate > 0
 
 
 class ConnectionLimits(msgspec.Struct, frozen=True):
@@ -158,6 +166,19 @@
         """Return the service called ``name``, or None."""
         return next((item for item in self.services if item.name == name), None)
 
+    def ranked_services(self) -> frozenset[str]:
+        """Return the services with engines whose streams are of different priorities.
+
+        Their requests compete: they wait for places in the order of their ranks.
+        """
+        priorities: defaultdict[str, set[int]] = defaultdict(set)
+        for route in self.routes:
+            if route.kind is RequestKind.STREAM:
+                for share in route.shares:
+                    priorities[share.service].add(route.priority)
+        engines = {item.name for item in self.services if item.engine is not None}
+        return frozenset(name for name in engines if len(priorities[name]) > 1)
+
 
 def validate_deployment(deployment: Deployment) -> Result[Deployment, ConfigurationInvalid]:
     """Check the number, services, routes and keys; return the document unchanged if it is valid."""
--- a/packages/core/src/jaylatch_core/enums.py
+++ b/packages/core/src/jaylatch_core/enums.py
@@ -87,3 +87,14 @@
     NO_ADMISSION = "no_admission"
     ROUND_ROBIN = "round_robin"
     LEAST_LOADED = "least_loaded"
+
+
+class Balancing(Enum):
+    """How a gateway weighs the targets of a request.
+
+    ``REPORTED_LOAD``: by requests in flight and the newest report. ``EXPECTED_WORK``: by the time
+    that the work in flight is expected to take.
+    """
+
+    REPORTED_LOAD = "reported_load"
+    EXPECTED_WORK = "expected_work"
--- a/packages/core/src/jaylatch_core/messages/membership.py
+++ b/packages/core/src/jaylatch_core/messages/membership.py
@@ -113,6 +113,7 @@
 
     ``service`` and ``slots`` are set where the head is a direct target; ``address`` is then its
     HTTP address. ``is_ending``: the group completes its requests and takes no new ones.
+    ``is_cold``: control takes the head for cold.
     """
 
     group: GroupId
@@ -124,16 +125,21 @@
     service: str = ""
     slots: int = 0
     is_ending: bool = False
+    is_cold: bool = False
 
 
 class ServiceRoute(msgspec.Struct, frozen=True):
-    """Route of an entry or a gateway to a plain service; ``slots`` is set for a direct target."""
+    """Route of an entry or a gateway to a plain service; ``slots`` is set for a direct target.
+
+    ``is_cold``: control takes the target for cold.
+    """
 
     service: str
     instance: InstanceId
     address: str
     failure_domain: FailureDomainId
     slots: int = 0
+    is_cold: bool = False
 
 
 class PresetState(msgspec.Struct, frozen=True):
@@ -150,7 +156,7 @@
 
     ``deaths`` are the latest deaths of direct targets with requests in flight. Requests with one of
     ``quarantined_parts`` in their prompts are not sent. Gateways report answers to requests with
-    one of ``suspected_parts``.
+    one of ``suspected_parts``. Targets in an ``evacuated`` domain get no new work.
     """
 
     version: int
@@ -159,6 +165,7 @@
     deaths: tuple[TargetDeath, ...] = ()
     quarantined_parts: tuple[PromptPartId, ...] = ()
     suspected_parts: tuple[PromptPartId, ...] = ()
+    evacuated: tuple[FailureDomainId, ...] = ()
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from jaylatch_core.ids import InstanceId, RequestDigest
+from jaylatch_core.ids import AccountId, InstanceId, RequestDigest
 
 
 class CandidateLimit(msgspec.Struct, frozen=True):
@@ -19,12 +19,27 @@
     """A target that may be chosen, and the number of requests that it takes at once.
 
     ``slots`` 0: its places are not counted, only its ``limit`` is kept. ``limit`` is None if the
-    gateway has been told none.
+    gateway has been told none. ``cold_rate`` is the number of requests a second that the target
+    tolerates while it is cold, 0 if it is warm.
     """
 
     instance: InstanceId
     slots: int
     limit: CandidateLimit | None = None
+    cold_rate: float = 0.0
+
+
+class QueueTerms(msgspec.Struct, frozen=True):
+    """How a request may wait for a place.
+
+    Requests of the lowest ``rank`` go first. After ``max_wait`` seconds it can no longer meet its
+    objective. ``service_time`` is the expected number of seconds for which it holds its place.
+    """
+
+    rank: int
+    account: AccountId
+    max_wait: float
+    service_time: float
 
 
 class TakePlace(msgspec.Struct, frozen=True, tag=True):
@@ -33,6 +48,7 @@
     ``permit`` names the place until it is released, or for ``duration`` seconds. ``digest``
     identifies a request that is sent again after a refusal; ``is_resumed``: its stream has begun.
     ``absent_owner`` is the address of an owner that comes first and did not answer the gateway.
+    Without ``queueing`` terms a request that gets no place is refused at once.
     """
 
     permit: str
@@ -41,6 +57,7 @@
     digest: RequestDigest
     is_resumed: bool = False
     absent_owner: str = ""
+    queueing: QueueTerms | None = None
 
 
 class PlaceTaken(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -41,7 +41,8 @@
     ``born_at`` is the wall-clock time of its start in milliseconds and identifies the incarnation.
     ``sequence`` increases with each heartbeat of an incarnation, so that a late one is recognised.
     Only instances of one ``fabric_domain`` form a group. ``staged_models`` are stored on the
-    instance and load in a short time.
+    instance and load in a short time. ``cold_left`` is the number of seconds for which the target
+    says that it stays cold.
     """
 
     instance: InstanceId
@@ -55,6 +56,7 @@
     slots: int = 1
     membership: ReportedMembership | None = None
     staged_models: tuple[str, ...] = ()
+    cold_left: float = 0.0
 
 
 class TargetDeparture(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -14,7 +14,7 @@
 
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.documents import parse_document
-from jaylatch_core.enums import EntryPolicy, OperatorRole, Role
+from jaylatch_core.enums import Balancing, EntryPolicy, OperatorRole, Role
 from jaylatch_core.exceptions import SettingsInvalid
 from jaylatch_core.findings import format_finding
 from jaylatch_core.ids import FailureDomainId, InstanceId
@@ -40,7 +40,9 @@
     control role only. A direct target that has sent no heartbeat for ``target_silence`` is lost.
     Without ``keeps_journal`` there is no order journal, and no entry may serve orders. An instance
     without ``keeps_log`` has no disk: it is no control peer, has no vote, and forwards the calls of
-    direct targets and operators to the leader.
+    direct targets and operators to the leader. ``failure_domains`` are the domains that an operator
+    may evacuate (none: any name is accepted); new work there has stopped ``evacuation_bound`` after
+    the acknowledgement.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
@@ -56,6 +58,8 @@
     election_timeout: Interval = 0.6
     initial_configuration: str = ""
     target_silence: Interval = 3.0
+    failure_domains: tuple[FailureDomainId, ...] = ()
+    evacuation_bound: Interval = 5.0
 
 
 class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -66,6 +70,16 @@
     drift: Annotated[float, Meta(ge=0, le=0.1)] = 0.01
 
 
+class ColdSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Bound on the requests to a cold target in any second, over all gateways.
+
+    It is the target's cold rate times ``overage``, plus ``slack`` requests.
+    """
+
+    overage: Annotated[float, Meta(ge=1)] = 1.0
+    slack: Annotated[float, Meta(ge=0)] = 0.0
+
+
 class OperatorSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """An operator. ``token_hash`` is the SHA-256 hex digest of the operator's token."""
 
@@ -113,6 +127,8 @@
     process's part of the retry budget. ``apply_bound`` is the time from the announcement of a
     deployment after which a process that lacks it refuses requests. ``evidence_warm_up`` is the
     time after the start in which it suspects no parts of prompts, since it has had few answers.
+    ``balancing`` is how targets are chosen where no owner of places answers, and among plain
+    services. ``memory_limit`` is the memory that the process may use (0: no limit).
     """
 
     http: str = "127.0.0.1:8081"
@@ -123,6 +139,8 @@
     evidence_warm_up: Interval = 5.0
     repeat_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     repeat_burst: Annotated[float, Meta(ge=0)] = 10.0
+    balancing: Balancing = Balancing.REPORTED_LOAD
+    memory_limit: Annotated[int, Meta(ge=0)] = 0
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -150,6 +168,7 @@
     entry: EntrySettings = EntrySettings()
     agent: AgentSettings = AgentSettings()
     gateway: GatewaySettings = GatewaySettings()
+    cold: ColdSettings = ColdSettings()
     log: LogSettings = LogSettings()
 
 
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -20,7 +20,8 @@
 
     ``model`` is None for a call of a plain service. ``resume_after`` is the id of the last event
     that the caller has, if it resumes a stream. ``shared_parts`` are the parts of its prompt that
-    other requests may share.
+    other requests may share. ``prompt_tokens`` and ``answer_tokens`` are its expected size (0: not
+    stated).
     """
 
     attempt: AttemptId
@@ -34,6 +35,8 @@
     model: str | None
     resume_after: int | None
     shared_parts: tuple[PromptPartId, ...] = ()
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
 
     @property
     def path(self) -> str:
@@ -53,7 +56,8 @@
     ``limit`` is the number of requests a second that the target takes from all gateways together,
     if it states one. ``rest`` is the number of seconds for which it wants no request from this
     gateway, set only if it turned the request away. ``is_leaving`` is whether the target says that
-    it ends soon.
+    it ends soon. ``cold_left`` is the number of seconds for which it says that it stays cold, None
+    if it does not say.
     """
 
     attempt: AttemptId | None
@@ -66,6 +70,7 @@
     limit: float | None = None
     rest: float | None = None
     is_leaving: bool = False
+    cold_left: float | None = None
 
 
 class RefusalKind(Enum):
