Write logs to standard output, and serve each process's metrics

Cause: the users ask for structured logs on standard output, and a process without an entry had counters that nobody could read.

--- a/packages/core/src/jaylatch_core/checks/addresses.py
+++ b/packages/core/src/jaylatch_core/checks/addresses.py
@@ -10,6 +10,8 @@
 def own_addresses(settings: NodeSettings) -> dict[str, str]:
     """Return the addresses of this process by setting."""
     found = {"stream": settings.stream}
+    if settings.metrics:
+        found["metrics"] = settings.metrics
     if Role.ENTRY in settings.roles:
         found["entry.http"] = settings.entry.http
     if Role.AGENT in settings.roles:
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -144,7 +144,7 @@
 
 
 class LogSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """JSON-lines log. An empty ``file`` means standard error; ``events`` also logs the timeline."""
+    """JSON-lines log. An empty ``file``: standard output. ``events`` also logs the timeline."""
 
     level: str = "INFO"
     file: str = ""
@@ -155,7 +155,8 @@
     """All settings of one process.
 
     ``stream`` is the address at which other processes reach this one. ``stream_listen`` is the
-    listen address if it differs (behind a port mapping).
+    listen address if it differs (behind a port mapping). ``metrics`` is the address at which this
+    process serves ``/metrics``; if it is empty, an entry still serves them at its own address.
     """
 
     instance: InstanceId = InstanceId("instance-1")
@@ -163,6 +164,7 @@
     roles: tuple[Role, ...] = (Role.CONTROL, Role.ENTRY, Role.AGENT)
     stream: str = "127.0.0.1:7100"
     stream_listen: str = ""
+    metrics: str = ""
     control: ControlSettings = ControlSettings()
     lease: LeaseSettings = LeaseSettings()
     entry: EntrySettings = EntrySettings()
--- a/packages/node/src/jaylatch_node/observability/logs.py
+++ b/packages/node/src/jaylatch_node/observability/logs.py
@@ -104,8 +104,8 @@
 
 
 def configure_logs(settings: LogSettings, instance: InstanceId) -> None:
-    """Send all log records as JSON lines to the configured file or to standard error."""
-    descriptor = sys.stderr.fileno()
+    """Send all log records as JSON lines to the configured file or to standard output."""
+    descriptor = sys.stdout.fileno()
     if settings.file:
         descriptor = os.open(settings.file, os.O_WRONLY | os.O_CREAT | os.O_APPEND, LOG_FILE_MODE)
     handler = BoundedHandler(LineWriter(descriptor))
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -25,6 +25,7 @@
 from jaylatch_node.leases import LeaseController
 from jaylatch_node.listening import listen_at
 from jaylatch_node.observability import log_event
+from jaylatch_node.observability.metrics_server import MetricsServer
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer, Traffic
 
@@ -52,6 +53,7 @@
             self._events,
             GrantBoard(HeldLease(settings.lease.drift)),
         )
+        self._metrics_server = MetricsServer(self.board.metrics) if settings.metrics else None
         traffic = Traffic(self.board.metrics)
         self.peers = PeerPool(self._events, traffic, self._handle_body)
         self.server = StreamServer(self._events, traffic, self._handle_body)
@@ -86,6 +88,8 @@
             wall(), EventName.PROCESS_STARTED, self.board.identity.incarnation, detail=roles
         )
         listen_at(self.server, self.settings.stream_listen or self.settings.stream, "stream")
+        if self._metrics_server is not None:
+            self._metrics_server.listen(self.settings.metrics)
         self.client.connect()
         for role in self._roles:
             role.start()
@@ -101,6 +105,8 @@
         self._leases.stop()
         for role in reversed(self._roles):
             role.stop()
+        if self._metrics_server is not None:
+            self._metrics_server.stop()
         self.server.stop()
         self.peers.close()
 
