Evacuate failure domains with their direct targets

Cause: the drain of a failure domain reached agents only, because the leader asked the lease table for the domain of a member; on the platform /v1/drain/DOMAIN was answered with 404. Routes of direct targets are now in a module of their own. Groups that are drained or retired are listed as ending too, where they vanished from the view before.

--- a/packages/cli/src/jaylatch_cli/management/commands/status.py
+++ b/packages/cli/src/jaylatch_cli/management/commands/status.py
@@ -1,6 +1,7 @@
 """``jaylatch status``."""
 
 from argparse import Namespace
+from datetime import UTC, datetime
 from typing import Any
 
 from returns.pipeline import is_successful
@@ -36,11 +37,26 @@
         print(f"preset         {preset['preset']} (generation {preset['generation']}){switch}")
         print(f"groups         {len(status['groups'])}")
         print(f"drains         {', '.join(status['drained']) or 'none'}")
+        for evacuation in status["evacuations"]:
+            print(f"evacuation     {_describe(evacuation)}")
         print(f"not in force   {', '.join(status['not_in_force']) or 'none'}")
         print(f"group downtime {status['group_downtime']:.1f} s")
         print(f"stranded       {status['stranded_seconds']:.1f} accelerator seconds")
 
 
+def _describe(evacuation: Any) -> str:
+    """Return the domain, who evacuates it since when, and what is under way there."""
+    ordered_at = datetime.fromtimestamp(evacuation["ordered_at"], UTC).isoformat(" ", "seconds")
+    in_force_at = evacuation["in_force_at"]
+    force = "not in force yet"
+    if in_force_at is not None:
+        force = f"in force since {datetime.fromtimestamp(in_force_at, UTC):%H:%M:%S}"
+    text = f"{evacuation['domain']}, ordered {ordered_at} by {evacuation['operator'] or 'unknown'}"
+    holding = ", ".join(evacuation["holding"]) or "none"
+    working = ", ".join(evacuation["working"]) or "none"
+    return f"{text}, {force}; groups that go on: {holding}; heads at work: {working}"
+
+
 def _row(node: Any) -> tuple[Any, ...]:
     member = node["member"]
     serves = "" if member is None else "yes" if member["is_serving"] else "no"
--- a/packages/core/src/jaylatch_core/exceptions.py
+++ b/packages/core/src/jaylatch_core/exceptions.py
@@ -56,6 +56,10 @@
     """An operator's command cannot be carried out in the present state."""
 
 
+class DomainUnknown(Failure, frozen=True):
+    """A drain names a failure domain that does not exist; nothing was changed."""
+
+
 class Unavailable(Failure, frozen=True):
     """A process or a quorum could not be reached in time; a command may still take effect."""
 
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -190,6 +190,20 @@
     loading: int
 
 
+class EvacuationChanged(LogRecord, frozen=True, kw_only=True, tag="evacuation"):
+    """The evacuation of a failure domain reached a ``state``.
+
+    The states are ``ordered``, ``taken over`` by a new leader, ``holding`` while the last groups of
+    a model go on, ``stopped`` when none does, ``in force`` when every gateway keeps to it, and
+    ``ended``. ``operator`` asked for it, or for its end.
+    """
+
+    domain: str
+    state: str
+    operator: str = ""
+    holding: tuple[str, ...] = ()
+
+
 class VotersChanged(LogRecord, frozen=True, kw_only=True, tag="voters"):
     """The leader tried to change the voters of a log; ``outcome`` is the result."""
 
@@ -250,6 +264,7 @@
     ViewPublished,
     PlanCommitted,
     SupplyChanged,
+    EvacuationChanged,
     VotersChanged,
     DeploymentReceived,
     HeartbeatRefused,
--- a/packages/core/src/jaylatch_core/messages/administration.py
+++ b/packages/core/src/jaylatch_core/messages/administration.py
@@ -4,7 +4,7 @@
 
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.events import Event, EventFilter
-from jaylatch_core.ids import FailureDomainId, Generation, InstanceId
+from jaylatch_core.ids import FailureDomainId, Generation, GroupId, InstanceId
 from jaylatch_core.messages.control import ConfigurationRecord, Group
 from jaylatch_core.messages.membership import MemberReport, PresetState
 
@@ -26,6 +26,22 @@
     member: MemberReport | None
 
 
+class EvacuationStatus(msgspec.Struct, frozen=True):
+    """An evacuation that ``operator`` ordered at the wall-clock time ``ordered_at``.
+
+    ``in_force_at`` is when the leader knew that every gateway keeps to it, None until then.
+    ``holding`` are the last groups of their models, which go on for a moment. ``working`` are the
+    heads of the other groups that may have requests in flight.
+    """
+
+    domain: FailureDomainId
+    operator: str
+    ordered_at: float
+    in_force_at: float | None
+    holding: tuple[GroupId, ...]
+    working: tuple[InstanceId, ...]
+
+
 class StatusReport(msgspec.Struct, frozen=True, tag=True):
     """The answer to ``ReadStatus``.
 
@@ -47,6 +63,7 @@
     stranded_seconds: float
     silent: tuple[InstanceId, ...] = ()
     knows_all_holders: bool = True
+    evacuations: tuple[EvacuationStatus, ...] = ()
 
 
 class ReadHistory(msgspec.Struct, frozen=True, tag=True):
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -5,7 +5,15 @@
 from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, GroupState, Preset
-from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId, PromptPartId
+from jaylatch_core.ids import (
+    CommandId,
+    Epoch,
+    FailureDomainId,
+    Generation,
+    GroupId,
+    InstanceId,
+    PromptPartId,
+)
 from jaylatch_core.messages.targets import PublishDeployment
 
 
@@ -67,12 +75,17 @@
 
 
 class SetDrain(msgspec.Struct, frozen=True, tag=True):
-    """Starts or ends a drain."""
+    """Starts or ends a drain. That of a failure domain is an evacuation.
+
+    ``at`` is the wall-clock time in seconds at which ``operator`` sent it.
+    """
 
     command: CommandId
     scope: DrainScope
     subject: str
     is_draining: bool
+    operator: str = ""
+    at: float = 0.0
 
 
 class QuarantineParts(msgspec.Struct, frozen=True, tag=True):
@@ -118,6 +131,14 @@
     configuration: Configuration
 
 
+class EvacuationOrder(msgspec.Struct, frozen=True):
+    """Durable record of an evacuation in force; ``at`` is the time of the order that started it."""
+
+    domain: FailureDomainId
+    operator: str = ""
+    at: float = 0.0
+
+
 class Group(msgspec.Struct, frozen=True):
     """Durable record of a replica group; the first member is the head."""
 
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -5,6 +5,7 @@
 from jaylatch_core.exceptions import (
     CommandRefused,
     ConfigurationInvalid,
+    DomainUnknown,
     GenerationConflict,
     NotLeader,
     StorageFailed,
@@ -72,6 +73,7 @@
 FailureBody = (
     CommandRefused
     | ConfigurationInvalid
+    | DomainUnknown
     | GenerationConflict
     | NotLeader
     | StorageFailed
--- a/packages/decisions/src/jaylatch_decisions/control/progress.py
+++ b/packages/decisions/src/jaylatch_decisions/control/progress.py
@@ -8,7 +8,11 @@
 
 
 class DrainProgress(msgspec.Struct, frozen=True):
-    """Progress of one drain. ``waiting_for`` lists the instances that may still be active."""
+    """Progress of one drain. ``waiting_for`` lists the instances that may still be active.
+
+    The requests of agents only are counted in ``in_flight``; a direct target is waited for until
+    it reports that it has finished its work.
+    """
 
     scope: DrainScope
     subject: str
@@ -27,7 +31,13 @@
     nodes = [node for node in status.nodes if _is_covered(status, node, scope, subject)]
     waiting = tuple(node.instance for node in nodes if _is_active(node, members))
     in_flight = sum(node.member.in_flight for node in nodes if node.member is not None)
-    is_done = not waiting and status.knows_all_holders
+    is_in_force = True
+    for evacuation in status.evacuations:
+        if (scope, subject) == (DrainScope.FAILURE_DOMAIN.value, evacuation.domain):
+            heads = (group.head for group in status.groups if group.id in evacuation.holding)
+            waiting += (*heads, *evacuation.working)
+            is_in_force = evacuation.in_force_at is not None
+    is_done = not waiting and status.knows_all_holders and is_in_force
     return DrainProgress(DrainScope(scope), subject, in_flight, waiting, is_done)
 
 
--- a/packages/decisions/src/jaylatch_decisions/control/snapshot.py
+++ b/packages/decisions/src/jaylatch_decisions/control/snapshot.py
@@ -7,7 +7,12 @@
 from jaylatch_core.enums import DrainScope
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
 from jaylatch_core.ids import CommandId, Epoch, Generation, InstanceId, PromptPartId
-from jaylatch_core.messages.control import CommandAccepted, ConfigurationRecord, Group
+from jaylatch_core.messages.control import (
+    CommandAccepted,
+    ConfigurationRecord,
+    EvacuationOrder,
+    Group,
+)
 from jaylatch_core.messages.membership import PresetState
 
 
@@ -34,6 +39,7 @@
     deployment: Deployment = Deployment(NO_DEPLOYMENT)
     published: bytes = b""
     quarantined_parts: tuple[PromptPartId, ...] = ()
+    evacuations: tuple[EvacuationOrder, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -11,7 +11,15 @@
 from jaylatch_core.deployment import NO_DEPLOYMENT, Deployment
 from jaylatch_core.enums import DrainScope, GroupState, Preset
 from jaylatch_core.exceptions import CommandRefused, GenerationConflict
-from jaylatch_core.ids import CommandId, Epoch, Generation, GroupId, InstanceId, PromptPartId
+from jaylatch_core.ids import (
+    CommandId,
+    Epoch,
+    FailureDomainId,
+    Generation,
+    GroupId,
+    InstanceId,
+    PromptPartId,
+)
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
     CommandAccepted,
@@ -20,6 +28,7 @@
     ConfirmRelease,
     ControlCommand,
     DissolveGroup,
+    EvacuationOrder,
     FormGroup,
     Group,
     PreparePreset,
@@ -48,7 +57,8 @@
 
     ``occupied`` maps each instance that left a group without a confirmed release to the epoch
     under which it may still act. Such an instance cannot join a group. ``published`` is the
-    deployment document in force as the operator sent it.
+    deployment document in force as the operator sent it. ``evacuations`` are the orders behind the
+    drains of failure domains; ``ended_by`` names who ended one since this process started.
     """
 
     def __init__(self) -> None:
@@ -60,6 +70,8 @@
         self.groups: dict[GroupId, Group] = {}
         self.occupied: dict[InstanceId, Epoch] = {}
         self.drains: set[tuple[DrainScope, str]] = set()
+        self.evacuations: dict[FailureDomainId, EvacuationOrder] = {}
+        self.ended_by: dict[FailureDomainId, str] = {}
         self.history: list[ConfigurationRecord] = []
         self.quarantined_parts: tuple[PromptPartId, ...] = ()
         self._effective: tuple[Configuration, Deployment, Configuration] | None = None
@@ -83,6 +95,7 @@
         state.groups = {group.id: group for group in snapshot.groups}
         state.occupied = dict(snapshot.occupied)
         state.drains = set(snapshot.drains)
+        state.evacuations = _evacuations(snapshot)
         state.history = list(snapshot.history)
         state.quarantined_parts = snapshot.quarantined_parts
         state._preset_operator = snapshot.preset_operator
@@ -114,6 +127,7 @@
                 self.deployment,
                 self.published.source,
                 self.quarantined_parts,
+                tuple(self.evacuations.values()),
             )
         )
 
@@ -252,8 +266,19 @@
             self.drains.add(drain)
         else:
             self.drains.discard(drain)
+        if command.scope is DrainScope.FAILURE_DOMAIN:
+            self._set_evacuation(command)
         return Success(CommandAccepted(len(self.drains)))
 
+    def _set_evacuation(self, command: SetDrain) -> None:
+        """Record who started or ended an evacuation; an order that changes nothing is not."""
+        domain = FailureDomainId(command.subject)
+        if command.is_draining:
+            order = EvacuationOrder(domain, command.operator, command.at)
+            self.evacuations.setdefault(domain, order)
+        elif self.evacuations.pop(domain, None) is not None:
+            self.ended_by[domain] = command.operator
+
     def _describe_latest(self) -> str:
         if not self.history:
             return ""
@@ -333,3 +358,14 @@
             return Success(body)
         case _:
             return Err(body)
+
+
+def _evacuations(snapshot: ControlSnapshot) -> dict[FailureDomainId, EvacuationOrder]:
+    """Return the evacuations of a snapshot; that of an older release has only the drains."""
+    domains = [
+        FailureDomainId(subject)
+        for scope, subject in snapshot.drains
+        if scope is DrainScope.FAILURE_DOMAIN
+    ]
+    known = {order.domain: order for order in snapshot.evacuations}
+    return {domain: known.get(domain, EvacuationOrder(domain)) for domain in domains}
--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -1,6 +1,11 @@
 """Formation, repair and dissolution of replica groups; staging and warm-up of free instances."""
 
 from jaylatch_decisions.groups.conversion import Conversion, plan_conversion
+from jaylatch_decisions.groups.evacuation import (
+    evacuated_groups,
+    held_groups,
+    remaining_instances,
+)
 from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.loads import LoadPermit, LoadRequest, grant_load_permits
 from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
@@ -21,12 +26,15 @@
     "ModelSupply",
     "PlanInput",
     "count_supply",
+    "evacuated_groups",
     "grant_load_permits",
     "groups_to_recall",
+    "held_groups",
     "plan_conversion",
     "plan_groups",
     "plan_staging",
     "plan_warm_ups",
+    "remaining_instances",
     "retiring_groups",
     "short_models",
 ]
--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -2,6 +2,7 @@
 
 from jaylatch_decisions.places.limits import LIMIT_RETENTION, STAND_IN_FRACTION
 from jaylatch_decisions.places.owners import OwnerTable, first_owner
+from jaylatch_decisions.places.ramp import returning_fraction, returning_slots
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
 __all__ = [
@@ -11,4 +12,6 @@
     "PlaceLimits",
     "PlaceTable",
     "first_owner",
+    "returning_fraction",
+    "returning_slots",
 ]
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -2,7 +2,7 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 import msgspec
@@ -12,11 +12,17 @@
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
-from jaylatch_core.exceptions import Unavailable
+from jaylatch_core.exceptions import DomainUnknown, Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.log_records import PartsQuarantined, PlanCommitted, SupplyChanged, ViewPublished
 from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
-from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group, QuarantineParts
+from jaylatch_core.messages.control import (
+    CommitPreset,
+    ControlCommand,
+    Group,
+    QuarantineParts,
+    SetDrain,
+)
 from jaylatch_core.messages.membership import (
     Assignment,
     GroupRoute,
@@ -47,8 +53,9 @@
 )
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.control.evacuation import EvacuationController
 from jaylatch_node.control.group_metrics import GroupMetrics
-from jaylatch_node.control.routes import group_route, service_routes
+from jaylatch_node.control.routes import group_route, service_routes, uses_views
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.streams import StreamConnection
@@ -84,6 +91,7 @@
         now: float,
         targets: TargetController | None = None,
         list_peers: Callable[[], tuple[ControlPeer, ...]] = tuple,
+        evacuation_bound: float = 5.0,
     ) -> None:
         self._list_peers = list_peers
         self._board = board
@@ -92,6 +100,9 @@
         self._propose = propose
         self._targets = targets
         self._leases = LeaseTable(settings.duration, settings.drift, now)
+        self._evacuations = EvacuationController(
+            state, targets, self._leases, evacuation_bound, now
+        )
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._view_from = now + self._suspect_after
@@ -158,6 +169,7 @@
 
     def on_targets_changed(self, now: float) -> None:
         """Apply a change in the registry of direct targets at once."""
+        self._evacuations.update(now)
         self._refresh_view(now)
         self._announce_changes()
 
@@ -169,6 +181,15 @@
                 now, suspicion.instance, groups, suspicion.digest, suspicion.parts
             )
 
+    def check_drain(
+        self, now: float, command: SetDrain, configured: Collection[FailureDomainId]
+    ) -> DomainUnknown | Unavailable | None:
+        """Return why an order to drain is refused, or None."""
+        if command.scope is not DrainScope.FAILURE_DOMAIN:
+            return None
+        domain = FailureDomainId(command.subject)
+        return self._evacuations.check_domain(now, domain, configured)
+
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
         return self._state.published
@@ -180,7 +201,8 @@
             policy = self._state.configuration.policy(self._state.preset.preset)
             self._targets.part_evidence.expire(now, policy.quarantine_time)
         self._gateways = self._count_gateways(now)
-        facts = self._facts(now)
+        self._evacuations.update(now)
+        facts = self._evacuations.remaining_instances(self._facts(now))
         self._update_metrics(now, facts)
         self._update_retiring(facts)
         self._permit_loads(now)
@@ -206,7 +228,7 @@
         conversion: Conversion | None,
     ) -> None:
         groups = tuple(self._state.groups.values())
-        recalled = groups_to_recall(plan_input)
+        recalled = groups_to_recall(plan_input) | self._evacuations.closing(now)
         if conversion is not None and conversion.is_ready:
             recalled |= {conversion.group}
         targets.recall(now, recalled)
@@ -248,6 +270,7 @@
                 holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
             ),
             self._leases.knows_all(now),
+            self._evacuations.status(),
         )
 
     def history(self) -> HistoryReport:
@@ -263,24 +286,30 @@
         earlier leader gave it. A node without one, as after a restart of all processes, follows
         every view of this leader.
         """
-        if not _uses_views(renewal) or renewal.view == self._view.version:
+        if not uses_views(renewal) or renewal.view == self._view.version:
             return False
         is_own_view = renewal.view >= self._term * VIEW_VERSIONS_PER_TERM
         return renewal.view == NO_VIEW or is_own_view or now >= self._view_from
 
     def _refresh_view(self, now: float) -> None:
-        admitting = [group for group in self._state.groups.values() if not self._is_draining(group)]
+        known = self._state.groups.values()
+        draining = {group.id for group in known if self._is_draining(group)}
+        admitting = (group for group in known if group.id not in draining)
         groups = tuple(
             route for group in admitting if (route := self._route(now, group)) is not None
         )
         services = service_routes(self._serving_renewals(now))
+        evacuations = self._evacuations
         if self._targets is not None:
-            direct = self._targets.group_routes(now, admitting)
+            # Gateways take the head of a group that is no longer listed for lost.
+            ending = evacuations.ending.union(draining)
+            direct = self._targets.group_routes(now, known, ending, evacuations.slot_fraction)
             groups += tuple(sorted(direct, key=lambda route: route.group))
-            services += tuple(
-                sorted(self._targets.service_routes(now), key=lambda route: route.instance)
+            plain = self._targets.service_routes(
+                now, evacuations.domains, evacuations.slot_fraction
             )
-        view = View(self._view.version, groups, services)
+            services += tuple(sorted(plain, key=lambda route: route.instance))
+        view = View(self._view.version, groups, services, evacuated=evacuations.withdrawn)
         if self._targets is not None:
             evidence = self._targets.part_evidence
             view = msgspec.structs.replace(
@@ -296,6 +325,7 @@
                 f"{route.group}@{route.epoch}{'!' if route.is_ending else ''}" for route in groups
             )
             log_record(_log, ViewPublished(version=self._view.version, groups=names))
+        evacuations.record_view(now, self._view.version)
 
     def _log_quarantine(self, view: View) -> None:
         """Log the parts of prompts that ``view`` names, if they are not those of the last view."""
@@ -386,7 +416,7 @@
 
     def _is_view_user(self, instance: InstanceId) -> bool:
         holder = self._leases.known(instance)
-        return holder is not None and _uses_views(holder.renewal)
+        return holder is not None and uses_views(holder.renewal)
 
     def _log_supply(self, plan_input: PlanInput) -> None:
         """Log the supply of each model for which it has changed."""
@@ -424,7 +454,7 @@
         if self._targets is None:
             return []
         changed = {getattr(command, "group", None) for command in planned}
-        broken = self._targets.broken_groups(now, self._state.groups.values())
+        broken = self._targets.broken_groups(now, self._evacuations.remaining_groups())
         return [command for command in broken if command.group not in changed]
 
     def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
@@ -432,7 +462,7 @@
         return PlanInput(
             state.effective_configuration(),
             state.configuration.policy(state.preset.preset),
-            tuple(state.groups.values()),
+            self._evacuations.remaining_groups(),
             dict(state.occupied),
             tuple(facts),
             self._targets is None or not self._targets.has_served,
@@ -477,7 +507,7 @@
     def _update_retiring(self, facts: list[InstanceFacts]) -> None:
         """Update the retiring groups, so that their heads admit no new work."""
         usable = {item.instance for item in facts if item.is_usable}
-        groups = tuple(self._state.groups.values())
+        groups = self._evacuations.remaining_groups()
         lost = frozenset(item for group in groups for item in group.members if item not in usable)
         self._retiring = retiring_groups(self._state.effective_configuration(), groups, lost)
 
@@ -522,7 +552,7 @@
         if now < self._plan_from:
             self._metrics.skip_to(now)
         else:
-            self._metrics.add(now, facts, self._state.groups.values())
+            self._metrics.add(now, facts, self._evacuations.remaining_groups())
 
     def _outdated_instances(self, now: float) -> list[InstanceId]:
         return self._leases.lagging_holders(
@@ -533,10 +563,6 @@
         )
 
 
-def _uses_views(renewal: RenewLease) -> bool:
-    return Role.ENTRY in renewal.roles or Role.GATEWAY in renewal.roles
-
-
 def _is_engine(member: MemberReport) -> bool:
     return member.announcement is not None and member.announcement.kind is TargetKind.ENGINE
 
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -188,7 +188,9 @@
                 self._places.release(body.permit)
             case ReadDeployment():
                 connection.reply(call, self._deployment())
-            case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
+            case SetDrain():
+                create_task(_answer(connection, call, self._set_drain(body)))
+            case ApplyConfiguration() | PreparePreset() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
             case VotersAnnounced():
                 # It is meant for instances without a disk; this one learns the voters from the log.
@@ -269,6 +271,14 @@
         committed = await self._control.propose(compress_large(_encoder.encode(command)))
         return _flatten(committed.value_or(committed))
 
+    async def _set_drain(self, command: SetDrain) -> Body:
+        now = monotonic()
+        leader = self._current_leader(now)
+        if not isinstance(leader, LeaderController):
+            return leader
+        refusal = leader.check_drain(now, command, self._settings.control.failure_domains)
+        return refusal or await self._propose_control(command)
+
     async def _propose_journal(self, command: JournalCommand) -> Body:
         shard = self._shards[shard_of(command.order, len(self._shards))]
         return _flatten(await shard.propose(_encoder.encode(command)))
@@ -434,6 +444,7 @@
                 now,
                 self._create_target_controller(now),
                 self._voting_peers,
+                self._settings.control.evacuation_bound,
             )
             self._apply_initial_configuration()
         self._leader.tick(now)
--- a/packages/node/src/jaylatch_node/control/routes.py
+++ b/packages/node/src/jaylatch_node/control/routes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from jaylatch_core.enums import TargetKind
+from jaylatch_core.enums import Role, TargetKind
 from jaylatch_core.messages.control import Group
 from jaylatch_core.messages.membership import GroupRoute, RenewLease, ServiceRoute
 
@@ -26,3 +26,8 @@
                 )
             )
     return tuple(sorted(routes, key=lambda route: route.instance))
+
+
+def uses_views(renewal: RenewLease) -> bool:
+    """Return whether the sender of ``renewal`` routes requests by views."""
+    return Role.ENTRY in renewal.roles or Role.GATEWAY in renewal.roles
--- /dev/null
+++ b/packages/node/src/jaylatch_node/control/target_routes.py
@@ -0,0 +1,104 @@
+"""Routes of the view to direct targets: heads of groups, and plain services."""
+
+from collections.abc import Callable, Collection, Iterable, Mapping
+
+from jaylatch_core.deployment import EngineProfile
+from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId
+from jaylatch_core.messages.control import Group
+from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
+from jaylatch_core.messages.targets import MemberState, TargetCheckIn
+from jaylatch_decisions.places import returning_slots
+from jaylatch_decisions.targets import TargetRegistry
+from jaylatch_decisions.targets.orders import EngineState, is_complete
+
+SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
+"""States in which a head has, or may have, requests in flight."""
+
+SlotFraction = Callable[[Iterable[InstanceId]], float]
+"""Returns the fraction of the slots that targets use together while load returns to them."""
+
+
+def all_slots(members: Iterable[InstanceId]) -> float:
+    """Return 1: all slots are used."""
+    return 1.0
+
+
+def group_routes(
+    groups: Iterable[Group],
+    ending: Collection[GroupId],
+    registry: TargetRegistry,
+    states: Mapping[InstanceId, EngineState],
+    engines: Mapping[str, EngineProfile],
+    slot_fraction: SlotFraction,
+) -> list[GroupRoute]:
+    """Return the routes to the complete groups whose head serves.
+
+    A group in ``ending`` is listed as such for as long as its head has work.
+    """
+    routes = []
+    for group in groups:
+        record = registry.record(group.head)
+        if record is None or group.head not in states:
+            continue
+        is_ending = group.id in ending
+        head = states[group.head].membership
+        if head is None or (head.group, head.epoch) != (group.id, group.epoch):
+            continue
+        if is_ending:
+            is_listed = head.state in SERVING_STATES
+        else:
+            is_listed = head.state is MemberState.OPEN and is_complete(group, states)
+        if not is_listed:
+            continue
+        heartbeat = record.heartbeat
+        slots = _slots(group, heartbeat, registry, engines[heartbeat.service])
+        routes.append(
+            GroupRoute(
+                group.id,
+                group.epoch,
+                group.model,
+                group.head,
+                heartbeat.address,
+                heartbeat.failure_domain,
+                heartbeat.service,
+                returning_slots(slots, slot_fraction(group.members)),
+                is_ending,
+            )
+        )
+    return routes
+
+
+def service_routes(
+    now: float,
+    registry: TargetRegistry,
+    services: Collection[str],
+    evacuated: Collection[FailureDomainId],
+    slot_fraction: SlotFraction,
+) -> list[ServiceRoute]:
+    """Return the routes to the usable targets of ``services``, those ``evacuated`` left out."""
+    return [
+        ServiceRoute(
+            record.heartbeat.service,
+            record.heartbeat.instance,
+            record.heartbeat.address,
+            record.heartbeat.failure_domain,
+            returning_slots(record.heartbeat.slots, slot_fraction((record.heartbeat.instance,))),
+        )
+        for record in registry.all()
+        if record.heartbeat.service in services
+        and record.draining_since is None
+        and record.heartbeat.failure_domain not in evacuated
+        and registry.is_usable(now, record.heartbeat.instance)
+    ]
+
+
+def _slots(
+    group: Group, head: TargetCheckIn, registry: TargetRegistry, engine: EngineProfile
+) -> int:
+    """Return the number of concurrent requests at which the group is as fast as others."""
+    records = [registry.record(member) for member in group.members]
+    domains = {item.heartbeat.fabric_domain for item in records if item is not None}
+    if len(domains) < 2 or engine.span_factor <= 0:
+        return engine.slots
+    pace = next((item.pace for item in engine.models if item.name == group.model), 1.0)
+    return max(round(engine.slots / max(engine.span_factor * pace, 1.0)), 1)
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -6,11 +6,19 @@
 from collections.abc import Awaitable, Callable, Collection, Iterable, Mapping
 
 from jaylatch_core.deployment import Deployment, EngineProfile
-from jaylatch_core.ids import NO_DIGEST, Epoch, GroupId, InstanceId, RequestDigest, TargetDeathId
+from jaylatch_core.ids import (
+    NO_DIGEST,
+    Epoch,
+    FailureDomainId,
+    GroupId,
+    InstanceId,
+    RequestDigest,
+    TargetDeathId,
+)
 from jaylatch_core.log_records import EngineOrdered, TargetDied, TargetProbed
 from jaylatch_core.messages.control import Group, RepairGroup
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, TargetDeath
-from jaylatch_core.messages.targets import MemberState, TargetCheckIn
+from jaylatch_core.messages.targets import MemberState
 from jaylatch_decisions.groups import InstanceFacts
 from jaylatch_decisions.quarantine import PartEvidence, SharedParts
 from jaylatch_decisions.targets import (
@@ -27,6 +35,13 @@
 )
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_complete, warm_up_order
+from jaylatch_node.control.target_routes import (
+    SERVING_STATES,
+    SlotFraction,
+    all_slots,
+    group_routes,
+    service_routes,
+)
 from jaylatch_node.observability import log_record
 from jaylatch_node.targets.dialect import OrderOutcome
 
@@ -51,8 +66,6 @@
 DEATH_WINDOW = 2.0
 """Longest time in seconds between the end of a connection and a missed probe that together show the
 death of a target."""
-SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
-"""States in which a head has, or may have, requests in flight."""
 SPANNING_PACE_LIMIT = 2.0
 """Slowest spanning group that is formed, as a factor on the engine's times: the first answers of a
 slower one come too late even at a fifth of a complete group's load."""
@@ -112,6 +125,16 @@
         self._states: dict[InstanceId, EngineState] = {}
         self._states_key = (now, -1)
 
+    @property
+    def registry(self) -> TargetRegistry:
+        """Return the registry of the direct targets."""
+        return self._registry
+
+    @property
+    def engine_services(self) -> Collection[str]:
+        """Return the services whose targets run models."""
+        return self._engines.keys()
+
     @property
     def has_served(self) -> bool:
         """Return whether a group has ever served, so that requests may be waiting for loads."""
@@ -232,74 +255,44 @@
             and self._needs_rejoin(group, engines)
         ]
 
-    def group_routes(self, now: float, groups: Iterable[Group]) -> list[GroupRoute]:
+    def group_routes(
+        self,
+        now: float,
+        groups: Iterable[Group],
+        ending: Collection[GroupId] = (),
+        slot_fraction: SlotFraction = all_slots,
+    ) -> list[GroupRoute]:
         """Return the routes to the complete groups whose head serves.
 
-        A group with a leaving member is listed as ending for as long as its head has work.
+        A group with a leaving member, or in ``ending``, is listed as ending for as long as its head
+        has work.
         """
-        engines = self._engine_states(now)
-        routes = []
-        for group in groups:
-            record = self._registry.record(group.head)
-            if record is None or group.head not in engines:
-                continue
-            is_ending = self._is_leaving(group)
-            head = engines[group.head].membership
-            if head is None or (head.group, head.epoch) != (group.id, group.epoch):
-                continue
-            if is_ending:
-                is_listed = head.state in SERVING_STATES
-            else:
-                is_listed = head.state is MemberState.OPEN and is_complete(group, engines)
-            if not is_listed:
-                continue
-            heartbeat = record.heartbeat
-            routes.append(
-                GroupRoute(
-                    group.id,
-                    group.epoch,
-                    group.model,
-                    group.head,
-                    heartbeat.address,
-                    heartbeat.failure_domain,
-                    heartbeat.service,
-                    self._slots(group, heartbeat),
-                    is_ending,
-                )
-            )
+        known = tuple(groups)
+        leaving = {group.id for group in known if self._is_leaving(group)}.union(ending)
+        routes = group_routes(
+            known,
+            leaving,
+            self._registry,
+            self._engine_states(now),
+            self._engines,
+            slot_fraction,
+        )
         if routes:
             self._has_served = True
             self._load_budget.end_first_start()
         return routes
 
-    def _slots(self, group: Group, head: TargetCheckIn) -> int:
-        """Return the number of concurrent requests at which the group is as fast as others."""
-        engine = self._engines[head.service]
-        records = [self._registry.record(member) for member in group.members]
-        domains = {item.heartbeat.fabric_domain for item in records if item is not None}
-        if len(domains) < 2 or engine.span_factor <= 0:
-            return engine.slots
-        pace = next((item.pace for item in engine.models if item.name == group.model), 1.0)
-        return max(round(engine.slots / max(engine.span_factor * pace, 1.0)), 1)
-
-    def service_routes(self, now: float) -> list[ServiceRoute]:
-        """Return the routes to the targets of plain services."""
+    def service_routes(
+        self,
+        now: float,
+        evacuated: Collection[FailureDomainId] = (),
+        slot_fraction: SlotFraction = all_slots,
+    ) -> list[ServiceRoute]:
+        """Return the routes to the targets of plain services outside the ``evacuated`` domains."""
         if self._deployment is None:
             return []
         plain = {item.name for item in self._deployment.services} - set(self._engines)
-        return [
-            ServiceRoute(
-                record.heartbeat.service,
-                record.heartbeat.instance,
-                record.heartbeat.address,
-                record.heartbeat.failure_domain,
-                record.heartbeat.slots,
-            )
-            for record in self._registry.all()
-            if record.heartbeat.service in plain
-            and record.draining_since is None
-            and self._registry.is_usable(now, record.heartbeat.instance)
-        ]
+        return service_routes(now, self._registry, plain, evacuated, slot_fraction)
 
     def send_orders(
         self,
--- a/packages/node/src/jaylatch_node/entry/administration.py
+++ b/packages/node/src/jaylatch_node/entry/administration.py
@@ -14,6 +14,7 @@
 from jaylatch_core.exceptions import (
     CommandRefused,
     ConfigurationInvalid,
+    DomainUnknown,
     Failure,
     GenerationConflict,
     Unavailable,
@@ -128,6 +129,8 @@
         match body:
             case GenerationConflict():
                 self.write_failure(409, body)
+            case DomainUnknown():
+                self.write_failure(404, body)
             case CommandRefused() | ConfigurationInvalid():
                 self.write_failure(422, body)
             case Failure():
--- a/packages/node/src/jaylatch_node/entry/administration_handlers.py
+++ b/packages/node/src/jaylatch_node/entry/administration_handlers.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 
 from jaylatch_core.checks import run_checks
+from jaylatch_core.clock import wall
 from jaylatch_core.enums import DrainScope, Preset
 from jaylatch_core.exceptions import CommandRefused
 from jaylatch_core.messages.administration import (
@@ -108,7 +109,14 @@
         if not is_successful(parsed):
             return self.write_body(parsed.failure())
         body = parsed.unwrap()
-        command = SetDrain(self.command_id(), body.scope, body.subject, body.is_draining)
+        command = SetDrain(
+            self.command_id(),
+            body.scope,
+            body.subject,
+            body.is_draining,
+            self.operator.name,
+            wall(),
+        )
         return self.write_body(await self.call(command))
 
 
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -35,6 +35,9 @@
 ConditionHandler = Callable[[InstanceId, AttemptId, ResponseFacts], None]
 """Called for each answer of a target, with the request's attempt id and what the head states."""
 
+SendPermission = Callable[[TargetLoad], bool]
+"""Returns whether a request may still be sent to the target that was chosen for it."""
+
 _log = logging.getLogger("jaylatch.request")
 
 SUCCESS = range(200, 300)
@@ -61,7 +64,9 @@
         record_conditions: ConditionHandler,
         report_recovery: RecoveryHandler,
         successor: SuccessorReservation,
+        may_send: SendPermission,
     ) -> None:
+        self._may_send = may_send
         self._successor = successor
         self._report_recovery = report_recovery
         self._suspect = suspect
@@ -135,6 +140,9 @@
             target.record_failure(monotonic())
             self._suspect(SuspectTarget(target.instance))
             return AttemptOutcome.NOT_SENT
+        if not self._may_send(target):
+            connection.close()
+            return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
             self._request, target.instance, account, deadline - monotonic(), resume_after
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -24,6 +24,7 @@
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._by_model: dict[tuple[str, str], list[TargetLoad]] = {}
         self._unlisted: dict[InstanceId, TargetLoad] = {}
+        self._open: set[InstanceId] = set()
 
     @property
     def addresses(self) -> set[str]:
@@ -47,6 +48,7 @@
         self._view = view
         old, self._targets = self._targets, {}
         self._by_service, self._by_model = {}, {}
+        self._open = set()
         for group in view.groups:
             if group.service:
                 load = TargetLoad(
@@ -57,13 +59,15 @@
                     epoch=group.epoch,
                 )
                 known = self._add(old, group.address, load)
-                if not group.is_ending:
+                if not group.is_ending and group.failure_domain not in view.evacuated:
                     self._by_model.setdefault((group.service, group.model), []).append(known.load)
+                    self._open.add(group.head)
         for service in view.services:
-            if service.slots:
+            if service.slots and service.failure_domain not in view.evacuated:
                 load = TargetLoad(service.instance, service.slots, service.failure_domain)
                 known = self._add(old, service.address, load)
                 self._by_service.setdefault(service.service, []).append(known.load)
+                self._open.add(service.instance)
         return lost
 
     def candidates(self, service: str, model: str | None) -> list[TargetLoad]:
@@ -72,6 +76,10 @@
             return self._by_service.get(service, [])
         return self._by_model.get((service, model), [])
 
+    def takes_requests(self, instance: InstanceId) -> bool:
+        """Return whether the view lists the target for new requests."""
+        return instance in self._open
+
     def progress_since(self, since: float, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have sent part of an answer since ``since``."""
         self._unlisted = {
@@ -99,5 +107,7 @@
         known = old.get(load.instance)
         if known is None or known.address != address or known.load.epoch != load.epoch:
             known = KnownTarget(address, load)
+        # The slots change while load returns to a domain that was evacuated.
+        known.load.slots = load.slots
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -60,6 +60,8 @@
 """Seconds after which a node without a lease may have one again: one renewal interval."""
 SHUTDOWN_RETRY = 0.02
 """Seconds after which a caller may retry at another instance."""
+RETRY_DELAYS = {Obstacle.NO_TARGET: NO_TARGET_RETRY, Obstacle.NO_LEASE: NO_LEASE_RETRY}
+"""Seconds after which a caller should retry; ``FULL_RETRY`` after any other obstacle."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
 ENDING = "this instance is ending"
@@ -222,14 +224,14 @@
             self._record_conditions,
             self._report_recovery,
             successor,
+            self._placer.may_send,
         )
         while True:
             placement = successor.take() or await self._placer.place(job)
             if isinstance(placement, NoPlacement):
                 if await self._placer.wait_for_target(job, placement):
                     continue
-                is_missing = placement.obstacle is Obstacle.NO_TARGET
-                retry_after = NO_TARGET_RETRY if is_missing else FULL_RETRY
+                retry_after = RETRY_DELAYS.get(placement.obstacle, FULL_RETRY)
                 self._give_up(job, placement.obstacle.value, retry_after, placement)
                 return
             if self._has_quarantined_part(job.request):
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -35,6 +35,7 @@
     FULL = "full"
     AT_LIMIT = "at limit"
     RESTING = "resting"
+    NO_LEASE = "no valid lease"
 
 
 @dataclass(frozen=True)
@@ -85,6 +86,8 @@
     async def place(self, job: Job) -> Placement | NoPlacement:
         """Return the target to which the request is sent next."""
         while True:
+            if not self._board.grant.lease.is_valid(monotonic()):
+                return NoPlacement(Obstacle.NO_LEASE)
             service = self._choose_service(job)
             listed = self._list_staying(service, job)
             rest = min((self._rest_left(item) for item in listed), default=0.0)
@@ -105,6 +108,15 @@
             if place is not None:
                 place.release()
 
+    def may_send(self, target: TargetLoad) -> bool:
+        """Return whether a request may still be sent to a target that was chosen before.
+
+        Its failure domain may have been evacuated since, or this process may have lost its lease
+        without noticing, because it was paused.
+        """
+        has_lease = self._board.grant.lease.is_valid(monotonic())
+        return has_lease and self._directory.takes_requests(target.instance)
+
     async def wait_for_target(self, job: Job, found: NoPlacement) -> bool:
         """Wait for a target, if a stream has started; return whether there may be one now.
 
