Add the decisions of the queue by rank for places

Cause: the owner of places answers at once in the order of arrival, so a burst of one kind displaces a more urgent one.

AdmissionQueue takes its forecast and the rule of who gives way as arguments; entries keep theirs. New messages PlaceQueued, PlaceGranted, PlaceDenied and PlacesHeld.

--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -45,7 +45,16 @@
     RenewLease,
     ViewChanged,
 )
-from jaylatch_core.messages.places import GiveBackPlace, PlacesFull, PlaceTaken, TakePlace
+from jaylatch_core.messages.places import (
+    GiveBackPlace,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceQueued,
+    PlacesFull,
+    PlacesHeld,
+    PlaceTaken,
+    TakePlace,
+)
 from jaylatch_core.messages.requests import (
     AttemptChunk,
     AttemptCredit,
@@ -127,6 +136,10 @@
     | TakePlace
     | PlaceTaken
     | PlacesFull
+    | PlaceQueued
+    | PlaceGranted
+    | PlaceDenied
+    | PlacesHeld
     | GiveBackPlace
     | FailureBody
 )
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -34,12 +34,14 @@
 
     Requests of the lowest ``rank`` go first. After ``max_wait`` seconds it can no longer meet its
     objective. ``service_time`` is the expected number of seconds for which it holds its place.
+    ``model`` names the queue: the requests that compete for the same groups.
     """
 
     rank: int
     account: AccountId
     max_wait: float
     service_time: float
+    model: str = ""
 
 
 class TakePlace(msgspec.Struct, frozen=True, tag=True):
@@ -71,10 +73,64 @@
     """No candidate has a free place; the least loaded has ``load`` requests per slot.
 
     ``wait`` is set if all candidates have reached their limits: the seconds until one has not.
+    ``reason`` and ``retry_after`` (seconds) are set where requests wait by rank: why this one may
+    not, and when there is room for it.
     """
 
     load: float
     wait: float = 0.0
+    reason: str = ""
+    retry_after: float = 0.0
+
+
+class PlaceQueued(msgspec.Struct, frozen=True, tag=True):
+    """The request waits. ``PlaceGranted`` or ``PlaceDenied`` follows on the same connection.
+
+    ``position`` is the number of waiting requests that go before it.
+    """
+
+    position: int
+
+
+class PlaceGranted(msgspec.Struct, frozen=True, tag=True):
+    """A waiting request has got a place at ``instance``. Expects no reply."""
+
+    permit: str
+    instance: InstanceId
+    load: float
+
+
+class PlaceDenied(msgspec.Struct, frozen=True, tag=True):
+    """A waiting request can no longer get a place in time. Expects no reply.
+
+    ``retry_after`` is the number of seconds until there is room for it.
+    """
+
+    permit: str
+    load: float
+    reason: str
+    retry_after: float
+
+
+class HeldPlace(msgspec.Struct, frozen=True):
+    """A place that a request of a gateway holds for at most ``duration`` seconds from now.
+
+    ``ends_in`` is the number of seconds after which the request is expected to end.
+    """
+
+    permit: str
+    instance: InstanceId
+    duration: float
+    ends_in: float
+
+
+class PlacesHeld(msgspec.Struct, frozen=True, tag=True):
+    """The places that requests of a gateway hold, for an owner that may not know them.
+
+    Expects no reply.
+    """
+
+    places: tuple[HeldPlace, ...]
 
 
 class GiveBackPlace(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/admission/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/admission/__init__.py
@@ -6,6 +6,7 @@
     Capacity,
     Drop,
     DropReason,
+    Forecast,
     QueuedRequest,
 )
 
@@ -16,5 +17,6 @@
     "Capacity",
     "Drop",
     "DropReason",
+    "Forecast",
     "QueuedRequest",
 ]
--- a/packages/decisions/src/jaylatch_decisions/admission/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/admission/queue.py
@@ -6,7 +6,9 @@
 """
 
 from bisect import insort
+from collections.abc import Callable, Iterator, Sequence
 from enum import Enum
+from typing import Protocol
 
 import msgspec
 
@@ -59,24 +61,74 @@
     slots: float
     running: float
 
+    def start_times(self, now: float, works: Sequence[float]) -> Iterator[float]:
+        """Yield when requests of these works start, in turn."""
+        ahead = self.running
+        for work in works:
+            yield now + ahead / self.slots
+            ahead += work
+
+
+class Forecast(Protocol):
+    """When queued requests start: ``slots`` at a time, after ``running`` seconds of work."""
+
+    @property
+    def slots(self) -> float:
+        """Return the number of requests that run at a time."""
+
+    @property
+    def running(self) -> float:
+        """Return the target seconds of work that run already."""
+
+    def start_times(self, now: float, works: Sequence[float]) -> Iterator[float]:
+        """Yield when requests of these works start, in turn."""
+
+
+VictimRule = Callable[[float, list[QueuedRequest], frozenset[AccountId]], QueuedRequest]
+"""Chooses which of some requests gives way, at a time and with the accounts above their share."""
+
+
+def least_value(
+    now: float, items: list[QueuedRequest], over_share: frozenset[AccountId]
+) -> QueuedRequest:
+    """Return the request of the least value a second, of accounts above their share if any."""
+    over_share_items = [item for item in items if item.account in over_share]
+    return min(over_share_items or items, key=lambda item: item.density)
+
 
 class AdmissionQueue:
     """The requests of one model or service that wait for a target."""
 
-    def __init__(self) -> None:
+    def __init__(self, choose_victim: VictimRule = least_value) -> None:
+        self._choose_victim = choose_victim
         self._items: list[QueuedRequest] = []
         self._meter = DemandMeter()
 
     def __len__(self) -> int:
         return len(self._items)
 
-    def offer(self, now: float, item: QueuedRequest, capacity: Capacity, limit: int) -> list[Drop]:
+    def __iter__(self) -> Iterator[QueuedRequest]:
+        return iter(self._items)
+
+    def demand(self, now: float) -> float:
+        """Return the offered work of all accounts, in target seconds a second."""
+        return sum(item.demand for item in self._meter.demands(now))
+
+    def offered(self, now: float) -> dict[AccountId, float]:
+        """Return the offered work of each account, in target seconds a second."""
+        return {item.account: item.demand for item in self._meter.demands(now)}
+
+    def offer(self, now: float, item: QueuedRequest, capacity: Forecast, limit: int) -> list[Drop]:
         """Add a request and return the dropped ones, which may include the new one."""
+        self.add(now, item)
+        return self.trim(now, capacity, limit)
+
+    def add(self, now: float, item: QueuedRequest) -> None:
+        """Add a request without dropping any."""
         self._meter.offer(now, item.account, item.share, item.work)
         insort(self._items, item, key=_rank)
-        return self.trim(now, capacity, limit)
 
-    def trim(self, now: float, capacity: Capacity, limit: int) -> list[Drop]:
+    def trim(self, now: float, capacity: Forecast, limit: int) -> list[Drop]:
         """Drop and return requests until the rest can be in time and number at most ``limit``."""
         drops = [
             self._drop(item, DropReason.TOO_LATE, capacity)
@@ -92,8 +144,9 @@
                 return drops
             if over_share is None:
                 over_share = find_over_share(self._meter.demands(now), capacity.slots)
-            victim, reason = _choose_victim(self._items[: position + 1], over_share)
-            drops.append(self._drop(victim, reason, capacity))
+            items = self._items[: position + 1]
+            victim = self._choose_victim(now, items, over_share)
+            drops.append(self._drop(victim, _drop_reason(victim, items, over_share), capacity))
 
     def head(self) -> QueuedRequest | None:
         """Return the next request to be sent, or None."""
@@ -103,33 +156,31 @@
         """Remove a request that was sent, or whose caller disconnected."""
         self._items = [item for item in self._items if item.id != request]
 
-    def _first_late(self, now: float, capacity: Capacity) -> int | None:
+    def _first_late(self, now: float, capacity: Forecast) -> int | None:
         """Return the position of the first request that would be late; None without targets."""
         if capacity.slots <= 0:
             return None
-        ahead = capacity.running
-        for position, item in enumerate(self._items):
-            starts_at = now + ahead / capacity.slots
+        starts = capacity.start_times(now, [item.work for item in self._items])
+        for position, (item, starts_at) in enumerate(zip(self._items, starts, strict=True)):
             if starts_at + item.work > item.deadline:
                 return position
-            ahead += item.work
         return None
 
-    def _drop(self, item: QueuedRequest, reason: DropReason, capacity: Capacity) -> Drop:
+    def _drop(self, item: QueuedRequest, reason: DropReason, capacity: Forecast) -> Drop:
         self.remove(item.id)
         backlog = capacity.running + sum(other.work for other in self._items)
         wait = backlog / capacity.slots if capacity.slots > 0 else 0.0
         return Drop(item.id, reason, max(wait, MIN_RETRY_AFTER))
 
 
-def _choose_victim(
-    items: list[QueuedRequest], over_share: frozenset[AccountId]
-) -> tuple[QueuedRequest, DropReason]:
-    accounts = {item.account for item in items}
-    over_share_items = [item for item in items if item.account in over_share]
-    is_general_overload = not over_share_items or accounts <= over_share
-    victim = min(over_share_items or items, key=lambda item: item.density)
-    return victim, DropReason.OVERLOADED if is_general_overload else DropReason.OVER_SHARE
+def _drop_reason(
+    victim: QueuedRequest, items: list[QueuedRequest], over_share: frozenset[AccountId]
+) -> DropReason:
+    """Return why the victim is dropped: its account's share, or an overload of all accounts."""
+    is_general_overload = {item.account for item in items} <= over_share
+    if victim.account not in over_share or is_general_overload:
+        return DropReason.OVERLOADED
+    return DropReason.OVER_SHARE
 
 
 def _rank(item: QueuedRequest) -> float:
--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -2,6 +2,8 @@
 
 from jaylatch_decisions.places.limits import LIMIT_RETENTION, STAND_IN_FRACTION
 from jaylatch_decisions.places.owners import OwnerTable, first_owner
+from jaylatch_decisions.places.queue import PlaceQueues
+from jaylatch_decisions.places.service_times import ServiceTimes
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
 __all__ = [
@@ -9,6 +11,8 @@
     "STAND_IN_FRACTION",
     "OwnerTable",
     "PlaceLimits",
+    "PlaceQueues",
     "PlaceTable",
+    "ServiceTimes",
     "first_owner",
 ]
--- /dev/null
+++ b/packages/decisions/src/jaylatch_decisions/places/forecast.py
@@ -0,0 +1,68 @@
+"""Forecast of the times at which places of a model become free.
+
+Load pattern: a burst of some seconds beyond what the groups serve. Whether a waiting request can be
+in time depends on the next few places that become free, so the forecast uses the expected end of
+each request in flight and no mean rate.
+"""
+
+from bisect import bisect_left
+from collections.abc import Iterator, Sequence
+from heapq import heapreplace
+
+OVERDUE_FRACTION = 0.2
+"""Part of its service time within which an overdue request is expected to end."""
+MIN_SLOTS = 0.01
+"""Slots that are always taken to be left for a rank, so that shares of them are defined."""
+
+
+class PlaceForecast:
+    """The places of a model. ``free_times`` has the time at which each becomes free.
+
+    Times in the past are of requests that are overdue. These end one after the other within a
+    fraction of ``service_time``, the mean of the requests: the expected times of many requests err
+    in both directions, so some of the overdue ones end at every moment.
+    ``slots`` is the number of places that more urgent requests leave in the long run, of which
+    accounts have their shares.
+    """
+
+    def __init__(
+        self, now: float, free_times: Sequence[float], slots: float, service_time: float = 0.0
+    ) -> None:
+        times = sorted(free_times)
+        overdue = bisect_left(times, now)
+        spread = service_time * OVERDUE_FRACTION
+        times[:overdue] = [now + spread * n / overdue for n in range(1, overdue + 1)]
+        self._free_times = sorted(times)
+        self._slots = slots
+        self._now = now
+
+    @property
+    def slots(self) -> float:
+        """Return the number of places to share; 0 without targets."""
+        return max(self._slots, MIN_SLOTS) if self._free_times else 0.0
+
+    @property
+    def running(self) -> float:
+        """Return the seconds of work that requests in flight have left."""
+        return sum(time - self._now for time in self._free_times)
+
+    def start_times(self, now: float, works: Sequence[float]) -> Iterator[float]:
+        """Yield when requests of these works start, in turn."""
+        # A sorted list is a heap.
+        times = list(self._free_times)
+        for work in works:
+            start = max(times[0], now)
+            heapreplace(times, start + work)
+            yield start
+
+    def after(self, now: float, works: Sequence[float], slots: float) -> "PlaceForecast":
+        """Return the forecast for requests that follow those of these works."""
+        times = list(self._free_times)
+        if times:
+            for work in works:
+                heapreplace(times, max(times[0], now) + work)
+        return PlaceForecast(now, times, slots)
+
+    def first_free(self, now: float) -> float:
+        """Return the seconds until a place is free."""
+        return max(self._free_times[0] - now, 0.0) if self._free_times else 0.0
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -16,7 +16,13 @@
 from dataclasses import dataclass
 
 from jaylatch_core.ids import InstanceId, RequestDigest
-from jaylatch_core.messages.places import PlaceCandidate, PlacesFull, PlaceTaken, TakePlace
+from jaylatch_core.messages.places import (
+    HeldPlace,
+    PlaceCandidate,
+    PlacesFull,
+    PlaceTaken,
+    TakePlace,
+)
 from jaylatch_decisions.places.limits import LimitTable
 
 NEW_REQUEST_LOAD_LIMIT = 1.1
@@ -29,6 +35,8 @@
 """The same for a resumed stream, as a refusal fails its caller for good."""
 REFUSAL_RETENTION = 4.0
 """Seconds for which a refused request is recognised: callers are asked to return within two."""
+DEFAULT_SERVICE_TIME = 1.0
+"""Seconds for which a request without a stated service time is expected to hold its place."""
 MAX_REFUSALS = 4096
 """Refused requests that are remembered; the oldest are dropped first."""
 
@@ -45,6 +53,31 @@
 DEFAULT_LIMITS = PlaceLimits()
 
 
+@dataclass(frozen=True)
+class FoundPlace:
+    """The least loaded target, with its requests for each slot including the new one.
+
+    ``wait`` is the number of seconds until one has not reached its request limit, 0 if one has not.
+    """
+
+    instance: InstanceId
+    load: float
+    wait: float
+
+
+@dataclass(frozen=True)
+class ExpectedEnd:
+    """When a request that got its place at ``granted_at`` is expected to end."""
+
+    granted_at: float
+    service_time: float
+
+    @property
+    def at(self) -> float:
+        """Return the expected end."""
+        return self.granted_at + self.service_time
+
+
 class PlaceTable:
     """The permits of the models whose places this process owns."""
 
@@ -52,6 +85,7 @@
         self._load_limits = limits
         self._request_limits = LimitTable()
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
+        self._ends: dict[str, ExpectedEnd] = {}
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
 
@@ -65,32 +99,72 @@
         self.release(request.permit)
         if not request.candidates:
             return PlacesFull(0.0)
+        self.record_limits(now, request)
+        found = self.find(now, request.candidates, fraction)
+        if found.wait > 0 or found.load > self._load_limit(now, request):
+            self._remember_refusal(now, request.digest)
+            return PlacesFull(found.load, found.wait)
+        self._refused.pop(request.digest, None)
+        self.grant(now, request, found.instance)
+        return PlaceTaken(found.instance, found.load)
+
+    def record_limits(self, now: float, request: TakePlace) -> None:
+        """Record the limits of the candidates that the gateway knows."""
         for item in request.candidates:
             self._request_limits.record(now, item)
+
+    def find(
+        self, now: float, candidates: tuple[PlaceCandidate, ...], fraction: float
+    ) -> FoundPlace:
+        """Return the least loaded of the candidates that have not reached their request limits."""
         waits = {
             item.instance: self._request_limits.wait(now, item.instance, fraction)
-            for item in request.candidates
+            for item in candidates
         }
         wait = min(waits.values())
         load, instance = min(
             (self._load_with(now, item), item.instance)
-            for item in request.candidates
+            for item in candidates
             if wait > 0 or not waits[item.instance]
         )
-        if wait > 0 or load > self._load_limit(now, request):
-            self._remember_refusal(now, request.digest)
-            return PlacesFull(load, wait)
-        self._refused.pop(request.digest, None)
+        return FoundPlace(instance, load, wait)
+
+    def grant(self, now: float, request: TakePlace, instance: InstanceId) -> None:
+        """Count a place at ``instance`` for the request, and the request by its limit."""
         self._request_limits.take(instance)
-        self._expiries[instance][request.permit] = now + request.duration
-        self._holders[request.permit] = instance
-        return PlaceTaken(instance, load)
+        work = request.queueing.service_time if request.queueing else DEFAULT_SERVICE_TIME
+        self.hold(now, HeldPlace(request.permit, instance, request.duration, work))
+
+    def hold(self, now: float, place: HeldPlace) -> None:
+        """Count a place that a request holds already."""
+        self.release(place.permit)
+        self._expiries[place.instance][place.permit] = now + place.duration
+        self._holders[place.permit] = place.instance
+        self._ends[place.permit] = ExpectedEnd(now, place.ends_in)
 
-    def release(self, permit: str) -> None:
-        """Release the place of a request that has ended; an unknown permit is ignored."""
+    def release(self, permit: str) -> InstanceId | None:
+        """Release the place of a request that has ended, and return where it was.
+
+        An unknown permit is ignored.
+        """
         instance = self._holders.pop(permit, None)
         if instance is not None:
             self._expiries[instance].pop(permit, None)
+            self._ends.pop(permit, None)
+        return instance
+
+    def free_times(
+        self, now: float, instance: InstanceId, slots: int, fraction: float
+    ) -> list[float]:
+        """Return when each of the target's ``slots`` places is expected to be free, in order.
+
+        A time in the past is that of a request that is overdue.
+        """
+        count = self._count(now, instance)
+        ends = sorted(self._ends[permit].at for permit in self._expiries[instance])
+        times = [now] * max(slots - count, 0) + ends[max(count - slots, 0) :]
+        earliest = now + self._request_limits.wait(now, instance, fraction)
+        return [max(time, earliest) for time in times] if earliest > now else times
 
     def _load_with(self, now: float, candidate: PlaceCandidate) -> float:
         """Return the requests for each slot of the target with one more."""
