Let requests wait at the owner of their places by rank

Cause: the owner answers at once; nothing waits, and priorities have no effect.

Change: control/places.py answers the calls of an owner, which move out of control/role.py, and tells waiting gateways what they get. The gateway sends terms for ranked services, waits for the outcome, ends the waiting when the owner is lost or slow and asks the next one, gives late grants back, and reports the places that it holds to an owner that may not know them. Refusals name reason and rank in log line and counter.

--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -70,7 +70,8 @@
     """The gateway refused a request. ``retry_after`` is 0 where no advice was given.
 
     ``load`` is that of the least loaded target if load was the reason. ``lease_left`` is the number
-    of seconds until the lease of this process expires.
+    of seconds until the lease of this process expires. ``rank`` is that of the request where
+    requests wait for places by rank, -1 elsewhere; ``reason`` then tells why it got none.
     """
 
     lines_per_second: ClassVar[float] = 500.0
@@ -86,6 +87,7 @@
     view: int = 0
     deployment: int = 0
     model: str = ""
+    rank: int = -1
 
 
 class RequestEnded(LogRecord, frozen=True, kw_only=True, tag="ended"):
--- a/packages/decisions/src/jaylatch_decisions/places/service_times.py
+++ b/packages/decisions/src/jaylatch_decisions/places/service_times.py
@@ -13,6 +13,8 @@
 """Weight of a new measurement: about the last twenty requests count."""
 RATIO_BOUNDS = (0.25, 4.0)
 """Bounds of one measured ratio, so that a stalled stream does not move the mean for long."""
+MIN_WAIT_FRACTION = 0.25
+"""Part of its objective for which any request may wait."""
 UNKNOWN_SERVICE_TIME = 1.0
 """Seconds taken for a request whose size is not stated, before any was measured."""
 
@@ -64,6 +66,15 @@
             known.service = _smooth(known.service, measured.service, computed.service)
 
 
+def longest_wait(objective: float, elapsed: float, first_token: float) -> float:
+    """Return the seconds for which a request that came ``elapsed`` seconds ago may wait.
+
+    The wait ends when it can no longer meet its objective. A large prompt may wait for a part of
+    the objective all the same; it would otherwise get only places that are free when it comes.
+    """
+    return max(objective - first_token, objective * MIN_WAIT_FRACTION) - elapsed
+
+
 def compute_times(
     engine: EngineProfile, model: str, prompt_tokens: int, answer_tokens: int
 ) -> ExpectedTimes:
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -14,7 +14,7 @@
 from jaylatch_core.messages.journal import JournalCommand
 from jaylatch_core.settings import ControlSettings
 from jaylatch_decisions.journal import shard_of
-from jaylatch_node.streams import PeerPool
+from jaylatch_node.streams import Peer, PeerPool
 from jaylatch_node.streams.connection import CallResult
 
 CONTROL_LOG = "control"
@@ -84,6 +84,10 @@
             return None
         return (await peer.call(body, timeout)).value_or(None)
 
+    def peer(self, address: str) -> Peer:
+        """Return the connection to one control instance."""
+        return self._peers.get(address)
+
     def notify(self, address: str, body: Body) -> None:
         """Send one control instance a message that expects no reply; it may be lost."""
         self._peers.get(address).send(body)
--- a/packages/node/src/jaylatch_node/control/relay.py
+++ b/packages/node/src/jaylatch_node/control/relay.py
@@ -37,6 +37,8 @@
             case _ if call:
                 detail = "this control instance has no disk and never leads; ask another one"
                 connection.reply(call, NotLeader(detail, self._next_voter()))
+            case _:
+                return False
         return True
 
     def _next_voter(self) -> InstanceId:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -41,7 +41,6 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.journal import JournalCommand, OrderVerdict
 from jaylatch_core.messages.membership import RenewLease
-from jaylatch_core.messages.places import GiveBackPlace, TakePlace
 from jaylatch_core.messages.targets import (
     PublishDeployment,
     ReadDeployment,
@@ -57,12 +56,12 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
-from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
+from jaylatch_node.control.places import PlaceController
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
@@ -108,7 +107,7 @@
         self._settings = settings
         self._board = board
         self._peers = peers
-        self._places = PlaceTable()
+        self._places = PlaceController(peers, board.metrics)
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
@@ -152,6 +151,7 @@
         self._join_timer.stop()
         self._announcement_timer.stop()
         self._consensus_timer.stop()
+        self._places.stop()
         for log in self._logs.values():
             log.stop()
 
@@ -181,11 +181,6 @@
                     self._record_target_message(now, message)
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
-            case TakePlace():
-                fraction = self._limit_fraction(body)
-                connection.reply(call, self._places.take(monotonic(), body, fraction))
-            case GiveBackPlace():
-                self._places.release(body.permit)
             case ReadDeployment():
                 connection.reply(call, self._deployment())
             case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
@@ -196,7 +191,7 @@
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
             case _:
-                return False
+                return self._places.handle(connection, call, body)
         return True
 
     def _open_log(self, name: str, machine: StateMachine[Any]) -> ReplicatedLog[Any]:
@@ -280,16 +275,6 @@
             return leader.renew(now, renewal, connection)
         return leader
 
-    def _limit_fraction(self, request: TakePlace) -> float:
-        """Return the part of the targets' limits that this instance may grant.
-
-        An owner that does not answer a gateway, but is connected to this instance, may still grant
-        all of them to other gateways.
-        """
-        absent = request.absent_owner
-        is_absent_here = not absent or self._peers.get(absent).connection is None
-        return 1.0 if is_absent_here else STAND_IN_FRACTION
-
     def _status(self) -> Body:
         now = monotonic()
         leader = self._current_leader(now)
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -13,6 +13,7 @@
 
     address: str
     load: TargetLoad
+    service: str
 
 
 class TargetDirectory:
@@ -56,13 +57,13 @@
                     group=group.group,
                     epoch=group.epoch,
                 )
-                known = self._add(old, group.address, load)
+                known = self._add(old, group.address, load, group.service)
                 if not group.is_ending:
                     self._by_model.setdefault((group.service, group.model), []).append(known.load)
         for service in view.services:
             if service.slots:
                 load = TargetLoad(service.instance, service.slots, service.failure_domain)
-                known = self._add(old, service.address, load)
+                known = self._add(old, service.address, load, service.service)
                 self._by_service.setdefault(service.service, []).append(known.load)
         return lost
 
@@ -93,11 +94,20 @@
         known = self._targets.get(instance)
         return known.address if known is not None else None
 
+    def service(self, instance: InstanceId) -> str:
+        """Return the service of a target, or an empty text if the view does not contain it."""
+        known = self._targets.get(instance)
+        return known.service if known is not None else ""
+
     def _add(
-        self, old: dict[InstanceId, KnownTarget], address: str, load: TargetLoad
+        self,
+        old: dict[InstanceId, KnownTarget],
+        address: str,
+        load: TargetLoad,
+        service: str,
     ) -> KnownTarget:
         known = old.get(load.instance)
         if known is None or known.address != address or known.load.epoch != load.epoch:
-            known = KnownTarget(address, load)
+            known = KnownTarget(address, load, service)
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -230,7 +230,7 @@
                     continue
                 is_missing = placement.obstacle is Obstacle.NO_TARGET
                 retry_after = NO_TARGET_RETRY if is_missing else FULL_RETRY
-                self._give_up(job, placement.obstacle.value, retry_after, placement)
+                self._give_up(job, placement.cause, retry_after, placement)
                 return
             if self._has_quarantined_part(job.request):
                 # It was quarantined while this request waited or was running elsewhere.
@@ -242,6 +242,7 @@
             job.placements += 1
             job.waits_since = None
             self._record_placement(job, placement, attempt.last_event)
+            sent_at = monotonic()
             try:
                 outcome = await self._send(job, attempt, target, placement.address)
             finally:
@@ -251,6 +252,10 @@
                 if attempt.has_answered:
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
+                is_whole = job.placements == 1 and job.request.resume_after is None
+                if is_whole and job.caller.started_at > sent_at:
+                    first_token = job.caller.started_at - sent_at
+                    self._placer.record_times(job, target, first_token, monotonic() - sent_at)
                 return
             if self._decide_next(job, outcome, attempt, successor) is NextStep.RETRY:
                 continue
@@ -349,7 +354,10 @@
             refusal = Refusal(RefusalKind.FAILED, reason)
         else:
             wait = found.wait if found is not None else 0.0
-            refusal = Refusal(RefusalKind.NOT_RUN, reason, wait + self._add_jitter(retry_after))
+            agreed = found.retry_after if found is not None else 0.0
+            # An owner that agrees on a time spreads the callers itself.
+            delay = agreed or wait + self._add_jitter(retry_after)
+            refusal = Refusal(RefusalKind.NOT_RUN, reason, delay)
         self._refuse(job.caller, job.request, refusal, job.route.name, found)
 
     def _add_jitter(self, retry_after: float) -> float:
@@ -376,6 +384,9 @@
         attempt = request.attempt if request is not None else None
         caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
         self._metrics.count_refusal(refusal.kind.value)
+        rank = found.rank if found is not None else None
+        if rank is not None:
+            self._metrics.count_ranked_refusal(refusal.reason, rank)
         now = monotonic()
         grant = self._board.grant
         log_record(
@@ -392,6 +403,7 @@
                 view=grant.view.version,
                 deployment=grant.deployment.number,
                 model=(request.model if request is not None else None) or "",
+                rank=rank if rank is not None else -1,
             ),
         )
 
--- a/packages/node/src/jaylatch_node/gateway/metrics.py
+++ b/packages/node/src/jaylatch_node/gateway/metrics.py
@@ -14,6 +14,11 @@
         self._refusals = metrics.counter(
             "gateway_refusals", "Requests that the gateway answered itself, by kind.", ("kind",)
         )
+        self._ranked_refusals = metrics.counter(
+            "gateway_ranked_refusals",
+            "Requests that got no place where requests wait by rank, by reason and rank.",
+            ("reason", "rank"),
+        )
         self._outcomes = metrics.counter(
             "gateway_failed_attempts", "Attempts without a whole answer, by outcome.", ("outcome",)
         )
@@ -27,6 +32,10 @@
         """Count an answer of the gateway's own."""
         self._refusals.labels(kind).inc()
 
+    def count_ranked_refusal(self, reason: str, rank: int) -> None:
+        """Count a request that got no place where requests wait by rank."""
+        self._ranked_refusals.labels(reason, str(rank)).inc()
+
     def count_outcome(self, outcome: AttemptOutcome) -> None:
         """Count an attempt without a complete answer."""
         self._outcomes.labels(outcome.value).inc()
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -7,6 +7,11 @@
 from random import Random
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.deployment import Deployment, EngineProfile
+from jaylatch_core.ids import AccountId
+from jaylatch_core.messages.places import QueueTerms
+from jaylatch_decisions.places import ServiceTimes
+from jaylatch_decisions.places.service_times import ExpectedTimes, longest_wait
 from jaylatch_decisions.targets import (
     TargetConditions,
     TargetLoad,
@@ -17,7 +22,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
-from jaylatch_node.gateway.places import Place, PlaceClient
+from jaylatch_node.gateway.places import Place, PlaceClient, PlaceRequest
 
 _Found = tuple[TargetLoad, Place | None]
 
@@ -57,12 +62,22 @@
     """No target takes the request; ``load`` is that of the least loaded of the candidates.
 
     ``wait`` is the number of seconds after which one certainly takes requests, 0 if not known.
+    ``rank`` is set if the request could wait by rank. The owner's ``reason`` and the seconds after
+    which it has room (``retry_after``) are set if it refused the request.
     """
 
     obstacle: Obstacle
     load: float = 0.0
     candidates: int = 0
     wait: float = 0.0
+    rank: int | None = None
+    reason: str = ""
+    retry_after: float = 0.0
+
+    @property
+    def cause(self) -> str:
+        """Return why no target takes the request: the owner's reason if there is one."""
+        return self.reason or self.obstacle.value
 
 
 class Placer:
@@ -81,6 +96,8 @@
         self._places = places
         self._conditions = conditions
         self._random = random
+        self._times = ServiceTimes()
+        self._ranked: tuple[Deployment | None, frozenset[str]] = (None, frozenset())
 
     async def place(self, job: Job) -> Placement | NoPlacement:
         """Return the target to which the request is sent next."""
@@ -94,7 +111,7 @@
             if job.request.model is None:
                 found = await self._choose_plain(job, service, candidates)
             else:
-                found = await self._choose_engine(job, job.request.model, candidates)
+                found = await self._choose_engine(job, service, job.request.model, candidates)
             if isinstance(found, NoPlacement):
                 return found
             target, place = found
@@ -121,6 +138,44 @@
         await sleep(wait)
         return True
 
+    def record_times(self, job: Job, target: TargetLoad, first_token: float, took: float) -> None:
+        """Record how long the target of a request that it alone answered took."""
+        model = job.request.model
+        engine = self._ranked_engine(self._directory.service(target.instance))
+        if model is None or engine is None:
+            return
+        request = job.request
+        measured = ExpectedTimes(first_token, took)
+        self._times.record(engine, model, request.prompt_tokens, request.answer_tokens, measured)
+
+    def _ranked_engine(self, service: str) -> EngineProfile | None:
+        """Return the engine's profile if requests of the service wait by rank."""
+        deployment = self._board.grant.deployment
+        if self._ranked[0] is not deployment:
+            self._ranked = (deployment, deployment.ranked_services())
+        if service not in self._ranked[1]:
+            return None
+        profile = deployment.service(service)
+        return profile.engine if profile is not None else None
+
+    def _queue_terms(self, job: Job, service: str, model: str) -> QueueTerms | None:
+        """Return how the request may wait for a place, None where ranks are not in force."""
+        engine = self._ranked_engine(service)
+        if engine is None:
+            return None
+        request, account = job.request, job.account
+        times = self._times.expect(engine, model, request.prompt_tokens, request.answer_tokens)
+        elapsed = monotonic() - job.arrived_at
+        wait = longest_wait(job.route.objective, elapsed, times.first_token)
+        priority = account.priority if account is not None else None
+        return QueueTerms(
+            priority if priority is not None else job.route.priority,
+            account.name if account is not None else AccountId(""),
+            max(wait, 0.0),
+            times.service,
+            model,
+        )
+
     def _list_staying(self, service: str, job: Job) -> list[TargetLoad]:
         """Return the targets of the service or model that have not said that they leave."""
         now = monotonic()
@@ -136,21 +191,32 @@
         return self._conditions.rest_left(monotonic(), target.instance)
 
     async def _choose_engine(
-        self, job: Job, model: str, candidates: Sequence[TargetLoad]
+        self, job: Job, service: str, model: str, candidates: Sequence[TargetLoad]
     ) -> _Found | NoPlacement:
         """Return the head of a group that the owner of the model's places grants.
 
+        Where ranks are in force, the request may wait for a place that becomes free.
         Without an answer of an owner the choice is this process's own, and limits are kept to by
         its part of them.
         """
         now = monotonic()
         usable = [item for item in candidates if item.usable_from <= now]
-        place = await self._take_place(job, model, usable, counts_places=True)
+        terms = self._queue_terms(job, service, model)
+        rank = terms.rank if terms is not None else None
+        place = await self._take_place(job, model, usable, True, terms)
         if place is not None:
             if place.target is not None:
                 return place.target, place
             obstacle = Obstacle.AT_LIMIT if place.wait else Obstacle.FULL
-            return NoPlacement(obstacle, place.load, len(candidates), place.wait)
+            return NoPlacement(
+                obstacle,
+                place.load,
+                len(candidates),
+                place.wait,
+                rank,
+                place.reason,
+                place.retry_after,
+            )
         now = monotonic()
         unlimited = [
             item for item in candidates if self._conditions.limit(now, item.instance) is None
@@ -162,9 +228,10 @@
         if part is not None:
             return part, None
         if target is not None:
-            return NoPlacement(Obstacle.FULL, target.expected_load(now), len(candidates))
+            load = target.expected_load(now)
+            return NoPlacement(Obstacle.FULL, load, len(candidates), rank=rank)
         obstacle = Obstacle.AT_LIMIT if candidates else Obstacle.NO_TARGET
-        return NoPlacement(obstacle, candidates=len(candidates))
+        return NoPlacement(obstacle, candidates=len(candidates), rank=rank)
 
     async def _choose_plain(
         self, job: Job, service: str, candidates: Sequence[TargetLoad]
@@ -190,17 +257,23 @@
         return NoPlacement(Obstacle.AT_LIMIT, 0.0, len(candidates), min(waits))
 
     async def _take_place(
-        self, job: Job, subject: str, usable: Sequence[TargetLoad], counts_places: bool
+        self,
+        job: Job,
+        subject: str,
+        usable: Sequence[TargetLoad],
+        counts_places: bool,
+        terms: QueueTerms | None = None,
     ) -> Place | None:
-        return await self._places.take(
+        request = PlaceRequest(
             subject,
             job.request.attempt,
             usable,
-            job.deadline - monotonic(),
+            job.deadline,
             job.digest,
             job.caller.has_started,
             counts_places,
         )
+        return await self._places.take(request, terms)
 
     def _choose_unshared(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
         """Return a target of whose limit this process's own part is not used up, or None."""
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -1,19 +1,33 @@
 """Client of the owners that count the places of models."""
 
+from asyncio import Future, get_running_loop
+from collections import defaultdict
 from collections.abc import Sequence
+from dataclasses import dataclass
+
+import msgspec
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.ids import AttemptId, RequestDigest
+from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.places import (
     GiveBackPlace,
+    HeldPlace,
     PlaceCandidate,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceQueued,
     PlacesFull,
+    PlacesHeld,
     PlaceTaken,
+    QueueTerms,
     TakePlace,
 )
 from jaylatch_decisions.places import OwnerTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
+from jaylatch_node.deadlines import time_limit
+from jaylatch_node.streams import Peer, StreamConnection
 
 OWNER_COUNT = 3
 """Number of control instances among which the models are divided; voters come first."""
@@ -22,24 +36,53 @@
 EXPIRY_MARGIN = 0.5
 """Seconds after a request's deadline at which its place is free in any case."""
 
+_Answer = PlaceTaken | PlacesFull | PlaceGranted | PlaceDenied
+
 
 class Place:
     """A place that a request holds; ``target`` is None if no target takes the request.
 
-    ``wait`` is then set if all have reached their limits: the seconds until one has not.
+    ``wait`` is then set if all have reached their limits: the seconds until one has not. ``reason``
+    and ``retry_after`` are set if the owner refused the request by its rank.
     """
 
-    def __init__(self, client: ControlClient, owner: str, permit: str) -> None:
+    def __init__(self, client: "PlaceClient", subject: str, owner: str, permit: str) -> None:
         self._client = client
-        self._owner = owner
-        self._permit = permit
+        self.subject = subject
+        self.owners = {owner}
+        self.permit = permit
         self.target: TargetLoad | None = None
         self.load = 0.0
         self.wait = 0.0
+        self.reason = ""
+        self.retry_after = 0.0
+        self.expires_at = 0.0
+        self.ends_at = 0.0
 
     def release(self) -> None:
-        """Notify the owner that the request has ended."""
-        self._client.notify(self._owner, GiveBackPlace(self._permit))
+        """Notify the owners that the request has ended, or waits no more."""
+        self._client.give_back(self)
+
+    def describe(self, now: float) -> HeldPlace:
+        """Return the place in the form in which it is reported to an owner."""
+        assert self.target is not None
+        ends_in = max(self.ends_at - now, 0.0)
+        return HeldPlace(self.permit, self.target.instance, self.expires_at - now, ends_in)
+
+
+@dataclass(frozen=True)
+class PlaceRequest:
+    """What is asked of an owner. ``subject`` is the model or, where only limits are kept, the
+    service. ``counts_places`` is False in that case.
+    """
+
+    subject: str
+    attempt: AttemptId
+    usable: Sequence[TargetLoad]
+    deadline: float
+    digest: RequestDigest
+    is_resumed: bool
+    counts_places: bool = True
 
 
 class PlaceClient:
@@ -49,65 +92,203 @@
         self._client = client
         self._conditions = conditions
         self._owners = OwnerTable()
+        self._waits: dict[str, tuple[str, Future[_Answer | None]]] = {}
+        self._held: defaultdict[str, dict[str, Place]] = defaultdict(dict)
+        self._informed: dict[str, tuple[str, float]] = {}
+        self._watched: dict[str, Peer] = {}
 
-    async def take(
-        self,
-        subject: str,
-        attempt: AttemptId,
-        usable: Sequence[TargetLoad],
-        time_left: float,
-        digest: RequestDigest,
-        is_resumed: bool,
-        counts_places: bool = True,
-    ) -> Place | None:
+    async def take(self, request: PlaceRequest, terms: QueueTerms | None = None) -> Place | None:
         """Return the place, whose ``target`` is None if no target takes the request.
 
-        ``subject`` is the model or, where only limits are kept and no places are counted, the
-        service. Return None if no target is usable or no owner answers.
+        With ``terms`` the request may wait for it. Return None if no target is usable or no owner
+        answers.
         """
-        now = monotonic()
-        if not usable:
+        if not request.usable:
             return None
+        if terms is None:
+            return await self._take(request, None)
+        due = monotonic() + terms.max_wait
+        for _ in range(OWNER_COUNT):
+            left = max(due - monotonic(), 0.0)
+            try:
+                return await self._take(request, msgspec.structs.replace(terms, max_wait=left))
+            except _OwnerLostError:
+                # Nothing waits at an owner that is lost or slow: the next one is asked.
+                continue
+        return None
+
+    def handle(self, connection: StreamConnection, body: Body) -> bool:
+        """Handle the outcome of a wait; returns False if the body is not one."""
+        match body:
+            case PlaceGranted(permit) | PlaceDenied(permit):
+                wait = self._waits.pop(permit, None)
+                if wait is not None and not wait[1].done():
+                    wait[1].set_result(body)
+                elif isinstance(body, PlaceGranted):
+                    # It comes after the request has ceased to wait.
+                    connection.send(GiveBackPlace(permit))
+                return True
+        return False
+
+    def give_back(self, place: Place) -> None:
+        """Notify the owners that count a place that it is free."""
+        held = self._held.get(place.subject)
+        if held is not None:
+            held.pop(place.permit, None)
+        for owner in place.owners:
+            self._client.notify(owner, GiveBackPlace(place.permit))
+
+    async def _take(self, request: PlaceRequest, terms: QueueTerms | None) -> Place | None:
+        """Ask one owner. Raises _OwnerLostError if it is lost while the request waits."""
+        now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
-        owner = self._owners.choose(now, subject, owners)
+        owner = self._owners.choose(now, request.subject, owners)
         if owner is None:
             self._conditions.record_owner(now, has_answered=False)
             return None
-        first = first_owner(subject, owners)
-        permit = f"{attempt}/{now}"
-        place = Place(self._client, owner, permit)
-        request = TakePlace(
-            permit,
-            tuple(
-                PlaceCandidate(
-                    item.instance,
-                    max(item.slots, 1) if counts_places else 0,
-                    self._conditions.stated_limit(now, item.instance),
-                )
-                for item in usable
-            ),
-            time_left + EXPIRY_MARGIN,
-            digest,
-            is_resumed,
-            first if first is not None and first != owner else "",
-        )
+        place = Place(self, request.subject, owner, f"{request.attempt}/{now}")
+        message = self._write(now, request, terms, place.permit, owner, owners)
+        if terms is not None:
+            self._inform(now, request.subject, owner)
+        answer: Body | None = None
         has_answer = False
         try:
-            answer = await self._client.ask(owner, request, ANSWER_TIMEOUT)
-            has_answer = isinstance(answer, PlaceTaken | PlacesFull)
+            answer = await self._ask(owner, message)
+            has_answer = isinstance(answer, _Answer)
         finally:
             if not has_answer:
                 # The owner may have granted it nevertheless.
                 place.release()
         self._conditions.record_owner(now, has_answer)
         match answer:
-            case PlaceTaken(instance, load):
-                place.target = next(item for item in usable if item.instance == instance)
+            case PlaceTaken(instance, load) | PlaceGranted(_, instance, load):
+                place.target = next(item for item in request.usable if item.instance == instance)
                 place.load = load
+                if terms is not None:
+                    self._hold(place, message, terms)
                 return place
-            case PlacesFull(load, wait):
+            case PlacesFull(load, wait, reason, retry_after):
                 place.load, place.wait = load, wait
+                place.reason, place.retry_after = reason, retry_after
+                return place
+            case PlaceDenied(_, load, reason, retry_after):
+                place.load, place.reason, place.retry_after = load, reason, retry_after
                 return place
             case _:
-                self._owners.record_failure(now, owner)
+                self._fail_owner(now, owner)
                 return None
+
+    def _write(
+        self,
+        now: float,
+        request: PlaceRequest,
+        terms: QueueTerms | None,
+        permit: str,
+        owner: str,
+        owners: list[str],
+    ) -> TakePlace:
+        first = first_owner(request.subject, owners)
+        return TakePlace(
+            permit,
+            tuple(
+                PlaceCandidate(
+                    item.instance,
+                    max(item.slots, 1) if request.counts_places else 0,
+                    self._conditions.stated_limit(now, item.instance),
+                )
+                for item in request.usable
+            ),
+            request.deadline - now + EXPIRY_MARGIN,
+            request.digest,
+            request.is_resumed,
+            first if first is not None and first != owner else "",
+            terms,
+        )
+
+    async def _ask(self, owner: str, message: TakePlace) -> Body | None:
+        """Return the owner's answer, or the outcome of the wait.
+
+        Raises _OwnerLostError if the owner is lost or does not answer in time during the wait.
+        """
+        if message.queueing is None:
+            return await self._client.ask(owner, message, ANSWER_TIMEOUT)
+        self._watch(owner)
+        outcome: Future[_Answer | None] = get_running_loop().create_future()
+        # The outcome may arrive together with the answer to the call.
+        self._waits[message.permit] = (owner, outcome)
+        try:
+            answer = await self._client.ask(owner, message, ANSWER_TIMEOUT)
+            if not isinstance(answer, PlaceQueued):
+                return answer
+            async with time_limit(message.queueing.max_wait + ANSWER_TIMEOUT):
+                result = await outcome
+        except TimeoutError:
+            result = None
+        finally:
+            self._waits.pop(message.permit, None)
+        if result is None:
+            self._fail_owner(monotonic(), owner)
+            raise _OwnerLostError
+        return result
+
+    def _hold(self, place: Place, message: TakePlace, terms: QueueTerms) -> None:
+        now = monotonic()
+        place.expires_at = now + message.duration
+        place.ends_at = now + terms.service_time
+        self._held[place.subject][place.permit] = place
+
+    def _inform(self, now: float, subject: str, owner: str) -> None:
+        """Report the places that are held to an owner that may not know them.
+
+        It may have begun anew, or another one may have granted them.
+        """
+        state = (owner, self._client.peer(owner).connected_at)
+        if self._informed.get(subject) != state:
+            self._informed[subject] = state
+            self._report_places(now, subject, owner)
+
+    def _report_places(self, now: float, subject: str, owner: str) -> None:
+        held = [item for item in self._held[subject].values() if item.expires_at > now]
+        if not held:
+            return
+        for place in held:
+            place.owners.add(owner)
+        self._client.notify(owner, PlacesHeld(tuple(item.describe(now) for item in held)))
+
+    def _watch(self, owner: str) -> None:
+        """Get to know of the loss and of the return of an owner."""
+        peer = self._client.peer(owner)
+        if self._watched.get(owner) is not peer:
+            self._watched[owner] = peer
+            peer.on_disconnect(self._on_owner_lost)
+            peer.on_connect(self._on_owner_back)
+
+    def _on_owner_lost(self, peer: Peer) -> None:
+        """End all waiting there, and report the places to the next owner without delay."""
+        now = monotonic()
+        self._fail_owner(now, peer.address)
+        for subject, (owner, _) in list(self._informed.items()):
+            if owner == peer.address:
+                owners = self._client.addresses[:OWNER_COUNT]
+                successor = self._owners.choose(now, subject, owners)
+                if successor is not None:
+                    self._inform(now, subject, successor)
+
+    def _on_owner_back(self, peer: Peer) -> None:
+        """Report the places of the models that the instance owns: it may have begun anew."""
+        now = monotonic()
+        owners = self._client.addresses[:OWNER_COUNT]
+        for subject in list(self._held):
+            if first_owner(subject, owners) == peer.address:
+                self._report_places(now, subject, peer.address)
+
+    def _fail_owner(self, now: float, owner: str) -> None:
+        """Skip the owner for a time, and end all waiting there."""
+        self._owners.record_failure(now, owner)
+        for waiting_at, outcome in list(self._waits.values()):
+            if waiting_at == owner and not outcome.done():
+                outcome.set_result(None)
+
+
+class _OwnerLostError(Exception):
+    """The owner at which a request waited is lost or slow."""
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -11,6 +11,7 @@
 from jaylatch_core.deployment import Deployment
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId, PromptPartId
+from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import GroupProgress
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
@@ -27,6 +28,7 @@
 from jaylatch_node.gateway.server import GatewayServer
 from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
+from jaylatch_node.streams import StreamConnection
 from jaylatch_node.targets import TargetDialect, TargetPool
 
 GRACE_MARGIN = 0.4
@@ -63,8 +65,8 @@
         self._answered_parts = AnsweredParts(monotonic() + self._settings.evidence_warm_up)
         random = Random(board.identity.incarnation)
         conditions = TargetConditions(random)
-        places = PlaceClient(client, conditions)
-        placer = Placer(board, self._directory, places, conditions, random)
+        self._places = PlaceClient(client, conditions)
+        placer = Placer(board, self._directory, self._places, conditions, random)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
@@ -124,6 +126,10 @@
         self._server.interrupt()
         await sleep(DRAIN_POLL)
 
+    def handle_call(self, connection: StreamConnection, call: int, body: Body) -> bool:
+        """Handle what an owner tells a waiting request; returns False for other bodies."""
+        return self._places.handle(connection, body)
+
     def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have served this gateway since the last report."""
         since, self._progress_reported_at = self._progress_reported_at, now
