Test the failures of owners, gateways and links while requests wait

Cause: a place that was given back while the connection was closed stayed counted at a live owner until its deadline (shown by the scenario of two owners), and a request with terms whose call was not answered was sent without an owner.

--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -15,6 +15,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.deployment import (
     Deployment,
     DeploymentNumber,
@@ -35,15 +36,16 @@
     InstanceId,
     PromptPartId,
 )
+from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute, View
-from jaylatch_core.settings import GatewaySettings, NodeSettings
+from jaylatch_core.settings import ControlSettings, GatewaySettings, NodeSettings
 from jaylatch_decisions.leases import HeldLease
 from jaylatch_decisions.targets import EngineOrder
 from jaylatch_node.blackboard import Blackboard, GrantBoard, Identity
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.gateway import GatewayRole
 from jaylatch_node.observability import Metrics
-from jaylatch_node.streams import PeerPool, Traffic
+from jaylatch_node.streams import PeerPool, StreamConnection, Traffic
 from jaylatch_node.targets import (
     InboundRequest,
     OrderOutcome,
@@ -324,22 +326,28 @@
 class GatewayHarness:
     """A gateway role whose lease, deployment and view the test sets."""
 
-    def __init__(self, settings: GatewaySettings | None = None) -> None:
+    def __init__(
+        self, settings: GatewaySettings | None = None, peers: tuple[ControlPeer, ...] = ()
+    ) -> None:
         http, readiness, stream = free_addresses(3)
         gateway = msgspec.structs.replace(
             settings or GatewaySettings(evidence_warm_up=0.001), http=http, readiness=readiness
         )
         self.address = http
         self.settings = NodeSettings(
-            instance=InstanceId("gateway"), failure_domain=DOMAIN, stream=stream, gateway=gateway
+            instance=InstanceId("gateway"),
+            failure_domain=DOMAIN,
+            stream=stream,
+            gateway=gateway,
+            control=ControlSettings(peers=peers) if peers else ControlSettings(),
         )
         events = EventLog("gateway")
         lease = HeldLease(0.0)
         lease.extend(monotonic(), 3600.0)
         identity = Identity(InstanceId("gateway"), Incarnation("1"), DOMAIN, stream)
         self.board = Blackboard(identity, events, GrantBoard(lease))
-        peers = PeerPool(events, Traffic(Metrics()), lambda connection, call, body: None)
-        self.client = ControlClient(self.settings.control, peers)
+        pool = PeerPool(events, Traffic(Metrics()), self._handle_body)
+        self.client = ControlClient(self.settings.control, pool)
         self.renewals = 0
         self.role = GatewayRole(
             self.settings, self.board, self.client, PlainDialect(), self._count_renewal
@@ -380,6 +388,9 @@
         self.board.grant.view = View(version, groups, service_routes)
         self.role.on_grant()
 
+    def _handle_body(self, connection: StreamConnection, call: int, body: Body) -> None:
+        self.role.handle_call(connection, call, body)
+
     def _count_renewal(self) -> None:
         self.renewals += 1
 
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -88,9 +88,12 @@
         """Return the connection to one control instance."""
         return self._peers.get(address)
 
-    def notify(self, address: str, body: Body) -> None:
-        """Send one control instance a message that expects no reply; it may be lost."""
-        self._peers.get(address).send(body)
+    def notify(self, address: str, body: Body) -> bool:
+        """Send one control instance a message that expects no reply; it may be lost.
+
+        Returns False if it was dropped because there is no connection.
+        """
+        return self._peers.get(address).send(body)
 
     async def call_journal(self, command: JournalCommand, timeout: float) -> CallResult:
         """Commit a journal command on the shard of its order."""
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -1,9 +1,10 @@
 """Client of the owners that count the places of models."""
 
 from asyncio import Future, get_running_loop
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 
@@ -35,6 +36,8 @@
 """Seconds to wait for an answer: a round trip takes 2 ms, and a first answer is due in 200 ms."""
 EXPIRY_MARGIN = 0.5
 """Seconds after a request's deadline at which its place is free in any case."""
+MAX_UNSENT = 1024
+"""Ended places of one owner that are remembered while it is not connected."""
 
 _Answer = PlaceTaken | PlacesFull | PlaceGranted | PlaceDenied
 
@@ -96,6 +99,7 @@
         self._held: defaultdict[str, dict[str, Place]] = defaultdict(dict)
         self._informed: dict[str, tuple[str, float]] = {}
         self._watched: dict[str, Peer] = {}
+        self._unsent: defaultdict[str, deque[str]] = defaultdict(partial(deque, maxlen=MAX_UNSENT))
 
     async def take(self, request: PlaceRequest, terms: QueueTerms | None = None) -> Place | None:
         """Return the place, whose ``target`` is None if no target takes the request.
@@ -108,14 +112,14 @@
         if terms is None:
             return await self._take(request, None)
         due = monotonic() + terms.max_wait
-        for _ in range(OWNER_COUNT):
+        while True:
             left = max(due - monotonic(), 0.0)
             try:
                 return await self._take(request, msgspec.structs.replace(terms, max_wait=left))
             except _OwnerLostError:
-                # Nothing waits at an owner that is lost or slow: the next one is asked.
-                continue
-        return None
+                # Each owner is asked once, because one that fails is skipped for a time.
+                if monotonic() >= due:
+                    return None
 
     def handle(self, connection: StreamConnection, body: Body) -> bool:
         """Handle the outcome of a wait; returns False if the body is not one."""
@@ -136,10 +140,17 @@
         if held is not None:
             held.pop(place.permit, None)
         for owner in place.owners:
-            self._client.notify(owner, GiveBackPlace(place.permit))
+            is_sent = self._client.notify(owner, GiveBackPlace(place.permit))
+            if not is_sent and owner in self._watched:
+                # Otherwise a live owner would count the place until the request's deadline.
+                self._unsent[owner].append(place.permit)
 
     async def _take(self, request: PlaceRequest, terms: QueueTerms | None) -> Place | None:
-        """Ask one owner. Raises _OwnerLostError if it is lost while the request waits."""
+        """Ask one owner.
+
+        Raises _OwnerLostError if a request with terms gets no answer, or its owner is lost while it
+        waits.
+        """
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
         owner = self._owners.choose(now, request.subject, owners)
@@ -159,7 +170,8 @@
             if not has_answer:
                 # The owner may have granted it nevertheless.
                 place.release()
-        self._conditions.record_owner(now, has_answer)
+        ended_at = now if terms is None else monotonic()
+        self._conditions.record_owner(ended_at, has_answer)
         match answer:
             case PlaceTaken(instance, load) | PlaceGranted(_, instance, load):
                 place.target = next(item for item in request.usable if item.instance == instance)
@@ -175,7 +187,9 @@
                 place.load, place.reason, place.retry_after = load, reason, retry_after
                 return place
             case _:
-                self._fail_owner(now, owner)
+                self._fail_owner(ended_at, owner)
+                if terms is not None:
+                    raise _OwnerLostError
                 return None
 
     def _write(
@@ -208,7 +222,7 @@
     async def _ask(self, owner: str, message: TakePlace) -> Body | None:
         """Return the owner's answer, or the outcome of the wait.
 
-        Raises _OwnerLostError if the owner is lost or does not answer in time during the wait.
+        Return None if there is no answer in time, or the owner is lost during the wait.
         """
         if message.queueing is None:
             return await self._client.ask(owner, message, ANSWER_TIMEOUT)
@@ -221,15 +235,11 @@
             if not isinstance(answer, PlaceQueued):
                 return answer
             async with time_limit(message.queueing.max_wait + ANSWER_TIMEOUT):
-                result = await outcome
+                return await outcome
         except TimeoutError:
-            result = None
+            return None
         finally:
             self._waits.pop(message.permit, None)
-        if result is None:
-            self._fail_owner(monotonic(), owner)
-            raise _OwnerLostError
-        return result
 
     def _hold(self, place: Place, message: TakePlace, terms: QueueTerms) -> None:
         now = monotonic()
@@ -275,8 +285,10 @@
                     self._inform(now, subject, successor)
 
     def _on_owner_back(self, peer: Peer) -> None:
-        """Report the places of the models that the instance owns: it may have begun anew."""
+        """Report what it may not know: it may have begun anew, or have missed what was ended."""
         now = monotonic()
+        for permit in self._unsent.pop(peer.address, ()):
+            self._client.notify(peer.address, GiveBackPlace(permit))
         owners = self._client.addresses[:OWNER_COUNT]
         for subject in list(self._held):
             if first_owner(subject, owners) == peer.address:
