--- a/features/queueing/order.feature
+++ b/features/queueing/order.feature
@@ -27,7 +27,7 @@
     Examples: rank goes before due time, and a less urgent request gives way
       | case                                                  | targets | messages                                                                | outcomes |
       | a more urgent one overtakes                           | a:1     | +p:0:x:0.2:1@0 +q:2:x:1.5:1@0.9 +r:0:x:0.2:0.2@0.95 -p@1 -r@1.2         | p:taken:a q:queued:0 r:queued:0 r:granted:a q:granted:a |
-      | a less urgent one is displaced for good, and told     | a:1     | +p:0:x:0.2:1@0 +q:2:x:0.5:1@0.9 +r:0:x:0.2:1@0.95                       | p:taken:a q:queued:0 r:queued:0 q:denied |
+      | a less urgent one is displaced for good, and told     | a:1     | +p:0:x:0.2:1@0 +q:2:x:0.5:1@0.9 +r:0:x:0.2:1@0.95 tick@0.96             | p:taken:a q:queued:0 r:queued:0 q:denied |
       | a less urgent one never displaces                     | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.9 +r:2:x:0.5:1@0.95                       | p:taken:a q:queued:0 r:full |
       | a less urgent one that is due first waits             | a:1     | +p:0:x:0.2:1@0 +q:1:x:0.3:0.1@0.9 +r:0:x:0.9:0.1@0.9 -p@1 -r@1.1        | p:taken:a q:queued:0 r:queued:0 r:granted:a q:granted:a |
       | equals go by due time                                 | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.8:0.1@0.9 +r:0:x:0.2:0.1@0.9 -p@1 -r@1.1        | p:taken:a q:queued:0 r:queued:0 r:granted:a q:granted:a |
@@ -39,7 +39,7 @@
 
     Examples: a refused request that returns at its time goes first in its rank
       | case                                     | targets | messages                                                                                          | outcomes |
-      | at its agreed time                       | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.1 -p@1 +r:0:x:0.3:1@1 +s:0:x:0.2:1@1.9 +q2:0:x:0.2:1@1.9             | p:taken:a q:full r:taken:a s:queued:0 q2:queued:0 s:denied |
+      | at its agreed time                       | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.1 -p@1 +r:0:x:0.3:1@1 +s:0:x:0.2:1@1.9 +q2:0:x:0.2:1@1.9 tick@1.92   | p:taken:a q:full r:taken:a s:queued:0 q2:queued:0 s:denied |
 
   Scenario: refused callers are told times at which there is room, one after the other
     Given a queue by rank for the targets "a:4"
--- a/packages/decisions/src/jaylatch_decisions/places/forecast.py
+++ b/packages/decisions/src/jaylatch_decisions/places/forecast.py
@@ -36,6 +36,11 @@
         self._slots = slots
         self._now = now
 
+    @property
+    def size(self) -> int:
+        """Return the number of places."""
+        return len(self._free_times)
+
     @property
     def slots(self) -> float:
         """Return the number of places to share; 0 without targets."""
@@ -63,6 +68,11 @@
                 heapreplace(times, max(times[0], now) + work)
         return PlaceForecast(now, times, slots)
 
+    def occupy(self, now: float, work: float) -> None:
+        """Count a request that has just got the place that became free."""
+        if self._free_times:
+            heapreplace(self._free_times, now + work)
+
     def first_free(self, now: float) -> float:
         """Return the seconds until a place is free."""
         return max(self._free_times[0] - now, 0.0) if self._free_times else 0.0
--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -10,6 +10,7 @@
 are refused twice, and there are never more of them than there is room.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from jaylatch_core.ids import AccountId, InstanceId, RequestId
@@ -34,6 +35,8 @@
 """Maximum requests for each slot: one that waits at the target can no longer be overtaken."""
 MAX_WAITING = 2048
 """Waiting requests of one class; more are refused. Bounds the memory and the time of a forecast."""
+FORECAST_LIFETIME = 0.01
+"""Seconds for which the expected ends of requests in flight are not computed anew."""
 CANDIDATE_RETENTION = 0.5
 """Seconds for which a target counts as one of the model after a gateway has named it."""
 SERVICE_FLOOR = 0.4
@@ -107,6 +110,7 @@
         self._waiting: dict[str, tuple[_Class, _Waiting]] = {}
         self._known: dict[InstanceId, tuple[int, float]] = {}
         self._returns = ReturnSchedule()
+        self._forecast: tuple[float, PlaceForecast] | None = None
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -118,7 +122,10 @@
     def offer(
         self, now: float, request: TakePlace, terms: QueueTerms, fraction: float
     ) -> list[Outcome]:
-        """Add a request; return the outcomes, which may include its own."""
+        """Add a request; return the outcomes, which may include its own.
+
+        Less urgent requests that it displaces are refused by the next ``advance``.
+        """
         for candidate in request.candidates:
             self._known[candidate.instance] = (candidate.slots, now)
         key = _Class(terms.rank, self._returns.take_return(now, request.digest))
@@ -134,7 +141,10 @@
             self._classes[key] = _ClassQueue()
             self._classes = dict(sorted(self._classes.items()))
         self._classes[key].queue.add(now, item)
-        return self.advance(now)
+        # If nothing is free for this one, then nothing that others did not get before.
+        _, load = self._free_load(now, request.candidates, fraction)
+        granted = self._grant_free(now) if load else []
+        return granted + self._refuse_late(now, key)
 
     def withdraw(self, permit: str) -> None:
         """Remove a request that no longer waits, if it did."""
@@ -171,12 +181,10 @@
             return []
         return self._grant_free(now) + self._refuse_late(now)
 
-    def _in_order(self) -> list[_Waiting]:
-        return [
-            self._waiting[item.id][1]
-            for class_queue in self._classes.values()
-            for item in class_queue.queue
-        ]
+    def _in_order(self) -> Iterator[_Waiting]:
+        for class_queue in self._classes.values():
+            for item in class_queue.queue:
+                yield self._waiting[item.id][1]
 
     def _free_load(
         self, now: float, candidates: tuple[PlaceCandidate, ...], fraction: float
@@ -209,36 +217,53 @@
         terms = waiting.terms
         self._classes[key].count_served(now, terms.account, terms.service_time)
         self._table.grant(now, waiting.request, instance)
+        if self._forecast is not None:
+            self._forecast[1].occupy(now, terms.service_time)
         return PlaceGranted(permit, instance, load)
 
-    def _refuse_late(self, now: float) -> list[Outcome]:
-        """Refuse what cannot be in time, rank by rank with the places that the others leave."""
+    def _refuse_late(self, now: float, only: _Class | None = None) -> list[Outcome]:
+        """Refuse what cannot be in time, rank by rank with the places that the others leave.
+
+        With ``only``, requests of other classes are not refused.
+        """
         if not self._waiting:
             return []
+        forecast = self._renew_forecast(now)
+        left = total = float(forecast.size)
+        denied: list[Outcome] = []
+        for key, class_queue in self._classes.items():
+            if only is not None and key > only:
+                break
+            queue = class_queue.queue
+            if len(queue) and only in (None, key):
+                drops = queue.trim(now, forecast, MAX_WAITING)
+            else:
+                drops = []
+            if only == key and not drops:
+                break
+            left -= queue.demand(now) if key.order is ReturnOrder.NEW else 0.0
+            forecast = forecast.after(now, [item.work for item in queue], left)
+            backlog = forecast.first_free(now)
+            denied += [self._deny(now, drop, key, backlog, left, total) for drop in drops]
+        return denied
+
+    def _renew_forecast(self, now: float) -> PlaceForecast:
+        """Return the forecast of the places without the waiting requests."""
+        if self._forecast is not None and now < self._forecast[0] + FORECAST_LIFETIME:
+            return self._forecast[1]
+        oldest = now - CANDIDATE_RETENTION
         self._known = {
-            instance: known
-            for instance, known in self._known.items()
-            if known[1] > now - CANDIDATE_RETENTION
+            instance: known for instance, known in self._known.items() if known[1] > oldest
         }
         fraction = next(iter(self._waiting.values()))[1].fraction
         free_times: list[float] = []
         for instance, (slots, _) in self._known.items():
             places = int(slots * self._load_limit)
             free_times += self._table.free_times(now, instance, places, fraction)
-        total = float(len(free_times))
-        left = total
         works = [waiting.terms.service_time for _, waiting in self._waiting.values()]
-        forecast = PlaceForecast(now, free_times, total, sum(works) / len(works))
-        denied: list[Outcome] = []
-        for key, class_queue in self._classes.items():
-            queue = class_queue.queue
-            demand = queue.demand(now) if key.order is ReturnOrder.NEW else 0.0
-            drops = queue.trim(now, forecast, MAX_WAITING) if len(queue) else []
-            forecast = forecast.after(now, [item.work for item in queue], left - demand)
-            backlog = forecast.first_free(now)
-            left -= demand
-            denied += [self._deny(now, drop, key, backlog, left, total) for drop in drops]
-        return denied
+        forecast = PlaceForecast(now, free_times, len(free_times), sum(works) / len(works))
+        self._forecast = (now, forecast)
+        return forecast
 
     def _deny(
         self, now: float, drop: Drop, key: _Class, backlog: float, left: float, total: float
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -14,6 +14,7 @@
 
 from collections import defaultdict
 from dataclasses import dataclass
+from math import inf
 
 from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.places import (
@@ -86,6 +87,7 @@
         self._request_limits = LimitTable()
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._ends: dict[str, ExpectedEnd] = {}
+        self._first_expiries: dict[InstanceId, float] = {}
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
 
@@ -138,7 +140,10 @@
     def hold(self, now: float, place: HeldPlace) -> None:
         """Count a place that a request holds already."""
         self.release(place.permit)
-        self._expiries[place.instance][place.permit] = now + place.duration
+        expires_at = now + place.duration
+        self._expiries[place.instance][place.permit] = expires_at
+        first = self._first_expiries.get(place.instance, expires_at)
+        self._first_expiries[place.instance] = min(first, expires_at)
         self._holders[place.permit] = place.instance
         self._ends[place.permit] = ExpectedEnd(now, place.ends_in)
 
@@ -181,8 +186,11 @@
 
     def _count(self, now: float, instance: InstanceId) -> int:
         expiries = self._expiries[instance]
-        for permit in [item for item, until in expiries.items() if until <= now]:
-            self.release(permit)
+        # Places are released long before they expire, so that few calls have to look at each.
+        if expiries and self._first_expiries[instance] <= now:
+            for permit in [item for item, until in expiries.items() if until <= now]:
+                self.release(permit)
+            self._first_expiries[instance] = min(expiries.values(), default=inf)
         return len(expiries)
 
     def _remember_refusal(self, now: float, digest: RequestDigest) -> None:
