--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -46,7 +46,16 @@
     RenewLease,
     ViewChanged,
 )
-from jaylatch_core.messages.places import GiveBackPlace, PlacesFull, PlaceTaken, TakePlace
+from jaylatch_core.messages.places import (
+    GiveBackPlace,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceQueued,
+    PlacesFull,
+    PlacesHeld,
+    PlaceTaken,
+    TakePlace,
+)
 from jaylatch_core.messages.requests import (
     AttemptChunk,
     AttemptCredit,
@@ -129,6 +138,10 @@
     | TakePlace
     | PlaceTaken
     | PlacesFull
+    | PlaceQueued
+    | PlaceGranted
+    | PlaceDenied
+    | PlacesHeld
     | GiveBackPlace
     | FailureBody
 )
--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -2,7 +2,9 @@
 
 from jaylatch_decisions.places.limits import LIMIT_RETENTION, STAND_IN_FRACTION
 from jaylatch_decisions.places.owners import OwnerTable, first_owner
+from jaylatch_decisions.places.queue import PlaceQueues
 from jaylatch_decisions.places.ramp import returning_fraction, returning_slots
+from jaylatch_decisions.places.service_times import ServiceTimes
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
 __all__ = [
@@ -10,7 +12,9 @@
     "STAND_IN_FRACTION",
     "OwnerTable",
     "PlaceLimits",
+    "PlaceQueues",
     "PlaceTable",
+    "ServiceTimes",
     "first_owner",
     "returning_fraction",
     "returning_slots",
