--- a/features/consensus/raft.feature
+++ b/features/consensus/raft.feature
@@ -21,6 +21,26 @@
       | 4      | everything   | 60        | 150   | 11   |
       | 5      | everything   | 60        | 150   | 12   |
 
+  # Guards against a voter that forgets a term, a vote or an entry that it has sent, or answers for
+  # what its disk does not hold, when its disk fills or stalls, takes bytes again, and the process
+  # crashes in between with a part of the failed write on the disk.
+  Scenario Outline: Histories of <voters> voters whose disks fill, stall and recover, network <network>
+    Given <voters> voters on a network that is "<network>"
+    When <histories> histories of <steps> steps run from seed <seed>
+    Then no invariant was ever broken
+    And after the faults a leader committed and all voters caught up
+    And disks recovered at least <recoveries> times, and at least <commits> entries were committed
+
+    Examples:
+      | voters | network                     | histories | steps | seed | recoveries | commits |
+      | 1      | disk filling                | 100       | 300   | 40   | 100        | 1000    |
+      | 3      | disk filling                | 200       | 500   | 41   | 500        | 3000    |
+      | 3      | all disks filling           | 200       | 500   | 42   | 2000       | 1000    |
+      | 3      | disks filling amid crashes  | 200       | 500   | 43   | 500        | 1000    |
+      | 3      | everything and disk filling | 200       | 500   | 44   | 500        | 2000    |
+      | 5      | disk filling                | 60        | 500   | 45   | 100        | 1000    |
+      | 5      | everything and disk filling | 60        | 500   | 46   | 100        | 500     |
+
   Scenario Outline: A first start of <voters> voters outlives its first leader, network <network>
     Given <voters> voters on a network that is "<network>"
     When the first leader of 200 first starts from seed <seed> is lost at its commit
@@ -44,3 +64,5 @@
       | answers before the sync | crashing    | 300       | 200   | 21   |
       | votes on an empty disk  | everything  | 300       | 200   | 22   |
       | has no lease            | partitioned | 300       | 200   | 23   |
+      | repairs without what failed | disks filling amid crashes | 300 | 500 | 24 |
+      | answers without its disk    | all disks filling          | 300 | 500 | 25 |
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -23,12 +23,14 @@
 def step_run(context: Context, histories: int, steps: int, seed: int) -> None:
     context.faults = []
     context.commits = 0
+    context.recoveries = 0
     for number in range(histories):
         history = History(context.voters, context.network, seed * HISTORIES_PER_SEED + number)
         history.run(steps)
         history.recover()
         context.faults += [f"history {number}: {fault}" for fault in history.faults]
         context.commits += history.commits
+        context.recoveries += history.disk_recoveries
 
 
 @when("the first leader of {histories:d} first starts from seed {seed:d} is lost at its commit")
@@ -66,6 +68,12 @@
     assert not stuck, stuck[:10]
 
 
+@then("disks recovered at least {number:d} times, and at least {commits:d} entries were committed")
+def step_recoveries(context: Context, number: int, commits: int) -> None:
+    assert context.recoveries >= number, context.recoveries
+    assert context.commits >= commits, context.commits
+
+
 @then("an invariant was broken")
 def step_found(context: Context) -> None:
     assert context.faults, "the checks did not detect the broken rule"
--- a/features/steps/quorum_steps.py
+++ b/features/steps/quorum_steps.py
@@ -1,6 +1,7 @@
 """Steps that test a control quorum of real processes."""
 
 from asyncio import create_task, sleep
+from resource import RLIMIT_FSIZE, prlimit
 from shutil import rmtree
 
 from behave import given, then, when
@@ -28,6 +29,9 @@
 PARTITION_DURATION = 4.0
 """Seconds of a partition, and for a restarted instance to catch up."""
 CHANGES_BEFORE_FAULT = 5
+FULL_DISK_DURATION = 3.0
+"""Seconds for which the disks are full, and for the report of the recovery."""
+FULL_FILE_BYTES = 1
 
 
 @given("a running control quorum")
@@ -93,10 +97,28 @@
             data[len(data) // 2] ^= 0xFF
             path.write_bytes(bytes(data))
             await restart_and_kill_other(cluster, follower)
+        case "the leader's disk is full for 3 s":
+            await fill_disks(context, [leader])
+        case "a follower's disk is full for 3 s":
+            await fill_disks(context, [follower])
+        case "all disks are full for 3 s":
+            await fill_disks(context, cluster.controls)
         case _:
             raise AssertionError(f"unknown fault {fault!r}")
 
 
+async def fill_disks(context: Context, names: list[str]) -> None:
+    """Make the kernel refuse each write that makes a file of the processes longer."""
+    context.full = names
+    pids = [context.cluster.processes[name].pid for name in names]
+    limits = [prlimit(pid, RLIMIT_FSIZE) for pid in pids]
+    for pid, (_, hard) in zip(pids, limits, strict=True):
+        prlimit(pid, RLIMIT_FSIZE, (FULL_FILE_BYTES, hard))
+    await sleep(FULL_DISK_DURATION)
+    for pid, limit in zip(pids, limits, strict=True):
+        prlimit(pid, RLIMIT_FSIZE, limit)
+
+
 async def partition(context: Context, name: str) -> None:
     isolate(context.links, name, is_isolated=True)
     await sleep(PARTITION_DURATION)
@@ -112,6 +134,22 @@
     cluster.kill(other)
 
 
+@then("no control process has ended, and each affected one reported its disk")
+def step_none_ended(context: Context) -> None:
+    cluster = context.cluster
+    cluster.raise_if_ended()
+    assert all(cluster.processes[name].poll() is None for name in cluster.controls)
+
+    async def run() -> None:
+        await sleep(FULL_DISK_DURATION)
+
+    context.runner.run(run())
+    for name in context.full:
+        # The log file is as full as the disk, so only the line on the recovery is sure to be there.
+        text = (cluster.folder / f"{name}.log").read_text()
+        assert '"message": "disk"' in text and '"state": "usable"' in text, text[-2000:]
+
+
 @when("{number:d} changes are applied and all control processes are restarted")
 def step_restart(context: Context, number: int) -> None:
     async def run() -> ConfigurationHistory:
--- a/features/steps/storage_steps.py
+++ b/features/steps/storage_steps.py
@@ -2,10 +2,12 @@
 
 import errno
 from pathlib import Path
+from shutil import copytree
 
 from behave import given, then, when
 from behave.runner import Context
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from jaylatch_core.exceptions import StorageCorrupt, StorageFailed
 from jaylatch_core.ids import InstanceId, LogIndex, Term
@@ -40,6 +42,12 @@
             raise OSError(errno.EIO, "input/output error")
         super().replace(path, data)
 
+    def sync_folder(self, folder: Path) -> None:
+        has_renamed = not any(folder.glob("*.draft")) and (folder / "snapshot").exists()
+        if self._fault == "the sync of a renamed file" and has_renamed:
+            raise OSError(errno.EIO, "input/output error")
+        super().sync_folder(folder)
+
 
 def make_entry(index: int, term: int = 1) -> LogEntry:
     return LogEntry(LogIndex(index), Term(term), b"command" * min(index, 9))
@@ -114,6 +122,56 @@
     context.store.close()
 
 
+@when("a repair with {number:d} entries meets {fault}")
+def step_try_repair(context: Context, number: int, fault: str) -> None:
+    assert isinstance(context.result.failure(), StorageFailed)
+    context.repaired = [make_entry(index) for index in range(1, number + 1)]
+    context.files._has_written = False
+    context.files._fault = "" if fault == "nothing" else fault
+    context.result = repair(context)
+    assert is_successful(context.result) == (fault == "nothing"), context.result
+
+
+def repair(context: Context) -> Result[None, StorageFailed]:
+    """Repair the store as a voter does whose last acknowledged entry is the fifth."""
+    empty = Snapshot(LogIndex(0), Term(0), (InstanceId("a"),), b"")
+    return context.store.repair(empty, HARD_STATE, context.repaired, 6, is_installed=False)
+
+
+@then("a repair succeeds, and opening it gives {number:d} entries in {files:d} segment")
+def step_repaired(context: Context, number: int, files: int) -> None:
+    if not is_successful(context.result):
+        # What was acknowledged is readable after each failure, as a restart may come before the
+        # next attempt. Opening removes leftovers, so it reads a copy.
+        copy = context.folder / "copy"
+        copytree(context.log_folder, copy)
+        _, stored = LogStore.open(copy, FileSystem()).unwrap()
+        base = stored.snapshot.index if stored.snapshot is not None else 0
+        held = [item.index for item in stored.entries]
+        assert held[: 5 - base] == list(range(base + 1, 6)), (base, held)
+        context.files._has_written = False
+        context.files._fault = ""
+        assert is_successful(repair(context))
+    assert is_successful(context.store.append(HARD_STATE, []))
+    assert len(list(context.log_folder.glob("segment-*"))) == files
+    assert not list(context.log_folder.glob("*.draft"))
+    context.store.close()
+    step_entries(context, number)
+
+
+@when("a compaction adds entry 6")
+def step_try_compaction(context: Context) -> None:
+    snapshot = Snapshot(LogIndex(3), Term(1), (InstanceId("a"),), b"state")
+    entries = [make_entry(index) for index in (4, 5, 6)]
+    context.result = context.store.compact(snapshot, HARD_STATE, entries, 6)
+
+
+@then("it reports that nothing was replaced")
+def step_not_replaced(context: Context) -> None:
+    assert context.result.unwrap() is False
+    context.store.close()
+
+
 @when("nothing happens to it")
 def step_nothing(context: Context) -> None:
     assert context.log_folder.exists()
--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -5,13 +5,26 @@
 from random import Random
 
 from jaylatch_core.ids import InstanceId, Term
-from jaylatch_core.messages.consensus import ConsensusMessage, HardState, LogEntry, Snapshot
+from jaylatch_core.messages.consensus import (
+    AppendRequest,
+    ConsensusMessage,
+    HardState,
+    LogEntry,
+    Snapshot,
+    SnapshotRequest,
+)
 from jaylatch_decisions.consensus import Effects, RaftNode, RaftRole, RaftTiming
+from jaylatch_node.consensus.turn import Turn
 
 TIMING = RaftTiming(heartbeat_interval=0.08, election_timeout=0.3, drift=0.02)
 MAX_STEP_SECONDS = 0.03
 RECHECKED_ENTRIES = 12
 """Entries at the end of the logs that are compared after each step."""
+DISK_RECOVERY_RATE = 0.06
+"""Probability per step that a disk in trouble takes bytes again: after half an election timeout to
+several ones."""
+CRASH_IN_TROUBLE_RATE = 0.3
+"""Probability that a process crashes before its disk takes bytes again."""
 RECOVERY_BOUND = 3.0
 """Seconds after the last fault until all voters must have recovered: ten election timeouts."""
 
@@ -29,6 +42,7 @@
     change: float = 0.0
     disk_loss: float = 0.0
     transfer: float = 0.0
+    disk_trouble: float = 0.0
 
 
 LOSSY = {"loss": 0.1, "duplication": 0.1, "delay": 0.3}
@@ -42,6 +56,12 @@
     "disk losing": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_loss=0.01),
     "slow": Faults(delay=0.9, crash=0.05, partition=0.05, disk_loss=0.02),
     "everything": Faults(0.1, 0.1, 0.3, 0.02, 0.01, 0.05, 0.03, 0.01, 0.01),
+    "disk filling": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_trouble=0.02),
+    "all disks filling": Faults(**LOSSY, snapshot=0.05, disk_trouble=0.1),
+    "disks filling amid crashes": Faults(0.2, 0.1, 0.3, crash=0.03, disk_trouble=0.03),
+    "everything and disk filling": Faults(
+        0.1, 0.1, 0.3, 0.02, 0.01, 0.05, 0.03, 0.01, 0.01, disk_trouble=0.02
+    ),
 }
 
 
@@ -81,6 +101,8 @@
         self._disks = {name: self._new_disk() for name in self._instances}
         self._nodes: dict[InstanceId, RaftNode] = {}
         self._applied: dict[InstanceId, list[bytes]] = {}
+        self._withheld: dict[InstanceId, Turn] = {}
+        self.disk_recoveries = 0
         self._network: list[tuple[InstanceId, InstanceId, ConsensusMessage]] = []
         self._blocked: set[tuple[InstanceId, InstanceId]] = set()
         self._committed: dict[int, LogEntry] = {}
@@ -109,6 +131,8 @@
         """End all faults; one leader must commit and all voters catch up within the bound."""
         self._faults = Faults()
         self._blocked.clear()
+        for name in list(self._withheld):
+            self._end_disk_trouble(name)
         for name in self._instances:
             if name not in self._nodes:
                 self._restart(name)
@@ -169,6 +193,10 @@
             if random.random() < faults.duplication:
                 self._network.append((sender, receiver, message))
             node = self._nodes.get(receiver)
+            if receiver in self._withheld and not isinstance(
+                message, AppendRequest | SnapshotRequest
+            ):
+                continue
             if node is not None:
                 node.step(self._clock(receiver), message)
                 self._process_effects(receiver)
@@ -176,7 +204,14 @@
     def _inject_faults(self) -> None:
         random, faults = self._random, self._faults
         if random.random() < faults.crash:
-            self._nodes.pop(random.choice(self._instances), None)
+            self._crash(random.choice(self._instances))
+        if random.random() < faults.disk_trouble:
+            self._begin_disk_trouble(random.choice(self._instances))
+        for name in list(self._withheld):
+            if random.random() < DISK_RECOVERY_RATE:
+                if random.random() < CRASH_IN_TROUBLE_RATE:
+                    self._crash(name)
+                self._end_disk_trouble(name)
         if random.random() < faults.disk_loss:
             self._lose_disk(random.choice(self._instances))
         for name in self._instances:
@@ -187,10 +222,11 @@
         if random.random() < faults.change:
             self._change_voters()
         for name, node in list(self._nodes.items()):
-            if random.random() < faults.transfer:
+            if name not in self._withheld and random.random() < faults.transfer:
                 node.transfer(self._clock(name))
             self._process_effects(name)
-            if name in self._nodes and random.random() < faults.snapshot:
+            can_write = name in self._nodes and name not in self._withheld
+            if can_write and random.random() < faults.snapshot:
                 self._compact(name, node)
 
     def _change_partition(self) -> None:
@@ -226,9 +262,51 @@
         is_restored = all(not disk.hard_state.is_recovering for disk in self._disks.values())
         if not is_restored or len(self._initial_voters) < 3:
             return
-        self._nodes.pop(name, None)
+        self._crash(name)
+        self._withheld.pop(name, None)
         self._disks[name] = self._new_disk()
 
+    def _crash(self, name: InstanceId) -> None:
+        """End a process. A full disk may hold a part of the write that failed."""
+        node = self._nodes.pop(name, None)
+        turn = self._withheld.get(name)
+        if node is None or turn is None:
+            return
+        if turn.snapshot is None and self._random.random() < 0.5:
+            disk = self._disks[name]
+            disk.hard_state = node.hard_state
+            first = node.last_index + 1 if turn.first_entry is None else turn.first_entry
+            for entry in node.entries_after(first - 1):
+                if self._random.random() < 0.3:
+                    break
+                _write_entry(disk, entry)
+        self._withheld[name] = Turn()
+
+    def _begin_disk_trouble(self, name: InstanceId) -> None:
+        """Fill or stall a disk."""
+        if name not in self._withheld:
+            self._withheld[name] = Turn()
+            self._process_effects(name)
+
+    def _end_disk_trouble(self, name: InstanceId) -> None:
+        """Write the complete state in memory, as a voter repairs its folder; then apply."""
+        turn = self._withheld.pop(name)
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        self.disk_recoveries += 1
+        disk = self._disks[name]
+        disk.hard_state = node.hard_state
+        if self._broken_rule == "repairs without what failed":
+            pass
+        elif turn.first_entry is not None or turn.snapshot is not None:
+            disk.snapshot = node.snapshot
+            disk.entries = node.entries_after(node.snapshot.index)
+        if turn.snapshot is not None:
+            self._applied[name] = _load(turn.snapshot.data)
+        for entry in turn.committed:
+            self._apply(name, entry)
+
     def _new_disk(self) -> Disk:
         self._disk_count += 1
         is_first = self._disk_count <= len(self._instances)
@@ -239,6 +317,9 @@
         return Disk(hard_state, Snapshot(0, Term(0), self._initial_voters, b""))
 
     def _restart(self, name: InstanceId) -> None:
+        if name in self._withheld:
+            # The folder cannot be opened before the disk takes bytes.
+            return
         disk = self._disks[name]
         if self._broken_rule == "forgets its vote":
             state = disk.hard_state
@@ -262,13 +343,14 @@
 
     def _propose(self) -> None:
         for name, node in self._nodes.items():
-            if self._random.random() < 0.2:
+            if name not in self._withheld and self._random.random() < 0.2:
                 self._proposed += 1
                 node.propose(self._clock(name), f"{self._proposed}".encode())
 
     def _tick(self) -> None:
         for name in list(self._nodes):
-            self._nodes[name].tick(self._clock(name))
+            if name not in self._withheld:
+                self._nodes[name].tick(self._clock(name))
             self._process_effects(name)
         self._check_leaders()
 
@@ -279,6 +361,9 @@
             disk.entries = [entry for entry in disk.entries if entry.index > node.commit]
 
     def _process_effects(self, name: InstanceId) -> None:
+        if name in self._withheld:
+            self._process_without_disk(name)
+            return
         effects = self._nodes[name].take_effects()
         has_writes = bool(effects.entries or effects.hard_state or effects.snapshot)
         if has_writes and self._random.random() < self._faults.crash / 4:
@@ -291,6 +376,20 @@
         for entry in effects.committed:
             self._apply(name, entry)
 
+    def _process_without_disk(self, name: InstanceId) -> None:
+        """Send only what hands leadership on, and keep the rest for the next write."""
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        self._network += [
+            (name, peer, message) for peer, message in node.step_down(self._clock(name))
+        ]
+        turn = self._withheld[name]
+        turn.absorb(node.take_effects())
+        if self._broken_rule == "answers without its disk":
+            self._network += [(name, peer, message) for peer, message in turn.messages]
+        turn.messages.clear()
+
     def _crash_during_write(self, name: InstanceId, effects: Effects) -> None:
         """Keep part of the writes that were not yet synced, and send nothing."""
         if effects.snapshot is None:
@@ -363,8 +462,12 @@
         disk.entries = []
     disk.hard_state = effects.hard_state or disk.hard_state
     for entry in effects.entries:
-        del disk.entries[entry.index - disk.snapshot.index - 1 :]
-        disk.entries.append(entry)
+        _write_entry(disk, entry)
+
+
+def _write_entry(disk: Disk, entry: LogEntry) -> None:
+    del disk.entries[entry.index - disk.snapshot.index - 1 :]
+    disk.entries.append(entry)
 
 
 def _load(data: bytes) -> list[bytes]:
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -120,6 +120,18 @@
     staged: tuple[str, ...] = ()
 
 
+class DiskStateChanged(LogRecord, frozen=True, kw_only=True, tag="disk"):
+    """The disk of a log became usable, slow or failed; ``since`` is the wall-clock time of it.
+
+    While it is failed, this control instance has no vote in the log.
+    """
+
+    log: str
+    state: str
+    error: str
+    since: float
+
+
 class TargetProbed(LogRecord, frozen=True, kw_only=True, tag="probe"):
     """A suspected target answered no probe: it is lost or silent, or has sent a heartbeat since."""
 
@@ -242,6 +254,7 @@
     RequestEnded,
     InternalError,
     TargetStateChanged,
+    DiskStateChanged,
     TargetProbed,
     TargetDied,
     PartsQuarantined,
--- a/packages/decisions/src/jaylatch_decisions/consensus/raft.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/raft.py
@@ -33,7 +33,11 @@
 from jaylatch_decisions.consensus.leaders import Leader
 from jaylatch_decisions.consensus.log import RaftLog
 from jaylatch_decisions.consensus.state import VoterState
-from jaylatch_decisions.consensus.types import Effects, RaftRole, RaftTiming
+from jaylatch_decisions.consensus.types import NOBODY, Effects, RaftRole, RaftTiming
+
+STEP_DOWN_PAUSE_TIMEOUTS = 4
+"""Election timeouts during which a voter with a slow disk leaves elections to the others. Without
+the pause it could win the next one too, and fail again at its first write."""
 
 
 class RaftNode:
@@ -95,6 +99,16 @@
         """Return the latest set of voters."""
         return self._log.voters
 
+    @property
+    def hard_state(self) -> HardState:
+        """Return the term, the vote and the disk's number, as they must be persisted."""
+        return self._state.hard_state
+
+    @property
+    def snapshot(self) -> Snapshot:
+        """Return the latest snapshot."""
+        return self._log.snapshot
+
     @property
     def is_recovering(self) -> bool:
         """Return whether this voter started on an empty disk and may not vote yet."""
@@ -174,6 +188,33 @@
         if self._state.role is RaftRole.LEADER:
             self._leading.transfer(now)
 
+    def step_down(self, now: float) -> list[tuple[InstanceId, TransferLeadership]]:
+        """Leave an election or leadership at once, because the disk takes no write.
+
+        Returns the message that hands leadership on. It may be sent before the disk is synced: it
+        states only the term, which was persisted before any vote was asked for. The other voters
+        get time to elect one of them before this one stands again.
+        """
+        state = self._state
+        if state.role is RaftRole.FOLLOWER:
+            return []
+        was_leader = state.role is RaftRole.LEADER
+        sent = len(state.effects.messages)
+        if was_leader:
+            self._leading.transfer(now)
+        else:
+            state.become_follower(now, state.term, NOBODY)
+        handed_on = state.effects.messages[sent:]
+        del state.effects.messages[sent:]
+        if state.peers:
+            pause = STEP_DOWN_PAUSE_TIMEOUTS * state.timing.election_timeout
+            state.election_due = max(state.election_due, now + pause)
+        return [
+            (peer, message)
+            for peer, message in handed_on
+            if isinstance(message, TransferLeadership)
+        ]
+
     def compact(self, index: LogIndex, data: bytes) -> Snapshot:
         """Replace the entries up to the applied ``index`` with the state machine's ``data``."""
         return self._log.compact(index, data)
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -1,19 +1,27 @@
 """Voter of a replicated log: a ``RaftNode`` with its folder, its peers and its state machine.
 
-All proposals and messages of one iteration of the event loop share one disk sync (group commit).
+One write is under way at a time, on the worker thread. All proposals and messages that arrive
+meanwhile share the next one (group commit). Messages are sent, and entries applied, only after the
+write that holds what they depend on.
+
+While the disk fails or a write takes too long, the voter leads no one, stands for no election and
+sends nothing but the message that hands leadership on. It goes on to follow a leader in memory,
+which always holds at least what the disk holds, so it can write all of it once the disk works.
 """
 
-from asyncio import Future, get_running_loop, sleep
+from asyncio import get_running_loop, sleep
 from collections.abc import Callable
+from concurrent.futures import TimeoutError as DiskTimeout
+from contextlib import suppress
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from random import Random
-from time import time_ns
 from typing import Generic, TypeVar
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err
-from returns.result import Result, Success
+from returns.result import Result
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.exceptions import (
@@ -24,19 +32,27 @@
     Unavailable,
 )
 from jaylatch_core.ids import InstanceId, LogIndex, Term
-from jaylatch_core.messages.consensus import ConsensusMessage, HardState, LogEntry, Snapshot
-from jaylatch_decisions.consensus import Effects, RaftNode, RaftRole, RaftTiming
-from jaylatch_node.storage import FileSystem, LogStore, StoredLog, set_aside
-
-MEBIBYTE = 1024 * 1024
-SNAPSHOT_AFTER_BYTES = MEBIBYTE
-SNAPSHOT_GROWTH = 2
-"""Multiple of the last snapshot's size that the stored log must reach before the next snapshot."""
+from jaylatch_core.messages.consensus import (
+    AppendRequest,
+    ConsensusMessage,
+    LogEntry,
+    Snapshot,
+    SnapshotRequest,
+)
+from jaylatch_decisions.consensus import RaftNode, RaftRole, RaftTiming
+from jaylatch_node.consensus.compaction import CompactionPolicy
+from jaylatch_node.consensus.disk import DiskCondition, LogDisk
+from jaylatch_node.consensus.opening import FolderOpening, OpenedLog
+from jaylatch_node.consensus.proposals import ProposalResult, Proposals
+from jaylatch_node.consensus.turn import Turn
+from jaylatch_node.storage import DiskWorker, FileSystem, LogStore
+
+CLOSING_WAIT = 1.0
+"""Seconds for which the end waits for a write that is under way."""
 CATCH_UP_POLL_INTERVAL = 0.05
 """Seconds between two checks whether a joining voter has caught up."""
 
 T = TypeVar("T")
-ProposalResult = Result[T, NotLeader | Unavailable | StorageFailed]
 Sender = Callable[[InstanceId, ConsensusMessage], None]
 
 
@@ -65,30 +81,45 @@
         machine: StateMachine[T],
         send: Sender,
         files: FileSystem | None = None,
+        worker: DiskWorker | None = None,
     ) -> None:
         """Open the log. ``voters`` are those of the first start.
 
-        Raises JaylatchError with StorageFailed if the disk cannot be used, or with StorageCorrupt
-        if it is damaged and there is no peer to restore it.
+        A disk that is full or does not answer is tried again later. Raises JaylatchError with
+        StorageFailed if the process may not use the folder, or with StorageCorrupt if it is damaged
+        and there is no peer to restore it.
         """
-        self._store, stored, self._set_aside = _open(folder, files or FileSystem(), voters)
         self._name = name
         self._instance = instance
+        self._first_voters = voters
+        self._timing = timing
         self._machine = machine
         self._send = send
-        self._failure: StorageFailed | None = None
-        self._hard_state = stored.hard_state or self._number_empty_disk()
-        snapshot = stored.snapshot or Snapshot(LogIndex(0), Term(0), voters, b"")
-        self._applied = snapshot.index
-        self._snapshot_size = len(snapshot.data)
-        if snapshot.data:
-            machine.load(snapshot.data)
-        random = Random(f"{name}/{instance}/{self._hard_state}")
-        self._raft = RaftNode(
-            name, instance, timing, random, self._hard_state, snapshot, stored.entries, monotonic()
-        )
-        self._pending: dict[LogIndex, tuple[Term, Future[ProposalResult[T]]]] = {}
+        self._own_worker = DiskWorker() if worker is None else None
+        self._worker = self._own_worker or worker or DiskWorker()
+        self._disk = LogDisk(self._worker, timing.election_timeout)
+        self._raft: RaftNode | None = None
+        self._store: LogStore | None = None
+        self._set_aside: Path | None = None
+        self._heard_leader = InstanceId("")
+        self._is_stopped = False
+        self._turn = Turn()
+        self._turn_in_flight = Turn()
+        self._applied = LogIndex(0)
+        self._applied_term = Term(0)
+        self._compaction = CompactionPolicy()
+        self._proposals: Proposals[T] = Proposals()
         self._is_pump_due = False
+        self._opening = FolderOpening(
+            self._worker, self._disk, folder, files or FileSystem(), voters
+        )
+        try:
+            opened = self._opening.wait()
+        except JaylatchError:
+            self._stop_worker()
+            raise
+        if opened is not None:
+            self._begin(monotonic(), opened)
 
     @property
     def name(self) -> str:
@@ -98,27 +129,29 @@
     @property
     def leader(self) -> InstanceId:
         """Return the known leader, or an empty id."""
-        return self._raft.leader if self._failure is None else InstanceId("")
+        return self._heard_leader if self._raft is None else self._raft.leader
 
     @property
     def term(self) -> Term:
         """Return the current term."""
-        return self._raft.term
+        return Term(0) if self._raft is None else self._raft.term
 
     @property
     def voters(self) -> tuple[InstanceId, ...]:
         """Return the latest set of voters."""
-        return self._raft.voters
+        return self._first_voters if self._raft is None else self._raft.voters
 
     @property
     def is_leader(self) -> bool:
         """Return whether this voter leads."""
-        return self._failure is None and self._raft.role is RaftRole.LEADER
+        return (
+            not self._is_stopped and self._raft is not None and self._raft.role is RaftRole.LEADER
+        )
 
     @property
     def is_recovering(self) -> bool:
         """Return whether this voter started on an empty disk and may not vote yet."""
-        return self._raft.is_recovering
+        return self._raft is not None and self._raft.is_recovering
 
     @property
     def set_aside_folder(self) -> Path | None:
@@ -126,57 +159,105 @@
         return self._set_aside
 
     @property
-    def failure(self) -> StorageFailed | None:
-        """Return the storage failure that stopped this voter, if any."""
-        return self._failure
+    def is_open(self) -> bool:
+        """Return whether the folder has been read."""
+        return self._raft is not None
+
+    @property
+    def failure(self) -> StorageFailed | StorageCorrupt | None:
+        """Return the failure of the last attempt at the disk, if it failed."""
+        return self._disk.failure
+
+    @property
+    def disk(self) -> DiskCondition:
+        """Return the condition of the disk."""
+        return self._disk.condition
 
     def unresponsive_voters(self, now: float, limit: float) -> list[InstanceId]:
         """Return the voters without contact with this leader for ``limit`` seconds."""
-        return self._raft.unresponsive_voters(now, limit)
+        return [] if self._raft is None else self._raft.unresponsive_voters(now, limit)
 
     def can_read(self, now: float) -> bool:
-        """Return whether the applied state is guaranteed to be current."""
-        return self._failure is None and self._raft.can_read(now)
+        """Return whether the applied state is guaranteed to be current.
+
+        An entry of this leader's term must be applied: it may be committed before its write.
+        """
+        return (
+            self.is_leader
+            and self._raft is not None
+            and self._raft.can_read(now)
+            and self._applied_term == self._raft.term
+        )
 
     def tick(self, now: float) -> None:
-        """Act if a round or an election is due."""
-        if now >= self._raft.tick_due:
+        """Act if a round, an election or an attempt at the disk is due."""
+        if self._is_stopped:
+            return
+        if self._raft is None:
+            opened = self._opening.poll(now)
+            if opened is not None:
+                self._begin(now, opened)
+        elif now >= self._raft.tick_due or self._disk.is_withheld(now):
             self._pump()
 
     def stop(self) -> None:
         """Transfer leadership, then close the files."""
-        if self._failure is None:
-            self._raft.transfer(monotonic())
-            self._pump()
-            self._failure = StorageFailed(
+        if self._is_stopped:
+            return
+        now = monotonic()
+        if self._raft is not None:
+            for peer, message in self._raft.step_down(now):
+                self._send(peer, message)
+        self._is_stopped = True
+        self._proposals.fail(
+            StorageFailed(
                 "the process is shutting down; send the request to another control instance"
             )
-        self._store.close()
+        )
+        store = self._store
+        if store is not None:
+            closed = self._worker.submit(store.close)
+            # If this takes longer, the worker closes the files after the write that is under way.
+            with suppress(DiskTimeout):
+                closed.result(CLOSING_WAIT)
+        self._stop_worker()
 
     def step(self, message: ConsensusMessage) -> None:
-        """Handle a message from another voter."""
-        if self._failure is None:
-            self._raft.step(monotonic(), message)
+        """Handle a message from another voter.
+
+        Without its disk this voter only follows: it can neither vote nor be elected.
+        """
+        if self._is_stopped:
+            return
+        now = monotonic()
+        is_from_leader = isinstance(message, AppendRequest | SnapshotRequest)
+        if self._raft is None:
+            self._heard_leader = message.sender if is_from_leader else self._heard_leader
+            return
+        if is_from_leader or not self._disk.is_withheld(now):
+            self._raft.step(now, message)
             self._schedule_pump()
 
     async def propose(self, command: bytes) -> ProposalResult[T]:
         """Commit a command and return the result of the state machine."""
-        if self._failure is not None:
-            return Err(self._failure)
-        return await self._wait_for_commit(self._raft.propose(monotonic(), command))
+        now = monotonic()
+        if self._raft is None or self._is_stopped or self._disk.is_withheld(now):
+            return Err(self._refusal())
+        return await self._wait_for_commit(self._raft.propose(now, command))
 
     async def change_voters(
         self, voters: tuple[InstanceId, ...], timeout: float
     ) -> Result[None, NotLeader | Unavailable | StorageFailed]:
         """Add or remove one voter. A joining voter catches up as a learner first."""
-        if self._failure is not None:
-            return Err(self._failure)
+        raft = self._raft
+        if raft is None or self._is_stopped or self._disk.is_withheld(monotonic()):
+            return Err(self._refusal())
         deadline = monotonic() + timeout
         for joining in set(voters) - set(self.voters):
-            added = self._raft.add_learner(monotonic(), joining)
+            added = raft.add_learner(monotonic(), joining)
             if not is_successful(added):
                 return added
-            while not self._raft.is_caught_up(joining):
+            while not raft.is_caught_up(joining):
                 if monotonic() > deadline or not self.is_leader:
                     return Err(
                         Unavailable(
@@ -184,7 +265,7 @@
                         )
                     )
                 await sleep(CATCH_UP_POLL_INTERVAL)
-        proposed = self._raft.propose_voters(monotonic(), voters)
+        proposed = raft.propose_voters(monotonic(), voters)
         return (await self._wait_for_commit(proposed)).map(lambda _: None)
 
     async def _wait_for_commit(
@@ -193,21 +274,48 @@
         if not is_successful(position):
             return Err(position.failure())
         term, index = position.unwrap()
-        future: Future[ProposalResult[T]] = get_running_loop().create_future()
-        self._pending[index] = (term, future)
+        future = self._proposals.add(term, index)
         self._schedule_pump()
         return await future
 
-    def _number_empty_disk(self) -> HardState:
-        """Number the empty disk, so that peers distinguish it from earlier disks of this instance.
+    def _refusal(self) -> NotLeader | StorageFailed:
+        """Return the answer to a command while this voter has no disk."""
+        if self.leader and self.leader != self._instance:
+            return NotLeader(
+                "the disk of this voter takes no write; send the request to the leader", self.leader
+            )
+        failure = self._disk.failure
+        if isinstance(failure, StorageFailed):
+            return failure
+        return StorageFailed("the disk of this voter takes no write; ask another control instance")
+
+    def _stop_worker(self) -> None:
+        if self._own_worker is not None:
+            self._own_worker.stop(0.0)
+
+    def _begin(self, now: float, opened: OpenedLog) -> None:
+        """Take part in the log with the state that the folder holds."""
+        self._store = opened.store
+        self._set_aside = opened.set_aside
+        snapshot = opened.stored.snapshot or Snapshot(LogIndex(0), Term(0), self._first_voters, b"")
+        self._applied = snapshot.index
+        self._applied_term = snapshot.term
+        self._compaction.snapshot_size = len(snapshot.data)
+        if snapshot.data:
+            self._machine.load(snapshot.data)
+        random = Random(f"{self._name}/{self._instance}/{opened.hard_state}")
+        self._raft = RaftNode(
+            self._name,
+            self._instance,
+            self._timing,
+            random,
+            opened.hard_state,
+            snapshot,
+            opened.stored.entries,
+            now,
+        )
 
-        The number is the wall-clock time, as it must be greater than that of any lost disk.
-        """
-        state = HardState(Term(0), InstanceId(""), time_ns(), True)
-        written = self._store.append(state, [])
-        if not is_successful(written):
-            raise JaylatchError(written.failure())
-        return state
+    # Writes
 
     def _schedule_pump(self) -> None:
         if not self._is_pump_due:
@@ -216,88 +324,124 @@
 
     def _pump(self) -> None:
         self._is_pump_due = False
-        if self._failure is not None:
+        raft, store = self._raft, self._store
+        if self._is_stopped or raft is None or store is None:
+            return
+        now = monotonic()
+        if self._disk.is_withheld(now):
+            self._go_without_disk(now, raft)
+            if self._disk.may_retry(now):
+                self._repair(raft, store)
+            return
+        if self._disk.is_busy:
+            # The end of the write calls this again.
+            return
+        raft.tick(now)
+        self._turn.absorb(raft.take_effects())
+        turn, self._turn = self._turn, Turn()
+        self._write(now, turn, raft, store)
+
+    def _write(self, now: float, turn: Turn, raft: RaftNode, store: LogStore) -> None:
+        if turn.snapshot is not None:
+            self._start_write(turn, self._replacement(raft, store))
+        elif raft.snapshot.index < self._applied and self._compaction.is_due(now, store):
+            self._compact(turn, raft, store)
+        elif turn.has_writes:
+            hard_state = raft.hard_state if turn.has_hard_state else None
+            first = turn.first_entry
+            entries = [] if first is None else raft.entries_after(first - 1)
+            self._start_write(turn, partial(store.append, hard_state, entries))
+        else:
+            self._deliver(turn)
+
+    def _start_write(
+        self, turn: Turn, operation: Callable[[], Result[None, StorageFailed]]
+    ) -> None:
+        self._turn_in_flight = turn
+        self._disk.write(operation, partial(self._on_written, turn))
+
+    def _on_written(self, turn: Turn, written: Result[None, StorageFailed]) -> None:
+        self._turn_in_flight = Turn()
+        if self._is_stopped:
             return
-        self._raft.tick(monotonic())
-        effects = self._raft.take_effects()
-        written = self._persist(effects)
         if not is_successful(written):
-            self._fail(written.failure())
+            turn.put_before(self._turn)
+            self._turn = turn
+            self._proposals.fail(written.failure())
+            if self._raft is not None:
+                self._go_without_disk(monotonic(), self._raft)
             return
-        for peer, message in effects.messages:
+        self._deliver(turn)
+        self._pump()
+
+    def _replacement(
+        self, raft: RaftNode, store: LogStore
+    ) -> Callable[[], Result[None, StorageFailed]]:
+        snapshot = raft.snapshot
+        self._compaction.snapshot_size = len(snapshot.data)
+        entries = raft.entries_after(snapshot.index)
+        return partial(store.replace, snapshot, raft.hard_state, entries)
+
+    def _go_without_disk(self, now: float, raft: RaftNode) -> None:
+        """Lead no one and send nothing that depends on the disk; follow in memory."""
+        was_leader = raft.role is RaftRole.LEADER
+        for peer, message in raft.step_down(now):
             self._send(peer, message)
-        if effects.snapshot is not None:
-            self._machine.load(effects.snapshot.data)
-            self._applied = effects.snapshot.index
-        for entry in effects.committed:
+        if was_leader:
+            # Rounds of a term in which this voter leads no longer would delay the next election.
+            self._turn_in_flight.messages.clear()
+            self._abort_proposals()
+        self._turn.absorb(raft.take_effects())
+        self._turn.messages.clear()
+
+    def _repair(self, raft: RaftNode, store: LogStore) -> None:
+        turn, self._turn = self._turn, Turn()
+        snapshot = raft.snapshot
+        operation = partial(
+            store.repair,
+            snapshot,
+            raft.hard_state,
+            raft.entries_after(snapshot.index),
+            raft.last_index + 1 if turn.first_entry is None else turn.first_entry,
+            is_installed=turn.snapshot is not None,
+        )
+        self._start_write(turn, operation)
+
+    def _compact(self, turn: Turn, raft: RaftNode, store: LogStore) -> None:
+        """Write a snapshot of the applied state, and what the turn must write with it."""
+        snapshot = raft.compact(self._applied, self._machine.dump())
+        self._compaction.snapshot_size = len(snapshot.data)
+        first = raft.last_index + 1 if turn.first_entry is None else turn.first_entry
+        operation = partial(
+            store.compact, snapshot, raft.hard_state, raft.entries_after(snapshot.index), first
+        )
+
+        def note(compacted: Result[bool, StorageFailed]) -> None:
+            if not compacted.value_or(False):
+                self._compaction.note_failure(monotonic())
+            self._on_written(turn, compacted.map(lambda _: None))
+
+        self._turn_in_flight = turn
+        self._disk.write(operation, note)
+
+    def _deliver(self, turn: Turn) -> None:
+        """Send and apply what the last write allows."""
+        for peer, message in turn.messages:
+            self._send(peer, message)
+        if turn.snapshot is not None:
+            self._machine.load(turn.snapshot.data)
+            self._applied = turn.snapshot.index
+            self._applied_term = turn.snapshot.term
+        for entry in turn.committed:
             self._apply_entry(entry)
         if not self.is_leader:
             self._abort_proposals()
-        self._compact_if_large()
-
-    def _persist(self, effects: Effects) -> Result[None, StorageFailed]:
-        self._hard_state = effects.hard_state or self._hard_state
-        if effects.snapshot is None:
-            return self._store.append(effects.hard_state, effects.entries)
-        self._snapshot_size = len(effects.snapshot.data)
-        return self._store.replace(effects.snapshot, self._hard_state, effects.entries)
-
-    def _compact_if_large(self) -> None:
-        limit = max(SNAPSHOT_AFTER_BYTES, SNAPSHOT_GROWTH * self._snapshot_size)
-        if self._store.size < limit:
-            return
-        snapshot = self._raft.compact(self._applied, self._machine.dump())
-        self._snapshot_size = len(snapshot.data)
-        entries = self._raft.entries_after(snapshot.index)
-        written = self._store.replace(snapshot, self._hard_state, entries)
-        if not is_successful(written):
-            self._fail(written.failure())
 
     def _apply_entry(self, entry: LogEntry) -> None:
         self._applied = entry.index
+        self._applied_term = entry.term
         outcome = self._machine.apply(entry.command) if entry.command else None
-        term, future = self._pending.pop(entry.index, (None, None))
-        if future is None or future.done():
-            return
-        if term != entry.term:
-            future.set_result(
-                Err(
-                    NotLeader("an entry of another leader replaced the command; retry", self.leader)
-                )
-            )
-        else:
-            # A change of voters has no result of the state machine.
-            future.set_result(Success(outcome))  # type: ignore[arg-type]
+        self._proposals.resolve(entry, outcome, self.leader)
 
     def _abort_proposals(self) -> None:
-        lost = Unavailable("leadership was lost; the command may still take effect")
-        for _, future in self._pending.values():
-            if not future.done():
-                future.set_result(Err(lost))
-        self._pending.clear()
-
-    def _fail(self, failure: StorageFailed) -> None:
-        """Stop this voter, because a voter that cannot sync must not acknowledge anything."""
-        self._failure = failure
-        for _, future in self._pending.values():
-            if not future.done():
-                future.set_result(Err(failure))
-        self._pending.clear()
-
-
-def _open(
-    folder: Path, files: FileSystem, voters: tuple[InstanceId, ...]
-) -> tuple[LogStore, StoredLog, Path | None]:
-    opened = LogStore.open(folder, files)
-    damaged = None
-    if not is_successful(opened):
-        failure = opened.failure()
-        if not isinstance(failure, StorageCorrupt) or len(voters) == 1:
-            raise JaylatchError(failure)
-        # This voter grants no vote until a leader readmits it, so its peers can restore it safely.
-        damaged = set_aside(folder)
-        opened = LogStore.open(folder, files)
-        if not is_successful(opened):
-            raise JaylatchError(opened.failure())
-    store, stored = opened.unwrap()
-    return store, stored, damaged
+        self._proposals.fail(Unavailable("leadership was lost; the command may still take effect"))
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -2,7 +2,7 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -13,13 +13,11 @@
 from returns.result import Result
 from tornado.ioloop import PeriodicCallback
 
-from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
 from jaylatch_core.compression import compress_large, expand
 from jaylatch_core.configuration import parse_configuration
 from jaylatch_core.control_peers import ControlPeer, address_of
-from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import (
-    Failure,
     JaylatchError,
     NotLeader,
     StorageFailed,
@@ -62,18 +60,17 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
+from jaylatch_node.control.disk_watch import DiskWatch
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
+from jaylatch_node.storage import DiskWorker
 from jaylatch_node.streams import PeerPool, StreamConnection
 from jaylatch_node.targets.orders import EngineOrderClient
 
 _log = logging.getLogger("jaylatch.control")
 
-FailureHandler = Callable[[Failure], None]
-"""Called, possibly repeatedly, with the failure of a log whose voter has stopped."""
-
 LEADER_TICK = 0.1
 """Seconds between two rounds of the leader's duties."""
 JOIN_INTERVAL = 1.0
@@ -99,7 +96,6 @@
         board: Blackboard,
         peers: PeerPool,
         client: ControlClient,
-        fail: FailureHandler,
         engines: EngineOrderClient | None = None,
     ) -> None:
         self._client = client
@@ -112,7 +108,6 @@
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
-        self._fail = fail
         self._joining: set[str] = set()
         self._admitting: set[str] = set()
         period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
@@ -124,6 +119,7 @@
         self._retention = RetentionTimes(control.answer_retention, control.key_retention)
         self._journals = [JournalState(self._retention) for _ in range(shards)]
         self._outbox = ConsensusOutbox(self._send)
+        self._disk_worker = DiskWorker()
         self._control: ReplicatedLog[ControlResult] = self._open_log(
             CONTROL_LOG, StateMachine(self._apply_control, self._dump_control, self._load_control)
         )
@@ -133,6 +129,7 @@
         ]
         self._logs: dict[str, ReplicatedLog[Any]] = {self._control.name: self._control}
         self._logs.update((shard.name, shard) for shard in self._shards)
+        self._disk_watch = DiskWatch(board, self._logs.values())
         self._timer = PeriodicCallback(self._tick, LEADER_TICK * MILLISECONDS_PER_SECOND)
         # One timer for all logs: messages due at the same time are sent to each peer in one frame.
         period = settings.control.heartbeat_interval * MILLISECONDS_PER_SECOND
@@ -140,7 +137,7 @@
 
     def start(self) -> None:
         """Take part in elections, and perform the leader's duties when elected."""
-        self._report_logs()
+        self._disk_watch.report()
         self._consensus_timer.start()
         self._timer.start()
         self._join_timer.start()
@@ -154,6 +151,7 @@
         self._consensus_timer.stop()
         for log in self._logs.values():
             log.stop()
+        self._disk_worker.stop(0.0)
 
     def handle_consensus(self, batch: ConsensusBatch) -> None:
         """Pass a voter's messages to their logs; drop messages for unknown logs."""
@@ -211,6 +209,7 @@
             Path(control.data_folder) / name,
             machine,
             self._outbox.send,
+            worker=self._disk_worker,
         )
 
     def _journal_machine(self, number: int) -> StateMachine[OrderVerdict]:
@@ -225,15 +224,6 @@
         for log in self._logs.values():
             log.tick(now)
 
-    def _report_logs(self) -> None:
-        for log in self._logs.values():
-            if log.set_aside_folder is not None:
-                self._board.events.record(
-                    wall(), EventName.STORAGE_SET_ASIDE, str(log.set_aside_folder)
-                )
-            if log.is_recovering:
-                self._board.events.record(wall(), EventName.STORAGE_RECOVERING, log.name)
-
     def _send(self, peer: InstanceId, batch: ConsensusBatch) -> None:
         address = self._address(peer)
         if address is not None:
@@ -415,9 +405,7 @@
 
     def _tick(self) -> None:
         now = monotonic()
-        failed = next((log.failure for log in self._logs.values() if log.failure), None)
-        if failed is not None:
-            self._fail(failed)
+        self._disk_watch.report()
         if not self._control.is_leader:
             self._leader = None
             self._unforwarded.clear()
--- a/packages/node/src/jaylatch_node/daemon.py
+++ b/packages/node/src/jaylatch_node/daemon.py
@@ -3,7 +3,7 @@
 import signal
 import sys
 from argparse import ArgumentParser
-from asyncio import FIRST_COMPLETED, Event, create_task, get_running_loop, run, sleep, wait
+from asyncio import Event, get_running_loop, run
 from pathlib import Path
 from random import Random
 from typing import TYPE_CHECKING
@@ -27,8 +27,6 @@
 EXIT_ADDRESS = 4
 MAX_HTTP_REQUESTS = 128
 """Concurrent requests of one HTTP client."""
-FAILURE_EXIT_DELAY = 1.0
-"""Seconds between a failure and the end of the process."""
 
 
 def main() -> int:
@@ -93,9 +91,7 @@
         return ControlRelay(process.client)
     from jaylatch_node.control.role import ControlRole
 
-    return ControlRole(
-        process.settings, process.board, process.peers, process.client, process.fail, engines
-    )
+    return ControlRole(process.settings, process.board, process.peers, process.client, engines)
 
 
 def _make_agent(process: Process) -> NodeRole:
@@ -130,27 +126,11 @@
     return stopped
 
 
-async def wait_for_end(process: Process, stopped: Event) -> None:
-    """Wait until ``stopped`` is set. Raises JaylatchError after a failure of the process.
-
-    The delay before the error prevents a tight loop of restarts while the disk is unusable.
-    """
-    failed = create_task(process.wait_for_failure())
-    stop = create_task(stopped.wait())
-    await wait((failed, stop), return_when=FIRST_COMPLETED)
-    if not failed.done():
-        failed.cancel()
-        return
-    stop.cancel()
-    await sleep(FAILURE_EXIT_DELAY)
-    raise JaylatchError(failed.result())
-
-
 async def _serve(settings: NodeSettings) -> None:
     process = Process(settings, select_role_factories(settings))
     process.start()
     try:
-        await wait_for_end(process, handle_stop_signals())
+        await handle_stop_signals().wait()
     finally:
         process.stop()
 
--- a/packages/node/src/jaylatch_node/process.py
+++ b/packages/node/src/jaylatch_node/process.py
@@ -1,13 +1,11 @@
 """One jaylatch process: its blackboard, its streams and its roles."""
 
-from asyncio import Future, get_running_loop
 from collections.abc import Callable
 from secrets import token_hex
 
 from jaylatch_core.clock import wall
 from jaylatch_core.event_names import EventName
 from jaylatch_core.events import EventLog
-from jaylatch_core.exceptions import Failure
 from jaylatch_core.ids import Incarnation, PromptPartId
 from jaylatch_core.messages.administration import (
     EventReport,
@@ -56,7 +54,6 @@
         self.peers = PeerPool(self._events, traffic, self._handle_body)
         self.server = StreamServer(self._events, traffic, self._handle_body)
         self.client = ControlClient(settings.control, self.peers)
-        self._failure: Future[Failure] = get_running_loop().create_future()
         self._roles = [factory(self) for factory in factories]
         self._leases = LeaseController(
             self.board,
@@ -70,15 +67,6 @@
         for role in self._roles:
             self._leases.on_grant(role.on_grant)
 
-    def fail(self, failure: Failure) -> None:
-        """End the process because of ``failure``; later failures are ignored."""
-        if not self._failure.done():
-            self._failure.set_result(failure)
-
-    async def wait_for_failure(self) -> Failure:
-        """Wait for a failure that ends the process, and return it."""
-        return await self._failure
-
     def start(self) -> None:
         """Listen and start all roles; call on the running loop."""
         roles = ", ".join(role.value for role in self.settings.roles)
--- a/packages/node/src/jaylatch_node/storage/__init__.py
+++ b/packages/node/src/jaylatch_node/storage/__init__.py
@@ -2,5 +2,6 @@
 
 from jaylatch_node.storage.files import FileSystem
 from jaylatch_node.storage.log_store import LogStore, StoredLog, set_aside
+from jaylatch_node.storage.worker import DiskWorker
 
-__all__ = ["FileSystem", "LogStore", "StoredLog", "set_aside"]
+__all__ = ["DiskWorker", "FileSystem", "LogStore", "StoredLog", "set_aside"]
--- a/packages/node/src/jaylatch_node/storage/files.py
+++ b/packages/node/src/jaylatch_node/storage/files.py
@@ -17,11 +17,24 @@
         """Flush a file's data, and the metadata needed to read it, to the disk."""
         os.fdatasync(descriptor)
 
-    def write_all(self, descriptor: int, data: bytes) -> None:
-        """Write all of ``data``, and sync it."""
+    def free_bytes(self, folder: Path) -> int:
+        """Return the number of bytes that this process may still write to the folder's disk."""
+        status = os.statvfs(folder)
+        return status.f_bavail * status.f_frsize
+
+    def open(self, path: Path) -> int:
+        """Open or create the file at ``path`` for writing; returns its descriptor."""
+        return os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
+
+    def write_unsynced(self, descriptor: int, data: bytes) -> None:
+        """Write all of ``data``, without a sync."""
         view = memoryview(data)
         while view:
             view = view[self.write(descriptor, bytes(view)) :]
+
+    def write_all(self, descriptor: int, data: bytes) -> None:
+        """Write all of ``data``, and sync it."""
+        self.write_unsynced(descriptor, data)
         self.sync(descriptor)
 
     def create(self, path: Path, data: bytes) -> int:
--- a/packages/node/src/jaylatch_node/storage/log_store.py
+++ b/packages/node/src/jaylatch_node/storage/log_store.py
@@ -1,7 +1,7 @@
 """Storage folder of one replicated log: a snapshot and the segment of entries after it.
 
 The snapshot's file names its segment, so one rename switches both. Segments that it does not name
-are leftovers of a crash and are removed. No file is overwritten in place.
+are leftovers of a crash and are removed. No synced byte is overwritten with another one in place.
 """
 
 import os
@@ -14,10 +14,11 @@
 from jaylatch_core.exceptions import StorageCorrupt, StorageFailed
 from jaylatch_core.messages.consensus import HardState, LogEntry, Snapshot
 from jaylatch_node.storage.batches import Batch, has_batch_after, pack_batch, read_batches
-from jaylatch_node.storage.files import FILE_MODE, FileSystem
+from jaylatch_node.storage.files import FileSystem
 
 SNAPSHOT_FILE = "snapshot"
 SEGMENT_PREFIX = "segment-"
+DRAFT_SUFFIX = ".draft"
 
 
 class StoredLog(msgspec.Struct):
@@ -30,7 +31,7 @@
 
 
 class LogStore:
-    """The open folder of a log. After the first failed write it accepts no further writes."""
+    """The open folder of a log. After a failed write it accepts only ``repair``."""
 
     def __init__(
         self, folder: Path, files: FileSystem, segment: int, descriptor: int, size: int
@@ -38,15 +39,23 @@
         self._folder = folder
         self._files = files
         self._segment = segment
+        self._last_number = segment
         self._descriptor = descriptor
         self._size = size
         self._failure: StorageFailed | None = None
+        self._must_replace = False
+        self._free = files.free_bytes(folder)
 
     @property
     def size(self) -> int:
         """Return the number of bytes written since the last snapshot."""
         return self._size
 
+    @property
+    def free(self) -> int:
+        """Return the free bytes of the disk after the last write."""
+        return self._free
+
     @classmethod
     def open(
         cls, folder: Path, files: FileSystem
@@ -65,12 +74,10 @@
             return Err(self._failure)
         if hard_state is None and not entries:
             return Success(None)
-        data = pack_batch(Batch(hard_state, tuple(entries)))
         try:
-            self._files.write_all(self._descriptor, data)
+            self._append(pack_batch(Batch(hard_state, tuple(entries))))
         except OSError as error:
             return self._fail(error)
-        self._size += len(data)
         return Success(None)
 
     def replace(
@@ -85,24 +92,121 @@
             return self._fail(error)
         return Success(None)
 
+    def compact(
+        self, snapshot: Snapshot, hard_state: HardState, entries: list[LogEntry], first: int
+    ) -> Result[bool, StorageFailed]:
+        """Replace the content, or append the entries from ``first`` on if there is no space.
+
+        Returns whether the content was replaced. A snapshot that does not fit leaves the segment
+        before it complete, so the log can go on without it.
+        """
+        if self._failure is not None:
+            return Err(self._failure)
+        try:
+            self._replace(snapshot, hard_state, entries)
+        except OSError as error:
+            if self._must_replace:
+                return self._fail(error).map(lambda _: False)
+            added = [entry for entry in entries if entry.index >= first]
+            return self.append(hard_state, added).map(lambda _: False)
+        return Success(True)
+
+    def repair(
+        self,
+        snapshot: Snapshot,
+        hard_state: HardState,
+        entries: list[LogEntry],
+        first: int,
+        *,
+        is_installed: bool,
+    ) -> Result[None, StorageFailed]:
+        """Write again after a failed write. The arguments are the voter's complete state.
+
+        ``entries`` from ``first`` on may be missing on the disk. If only a write failed, the
+        synced part of the segment is read again, and what is missing is appended to it. After a
+        failed sync neither the page cache nor a second sync shows what the disk holds, so a new
+        segment replaces the old one; also if a leader's snapshot was installed meanwhile.
+        """
+        try:
+            self._remove_unnamed()
+            if self._must_replace or is_installed or not self._truncate_to_synced():
+                self._replace(snapshot, hard_state, entries)
+            else:
+                added = tuple(entry for entry in entries if entry.index >= first)
+                self._append(pack_batch(Batch(hard_state, added)))
+        except OSError as error:
+            return self._fail(error)
+        self._failure = None
+        return Success(None)
+
     def close(self) -> None:
         """Close the files."""
         os.close(self._descriptor)
 
+    def _append(self, data: bytes) -> None:
+        self._files.write_unsynced(self._descriptor, data)
+        try:
+            self._files.sync(self._descriptor)
+        except OSError:
+            self._must_replace = True
+            raise
+        self._size += len(data)
+        self._free = self._files.free_bytes(self._folder)
+
     def _replace(self, snapshot: Snapshot, hard_state: HardState, entries: list[LogEntry]) -> None:
-        number = self._segment + 1
+        self._last_number += 1
+        number = self._last_number
+        path = _segment_path(self._folder, number)
         data = pack_batch(Batch(hard_state, tuple(entries)))
-        descriptor = self._files.create(_segment_path(self._folder, number), data)
-        self._files.sync_folder(self._folder)
-        # The old segment is valid until this rename, the new one from then on.
-        self._files.replace(
-            self._folder / SNAPSHOT_FILE, pack_batch(Batch(snapshot=snapshot, segment=number))
-        )
+        try:
+            descriptor = self._files.create(path, data)
+        except OSError:
+            self._remove_unnamed()
+            raise
+        try:
+            self._files.sync_folder(self._folder)
+            # The old segment is valid until this rename, the new one from then on.
+            self._files.replace(
+                self._folder / SNAPSHOT_FILE, pack_batch(Batch(snapshot=snapshot, segment=number))
+            )
+        except OSError:
+            os.close(descriptor)
+            # If the rename took place, a restart may read either segment until a later rename is
+            # durable: nothing may be appended to the old one.
+            had_to_replace, self._must_replace = self._must_replace, True
+            self._must_replace = had_to_replace or self._named_segment() == number
+            self._remove_unnamed()
+            raise
         os.close(self._descriptor)
-        _segment_path(self._folder, self._segment).unlink(missing_ok=True)
         self._segment = number
         self._descriptor = descriptor
         self._size = len(data)
+        self._must_replace = False
+        self._remove_unnamed()
+        self._free = self._files.free_bytes(self._folder)
+
+    def _truncate_to_synced(self) -> bool:
+        """Cut what was not synced; returns whether the rest is readable."""
+        data = _segment_path(self._folder, self._segment).read_bytes()[: self._size]
+        valid_size = 0
+        for _, valid_size in read_batches(data):  # noqa: B007
+            pass
+        if valid_size != self._size:
+            return False
+        os.ftruncate(self._descriptor, self._size)
+        os.lseek(self._descriptor, self._size, os.SEEK_SET)
+        return True
+
+    def _named_segment(self) -> int:
+        stored = StoredLog()
+        return stored.segment if _read_snapshot(self._folder, stored) else self._segment
+
+    def _remove_unnamed(self) -> None:
+        """Remove drafts, and the segments that no restart can read, to free their space."""
+        named = {
+            _segment_path(self._folder, number) for number in (self._segment, self._named_segment())
+        }
+        _remove_leftovers(self._folder, named)
 
     def _fail(self, error: OSError) -> Result[None, StorageFailed]:
         self._failure = _failed(self._folder, error)
@@ -137,13 +241,31 @@
         return Err(_corrupt(path, valid_size))
     if stored.hard_state is None and (stored.snapshot is not None or stored.entries):
         return Err(_corrupt(path, 0))
-    _remove_leftovers(folder, path)
-    descriptor = os.open(path, os.O_RDWR | os.O_CREAT, FILE_MODE)
-    os.ftruncate(descriptor, valid_size)
-    os.lseek(descriptor, valid_size, os.SEEK_SET)
-    files.sync(descriptor)
-    files.sync_folder(folder)
-    return Success((cls(folder, files, stored.segment, descriptor, valid_size), stored))
+    _remove_leftovers(folder, {path})
+    descriptor = files.open(path)
+    try:
+        _sync_last_batch(files, descriptor, data[:valid_size])
+        files.sync_folder(folder)
+        store = cls(folder, files, stored.segment, descriptor, valid_size)
+    except OSError:
+        os.close(descriptor)
+        raise
+    return Success((store, stored))
+
+
+def _sync_last_batch(files: FileSystem, descriptor: int, data: bytes) -> None:
+    """Write the last batch again and sync it.
+
+    If its sync failed before the process ended, it may be in the page cache alone, and a sync of
+    pages that are not written again succeeds without the data. Every batch before it was synced.
+    """
+    last_start = 0
+    last_end = 0
+    for _, end in read_batches(data):
+        last_start, last_end = last_end, end
+    os.ftruncate(descriptor, last_end)
+    os.lseek(descriptor, last_start, os.SEEK_SET)
+    files.write_all(descriptor, data[last_start:last_end])
 
 
 def _read_snapshot(folder: Path, stored: StoredLog) -> bool:
@@ -170,10 +292,10 @@
     return valid_size
 
 
-def _remove_leftovers(folder: Path, segment: Path) -> None:
+def _remove_leftovers(folder: Path, segments: set[Path]) -> None:
     for path in folder.iterdir():
-        is_other_segment = path.name.startswith(SEGMENT_PREFIX) and path != segment
-        if is_other_segment or path.suffix == ".draft":
+        is_other_segment = path.name.startswith(SEGMENT_PREFIX) and path not in segments
+        if is_other_segment or path.suffix == DRAFT_SUFFIX:
             path.unlink()
 
 
@@ -191,6 +313,6 @@
 
 def _failed(folder: Path, error: OSError) -> StorageFailed:
     return StorageFailed(
-        f"log folder {str(folder)!r} cannot be read or written: {error}; free or replace the disk,"
-        " then restart the process"
+        f"log folder {str(folder)!r} cannot be read or written: {error}; free or replace the disk;"
+        " the process tries again by itself"
     )
