Keep a connection open after a call that times out, and send notices again

Cause: StreamConnection.call closed the stream after the time-out of any call, also one of 50 ms, if no byte had arrived since the call was sent. The notice that gives a place back was dropped with it. A slow owner read the request later and counted the place until its deadline.

Change: the connection closes 1 s (SILENCE_TIMEOUT) after the first call since the last byte received, so the notice travels behind the request. A process that was itself paused first reads what has arrived (UNREAD_GRACE). ControlClient.notify sends the notices of the last 10 s again on the next connection to the same instance. The owner bars a permit whose notice comes before its request, because an old and a new connection are read in any order. PlaceTable.give_back handles notices.

Users of call and what detects a dead peer there now: - Places (50 ms): relied on the close by accident. An owner that does not answer is skipped for 1 s in any case. - Pings between members (0.4 s): a ping that timed out replaced the connection within 0.5 s. The next instance is still called after 0.3 s. - Claims (1 s) and the time line (its own time-out): unchanged, no later than 1 s. Everywhere the kernel closes a connection whose peer acknowledges nothing (detect_dead_peer: UNACKNOWLEDGED_TIMEOUT 1.5 s, keepalive 3 s). Consensus messages are no calls: the kernel alone detects a dead peer there, as before.

--- a/packages/decisions/src/jaylatch_decisions/places/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/places/__init__.py
@@ -1,6 +1,7 @@
 """The places of direct targets, counted centrally for each model instead of in each gateway."""
 
 from jaylatch_decisions.places.limits import LIMIT_RETENTION, STAND_IN_FRACTION
+from jaylatch_decisions.places.notices import SentNotices
 from jaylatch_decisions.places.owners import OwnerTable, first_owner
 from jaylatch_decisions.places.table import PlaceLimits, PlaceTable
 
@@ -10,5 +11,6 @@
     "OwnerTable",
     "PlaceLimits",
     "PlaceTable",
+    "SentNotices",
     "first_owner",
 ]
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -18,6 +18,7 @@
 from jaylatch_core.ids import InstanceId, RequestDigest
 from jaylatch_core.messages.places import PlaceCandidate, PlacesFull, PlaceTaken, TakePlace
 from jaylatch_decisions.places.limits import LimitTable
+from jaylatch_decisions.places.notices import EarlyNotices
 
 NEW_REQUEST_LOAD_LIMIT = 1.1
 """Maximum requests for each slot at which a new one is admitted: one in ten waits for a slot, which
@@ -54,6 +55,7 @@
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
+        self._early_notices = EarlyNotices()
 
     def take(
         self, now: float, request: TakePlace, fraction: float = 1.0
@@ -63,7 +65,8 @@
         ``fraction`` is the part of each limit that this process may grant.
         """
         self.release(request.permit)
-        if not request.candidates:
+        if not request.candidates or self._early_notices.contains(now, request.permit):
+            # The gateway does not wait for the answer to a request that it has given up.
             return PlacesFull(0.0)
         for item in request.candidates:
             self._request_limits.record(now, item)
@@ -86,6 +89,12 @@
         self._holders[request.permit] = instance
         return PlaceTaken(instance, load)
 
+    def give_back(self, now: float, permit: str) -> None:
+        """Handle a gateway's notice; one that overtook its request bars the place."""
+        if permit not in self._holders:
+            self._early_notices.record(now, permit)
+        self.release(permit)
+
     def release(self, permit: str) -> None:
         """Release the place of a request that has ended; an unknown permit is ignored."""
         instance = self._holders.pop(permit, None)
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -14,7 +14,8 @@
 from jaylatch_core.messages.journal import JournalCommand
 from jaylatch_core.settings import ControlSettings
 from jaylatch_decisions.journal import shard_of
-from jaylatch_node.streams import PeerPool
+from jaylatch_decisions.places import SentNotices
+from jaylatch_node.streams import Peer, PeerPool
 from jaylatch_node.streams.connection import CallResult
 
 CONTROL_LOG = "control"
@@ -48,6 +49,7 @@
         self._leaders: dict[str, str] = {}
         self._voters: tuple[ControlPeer, ...] = ()
         self._configured_peers = list(settings.peers)
+        self._notices: dict[str, SentNotices[Body]] = {}
 
     def connect(self) -> None:
         """Open the connections to all control instances."""
@@ -85,8 +87,20 @@
         return (await peer.call(body, timeout)).value_or(None)
 
     def notify(self, address: str, body: Body) -> None:
-        """Send one control instance a message that expects no reply; it may be lost."""
-        self._peers.get(address).send(body)
+        """Send one control instance an idempotent message that expects no reply.
+
+        It is sent again on the next connection, because a lost one may not have delivered it.
+        """
+        peer = self._peers.get(address)
+        if address not in self._notices:
+            self._notices[address] = SentNotices()
+            peer.on_connect(self._resend_notices)
+        self._notices[address].record(monotonic(), body)
+        peer.send(body)
+
+    def _resend_notices(self, peer: Peer) -> None:
+        for body in self._notices[peer.address].recent(monotonic()):
+            peer.send(body)
 
     async def call_journal(self, command: JournalCommand, timeout: float) -> CallResult:
         """Commit a journal command on the shard of its order."""
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -185,7 +185,7 @@
                 fraction = self._limit_fraction(body)
                 connection.reply(call, self._places.take(monotonic(), body, fraction))
             case GiveBackPlace():
-                self._places.release(body.permit)
+                self._places.give_back(monotonic(), body.permit)
             case ReadDeployment():
                 connection.reply(call, self._deployment())
             case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
--- a/packages/node/src/jaylatch_node/streams/connection.py
+++ b/packages/node/src/jaylatch_node/streams/connection.py
@@ -4,7 +4,7 @@
 before it parses it.
 """
 
-from asyncio import Future, get_running_loop
+from asyncio import Future, TimerHandle, get_running_loop
 from collections.abc import Callable
 
 import msgspec
@@ -14,7 +14,7 @@
 from returns.result import Result, Success
 from tornado.iostream import IOStream, StreamBufferFullError, StreamClosedError
 
-from jaylatch_core.clock import wall
+from jaylatch_core.clock import monotonic, wall
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed, Unavailable
 from jaylatch_core.messages.frames import Body, Frame, decode_frame, encode_frame
@@ -33,6 +33,17 @@
 
 More than a voter's longest election timeout, so that packet loss alone closes no connection.
 """
+SILENCE_TIMEOUT = 1.0
+"""Seconds without a byte since the first unanswered call after which a connection is closed.
+
+A process that is paused or slow for less than this still gets the messages behind the call, such as
+the notice that gives a place back. A lease renewal that meets a dead connection is called again
+within its 3.75 s. The kernel detects a peer that acknowledges nothing; this detects one whose
+connection is held open by something in between.
+"""
+UNREAD_GRACE = 0.05
+"""Seconds between the end of that time and the close, in which a process that was itself paused or
+busy reads what has arrived."""
 
 BodyHandler = Callable[["StreamConnection", int, Body], None]
 """Called for each frame that is not a reply, with the number to reply to (0: none is expected)."""
@@ -67,7 +78,8 @@
         stream.max_write_buffer_size = MAX_UNSENT_SIZE
         stream.set_nodelay(True)
         detect_dead_peer(stream.socket, UNACKNOWLEDGED_TIMEOUT)
-        self._received_bytes = 0
+        self._silent_since: float | None = None
+        self._silence_timer: TimerHandle | None = None
 
     @property
     def address(self) -> str:
@@ -89,22 +101,23 @@
             self._send_frame(-call, body)
 
     async def call(self, body: Body, timeout: float) -> CallResult:
-        """Send a call and return its reply, or a failure after ``timeout`` seconds."""
+        """Send a call and return its reply, or a failure after ``timeout`` seconds.
+
+        A time-out leaves the connection open: the peer may be slow, and what is sent later must
+        reach it behind the call.
+        """
         if not self.is_open:
             return Err(StreamClosed("the stream has closed; the call was not sent"))
         self._last_call += 1
         number = self._last_call
         future: Future[CallResult] = get_running_loop().create_future()
         self._calls[number] = future
-        received_bytes = self._received_bytes
         self._send_frame(number, body)
+        self._watch_silence()
         try:
             async with time_limit(timeout):
                 return await future
         except TimeoutError:
-            if self._received_bytes == received_bytes:
-                # No bytes have arrived since the call was sent: the connection may be dead.
-                self.close()
             return Err(
                 Unavailable(f"no reply within {timeout:.3f} s; the call may have been executed")
             )
@@ -116,7 +129,7 @@
         try:
             while True:
                 data = await self._stream.read_bytes(READ_SIZE, partial=True)
-                self._received_bytes += len(data)
+                self._silent_since = None
                 self._unpacker.feed(data)
                 messages = 0
                 for payload in self._unpacker:
@@ -131,10 +144,37 @@
     def close(self) -> None:
         """Close the stream and fail the calls that wait for a reply."""
         self._stream.close()
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
         for future in self._calls.values():
             if not future.done():
                 future.set_result(Err(StreamClosed("the stream closed before the reply arrived")))
 
+    def _watch_silence(self) -> None:
+        """Start the time without a byte, unless an earlier unanswered call has started it."""
+        if self._silent_since is not None:
+            return
+        self._silent_since = monotonic()
+        if self._silence_timer is None:
+            self._check_silence_in(SILENCE_TIMEOUT, is_last_check=False)
+
+    def _check_silence_in(self, seconds: float, *, is_last_check: bool) -> None:
+        self._silence_timer = get_running_loop().call_later(
+            seconds, self._check_silence, is_last_check
+        )
+
+    def _check_silence(self, is_last_check: bool) -> None:
+        self._silence_timer = None
+        if self._silent_since is None or not self.is_open:
+            return
+        left = self._silent_since + SILENCE_TIMEOUT - monotonic()
+        if left > 0:
+            self._check_silence_in(left, is_last_check=False)
+        elif not is_last_check:
+            self._check_silence_in(UNREAD_GRACE, is_last_check=True)
+        else:
+            self.close()
+
     def _receive(self, frame: Frame) -> None:
         self._events.observe(wall(), frame.at, frame.counter)
         if frame.call >= 0:
