--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -108,7 +108,6 @@
             return max(above, key=lambda item: (served.get(item.account, 0.0), item.rank))
         return max(left, key=lambda item: item.rank)
 
-
     def _starved(self, now: float) -> set[AccountId]:
         """Return the accounts that are served far less often than all."""
         served = {item.account: item.demand for item in self._served.demands(now)}
@@ -348,6 +347,9 @@
         terms = request.queueing
         if terms is None or request.is_resumed or not request.candidates:
             return self._table.take(now, request, fraction)
+        if self._table.is_given_back(now, request.permit):
+            # The gateway does not wait for the answer to a request that it has given up.
+            return PlacesFull(0.0)
         self.release(now, request.permit)
         self._table.record_limits(now, request)
         queue = self._queues.get(terms.model)
@@ -367,6 +369,12 @@
             return PlaceQueued(queue.position(request.permit))
         return answer
 
+    def give_back(self, now: float, permit: str) -> None:
+        """Handle a gateway's notice that a request has ended or waits no more."""
+        if permit not in self._models:
+            self._table.record_notice(now, permit)
+        self.release(now, permit)
+
     def release(self, now: float, permit: str) -> None:
         """Release the place of a request that has ended, or end its waiting."""
         model = self._models.pop(permit, None)
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -25,6 +25,7 @@
     TakePlace,
 )
 from jaylatch_decisions.places.limits import LimitTable
+from jaylatch_decisions.places.notices import EarlyNotices
 
 NEW_REQUEST_LOAD_LIMIT = 1.1
 """Maximum requests for each slot at which a new one is admitted: one in ten waits for a slot, which
@@ -90,6 +91,7 @@
         self._first_expiries: dict[InstanceId, float] = {}
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
+        self._early_notices = EarlyNotices()
 
     def take(
         self, now: float, request: TakePlace, fraction: float = 1.0
@@ -99,7 +101,8 @@
         ``fraction`` is the part of each limit that this process may grant.
         """
         self.release(request.permit)
-        if not request.candidates:
+        if not request.candidates or self.is_given_back(now, request.permit):
+            # The gateway does not wait for the answer to a request that it has given up.
             return PlacesFull(0.0)
         self.record_limits(now, request)
         found = self.find(now, request.candidates, fraction)
@@ -147,6 +150,20 @@
         self._holders[place.permit] = place.instance
         self._ends[place.permit] = ExpectedEnd(now, place.ends_in)
 
+    def give_back(self, now: float, permit: str) -> None:
+        """Handle a gateway's notice; one that overtook its request bars the place."""
+        self.record_notice(now, permit)
+        self.release(permit)
+
+    def record_notice(self, now: float, permit: str) -> None:
+        """Bar the place of a request that was given up before it arrived."""
+        if permit not in self._holders:
+            self._early_notices.record(now, permit)
+
+    def is_given_back(self, now: float, permit: str) -> bool:
+        """Return whether the notice that gives a place back has come before its request."""
+        return self._early_notices.contains(now, permit)
+
     def release(self, permit: str) -> InstanceId | None:
         """Release the place of a request that has ended, and return where it was.
 
--- a/packages/node/src/jaylatch_node/control/places.py
+++ b/packages/node/src/jaylatch_node/control/places.py
@@ -51,7 +51,7 @@
                     self._start_timer()
             case GiveBackPlace():
                 self._waiting.pop(body.permit, None)
-                self._queues.release(now, body.permit)
+                self._queues.give_back(now, body.permit)
             case PlacesHeld():
                 self._queues.hold(now, body)
             case _:
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -1,10 +1,9 @@
 """Client of the owners that count the places of models."""
 
 from asyncio import Future, get_running_loop
-from collections import defaultdict, deque
+from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
-from functools import partial
 
 import msgspec
 
@@ -36,8 +35,6 @@
 """Seconds to wait for an answer: a round trip takes 2 ms, and a first answer is due in 200 ms."""
 EXPIRY_MARGIN = 0.5
 """Seconds after a request's deadline at which its place is free in any case."""
-MAX_UNSENT = 1024
-"""Ended places of one owner that are remembered while it is not connected."""
 
 _Answer = PlaceTaken | PlacesFull | PlaceGranted | PlaceDenied
 
@@ -99,7 +96,6 @@
         self._held: defaultdict[str, dict[str, Place]] = defaultdict(dict)
         self._informed: dict[str, tuple[str, float]] = {}
         self._watched: dict[str, Peer] = {}
-        self._unsent: defaultdict[str, deque[str]] = defaultdict(partial(deque, maxlen=MAX_UNSENT))
 
     async def take(self, request: PlaceRequest, terms: QueueTerms | None = None) -> Place | None:
         """Return the place, whose ``target`` is None if no target takes the request.
@@ -140,10 +136,7 @@
         if held is not None:
             held.pop(place.permit, None)
         for owner in place.owners:
-            is_sent = self._client.notify(owner, GiveBackPlace(place.permit))
-            if not is_sent and owner in self._watched:
-                # Otherwise a live owner would count the place until the request's deadline.
-                self._unsent[owner].append(place.permit)
+            self._client.notify(owner, GiveBackPlace(place.permit))
 
     async def _take(self, request: PlaceRequest, terms: QueueTerms | None) -> Place | None:
         """Ask one owner.
@@ -263,7 +256,8 @@
             return
         for place in held:
             place.owners.add(owner)
-        self._client.notify(owner, PlacesHeld(tuple(item.describe(now) for item in held)))
+        # Not as a notice: it must not be sent again once some of the places have been given back.
+        self._client.peer(owner).send(PlacesHeld(tuple(item.describe(now) for item in held)))
 
     def _watch(self, owner: str) -> None:
         """Get to know of the loss and of the return of an owner."""
@@ -285,10 +279,8 @@
                     self._inform(now, subject, successor)
 
     def _on_owner_back(self, peer: Peer) -> None:
-        """Report what it may not know: it may have begun anew, or have missed what was ended."""
+        """Report what it may not know: it may have begun anew."""
         now = monotonic()
-        for permit in self._unsent.pop(peer.address, ()):
-            self._client.notify(peer.address, GiveBackPlace(permit))
         owners = self._client.addresses[:OWNER_COUNT]
         for subject in list(self._held):
             if first_owner(subject, owners) == peer.address:
