Choose targets by expected work where it is in force

Cause: without an owner, and always at plain services, each gateway sends to the target whose last report is the lowest. With many gateways and reports that are old, targets are overloaded in turns while others are idle.

Change: a new package decisions/balancing counts requests in flight, learns the pace of targets from durations, and forgets it with a half-life. The owner of the places counts the calls of plain services for all gateways and chooses; it refuses none. Without an answer within 12 ms the gateway chooses by its own counts, and reports are discounted by age. In force by the setting, or with ranked services or services that may be cold. Both processes that count give the largest load over the mean in a log line and a gauge.

--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -104,6 +104,22 @@
     first_ms: float = 0.0
 
 
+class LoadsMeasured(LogRecord, frozen=True, kw_only=True, tag="loads"):
+    """How even the load of the targets of a model or service was over the last 10 s.
+
+    ``counted_by`` is ``owner`` or ``gateway``; a gateway that chooses by itself knows only its own
+    requests. Loads are means over the choices, in requests for each slot.
+    """
+
+    subject: str
+    counted_by: str
+    largest: float
+    mean: float
+    largest_over_mean: float
+    targets: int
+    choices: int
+
+
 class InternalError(LogRecord, frozen=True, kw_only=True, tag="own failure"):
     """An internal error ended the handling of a request."""
 
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -51,6 +51,8 @@
     identifies a request that is sent again after a refusal; ``is_resumed``: its stream has begun.
     ``absent_owner`` is the address of an owner that comes first and did not answer the gateway.
     Without ``queueing`` terms a request that gets no place is refused at once.
+    ``subject`` is the model or service for which the owner states how even the load is, empty if it
+    need not. A request of a ``kind`` is counted, but never refused.
     """
 
     permit: str
@@ -60,6 +62,8 @@
     is_resumed: bool = False
     absent_owner: str = ""
     queueing: QueueTerms | None = None
+    subject: str = ""
+    kind: str = ""
 
 
 class PlaceTaken(msgspec.Struct, frozen=True, tag=True):
@@ -134,6 +138,10 @@
 
 
 class GiveBackPlace(msgspec.Struct, frozen=True, tag=True):
-    """Releases a place after its request has ended. Expects no reply."""
+    """Releases a place after its request has ended. Expects no reply.
+
+    ``is_answered``: a target answered it completely, so its duration tells the target's pace.
+    """
 
     permit: str
+    is_answered: bool = False
--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -10,7 +10,7 @@
 are refused twice, and there are never more of them than there is room.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from dataclasses import dataclass
 
 from jaylatch_core.ids import AccountId, InstanceId, RequestId
@@ -354,6 +354,10 @@
             self._models.pop(outcome.permit, None)
         return outcomes
 
+    def loads(self, now: float, candidates: Sequence[PlaceCandidate]) -> list[float]:
+        """Return the requests for each slot of the targets whose places are counted."""
+        return self._table.loads(now, candidates)
+
     def lengths(self, now: float) -> dict[str, tuple[int, float]]:
         """Return the length of each model's queue, and the age of its oldest request."""
         return {model: (len(queue), queue.age(now)) for model, queue in self._queues.items()}
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -13,6 +13,7 @@
 """
 
 from collections import defaultdict
+from collections.abc import Sequence
 from dataclasses import dataclass
 from math import inf
 
@@ -171,6 +172,10 @@
         earliest = now + self._request_limits.wait(now, instance, fraction)
         return [max(time, earliest) for time in times] if earliest > now else times
 
+    def loads(self, now: float, candidates: Sequence[PlaceCandidate]) -> list[float]:
+        """Return the requests for each slot of the targets whose places are counted."""
+        return [self._count(now, item.instance) / item.slots for item in candidates if item.slots]
+
     def _load_with(self, now: float, candidate: PlaceCandidate) -> float:
         """Return the requests for each slot of the target with one more."""
         if not candidate.slots:
--- a/packages/node/src/jaylatch_node/control/places.py
+++ b/packages/node/src/jaylatch_node/control/places.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import TimerHandle, get_running_loop
+from random import Random
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
@@ -15,7 +16,9 @@
     PlacesHeld,
     TakePlace,
 )
+from jaylatch_decisions.balancing import ServiceOwner
 from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceQueues
+from jaylatch_node.evenness import EvennessReporter
 from jaylatch_node.observability import Metrics
 from jaylatch_node.streams import PeerPool, StreamConnection
 
@@ -25,11 +28,16 @@
 
 
 class PlaceController:
-    """Answers the calls for places, and tells waiting gateways what they get."""
+    """Answers the calls for places, and tells waiting gateways what they get.
+
+    Requests at plain services are counted, but wait at their targets.
+    """
 
     def __init__(self, peers: PeerPool, metrics: Metrics) -> None:
         self._peers = peers
         self._queues = PlaceQueues()
+        self._services = ServiceOwner(Random())
+        self._evenness = EvennessReporter(metrics, "owner")
         self._waiting: dict[str, StreamConnection] = {}
         self._timer: TimerHandle | None = None
         self._lengths = metrics.gauge(
@@ -43,12 +51,21 @@
         """Handle a message on places; returns False if the body is not one."""
         now = monotonic()
         match body:
+            case TakePlace() if body.kind and body.candidates:
+                connection.reply(call, self._services.take(now, body))
+                loads = self._services.loads(now, body.candidates)
+                self._evenness.sample(now, body.subject, loads)
             case TakePlace():
                 answer = self._queues.take(now, body, self._limit_fraction(body))
                 connection.reply(call, answer)
                 if isinstance(answer, PlaceQueued):
                     self._waiting[body.permit] = connection
                     self._start_timer()
+                if body.subject:
+                    loads = self._queues.loads(now, body.candidates)
+                    self._evenness.sample(now, body.subject, loads)
+            case GiveBackPlace() if self._services.release(now, body.permit, body.is_answered):
+                pass
             case GiveBackPlace():
                 self._waiting.pop(body.permit, None)
                 self._queues.release(now, body.permit)
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -31,6 +31,11 @@
         """Return the addresses of all targets."""
         return {target.address for target in self._targets.values()}
 
+    @property
+    def instances(self) -> set[InstanceId]:
+        """Return all targets."""
+        return set(self._targets)
+
     def update(self, view: View) -> set[InstanceId]:
         """Use the targets of ``view``; return the heads that no longer serve their groups.
 
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -33,6 +33,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.deadlines import loop_time
 from jaylatch_node.gateway.attempt import Attempt, RecoveryHandler, SuspicionHandler
+from jaylatch_node.gateway.balancing import TargetBalancer
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -76,6 +77,7 @@
         board: Blackboard,
         dialect: TargetDialect,
         placer: Placer,
+        balancer: TargetBalancer,
         conditions: TargetConditions,
         pool: TargetPool,
         budget: RetryBudget,
@@ -91,6 +93,7 @@
         self._conditions = conditions
         self._apply_bound = apply_bound
         self._placer = placer
+        self._balancer = balancer
         self._evidence = EvidenceTable()
         self._suspect = suspect
         self._report_recovery = report_recovery
@@ -243,10 +246,12 @@
             job.waits_since = None
             self._record_placement(job, placement, attempt.last_event)
             sent_at = monotonic()
+            is_answered = False
             try:
                 outcome = await self._send(job, attempt, target, placement.address)
+                is_answered = outcome is None and job.placements == 1
             finally:
-                placement.release()
+                placement.release(is_answered)
             if outcome is None:
                 self._evidence.clear([job.digest])
                 if attempt.has_answered:
@@ -323,6 +328,8 @@
     ) -> None:
         """Record the conditions that an answer of a target states, and log their changes."""
         now = monotonic()
+        if facts.server_load is not None:
+            self._balancer.record_report(now, instance, facts.server_load)
         changes = []
         if self._conditions.record_limit(now, instance, facts.limit):
             changes.append(("limit ended" if facts.limit is None else "limit", facts.limit or 0.0))
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -15,11 +15,11 @@
 from jaylatch_decisions.targets import (
     TargetConditions,
     TargetLoad,
-    choose_target,
     list_unattempted,
     may_admit,
 )
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.gateway.balancing import SentRequest, TargetBalancer
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
 from jaylatch_node.gateway.places import Place, PlaceClient, PlaceRequest
@@ -44,16 +44,26 @@
 
 @dataclass(frozen=True)
 class Placement:
-    """The target of a request; ``place`` is set if the owner of the places granted it."""
+    """The target of a request; ``place`` is set if the owner of the places granted it.
+
+    ``sent`` is set where this process counts the request as work of the target.
+    """
 
     target: TargetLoad
     address: str
     place: Place | None
     candidates: int
+    sent: SentRequest | None = None
 
-    def release(self) -> None:
-        """Notify the owner of the place, if there is one, that the request has ended."""
+    def release(self, is_answered: bool = False) -> None:
+        """Notify the owner of the place, if there is one, that the request has ended.
+
+        ``is_answered``: this target alone answered it completely.
+        """
+        if self.sent is not None:
+            self.sent.end(is_answered)
         if self.place is not None:
+            self.place.is_answered = is_answered
             self.place.release()
 
 
@@ -90,7 +100,9 @@
         places: PlaceClient,
         conditions: TargetConditions,
         random: Random,
+        balancer: TargetBalancer,
     ) -> None:
+        self._balancer = balancer
         self._board = board
         self._directory = directory
         self._places = places
@@ -117,7 +129,11 @@
             target, place = found
             address = self._directory.address(target.instance)
             if address is not None:
-                return Placement(target, address, place, len(candidates))
+                subject = job.request.model or service
+                sent = self._balancer.start(
+                    monotonic(), subject, job.route.name, target, job.deadline
+                )
+                return Placement(target, address, place, len(candidates), sent)
             # The view has changed since the candidates were chosen.
             if place is not None:
                 place.release()
@@ -221,7 +237,7 @@
         unlimited = [
             item for item in candidates if self._conditions.limit(now, item.instance) is None
         ]
-        target = self._choose(now, unlimited)
+        target = self._balancer.choose(now, model, unlimited)
         if target is not None and may_admit(now, target, job.caller.has_started):
             return target, None
         part = self._choose_unshared(now, candidates)
@@ -238,11 +254,15 @@
     ) -> _Found | NoPlacement:
         """Return the least loaded target of a plain service that has not reached its limit.
 
-        Only requests to targets with limits are granted by an owner.
+        Where expected work is in force, the owner chooses among targets without limits. Otherwise
+        only requests to targets with limits are granted by an owner.
         """
+        place = await self._count_plain(job, service, candidates)
+        if place is not None and place.target is not None:
+            return place.target, place
         left = list(candidates)
         waits = []
-        while (target := self._choose(monotonic(), left)) is not None:
+        while (target := self._balancer.choose(monotonic(), service, left)) is not None:
             if self._conditions.limit(monotonic(), target.instance) is None:
                 return target, None
             place = await self._take_place(job, service, [target], counts_places=False)
@@ -256,6 +276,19 @@
             return NoPlacement(Obstacle.NO_TARGET)
         return NoPlacement(Obstacle.AT_LIMIT, 0.0, len(candidates), min(waits))
 
+    async def _count_plain(
+        self, job: Job, service: str, candidates: Sequence[TargetLoad]
+    ) -> Place | None:
+        """Return the place that the owner chooses, None if it may not or does not answer."""
+        now = monotonic()
+        usable = [item for item in candidates if item.usable_from <= now]
+        if len(usable) < 2 or not self._balancer.is_in_force:
+            return None
+        if any(self._conditions.limit(now, item.instance) is not None for item in usable):
+            return None
+        request = self._place_request(job, service, usable, counts_places=True)
+        return await self._places.count(request, job.route.name)
+
     async def _take_place(
         self,
         job: Job,
@@ -264,7 +297,13 @@
         counts_places: bool,
         terms: QueueTerms | None = None,
     ) -> Place | None:
-        request = PlaceRequest(
+        request = self._place_request(job, subject, usable, counts_places)
+        return await self._places.take(request, terms)
+
+    def _place_request(
+        self, job: Job, subject: str, usable: Sequence[TargetLoad], counts_places: bool
+    ) -> PlaceRequest:
+        return PlaceRequest(
             subject,
             job.request.attempt,
             usable,
@@ -272,8 +311,8 @@
             job.digest,
             job.caller.has_started,
             counts_places,
+            counts_places and self._balancer.is_in_force,
         )
-        return await self._places.take(request, terms)
 
     def _choose_unshared(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
         """Return a target of whose limit this process's own part is not used up, or None."""
@@ -289,10 +328,6 @@
             None,
         )
 
-    def _choose(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
-        domain = self._board.identity.failure_domain
-        return choose_target(now, candidates, domain, self._random)
-
     def _choose_service(self, job: Job) -> str:
         shares = job.route.shares
         if len(shares) == 1:
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -34,6 +34,9 @@
 """Number of control instances among which the models are divided; voters come first."""
 ANSWER_TIMEOUT = 0.05
 """Seconds to wait for an answer: a round trip takes 2 ms, and a first answer is due in 200 ms."""
+COUNT_TIMEOUT = 0.012
+"""Seconds to wait for the choice of a target of a plain service: a tenth of its objective. After it
+the gateway chooses by itself."""
 EXPIRY_MARGIN = 0.5
 """Seconds after a request's deadline at which its place is free in any case."""
 MAX_UNSENT = 1024
@@ -61,6 +64,7 @@
         self.retry_after = 0.0
         self.expires_at = 0.0
         self.ends_at = 0.0
+        self.is_answered = False
 
     def release(self) -> None:
         """Notify the owners that the request has ended, or waits no more."""
@@ -76,7 +80,8 @@
 @dataclass(frozen=True)
 class PlaceRequest:
     """What is asked of an owner. ``subject`` is the model or, where only limits are kept, the
-    service. ``counts_places`` is False in that case.
+    service. ``counts_places`` is False in that case. ``is_metered``: the owner states how even the
+    load of the subject's targets is.
     """
 
     subject: str
@@ -86,6 +91,7 @@
     digest: RequestDigest
     is_resumed: bool
     counts_places: bool = True
+    is_metered: bool = False
 
 
 class PlaceClient:
@@ -95,6 +101,7 @@
         self._client = client
         self._conditions = conditions
         self._owners = OwnerTable()
+        self._counting_owners = OwnerTable()
         self._waits: dict[str, tuple[str, Future[_Answer | None]]] = {}
         self._held: defaultdict[str, dict[str, Place]] = defaultdict(dict)
         self._informed: dict[str, tuple[str, float]] = {}
@@ -121,6 +128,36 @@
                 if monotonic() >= due:
                     return None
 
+    async def count(self, request: PlaceRequest, kind: str) -> Place | None:
+        """Return a place at the target with the least expected work, for a plain service.
+
+        The owner refuses nothing. Return None if it does not answer at once; it is skipped for a
+        time then, but only for such requests.
+        """
+        now = monotonic()
+        owners = self._client.addresses[:OWNER_COUNT]
+        owner = self._counting_owners.choose(now, request.subject, owners)
+        if owner is None or not request.usable:
+            return None
+        place = Place(self, request.subject, owner, f"{request.attempt}/{now}")
+        message = self._write(now, request, None, place.permit, owner, owners)
+        answer: Body | None = None
+        try:
+            async with time_limit(COUNT_TIMEOUT):
+                counted = msgspec.structs.replace(message, kind=kind)
+                answer = await self._client.ask(owner, counted, ANSWER_TIMEOUT)
+        except TimeoutError:
+            pass
+        finally:
+            if not isinstance(answer, PlaceTaken):
+                place.release()
+        if isinstance(answer, PlaceTaken):
+            place.target = next(item for item in request.usable if item.instance == answer.instance)
+            place.load = answer.load
+            return place
+        self._counting_owners.record_failure(now, owner)
+        return None
+
     def handle(self, connection: StreamConnection, body: Body) -> bool:
         """Handle the outcome of a wait; returns False if the body is not one."""
         match body:
@@ -140,7 +177,7 @@
         if held is not None:
             held.pop(place.permit, None)
         for owner in place.owners:
-            is_sent = self._client.notify(owner, GiveBackPlace(place.permit))
+            is_sent = self._client.notify(owner, GiveBackPlace(place.permit, place.is_answered))
             if not is_sent and owner in self._watched:
                 # Otherwise a live owner would count the place until the request's deadline.
                 self._unsent[owner].append(place.permit)
@@ -217,6 +254,7 @@
             request.is_resumed,
             first if first is not None and first != owner else "",
             terms,
+            request.subject if request.is_metered else "",
         )
 
     async def _ask(self, owner: str, message: TakePlace) -> Body | None:
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -20,6 +20,7 @@
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
+from jaylatch_node.gateway.balancing import TargetBalancer
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.forwarder import Forwarder
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -66,12 +67,14 @@
         random = Random(board.identity.incarnation)
         conditions = TargetConditions(random)
         self._places = PlaceClient(client, conditions)
-        placer = Placer(board, self._directory, self._places, conditions, random)
+        self._balancer = TargetBalancer(board, self._settings.balancing, random)
+        placer = Placer(board, self._directory, self._places, conditions, random, self._balancer)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
             dialect,
             placer,
+            self._balancer,
             conditions,
             self._pool,
             budget,
@@ -152,6 +155,7 @@
         if lost:
             self._forwarder.mark_lost(lost)
         self._pool.retain(self._directory.addresses)
+        self._balancer.retain(self._directory.instances)
 
     def _suspect(self, suspicion: SuspectTarget) -> None:
         """Report an unresponsive target to the control leader, no more often than it probes.
