--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -38,7 +38,8 @@
 MAX_WAITING = 2048
 """Waiting requests of one class; more are refused. Bounds the memory and the time of a forecast."""
 FORECAST_LIFETIME = 0.02
-"""Seconds for which the expected ends of requests in flight are not computed anew."""
+"""Seconds for which the expected ends of requests in flight, and what the accounts were served, are
+not computed anew."""
 CANDIDATE_RETENTION = 0.5
 """Seconds for which a target counts as one of the model after a gateway has named it."""
 SERVICE_FLOOR = 0.4
@@ -72,12 +73,27 @@
     order: ReturnOrder
 
 
+@dataclass(frozen=True)
+class _Standing:
+    """How the accounts of a class stand: what each was served, in place seconds a second.
+
+    ``over_share`` are those that ask for more than their share. ``starved`` are those that are
+    served far less often than all.
+    """
+
+    at: float
+    served: dict[AccountId, float]
+    over_share: frozenset[AccountId]
+    starved: frozenset[AccountId]
+
+
 class _ClassQueue:
     """Waiting requests of one class, and what its accounts were served."""
 
     def __init__(self) -> None:
         self.queue = AdmissionQueue(self._choose_victim)
         self._served = DemandMeter()
+        self._standing = _Standing(-inf, {}, frozenset(), frozenset())
         self.slots = inf
 
     def order(self, now: float, account: AccountId, due: float) -> float:
@@ -86,8 +102,9 @@
         A request that is admitted may become late by the error of the forecast. With due time
         alone that would be as often one of an account that keeps to its share.
         """
-        is_over = account in self.queue.over_share(now, self.slots)
-        return due + (OVER_SHARE_DELAY if is_over and not self._is_starved(now, account) else 0.0)
+        standing = self._renew_standing(now)
+        is_later = account in standing.over_share and account not in standing.starved
+        return due + (OVER_SHARE_DELAY if is_later else 0.0)
 
     def count_served(self, now: float, account: AccountId, work: float) -> None:
         """Count a request that has got a place."""
@@ -100,24 +117,26 @@
 
         Accounts that are served far less often than the class give way only to each other.
         """
-        starved = self._starved(now)
-        served = {item.account: item.demand for item in self._served.demands(now)}
-        left = [item for item in items if item.account not in starved] or items
+        standing = self._renew_standing(now)
+        left = [item for item in items if item.account not in standing.starved] or items
         above = [item for item in left if item.account in over_share]
         if above:
+            served = standing.served
             return max(above, key=lambda item: (served.get(item.account, 0.0), item.rank))
         return max(left, key=lambda item: item.rank)
 
-
-    def _starved(self, now: float) -> set[AccountId]:
-        """Return the accounts that are served far less often than all."""
+    def _renew_standing(self, now: float) -> _Standing:
+        if now < self._standing.at + FORECAST_LIFETIME:
+            return self._standing
         served = {item.account: item.demand for item in self._served.demands(now)}
         offered = self.queue.offered(now)
         floor = SERVICE_FLOOR * sum(served.values()) / max(sum(offered.values()), 1e-9)
-        return {item for item, work in offered.items() if served.get(item, 0.0) < floor * work}
-
-    def _is_starved(self, now: float, account: AccountId) -> bool:
-        return account in self._starved(now)
+        starved = frozenset(
+            account for account, work in offered.items() if served.get(account, 0.0) < floor * work
+        )
+        over_share = self.queue.over_share(now, self.slots)
+        self._standing = _Standing(now, served, over_share, starved)
+        return self._standing
 
 
 class PlaceQueue:
