Keep cold targets to a bound over all gateways

Cause: a target that has just started crashes at a rate that it bears when it is warm, and nothing held the gateways together to a rate. `UNSHARED_FRACTION` lets a sum reach 1.5 times a limit, and two gateways with different lists of voters have two first owners. Change: a pure module decides whether a target is cold; the leader marks routes and halves the slots of cold targets; the owner keeps an exact window of grants for services with a cold rate, in the table of stated limits. A gateway without an owner sends nothing to cold targets. `TargetCheckIn.cold_left` is None if a heartbeat does not state it; `PlaceCandidate` gets `is_cold`. Log line `cold target`, metrics cold_targets and cold_rate_used.

--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -120,6 +120,19 @@
     staged: tuple[str, ...] = ()
 
 
+class TargetColdnessChanged(LogRecord, frozen=True, kw_only=True, tag="cold target"):
+    """Control takes a target for cold from now on, or no longer.
+
+    ``used`` is the highest part of its bound that this leader granted in a window while the target
+    was cold.
+    """
+
+    target: str
+    service: str
+    is_cold: bool
+    used: float
+
+
 class TargetProbed(LogRecord, frozen=True, kw_only=True, tag="probe"):
     """A suspected target answered no probe: it is lost or silent, or has sent a heartbeat since."""
 
@@ -146,7 +159,7 @@
 
     ``condition`` is ``limit``, with the requests a second that the target takes from all gateways
     together as its ``value``, or ``limit ended``, ``rest``, with the seconds for which it wants no
-    request from this gateway, or ``leaving``.
+    request from this gateway, ``leaving``, or ``cold``, with the seconds for which it stays so.
     """
 
     target: str
@@ -242,6 +255,7 @@
     RequestEnded,
     InternalError,
     TargetStateChanged,
+    TargetColdnessChanged,
     TargetProbed,
     TargetDied,
     PartsQuarantined,
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -20,13 +20,15 @@
 
     ``slots`` 0: its places are not counted, only its ``limit`` is kept. ``limit`` is None if the
     gateway has been told none. ``cold_rate`` is the number of requests a second that the target
-    tolerates while it is cold, 0 if it is warm.
+    tolerates while it is cold, 0 if it is never cold. ``is_cold``: the gateway takes the target for
+    cold, or cannot know that it is warm.
     """
 
     instance: InstanceId
     slots: int
     limit: CandidateLimit | None = None
     cold_rate: float = 0.0
+    is_cold: bool = False
 
 
 class QueueTerms(msgspec.Struct, frozen=True):
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -42,7 +42,7 @@
     ``sequence`` increases with each heartbeat of an incarnation, so that a late one is recognised.
     Only instances of one ``fabric_domain`` form a group. ``staged_models`` are stored on the
     instance and load in a short time. ``cold_left`` is the number of seconds for which the target
-    says that it stays cold.
+    says that it stays cold, 0 if it says that it is warm, None if it does not say.
     """
 
     instance: InstanceId
@@ -56,7 +56,7 @@
     slots: int = 1
     membership: ReportedMembership | None = None
     staged_models: tuple[str, ...] = ()
-    cold_left: float = 0.0
+    cold_left: float | None = None
 
 
 class TargetDeparture(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/owners.py
+++ b/packages/decisions/src/jaylatch_decisions/places/owners.py
@@ -17,8 +17,15 @@
     def __init__(self) -> None:
         self._usable_from: dict[str, float] = {}
 
-    def choose(self, now: float, subject: str, addresses: Sequence[str]) -> str | None:
-        """Return the address of the owner of ``subject``, or None if all failed recently."""
+    def choose(
+        self, now: float, subject: str, addresses: Sequence[str], preferred: str | None = None
+    ) -> str | None:
+        """Return the address of the owner of ``subject``, or None if all failed recently.
+
+        ``preferred`` is chosen unless it failed recently.
+        """
+        if preferred is not None and self._usable_from.get(preferred, 0.0) <= now:
+            return preferred
         usable = [item for item in addresses if self._usable_from.get(item, 0.0) <= now]
         return first_owner(subject, usable)
 
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -48,9 +48,11 @@
 class PlaceTable:
     """The permits of the models whose places this process owns."""
 
-    def __init__(self, limits: PlaceLimits = DEFAULT_LIMITS) -> None:
+    def __init__(
+        self, limits: PlaceLimits = DEFAULT_LIMITS, request_limits: LimitTable | None = None
+    ) -> None:
         self._load_limits = limits
-        self._request_limits = LimitTable()
+        self._request_limits = request_limits or LimitTable()
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._holders: dict[str, InstanceId] = {}
         self._refused: dict[RequestDigest, float] = {}
@@ -81,7 +83,7 @@
             self._remember_refusal(now, request.digest)
             return PlacesFull(load, wait)
         self._refused.pop(request.digest, None)
-        self._request_limits.take(instance)
+        self._request_limits.take(now, instance)
         self._expiries[instance][request.permit] = now + request.duration
         self._holders[request.permit] = instance
         return PlaceTaken(instance, load)
--- a/packages/decisions/src/jaylatch_decisions/targets/choice.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/choice.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
+from math import inf
 from random import Random
 
 from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
@@ -34,6 +35,8 @@
     in the target's last report, and ``own_at_report`` this node's part of them. ``failures`` counts
     the consecutive failures. ``progress_at`` is when the target last sent part of an answer that it
     generates as the head of ``group`` under ``epoch``; both are unset for a plain service.
+    ``is_cold``: control takes the target for cold. ``proven_at`` is when a request was sent that it
+    has answered.
     """
 
     instance: InstanceId
@@ -48,6 +51,8 @@
     group: GroupId = GroupId("")
     epoch: Epoch = Epoch(0)
     progress_at: float = 0.0
+    is_cold: bool = False
+    proven_at: float = -inf
 
     def record_report(self, now: float, busy: int) -> None:
         """Record that the target runs or queues ``busy`` requests."""
--- a/packages/decisions/src/jaylatch_decisions/targets/conditions.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/conditions.py
@@ -38,6 +38,7 @@
         self._limits: dict[InstanceId, StatedLimit] = {}
         self._resting_until: dict[InstanceId, float] = {}
         self._leaving_since: dict[InstanceId, float] = {}
+        self._cold_until: dict[InstanceId, float] = {}
         self._unshared_since = 0.0
         self._unshared: dict[InstanceId, RateBucket] = {}
 
@@ -80,6 +81,19 @@
         since = self._leaving_since.get(instance)
         return since is not None and now < since + LEAVING_RETENTION
 
+    def record_cold(self, now: float, instance: InstanceId, duration: float) -> bool:
+        """Record that a target says that it is cold; return whether it was not known before."""
+        self._cold_until = {
+            other: until for other, until in self._cold_until.items() if now < until
+        }
+        was_known = instance in self._cold_until
+        self._cold_until[instance] = now + duration
+        return not was_known
+
+    def is_cold(self, now: float, instance: InstanceId) -> bool:
+        """Return whether the target has said that it is still cold."""
+        return now < self._cold_until.get(instance, 0.0)
+
     def stated_limit(self, now: float, instance: InstanceId) -> CandidateLimit | None:
         """Return what the target last stated about its limit, or None if it stated nothing."""
         stated = self._limits.get(instance)
@@ -102,15 +116,19 @@
         elif not self._unshared_since:
             self._unshared_since = now
 
-    def take_unshared(self, now: float, instance: InstanceId, gateways: int) -> bool:
+    def take_unshared(
+        self, now: float, instance: InstanceId, gateways: int, bound: float | None = None
+    ) -> bool:
         """Take one request of this process's equal part of a limit; return False if none is left.
 
         Without an owner ``gateways`` processes may send to the target, 0 if their number is not
-        known. Nothing is left over from the time in which an owner answered.
+        known. Nothing is left over from the time in which an owner answered. ``bound`` is a limit
+        beside the one that the target states: 0 if it is cold, None if there is none.
         """
-        limit = self.limit(now, instance)
-        if limit is None:
+        limits = [item for item in (self.limit(now, instance), bound) if item is not None]
+        if not limits:
             return True
+        limit = min(limits)
         if not gateways or not limit:
             return False
         bucket = self._unshared.get(instance)
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -53,7 +53,8 @@
 
     ``last_contact_at`` is when it arrived, ``draining_since`` when the target first announced that
     it drains, ``departed_at`` when it announced that it reports no more, ``appeared_at`` when the
-    first heartbeat of its incarnation arrived. ``missed_probe_at`` is when a probe was
+    first heartbeat of its incarnation arrived, ``reported_at`` when the newest one did, whereas
+    ``last_contact_at`` counts other evidence too. ``missed_probe_at`` is when a probe was
     sent that showed its loss, ``silent_since`` when the first probe was sent that it accepted, but
     did not answer; both after its last contact.
     """
@@ -65,6 +66,7 @@
     missed_probe_at: float | None = None
     silent_since: float | None = None
     appeared_at: float = 0.0
+    reported_at: float = 0.0
 
 
 class TargetRegistry:
@@ -127,7 +129,7 @@
             del self._holders[known.heartbeat.address]
         self._holders[heartbeat.address] = heartbeat.instance
         self._records[heartbeat.instance] = TargetRecord(
-            heartbeat, now, draining_since, appeared_at=appeared_at
+            heartbeat, now, draining_since, appeared_at=appeared_at, reported_at=now
         )
         self._revision += 1
         return True
@@ -276,4 +278,5 @@
         heartbeat.slots,
         heartbeat.is_draining,
         heartbeat.membership,
+        bool(heartbeat.cold_left),
     )
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -74,6 +74,11 @@
         """Return the current voters as far as this process was told, none before that."""
         return self._voters
 
+    @property
+    def leader(self) -> str | None:
+        """Return the address of the supposed leader of the control log, None if none is known."""
+        return self._leaders.get(CONTROL_LOG)
+
     async def ask(self, address: str, body: Body, timeout: float) -> Body | None:
         """Call one control instance, leader or not; return None if it does not answer.
 
--- /dev/null
+++ b/packages/node/src/jaylatch_node/control/cold_targets.py
@@ -0,0 +1,145 @@
+"""The leader's knowledge of which direct targets are cold, and the report on them."""
+
+import logging
+from collections.abc import Mapping
+from math import inf
+
+import msgspec
+
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, wall
+from jaylatch_core.deployment import Deployment
+from jaylatch_core.ids import InstanceId
+from jaylatch_core.log_records import TargetColdnessChanged
+from jaylatch_core.messages.membership import ServiceRoute
+from jaylatch_decisions.places import EVIDENCE_VALIDITY, ColdLimits
+from jaylatch_decisions.targets import TargetRecord, TargetRegistry
+from jaylatch_decisions.targets.coldness import ColdFacts, cold_slots, is_cold
+from jaylatch_node.observability import Metrics, log_record
+
+FIRST_REGISTRATION_TIME = 2.6
+"""Seconds of the first leadership in which the targets of a deployment register: two heartbeat
+intervals and a margin. Those that were there before the first group served count too."""
+
+_log = logging.getLogger("jaylatch.targets")
+
+
+class ColdTargets:
+    """Which targets are cold, from the heartbeats that this control instance has."""
+
+    def __init__(self, registry: TargetRegistry, now: float, has_served: bool) -> None:
+        self._registry = registry
+        self._deployment: Deployment | None = None
+        self._cold_times: dict[str, float] = {}
+        self._registered_until = now + FIRST_REGISTRATION_TIME
+        self._has_traffic = has_served
+        if has_served:
+            self._registered_until = -inf
+
+    def use_deployment(self, deployment: Deployment) -> None:
+        """Use the cold times of the services of ``deployment``."""
+        if deployment is self._deployment:
+            return
+        self._deployment = deployment
+        self._cold_times = {
+            service.name: service.cold_time
+            for service in deployment.services
+            if service.may_be_cold
+        }
+
+    def note_traffic(self, now: float) -> None:
+        """Record that a group serves: a target that appears later starts during traffic."""
+        if not self._has_traffic:
+            self._has_traffic = True
+            self._registered_until = max(self._registered_until, now)
+
+    def is_cold(self, now: float, record: TargetRecord) -> bool:
+        """Return whether the target is cold, or not known to be warm."""
+        heartbeat = record.heartbeat
+        cold_time = self._cold_times.get(heartbeat.service)
+        if cold_time is None:
+            return False
+        uptime = None
+        if record.appeared_at < self._registry.complete_at:
+            uptime = wall() - heartbeat.born_at / MILLISECONDS_PER_SECOND
+        was_before = record.appeared_at <= self._registered_until
+        facts = ColdFacts(
+            record.appeared_at, record.reported_at, heartbeat.cold_left, was_before, uptime
+        )
+        return is_cold(now, facts, cold_time)
+
+    def is_known_warm(self, now: float, instance: InstanceId) -> bool:
+        """Return whether a recent heartbeat of the target shows that it is warm."""
+        record = self._registry.record(instance)
+        if record is None or now > record.reported_at + EVIDENCE_VALIDITY:
+            return False
+        has_cold_time = record.heartbeat.service in self._cold_times
+        return has_cold_time and not self.is_cold(now, record)
+
+    def mark_route(self, now: float, record: TargetRecord, route: ServiceRoute) -> ServiceRoute:
+        """Return the route to a target, marked and with fewer slots if the target is cold."""
+        if not self.is_cold(now, record):
+            return route
+        return msgspec.structs.replace(route, slots=cold_slots(route.slots), is_cold=True)
+
+    def list_cold(self, now: float) -> dict[InstanceId, str]:
+        """Return the usable targets that are cold, with their services."""
+        if not self._cold_times:
+            return {}
+        return {
+            record.heartbeat.instance: record.heartbeat.service
+            for record in self._registry.all()
+            if self.is_cold(now, record)
+            and self._registry.is_usable(now, record.heartbeat.instance)
+        }
+
+
+class ColdReport:
+    """Log and metrics of the cold targets, and of the part of their bound that is used."""
+
+    def __init__(self, metrics: Metrics, limits: ColdLimits) -> None:
+        self._limits = limits
+        self._count = metrics.gauge(
+            "cold_targets",
+            "Direct targets that this control leader takes for cold, by service.",
+            ("service",),
+        )
+        self._used = metrics.gauge(
+            "cold_rate_used",
+            "Highest part of its bound that a cold target got in the last second, by service.",
+            ("service",),
+        )
+        self._cold: dict[InstanceId, str] = {}
+        self._highest: dict[InstanceId, float] = {}
+
+    def update(self, now: float, cold: Mapping[InstanceId, str]) -> None:
+        """Report the targets that are cold now, while this process leads."""
+        if not cold and not self._cold:
+            return
+        used = {instance: self._limits.used(now, instance) for instance in cold}
+        for instance in self._cold.keys() - cold.keys():
+            self._log(instance, self._cold[instance], False, self._highest.pop(instance, 0.0))
+        for instance, service in cold.items():
+            if instance not in self._cold:
+                self._log(instance, service, True, 0.0)
+            self._highest[instance] = max(self._highest.get(instance, 0.0), used[instance])
+        for service in {*self._cold.values(), *cold.values()}:
+            parts = [used[instance] for instance, name in cold.items() if name == service]
+            self._count.labels(service).set(len(parts))
+            self._used.labels(service).set(round(max(parts, default=0.0), 3))
+        self._cold = dict(cold)
+
+    def clear(self) -> None:
+        """Report no cold targets, as this process does not lead any more."""
+        self._highest.clear()
+        for service in set(self._cold.values()):
+            self._count.labels(service).set(0)
+            self._used.labels(service).set(0.0)
+        self._cold = {}
+
+    def _log(self, instance: InstanceId, service: str, cold: bool, used: float) -> None:
+        log_record(
+            _log,
+            TargetColdnessChanged(
+                target=instance, service=service, is_cold=cold, used=round(used, 3)
+            ),
+        )
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -169,6 +169,10 @@
                 now, suspicion.instance, groups, suspicion.digest, suspicion.parts
             )
 
+    def cold_targets(self, now: float) -> dict[InstanceId, str]:
+        """Return the direct targets that are taken for cold, with their services."""
+        return self._targets.coldness.list_cold(now) if self._targets is not None else {}
+
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
         return self._state.published
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -57,11 +57,12 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
-from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceTable
+from jaylatch_decisions.places import STAND_IN_FRACTION, LimitTable, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
+from jaylatch_node.control.cold_targets import ColdReport, ColdTargets
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
@@ -108,7 +109,11 @@
         self._settings = settings
         self._board = board
         self._peers = peers
-        self._places = PlaceTable()
+        self._limits = LimitTable(settings.cold)
+        # What it knows as an owner, leader or not.
+        self._cold_targets = ColdTargets(self._registry, monotonic(), has_served=True)
+        self._places = PlaceTable(request_limits=self._limits)
+        self._cold_report = ColdReport(board.metrics, self._limits.cold)
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
@@ -182,8 +187,7 @@
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
             case TakePlace():
-                fraction = self._limit_fraction(body)
-                connection.reply(call, self._places.take(monotonic(), body, fraction))
+                connection.reply(call, self._take_place(monotonic(), body))
             case GiveBackPlace():
                 self._places.release(body.permit)
             case ReadDeployment():
@@ -280,6 +284,22 @@
             return leader.renew(now, renewal, connection)
         return leader
 
+    def _take_place(self, now: float, request: TakePlace) -> Body:
+        is_leading = isinstance(self._current_leader(now), LeaderController)
+        self._limits.cold.set_state(is_leading, self._known_warm(now, request))
+        return self._places.take(now, request, self._limit_fraction(request))
+
+    def _known_warm(self, now: float, request: TakePlace) -> frozenset[InstanceId]:
+        """Return the candidates that this instance itself knows to be warm."""
+        if not any(candidate.cold_rate for candidate in request.candidates):
+            return frozenset()
+        self._cold_targets.use_deployment(self._state.deployment)
+        return frozenset(
+            candidate.instance
+            for candidate in request.candidates
+            if self._cold_targets.is_known_warm(now, candidate.instance)
+        )
+
     def _limit_fraction(self, request: TakePlace) -> float:
         """Return the part of the targets' limits that this instance may grant.
 
@@ -420,6 +440,7 @@
             self._fail(failed)
         if not self._control.is_leader:
             self._leader = None
+            self._cold_report.clear()
             self._unforwarded.clear()
             return
         if not self._control.can_read(now):
@@ -436,7 +457,9 @@
                 self._voting_peers,
             )
             self._apply_initial_configuration()
+            self._limits.cold.begin_term(now, self._control.term)
         self._leader.tick(now)
+        self._cold_report.update(now, self._leader.cold_targets(now))
         self._forward_heartbeats()
 
     def _create_target_controller(self, now: float) -> TargetController | None:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -25,8 +25,10 @@
     TargetRegistry,
     plan_orders,
 )
+from jaylatch_decisions.targets.coldness import cold_slots
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_complete, warm_up_order
+from jaylatch_node.control.cold_targets import ColdTargets
 from jaylatch_node.observability import log_record
 from jaylatch_node.targets.dialect import OrderOutcome
 
@@ -109,6 +111,7 @@
         self._warm_models: dict[InstanceId, str] = {}
         self._warm_up_orders: dict[InstanceId, JoinGroup] = {}
         self._started_at = now
+        self.coldness = ColdTargets(registry, now, has_served)
         self._states: dict[InstanceId, EngineState] = {}
         self._states_key = (now, -1)
 
@@ -188,6 +191,7 @@
             if service.engine is not None
         }
         self._states_key = (0.0, -1)
+        self.coldness.use_deployment(deployment)
 
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
@@ -254,6 +258,8 @@
             if not is_listed:
                 continue
             heartbeat = record.heartbeat
+            is_cold = self.coldness.is_cold(now, record)
+            slots = self._slots(group, heartbeat)
             routes.append(
                 GroupRoute(
                     group.id,
@@ -263,12 +269,14 @@
                     heartbeat.address,
                     heartbeat.failure_domain,
                     heartbeat.service,
-                    self._slots(group, heartbeat),
+                    cold_slots(slots) if is_cold else slots,
                     is_ending,
+                    is_cold,
                 )
             )
         if routes:
             self._has_served = True
+            self.coldness.note_traffic(now)
             self._load_budget.end_first_start()
         return routes
 
@@ -288,12 +296,16 @@
             return []
         plain = {item.name for item in self._deployment.services} - set(self._engines)
         return [
-            ServiceRoute(
-                record.heartbeat.service,
-                record.heartbeat.instance,
-                record.heartbeat.address,
-                record.heartbeat.failure_domain,
-                record.heartbeat.slots,
+            self.coldness.mark_route(
+                now,
+                record,
+                ServiceRoute(
+                    record.heartbeat.service,
+                    record.heartbeat.instance,
+                    record.heartbeat.address,
+                    record.heartbeat.failure_domain,
+                    record.heartbeat.slots,
+                ),
             )
             for record in self._registry.all()
             if record.heartbeat.service in plain
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -3,6 +3,7 @@
 import logging
 from asyncio import Task, TimerHandle, create_task, get_running_loop, sleep
 from collections.abc import Callable
+from math import inf
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
@@ -80,7 +81,9 @@
         self._is_stream = False
         self._is_broken = False
         self._progress_at = 0.0
+        self._sent_at = 0.0
         self._has_content = False
+        self._has_expired = False
         self._abandoned_because = ""
         self._watchdog: _ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
@@ -105,6 +108,11 @@
         assert self._target is not None
         return self._target.instance
 
+    @property
+    def has_expired(self) -> bool:
+        """Return whether the permission to send to the latest target expired before it was used."""
+        return self._has_expired
+
     @property
     def abandoned_because(self) -> str:
         """Return why the latest target was abandoned for another one, or an empty text."""
@@ -122,10 +130,12 @@
         account: AccountId | None,
         deadline: float,
         has_attempts_left: bool,
+        send_until: float = inf,
     ) -> AttemptOutcome | None:
         """Send to one target; return None if the caller got its answer.
 
-        ``has_attempts_left`` allows an unresponsive target to be abandoned for a successor.
+        ``has_attempts_left`` allows an unresponsive target to be abandoned for a successor. After
+        ``send_until`` the permission to send has expired, and nothing is sent.
         """
         self._reset()
         self._target = target
@@ -135,6 +145,10 @@
             target.record_failure(monotonic())
             self._suspect(SuspectTarget(target.instance))
             return AttemptOutcome.NOT_SENT
+        if monotonic() > send_until:
+            self._has_expired = True
+            self._pool.release(now, address, connection, None)
+            return AttemptOutcome.NOT_SENT
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
             self._request, target.instance, account, deadline - monotonic(), resume_after
@@ -179,9 +193,10 @@
         self._is_stream = False
         self._is_broken = False
         self._has_content = False
+        self._has_expired = False
         self._abandoned_because = ""
         self._splitter.restart()
-        self._progress_at = monotonic()
+        self._progress_at = self._sent_at = monotonic()
 
     # Reading
 
@@ -192,6 +207,7 @@
             return False
         if self._target is not None and not facts.is_misdirected:
             self._record_conditions(self._target.instance, self._request.attempt, facts)
+            self._target.proven_at = max(self._target.proven_at, self._sent_at)
         self._progress_at = monotonic()
         self._head, self._facts = head, facts
         is_success = head.status in SUCCESS and facts.has_signature and not facts.is_encoded
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -55,13 +55,19 @@
                     group.failure_domain,
                     group=group.group,
                     epoch=group.epoch,
+                    is_cold=group.is_cold,
                 )
                 known = self._add(old, group.address, load)
                 if not group.is_ending:
                     self._by_model.setdefault((group.service, group.model), []).append(known.load)
         for service in view.services:
             if service.slots:
-                load = TargetLoad(service.instance, service.slots, service.failure_domain)
+                load = TargetLoad(
+                    service.instance,
+                    service.slots,
+                    service.failure_domain,
+                    is_cold=service.is_cold,
+                )
                 known = self._add(old, service.address, load)
                 self._by_service.setdefault(service.service, []).append(known.load)
         return lost
@@ -99,5 +105,7 @@
         known = old.get(load.instance)
         if known is None or known.address != address or known.load.epoch != load.epoch:
             known = KnownTarget(address, load)
+        # A target is slower, and has fewer slots, while it is cold.
+        known.load.slots, known.load.is_cold = load.slots, load.is_cold
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -243,9 +243,11 @@
             job.waits_since = None
             self._record_placement(job, placement, attempt.last_event)
             try:
-                outcome = await self._send(job, attempt, target, placement.address)
+                outcome = await self._send(job, attempt, placement)
             finally:
                 placement.release()
+            if attempt.has_expired:
+                del job.attempted[target.instance]
             if outcome is None:
                 self._evidence.clear([job.digest])
                 if attempt.has_answered:
@@ -294,18 +296,20 @@
         return step
 
     async def _send(
-        self, job: Job, attempt: Attempt, target: TargetLoad, address: str
+        self, job: Job, attempt: Attempt, placement: Placement
     ) -> AttemptOutcome | None:
+        target = placement.target
         target.own_in_flight += 1
         running = self._attempts[target.instance]
         running.add(attempt)
         try:
             return await attempt.send(
-                address,
+                placement.address,
                 target,
                 job.account.name if job.account is not None else None,
                 job.deadline,
                 job.history.sends + 1 < job.route.attempts,
+                placement.send_until,
             )
         finally:
             target.own_in_flight -= 1
@@ -325,6 +329,8 @@
             changes.append(("rest", facts.rest))
         if facts.is_leaving and self._conditions.record_leaving(now, instance):
             changes.append(("leaving", 0.0))
+        if facts.cold_left and self._conditions.record_cold(now, instance, facts.cold_left):
+            changes.append(("cold", facts.cold_left))
         for condition, value in changes:
             log_record(
                 _log,
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -4,9 +4,12 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from random import Random
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.settings import ColdSettings
+from jaylatch_decisions.places import EVIDENCE_VALIDITY, unshared_bound
 from jaylatch_decisions.targets import (
     TargetConditions,
     TargetLoad,
@@ -17,7 +20,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
-from jaylatch_node.gateway.places import Place, PlaceClient
+from jaylatch_node.gateway.places import OWNER_COUNT, Place, PlaceClient
 
 _Found = tuple[TargetLoad, Place | None]
 
@@ -46,6 +49,11 @@
     place: Place | None
     candidates: int
 
+    @property
+    def send_until(self) -> float:
+        """Return the time after which the request must not be sent any more."""
+        return self.place.send_until if self.place is not None else inf
+
     def release(self) -> None:
         """Notify the owner of the place, if there is one, that the request has ended."""
         if self.place is not None:
@@ -75,7 +83,9 @@
         places: PlaceClient,
         conditions: TargetConditions,
         random: Random,
+        cold: ColdSettings,
     ) -> None:
+        self._cold = cold
         self._board = board
         self._directory = directory
         self._places = places
@@ -94,7 +104,7 @@
             if job.request.model is None:
                 found = await self._choose_plain(job, service, candidates)
             else:
-                found = await self._choose_engine(job, job.request.model, candidates)
+                found = await self._choose_engine(job, service, job.request.model, candidates)
             if isinstance(found, NoPlacement):
                 return found
             target, place = found
@@ -136,7 +146,7 @@
         return self._conditions.rest_left(monotonic(), target.instance)
 
     async def _choose_engine(
-        self, job: Job, model: str, candidates: Sequence[TargetLoad]
+        self, job: Job, service: str, model: str, candidates: Sequence[TargetLoad]
     ) -> _Found | NoPlacement:
         """Return the head of a group that the owner of the model's places grants.
 
@@ -145,20 +155,19 @@
         """
         now = monotonic()
         usable = [item for item in candidates if item.usable_from <= now]
-        place = await self._take_place(job, model, usable, counts_places=True)
+        cold_rate = self._cold_rate(service)
+        place = await self._take_place(job, model, usable, cold_rate, counts_places=True)
         if place is not None:
             if place.target is not None:
                 return place.target, place
             obstacle = Obstacle.AT_LIMIT if place.wait else Obstacle.FULL
             return NoPlacement(obstacle, place.load, len(candidates), place.wait)
         now = monotonic()
-        unlimited = [
-            item for item in candidates if self._conditions.limit(now, item.instance) is None
-        ]
+        unlimited = [item for item in candidates if not self._has_limit(now, item, cold_rate)]
         target = self._choose(now, unlimited)
         if target is not None and may_admit(now, target, job.caller.has_started):
             return target, None
-        part = self._choose_unshared(now, candidates)
+        part = self._choose_unshared(now, candidates, cold_rate)
         if part is not None:
             return part, None
         if target is not None:
@@ -171,17 +180,19 @@
     ) -> _Found | NoPlacement:
         """Return the least loaded target of a plain service that has not reached its limit.
 
-        Only requests to targets with limits are granted by an owner.
+        Only requests to targets with limits, or of a service with a cold rate, are granted by an
+        owner.
         """
+        cold_rate = self._cold_rate(service)
         left = list(candidates)
         waits = []
         while (target := self._choose(monotonic(), left)) is not None:
-            if self._conditions.limit(monotonic(), target.instance) is None:
+            if not self._has_limit(monotonic(), target, cold_rate):
                 return target, None
-            place = await self._take_place(job, service, [target], counts_places=False)
+            place = await self._take_place(job, service, [target], cold_rate, counts_places=False)
             if place is not None and place.target is not None:
                 return target, place
-            if place is None and self._choose_unshared(monotonic(), [target]) is not None:
+            if place is None and self._choose_unshared(monotonic(), [target], cold_rate):
                 return target, None
             waits.append(place.wait if place is not None else 0.0)
             left.remove(target)
@@ -190,19 +201,54 @@
         return NoPlacement(Obstacle.AT_LIMIT, 0.0, len(candidates), min(waits))
 
     async def _take_place(
-        self, job: Job, subject: str, usable: Sequence[TargetLoad], counts_places: bool
+        self,
+        job: Job,
+        subject: str,
+        usable: Sequence[TargetLoad],
+        cold_rate: float,
+        counts_places: bool,
     ) -> Place | None:
-        return await self._places.take(
-            subject,
-            job.request.attempt,
-            usable,
-            job.deadline - monotonic(),
-            job.digest,
-            job.caller.has_started,
-            counts_places,
+        """Ask the owner, and the next ones if there is a cold rate: few may be sent without one."""
+        for _ in range(OWNER_COUNT if cold_rate else 1):
+            place = await self._places.take(
+                subject,
+                job.request.attempt,
+                usable,
+                job.deadline - monotonic(),
+                job.digest,
+                job.caller.has_started,
+                counts_places,
+                cold_rate,
+            )
+            if place is not None:
+                return place
+        return None
+
+    def _cold_rate(self, service: str) -> float:
+        """Return the cold rate of a service, 0 if its targets are never cold."""
+        profile = self._board.grant.deployment.service(service)
+        return profile.cold_rate if profile is not None and profile.may_be_cold else 0.0
+
+    def _has_limit(self, now: float, target: TargetLoad, cold_rate: float) -> bool:
+        return cold_rate > 0 or self._conditions.limit(now, target.instance) is not None
+
+    def _own_bound(self, now: float, target: TargetLoad, cold_rate: float) -> float | None:
+        """Return the bound of which this process may use its part without an owner.
+
+        It is None without a cold rate. A target that has not answered for some time, or to which
+        an exchange has failed, may have started anew.
+        """
+        if not cold_rate:
+            return None
+        is_cold = target.is_cold or self._conditions.is_cold(now, target.instance)
+        is_known_warm = not (
+            is_cold or target.failures or now > target.proven_at + EVIDENCE_VALIDITY
         )
+        return unshared_bound(self._cold, cold_rate, is_known_warm)
 
-    def _choose_unshared(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
+    def _choose_unshared(
+        self, now: float, candidates: Sequence[TargetLoad], cold_rate: float
+    ) -> TargetLoad | None:
         """Return a target of whose limit this process's own part is not used up, or None."""
         gateways = self._board.grant.gateways
         return next(
@@ -210,8 +256,10 @@
                 item
                 for item in candidates
                 if item.usable_from <= now
-                and self._conditions.limit(now, item.instance) is not None
-                and self._conditions.take_unshared(now, item.instance, gateways)
+                and self._has_limit(now, item, cold_rate)
+                and self._conditions.take_unshared(
+                    now, item.instance, gateways, self._own_bound(now, item, cold_rate)
+                )
             ),
             None,
         )
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -1,6 +1,7 @@
 """Client of the owners that count the places of models."""
 
 from collections.abc import Sequence
+from math import inf
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.ids import AttemptId, RequestDigest
@@ -11,7 +12,7 @@
     PlaceTaken,
     TakePlace,
 )
-from jaylatch_decisions.places import OwnerTable, first_owner
+from jaylatch_decisions.places import GRANT_VALIDITY, OwnerTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
 
@@ -26,6 +27,7 @@
 class Place:
     """A place that a request holds; ``target`` is None if no target takes the request.
 
+    ``send_until`` is the time after which the request must not be sent any more.
     ``wait`` is then set if all have reached their limits: the seconds until one has not.
     """
 
@@ -33,6 +35,7 @@
         self._client = client
         self._owner = owner
         self._permit = permit
+        self.send_until = inf
         self.target: TargetLoad | None = None
         self.load = 0.0
         self.wait = 0.0
@@ -59,23 +62,28 @@
         digest: RequestDigest,
         is_resumed: bool,
         counts_places: bool = True,
+        cold_rate: float = 0.0,
     ) -> Place | None:
         """Return the place, whose ``target`` is None if no target takes the request.
 
         ``subject`` is the model or, where only limits are kept and no places are counted, the
-        service. Return None if no target is usable or no owner answers.
+        service. ``cold_rate`` is that of the service; if it is set, the control leader is the first
+        owner. Return None if no target is usable or no owner answers.
         """
         now = monotonic()
         if not usable:
             return None
         owners = self._client.addresses[:OWNER_COUNT]
-        owner = self._owners.choose(now, subject, owners)
+        leader = self._client.leader if cold_rate else None
+        owner = self._owners.choose(now, subject, owners, leader)
         if owner is None:
             self._conditions.record_owner(now, has_answered=False)
             return None
-        first = first_owner(subject, owners)
+        first = leader or first_owner(subject, owners)
         permit = f"{attempt}/{now}"
         place = Place(self._client, owner, permit)
+        if cold_rate:
+            place.send_until = now + GRANT_VALIDITY
         request = TakePlace(
             permit,
             tuple(
@@ -83,6 +91,8 @@
                     item.instance,
                     max(item.slots, 1) if counts_places else 0,
                     self._conditions.stated_limit(now, item.instance),
+                    cold_rate,
+                    bool(cold_rate) and self._is_cold(now, item),
                 )
                 for item in usable
             ),
@@ -111,3 +121,6 @@
             case _:
                 self._owners.record_failure(now, owner)
                 return None
+
+    def _is_cold(self, now: float, target: TargetLoad) -> bool:
+        return target.is_cold or self._conditions.is_cold(now, target.instance)
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -64,7 +64,7 @@
         random = Random(board.identity.incarnation)
         conditions = TargetConditions(random)
         places = PlaceClient(client, conditions)
-        placer = Placer(board, self._directory, places, conditions, random)
+        placer = Placer(board, self._directory, places, conditions, random, settings.cold)
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
