--- /dev/null
+++ b/features/cold/gateway.feature
@@ -0,0 +1,47 @@
+Feature: A gateway sends to targets that may be cold only what an owner grants in time
+
+  # Guards against a gateway that sends to cold targets on its own while an owner grants all of the
+  # bound to others: a route without an owner's grant, or a grant that is used after a pause.
+  Scenario Outline: a request of kind <kind> to <state> targets with a cold rate of <rate>, <owner>
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are <state>, with a cold rate of <rate>
+    And an owner for cold targets that <owner>
+    When a request of kind <kind> is sent
+    Then it is <outcome>, after <asks> questions to owners
+
+    Examples:
+      | kind       | state                | rate | owner                       | outcome  | asks |
+      | stream     | cold                 | 26   | does not answer             | refused  | 3    |
+      | idempotent | cold                 | 26   | does not answer             | refused  | 3    |
+      | once       | cold                 | 26   | does not answer             | refused  | 3    |
+      | stream     | warm and not proven  | 26   | does not answer             | refused  | 3    |
+      | stream     | warm and proven      | 26   | does not answer             | answered | 3    |
+      | idempotent | warm and proven      | 26   | does not answer             | answered | 3    |
+      | stream     | proven but cold      | 26   | does not answer             | refused  | 3    |
+      | stream     | warm, proven and failed | 26 | does not answer            | refused  | 3    |
+      | stream     | cold                 | 26   | grants                      | answered | 1    |
+      | idempotent | cold                 | 26   | grants                      | answered | 1    |
+      | stream     | cold                 | 26   | grants too late once        | answered | 2    |
+      | idempotent | cold                 | 26   | grants too late once        | answered | 2    |
+      | stream     | cold                 | 26   | is full                     | refused  | 1    |
+
+    Examples: without a cold rate everything is as before: one question for streams, none for others
+      | kind       | state                | rate | owner                       | outcome  | asks |
+      | stream     | cold                 | 0    | does not answer             | answered | 1    |
+      | idempotent | cold                 | 0    | does not answer             | answered | 0    |
+      | once       | warm and not proven  | 0    | does not answer             | answered | 0    |
+      | stream     | warm and not proven  | 0    | grants too late once        | answered | 1    |
+
+  # Guards against a gateway that asks another owner first, or states a cold rate, without need.
+  Scenario Outline: with a cold rate of <rate> a gateway asks <first> first and states <stated>
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are cold, with a cold rate of <rate>
+    And an owner for cold targets that grants
+    And the leader of control is at "10.9.9.9:1"
+    When a request of kind stream is sent
+    Then the owner that was asked is <first>, and was told <stated>
+
+    Examples:
+      | rate | first          | stated               |
+      | 26   | the leader     | a cold rate of 26    |
+      | 0    | the next owner | a cold rate of 0     |
--- /dev/null
+++ b/features/steps/cold_gateway_steps.py
@@ -0,0 +1,101 @@
+"""Steps on a gateway before targets that may be cold."""
+
+from math import inf
+
+import msgspec
+from behave import given, then, use_step_matcher
+from behave.runner import Context
+
+from jaylatch_core.clock import monotonic
+from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
+from jaylatch_decisions.places import GRANT_VALIDITY
+from jaylatch_node.control.client import CONTROL_LOG
+
+GATEWAYS = 1
+REFUSED_STATUSES = (429, 503)
+LONG_AGO_SECONDS = 60.0
+OWNERS = [f"10.9.9.{number}:1" for number in (1, 2, 3)]
+
+use_step_matcher("re")
+
+
+@given(r"its targets are (?P<state>.+), with a cold rate of (?P<rate>\d+)")
+def step_targets_are(context: Context, state: str, rate: str) -> None:
+    grant = context.harness.board.grant
+    grant.gateways = GATEWAYS
+    services = tuple(
+        msgspec.structs.replace(item, cold_time=3.0, cold_rate=float(rate))
+        for item in grant.deployment.services
+    )
+    grant.deployment = msgspec.structs.replace(grant.deployment, services=services)
+    is_cold = "cold" in state
+    grant.view = msgspec.structs.replace(
+        grant.view,
+        version=grant.view.version + 1,
+        groups=tuple(msgspec.structs.replace(i, is_cold=is_cold) for i in grant.view.groups),
+        services=tuple(msgspec.structs.replace(i, is_cold=is_cold) for i in grant.view.services),
+    )
+    context.harness.role.on_grant()
+    context.harness.client.update_peers(())
+    context.harness.client._order = list(OWNERS)
+    conditions = context.harness.role._forwarder._conditions
+    # The part of a gateway without an owner has been unused for long.
+    conditions._unshared_since = monotonic() - LONG_AGO_SECONDS
+    directory = context.harness.role._directory
+    for loads in (*directory._by_service.values(), *directory._by_model.values()):
+        for load in loads:
+            is_proven = "proven" in state and "not proven" not in state
+            load.proven_at = monotonic() if is_proven else -inf
+            load.failures = 1 if "failed" in state else 0
+
+
+@given(r"an owner for cold targets that (?P<owner>.+)")
+def step_owner_for_cold(context: Context, owner: str) -> None:
+    context.asked = []
+
+    async def ask_owner(address: str, body: TakePlace, timeout: float) -> object:
+        context.asked.append((address, body))
+        match owner:
+            case "grants":
+                return PlaceTaken(body.candidates[0].instance, 0.1)
+            case "grants too late once":
+                if len(context.asked) == 1:
+                    # The gateway pauses, so that its own timeout does not come first.
+                    until = monotonic() + 2 * GRANT_VALIDITY
+                    while monotonic() < until:
+                        pass
+                return PlaceTaken(body.candidates[0].instance, 0.1)
+            case "is full":
+                return PlacesFull(1.0, 0.5)
+            case "does not answer":
+                return None
+            case _:
+                raise ValueError(owner)
+
+    context.harness.client.ask = ask_owner
+
+
+@given(r'the leader of control is at "(?P<address>[^"]*)"')
+def step_control_leader(context: Context, address: str) -> None:
+    context.harness.client._leaders[CONTROL_LOG] = address
+    context.leader_address = address
+
+
+@then(r"it is (?P<outcome>answered|refused), after (?P<asks>\d+) questions to owners")
+def step_outcome(context: Context, outcome: str, asks: str) -> None:
+    assert len(context.asked) == int(asks), [address for address, _ in context.asked]
+    received = sum(len(target.received) for target in context.targets)
+    if outcome == "answered":
+        assert context.answer.status == 200, context.answer
+        assert received == 1, received
+    else:
+        assert context.answer.status in REFUSED_STATUSES, context.answer
+        assert received == 0, received
+
+
+@then(r"the owner that was asked is (?P<first>.+), and was told a cold rate of (?P<rate>\d+)")
+def step_asked(context: Context, first: str, rate: str) -> None:
+    address, body = context.asked[0]
+    assert (address == context.leader_address) == (first == "the leader"), address
+    assert {item.cold_rate for item in body.candidates} == {float(rate)}
+    assert {item.is_cold for item in body.candidates} == {float(rate) > 0}
