--- a/features/cold/coldness.feature
+++ b/features/cold/coldness.feature
@@ -44,6 +44,21 @@
       | a head that is there for long             | engine | 26   | a.1=0@100 a.1=0@102       | 103  | a:24            |
       | a head of a service without a cold rate   | engine | 0    | a.1=2@100                 | 101  | a:24            |
 
+  # Guards against a restart of control that takes all targets of a deployment for cold, or takes a
+  # start time that is none for an old start.
+  Scenario Outline: a registry that started at time 0 gets the first heartbeat at time 1: <case>
+    Given plain targets of a service with a cold time of 3 s and a cold rate of 26
+    When a heartbeat of a target that started <started> arrives at a leader that has served
+    Then the routes at time 2 are "<routes>"
+
+    Examples:
+      | case                              | started       | routes   |
+      | the target is there for long      | 60 s before   | a:6      |
+      | it has just started               | 1 s before    | a:3 cold |
+      | clocks may hide a recent start    | 7 s before    | a:3 cold |
+      | the clock of the target is ahead  | 60 s later    | a:3 cold |
+      | it states no time                 | in no year    | a:3 cold |
+
   # Guards against a change of coldness that reaches the gateways only with a later round.
   Scenario Outline: a heartbeat with <later> s cold after one with <earlier> s changes routes: <changes>
     Given plain targets of a service with a cold time of 3 s and a cold rate of 26
--- a/features/steps/cold_target_steps.py
+++ b/features/steps/cold_target_steps.py
@@ -8,6 +8,7 @@
 from direct_target_steps import parse_membership
 from group_route_steps import probe, send
 
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, wall
 from jaylatch_core.deployment import (
     Deployment,
     DeploymentNumber,
@@ -79,6 +80,15 @@
     context.targets.use_deployment(context.deployment)
 
 
+@when(r"a heartbeat of a target that started (?P<started>.+) arrives at a leader that has served")
+def step_first_heartbeat(context: Context, started: str) -> None:
+    amount, _, rest = started.partition(" s ")
+    seconds = float(amount) if rest else 0.0
+    start = wall() + (seconds if rest == "later" else -seconds)
+    born_at = int(start * MILLISECONDS_PER_SECOND) if rest else 0
+    step_heartbeats(context, f"a.{born_at}=0@1")
+
+
 def read_heartbeat(context: Context, text: str) -> tuple[float, TargetCheckIn]:
     """Return the time and the heartbeat of "NAME.BORN=COLD_LEFT@T"."""
     rest, _, at = text.partition("@")
--- a/packages/node/src/jaylatch_node/control/cold_targets.py
+++ b/packages/node/src/jaylatch_node/control/cold_targets.py
@@ -19,6 +19,8 @@
 FIRST_REGISTRATION_TIME = 2.6
 """Seconds of the first leadership in which the targets of a deployment register: two heartbeat
 intervals and a margin. Those that were there before the first group served count too."""
+MAX_UPTIME = 365 * 86_400.0
+"""Seconds since a start beyond which the stated time of the start is no time at all."""
 
 _log = logging.getLogger("jaylatch.targets")
 
@@ -60,7 +62,8 @@
             return False
         uptime = None
         if record.appeared_at < self._registry.complete_at:
-            uptime = wall() - heartbeat.born_at / MILLISECONDS_PER_SECOND
+            stated = wall() - heartbeat.born_at / MILLISECONDS_PER_SECOND
+            uptime = stated if stated <= MAX_UPTIME else None
         was_before = record.appeared_at <= self._registered_until
         facts = ColdFacts(
             record.appeared_at, record.reported_at, heartbeat.cold_left, was_before, uptime
