--- a/features/support/place_owners.py
+++ b/features/support/place_owners.py
@@ -12,7 +12,7 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.places import QueueTerms
 from jaylatch_core.settings import ControlSettings
-from jaylatch_decisions.places import first_owner
+from jaylatch_decisions.places import PlaceTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.control.places import PlaceController
@@ -45,7 +45,7 @@
         traffic = Traffic(self.metrics)
         events = EventLog("owner")
         peers = PeerPool(events, traffic, self._handle)
-        self.controller = PlaceController(peers, self.metrics)
+        self.controller = PlaceController(peers, self.metrics, PlaceTable(), lambda now: None)
         self._connections: list[StreamConnection] = []
         self.server = StreamServer(events, traffic, self._handle)
         self.server.on_open(self._connections.append)
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -20,13 +20,15 @@
 
     ``slots`` 0: its places are not counted, only its ``limit`` is kept. ``limit`` is None if the
     gateway has been told none. ``cold_rate`` is the number of requests a second that the target
-    tolerates while it is cold, 0 if it is warm.
+    tolerates while it is cold, 0 if it is never cold. ``is_cold``: the gateway takes the target for
+    cold, or cannot know that it is warm.
     """
 
     instance: InstanceId
     slots: int
     limit: CandidateLimit | None = None
     cold_rate: float = 0.0
+    is_cold: bool = False
 
 
 class QueueTerms(msgspec.Struct, frozen=True):
@@ -97,11 +99,15 @@
 
 
 class PlaceGranted(msgspec.Struct, frozen=True, tag=True):
-    """A waiting request has got a place at ``instance``. Expects no reply."""
+    """A waiting request has got a place at ``instance``. Expects no reply.
+
+    ``waited`` is the number of seconds from the arrival of the request at the owner to the grant.
+    """
 
     permit: str
     instance: InstanceId
     load: float
+    waited: float = 0.0
 
 
 class PlaceDenied(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -277,7 +277,7 @@
         self._table.grant(now, waiting.request, instance)
         if self._forecast is not None:
             self._forecast[1].occupy(now, terms.service_time)
-        return PlaceGranted(permit, instance, load)
+        return PlaceGranted(permit, instance, load, now - waiting.since)
 
     def _refuse_late(self, now: float, only: _Class | None = None) -> list[Outcome]:
         """Refuse what cannot be in time, rank by rank with the places that the others leave.
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -84,9 +84,11 @@
 class PlaceTable:
     """The permits of the models whose places this process owns."""
 
-    def __init__(self, limits: PlaceLimits = DEFAULT_LIMITS) -> None:
+    def __init__(
+        self, limits: PlaceLimits = DEFAULT_LIMITS, request_limits: LimitTable | None = None
+    ) -> None:
         self._load_limits = limits
-        self._request_limits = LimitTable()
+        self._request_limits = request_limits or LimitTable()
         self._expiries: defaultdict[InstanceId, dict[str, float]] = defaultdict(dict)
         self._ends: dict[str, ExpectedEnd] = {}
         self._first_expiries: dict[InstanceId, float] = {}
@@ -137,7 +139,7 @@
 
     def grant(self, now: float, request: TakePlace, instance: InstanceId) -> None:
         """Count a place at ``instance`` for the request, and the request by its limit."""
-        self._request_limits.take(instance)
+        self._request_limits.take(now, instance)
         work = request.queueing.service_time if request.queueing else DEFAULT_SERVICE_TIME
         self.hold(now, HeldPlace(request.permit, instance, request.duration, work))
 
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -192,6 +192,10 @@
         domain = FailureDomainId(command.subject)
         return self._evacuations.check_domain(now, domain, configured)
 
+    def cold_targets(self, now: float) -> dict[InstanceId, str]:
+        """Return the direct targets that are taken for cold, with their services."""
+        return self._targets.coldness.list_cold(now) if self._targets is not None else {}
+
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
         return self._state.published
--- a/packages/node/src/jaylatch_node/control/places.py
+++ b/packages/node/src/jaylatch_node/control/places.py
@@ -5,6 +5,7 @@
 """
 
 from asyncio import TimerHandle, get_running_loop
+from collections.abc import Callable
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.messages.frames import Body
@@ -16,7 +17,7 @@
     TakePlace,
 )
 from jaylatch_decisions.balancing import ServiceOwner
-from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceQueues
+from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceQueues, PlaceTable
 from jaylatch_node.evenness import EvennessReporter
 from jaylatch_node.observability import Metrics
 from jaylatch_node.streams import PeerPool, StreamConnection
@@ -32,9 +33,16 @@
     Requests at plain services are counted, but wait at their targets.
     """
 
-    def __init__(self, peers: PeerPool, metrics: Metrics) -> None:
+    def __init__(
+        self,
+        peers: PeerPool,
+        metrics: Metrics,
+        table: PlaceTable,
+        update_limits: Callable[[float], None],
+    ) -> None:
         self._peers = peers
-        self._queues = PlaceQueues()
+        self._update_limits = update_limits
+        self._queues = PlaceQueues(table)
         self._services = ServiceOwner()
         self._evenness = EvennessReporter(metrics, "owner")
         self._waiting: dict[str, StreamConnection] = {}
@@ -48,7 +56,10 @@
 
     def handle(self, connection: StreamConnection, call: int, body: Body) -> bool:
         """Handle a message on places; returns False if the body is not one."""
+        if not isinstance(body, TakePlace | GiveBackPlace | PlacesHeld):
+            return False
         now = monotonic()
+        self._update_limits(now)
         match body:
             case TakePlace() if body.kind and body.candidates:
                 connection.reply(call, self._services.take(now, body))
@@ -70,8 +81,6 @@
                 self._queues.give_back(now, body.permit)
             case PlacesHeld():
                 self._queues.hold(now, body)
-            case _:
-                return False
         self._send_outcomes(now)
         return True
 
@@ -108,6 +117,7 @@
         """Drop the requests of lost gateways, and what can no longer be in time."""
         self._timer = None
         now = monotonic()
+        self._update_limits(now)
         for permit in [item for item, known in self._waiting.items() if not known.is_open]:
             del self._waiting[permit]
             self._queues.release(now, permit)
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -54,10 +54,12 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
+from jaylatch_decisions.places import LimitTable, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
+from jaylatch_node.control.cold_targets import ColdReport, KnownWarm
 from jaylatch_node.control.disk_watch import DiskWatch
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.places import PlaceController
@@ -103,7 +105,16 @@
         self._settings = settings
         self._board = board
         self._peers = peers
-        self._places = PlaceController(peers, board.metrics)
+        self._limits = LimitTable(settings.cold)
+        # What it knows as an owner, leader or not.
+        self._known_warm = KnownWarm(self._registry, monotonic())
+        self._places = PlaceController(
+            peers,
+            board.metrics,
+            PlaceTable(request_limits=self._limits),
+            self._update_cold_limits,
+        )
+        self._cold_report = ColdReport(board.metrics, self._limits.cold)
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
@@ -275,6 +286,12 @@
             return leader.renew(now, renewal, connection)
         return leader
 
+    def _update_cold_limits(self, now: float) -> None:
+        """Tell the limits of cold targets whether this instance leads, and what is warm."""
+        is_leading = isinstance(self._current_leader(now), LeaderController)
+        warm = self._known_warm.instances(now, self._state.deployment)
+        self._limits.cold.set_state(is_leading, warm)
+
     def _status(self) -> Body:
         now = monotonic()
         leader = self._current_leader(now)
@@ -403,6 +420,7 @@
         self._disk_watch.report()
         if not self._control.is_leader:
             self._leader = None
+            self._cold_report.clear()
             self._unforwarded.clear()
             return
         if not self._control.can_read(now):
@@ -420,7 +438,9 @@
                 self._settings.control.evacuation_bound,
             )
             self._apply_initial_configuration()
+            self._limits.cold.begin_term(now, self._control.term)
         self._leader.tick(now)
+        self._cold_report.update(now, self._leader.cold_targets(now))
         self._forward_heartbeats()
 
     def _create_target_controller(self, now: float) -> TargetController | None:
--- a/packages/node/src/jaylatch_node/control/target_routes.py
+++ b/packages/node/src/jaylatch_node/control/target_routes.py
@@ -8,7 +8,8 @@
 from jaylatch_core.messages.membership import GroupRoute, ServiceRoute
 from jaylatch_core.messages.targets import MemberState, TargetCheckIn
 from jaylatch_decisions.places import returning_slots
-from jaylatch_decisions.targets import TargetRegistry
+from jaylatch_decisions.targets import TargetRecord, TargetRegistry
+from jaylatch_decisions.targets.coldness import cold_slots
 from jaylatch_decisions.targets.orders import EngineState, is_complete
 
 SERVING_STATES = (MemberState.OPEN, MemberState.CLOSING)
@@ -23,6 +24,15 @@
     return 1.0
 
 
+ColdCheck = Callable[[TargetRecord], bool]
+"""Returns whether a target is taken for cold."""
+
+
+def never_cold(record: TargetRecord) -> bool:
+    """Return False: no target is taken for cold."""
+    return False
+
+
 def group_routes(
     groups: Iterable[Group],
     ending: Collection[GroupId],
@@ -30,6 +40,7 @@
     states: Mapping[InstanceId, EngineState],
     engines: Mapping[str, EngineProfile],
     slot_fraction: SlotFraction,
+    takes_for_cold: ColdCheck = never_cold,
 ) -> list[GroupRoute]:
     """Return the routes to the complete groups whose head serves.
 
@@ -52,6 +63,7 @@
             continue
         heartbeat = record.heartbeat
         slots = _slots(group, heartbeat, registry, engines[heartbeat.service])
+        is_cold = takes_for_cold(record)
         routes.append(
             GroupRoute(
                 group.id,
@@ -61,8 +73,9 @@
                 heartbeat.address,
                 heartbeat.failure_domain,
                 heartbeat.service,
-                returning_slots(slots, slot_fraction(group.members)),
+                _usable_slots(slots, slot_fraction(group.members), is_cold),
                 is_ending,
+                is_cold,
             )
         )
     return routes
@@ -74,6 +87,7 @@
     services: Collection[str],
     evacuated: Collection[FailureDomainId],
     slot_fraction: SlotFraction,
+    takes_for_cold: ColdCheck = never_cold,
 ) -> list[ServiceRoute]:
     """Return the routes to the usable targets of ``services``, those ``evacuated`` left out."""
     return [
@@ -82,7 +96,12 @@
             record.heartbeat.instance,
             record.heartbeat.address,
             record.heartbeat.failure_domain,
-            returning_slots(record.heartbeat.slots, slot_fraction((record.heartbeat.instance,))),
+            _usable_slots(
+                record.heartbeat.slots,
+                slot_fraction((record.heartbeat.instance,)),
+                takes_for_cold(record),
+            ),
+            takes_for_cold(record),
         )
         for record in registry.all()
         if record.heartbeat.service in services
@@ -92,6 +111,12 @@
     ]
 
 
+def _usable_slots(slots: int, fraction: float, is_cold: bool) -> int:
+    """Return the slots of a target to which load returns, or that is cold."""
+    returning = returning_slots(slots, fraction)
+    return min(returning, cold_slots(slots)) if is_cold else returning
+
+
 def _slots(
     group: Group, head: TargetCheckIn, registry: TargetRegistry, engine: EngineProfile
 ) -> int:
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -35,6 +35,7 @@
 )
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_complete, warm_up_order
+from jaylatch_node.control.cold_targets import ColdTargets
 from jaylatch_node.control.target_routes import (
     SERVING_STATES,
     SlotFraction,
@@ -122,6 +123,7 @@
         self._warm_models: dict[InstanceId, str] = {}
         self._warm_up_orders: dict[InstanceId, JoinGroup] = {}
         self._started_at = now
+        self.coldness = ColdTargets(registry, now, has_served)
         self._states: dict[InstanceId, EngineState] = {}
         self._states_key = (now, -1)
 
@@ -211,6 +213,7 @@
             if service.engine is not None
         }
         self._states_key = (0.0, -1)
+        self.coldness.use_deployment(deployment)
 
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
@@ -276,9 +279,11 @@
             self._engine_states(now),
             self._engines,
             slot_fraction,
+            self.coldness.is_cold_at(now),
         )
         if routes:
             self._has_served = True
+            self.coldness.note_traffic(now)
             self._load_budget.end_first_start()
         return routes
 
@@ -292,7 +297,9 @@
         if self._deployment is None:
             return []
         plain = {item.name for item in self._deployment.services} - set(self._engines)
-        return service_routes(now, self._registry, plain, evacuated, slot_fraction)
+        return service_routes(
+            now, self._registry, plain, evacuated, slot_fraction, self.coldness.is_cold_at(now)
+        )
 
     def send_orders(
         self,
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -63,6 +63,7 @@
                     group.failure_domain,
                     group=group.group,
                     epoch=group.epoch,
+                    is_cold=group.is_cold,
                 )
                 known = self._add(old, group.address, load, group.service)
                 if not group.is_ending and group.failure_domain not in view.evacuated:
@@ -70,7 +71,12 @@
                     self._open.add(group.head)
         for service in view.services:
             if service.slots and service.failure_domain not in view.evacuated:
-                load = TargetLoad(service.instance, service.slots, service.failure_domain)
+                load = TargetLoad(
+                    service.instance,
+                    service.slots,
+                    service.failure_domain,
+                    is_cold=service.is_cold,
+                )
                 known = self._add(old, service.address, load, service.service)
                 self._by_service.setdefault(service.service, []).append(known.load)
                 self._open.add(service.instance)
@@ -122,7 +128,7 @@
         known = old.get(load.instance)
         if known is None or known.address != address or known.load.epoch != load.epoch:
             known = KnownTarget(address, load, service)
-        # The slots change while load returns to a domain that was evacuated.
-        known.load.slots = load.slots
+        # The slots change while load returns to a domain that was evacuated, and while it is cold.
+        known.load.slots, known.load.is_cold = load.slots, load.is_cold
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -4,13 +4,15 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from random import Random
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import Deployment, EngineProfile
 from jaylatch_core.ids import AccountId
 from jaylatch_core.messages.places import QueueTerms
-from jaylatch_decisions.places import ServiceTimes
+from jaylatch_core.settings import ColdSettings
+from jaylatch_decisions.places import EVIDENCE_VALIDITY, ServiceTimes, unshared_bound
 from jaylatch_decisions.places.service_times import ExpectedTimes, longest_wait
 from jaylatch_decisions.targets import (
     TargetConditions,
@@ -22,7 +24,7 @@
 from jaylatch_node.gateway.balancing import SentRequest, TargetBalancer
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
-from jaylatch_node.gateway.places import Place, PlaceClient, PlaceRequest
+from jaylatch_node.gateway.places import OWNER_COUNT, Place, PlaceClient, PlaceRequest
 
 _Found = tuple[TargetLoad, Place | None]
 
@@ -56,6 +58,11 @@
     candidates: int
     sent: SentRequest | None = None
 
+    @property
+    def send_until(self) -> float:
+        """Return the time after which the request must not be sent any more."""
+        return self.place.send_until if self.place is not None else inf
+
     def release(self, is_answered: bool = False) -> None:
         """Notify the owner of the place, if there is one, that the request has ended.
 
@@ -102,7 +109,9 @@
         conditions: TargetConditions,
         random: Random,
         balancer: TargetBalancer,
+        cold: ColdSettings,
     ) -> None:
+        self._cold = cold
         self._balancer = balancer
         self._board = board
         self._directory = directory
@@ -231,7 +240,8 @@
         usable = [item for item in candidates if item.usable_from <= now]
         terms = self._queue_terms(job, service, model)
         rank = terms.rank if terms is not None else None
-        place = await self._take_place(job, model, usable, True, terms)
+        cold_rate = self._cold_rate(service)
+        place = await self._take_place(job, model, usable, cold_rate, True, terms)
         if place is not None:
             if place.target is not None:
                 return place.target, place
@@ -246,13 +256,11 @@
                 place.retry_after,
             )
         now = monotonic()
-        unlimited = [
-            item for item in candidates if self._conditions.limit(now, item.instance) is None
-        ]
+        unlimited = [item for item in candidates if not self._has_limit(now, item, cold_rate)]
         target = self._balancer.choose(now, model, unlimited)
         if target is not None and may_admit(now, target, job.caller.has_started):
             return target, None
-        part = self._choose_unshared(now, candidates)
+        part = self._choose_unshared(now, candidates, cold_rate)
         if part is not None:
             return part, None
         if target is not None:
@@ -267,20 +275,22 @@
         """Return the least loaded target of a plain service that has not reached its limit.
 
         Where expected work is in force, the owner chooses among targets without limits. Otherwise
-        only requests to targets with limits are granted by an owner.
+        only requests to targets with limits, or of a service with a cold rate, are granted by an
+        owner.
         """
-        place = await self._count_plain(job, service, candidates)
+        cold_rate = self._cold_rate(service)
+        place = await self._count_plain(job, service, candidates) if not cold_rate else None
         if place is not None and place.target is not None:
             return place.target, place
         left = list(candidates)
         waits = []
         while (target := self._balancer.choose(monotonic(), service, left)) is not None:
-            if self._conditions.limit(monotonic(), target.instance) is None:
+            if not self._has_limit(monotonic(), target, cold_rate):
                 return target, None
-            place = await self._take_place(job, service, [target], counts_places=False)
+            place = await self._take_place(job, service, [target], cold_rate, counts_places=False)
             if place is not None and place.target is not None:
                 return target, place
-            if place is None and self._choose_unshared(monotonic(), [target]) is not None:
+            if place is None and self._choose_unshared(monotonic(), [target], cold_rate):
                 return target, None
             waits.append(place.wait if place is not None else 0.0)
             left.remove(target)
@@ -310,14 +320,25 @@
         job: Job,
         subject: str,
         usable: Sequence[TargetLoad],
+        cold_rate: float,
         counts_places: bool,
         terms: QueueTerms | None = None,
     ) -> Place | None:
-        request = self._place_request(job, subject, usable, counts_places)
-        return await self._places.take(request, terms)
+        """Ask the owner, and the next ones if there is a cold rate: few may be sent without one."""
+        request = self._place_request(job, subject, usable, counts_places, cold_rate)
+        for _ in range(OWNER_COUNT if cold_rate and terms is None else 1):
+            place = await self._places.take(request, terms)
+            if place is not None:
+                return place
+        return None
 
     def _place_request(
-        self, job: Job, subject: str, usable: Sequence[TargetLoad], counts_places: bool
+        self,
+        job: Job,
+        subject: str,
+        usable: Sequence[TargetLoad],
+        counts_places: bool,
+        cold_rate: float = 0.0,
     ) -> PlaceRequest:
         return PlaceRequest(
             subject,
@@ -328,9 +349,34 @@
             job.caller.has_started,
             counts_places,
             counts_places and self._balancer.is_in_force,
+            cold_rate,
         )
 
-    def _choose_unshared(self, now: float, candidates: Sequence[TargetLoad]) -> TargetLoad | None:
+    def _cold_rate(self, service: str) -> float:
+        """Return the cold rate of a service, 0 if its targets are never cold."""
+        profile = self._board.grant.deployment.service(service)
+        return profile.cold_rate if profile is not None and profile.may_be_cold else 0.0
+
+    def _has_limit(self, now: float, target: TargetLoad, cold_rate: float) -> bool:
+        return cold_rate > 0 or self._conditions.limit(now, target.instance) is not None
+
+    def _own_bound(self, now: float, target: TargetLoad, cold_rate: float) -> float | None:
+        """Return the bound of which this process may use its part without an owner.
+
+        It is None without a cold rate. A target that has not answered for some time, or to which
+        an exchange has failed, may have started anew.
+        """
+        if not cold_rate:
+            return None
+        is_cold = target.is_cold or self._conditions.is_cold(now, target.instance)
+        is_known_warm = not (
+            is_cold or target.failures or now > target.proven_at + EVIDENCE_VALIDITY
+        )
+        return unshared_bound(self._cold, cold_rate, is_known_warm)
+
+    def _choose_unshared(
+        self, now: float, candidates: Sequence[TargetLoad], cold_rate: float
+    ) -> TargetLoad | None:
         """Return a target of whose limit this process's own part is not used up, or None."""
         gateways = self._board.grant.gateways
         return next(
@@ -338,8 +384,10 @@
                 item
                 for item in candidates
                 if item.usable_from <= now
-                and self._conditions.limit(now, item.instance) is not None
-                and self._conditions.take_unshared(now, item.instance, gateways)
+                and self._has_limit(now, item, cold_rate)
+                and self._conditions.take_unshared(
+                    now, item.instance, gateways, self._own_bound(now, item, cold_rate)
+                )
             ),
             None,
         )
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -4,6 +4,7 @@
 from collections import defaultdict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from math import inf
 
 import msgspec
 
@@ -23,7 +24,7 @@
     QueueTerms,
     TakePlace,
 )
-from jaylatch_decisions.places import OwnerTable, first_owner
+from jaylatch_decisions.places import GRANT_VALIDITY, OwnerTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.deadlines import time_limit
@@ -47,6 +48,7 @@
 
     ``wait`` is then set if all have reached their limits: the seconds until one has not. ``reason``
     and ``retry_after`` are set if the owner refused the request by its rank.
+    ``send_until`` is the time after which the request must not be sent any more.
     """
 
     def __init__(self, client: "PlaceClient", subject: str, owner: str, permit: str) -> None:
@@ -54,6 +56,7 @@
         self.subject = subject
         self.owners = {owner}
         self.permit = permit
+        self.send_until = inf
         self.target: TargetLoad | None = None
         self.load = 0.0
         self.wait = 0.0
@@ -78,7 +81,8 @@
 class PlaceRequest:
     """What is asked of an owner. ``subject`` is the model or, where only limits are kept, the
     service. ``counts_places`` is False in that case. ``is_metered``: the owner states how even the
-    load of the subject's targets is.
+    load of the subject's targets is. ``cold_rate`` is that of the service; if it is set, the
+    control leader is the first owner.
     """
 
     subject: str
@@ -89,6 +93,7 @@
     is_resumed: bool
     counts_places: bool = True
     is_metered: bool = False
+    cold_rate: float = 0.0
 
 
 class PlaceClient:
@@ -136,7 +141,8 @@
         if owner is None or not request.usable:
             return None
         place = Place(self, request.subject, owner, f"{request.attempt}/{now}")
-        message = self._write(now, request, None, place.permit, owner, owners)
+        first = first_owner(request.subject, owners)
+        message = self._write(now, request, None, place.permit, owner, first)
         answer: Body | None = None
         try:
             async with time_limit(COUNT_TIMEOUT):
@@ -183,12 +189,14 @@
         """
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
-        owner = self._owners.choose(now, request.subject, owners)
+        leader = self._client.leader if request.cold_rate else None
+        owner = self._owners.choose(now, request.subject, owners, leader)
         if owner is None:
             self._conditions.record_owner(now, has_answered=False)
             return None
         place = Place(self, request.subject, owner, f"{request.attempt}/{now}")
-        message = self._write(now, request, terms, place.permit, owner, owners)
+        first = leader or first_owner(request.subject, owners)
+        message = self._write(now, request, terms, place.permit, owner, first)
         if terms is not None:
             self._inform(now, request.subject, owner)
         answer: Body | None = None
@@ -206,6 +214,10 @@
             case PlaceTaken(instance, load) | PlaceGranted(_, instance, load):
                 place.target = next(item for item in request.usable if item.instance == instance)
                 place.load = load
+                if request.cold_rate:
+                    # The owner counted the request when it granted the place.
+                    waited = answer.waited if isinstance(answer, PlaceGranted) else 0.0
+                    place.send_until = now + waited + GRANT_VALIDITY
                 if terms is not None:
                     self._hold(place, message, terms)
                 return place
@@ -229,9 +241,9 @@
         terms: QueueTerms | None,
         permit: str,
         owner: str,
-        owners: list[str],
+        first: str | None,
     ) -> TakePlace:
-        first = first_owner(request.subject, owners)
+        cold_rate = request.cold_rate
         return TakePlace(
             permit,
             tuple(
@@ -239,6 +251,8 @@
                     item.instance,
                     max(item.slots, 1) if request.counts_places else 0,
                     self._conditions.stated_limit(now, item.instance),
+                    cold_rate,
+                    bool(cold_rate) and self._is_cold(now, item),
                 )
                 for item in request.usable
             ),
@@ -331,6 +345,9 @@
             if waiting_at == owner and not outcome.done():
                 outcome.set_result(None)
 
+    def _is_cold(self, now: float, target: TargetLoad) -> bool:
+        return target.is_cold or self._conditions.is_cold(now, target.instance)
+
 
 class _OwnerLostError(Exception):
     """The owner at which a request waited is lost or slow."""
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -68,7 +68,15 @@
         conditions = TargetConditions(random)
         self._places = PlaceClient(client, conditions)
         self._balancer = TargetBalancer(board, self._settings.balancing, random)
-        placer = Placer(board, self._directory, self._places, conditions, random, self._balancer)
+        placer = Placer(
+            board,
+            self._directory,
+            self._places,
+            conditions,
+            random,
+            self._balancer,
+            settings.cold,
+        )
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
