Refuse a request that hears nothing from its owner, without skipping the owner

Change: such a request is refused and given back; a call without an answer still ends the waiting at its owner.

--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -24,6 +24,7 @@
     QueueTerms,
     TakePlace,
 )
+from jaylatch_decisions.admission import DropReason
 from jaylatch_decisions.places import OwnerTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
@@ -164,7 +165,7 @@
         answer: Body | None = None
         has_answer = False
         try:
-            answer = await self._ask(owner, message)
+            answer = await self._ask(owner, place, message)
             has_answer = isinstance(answer, _Answer)
         finally:
             if not has_answer:
@@ -219,10 +220,12 @@
             terms,
         )
 
-    async def _ask(self, owner: str, message: TakePlace) -> Body | None:
+    async def _ask(self, owner: str, place: Place, message: TakePlace) -> Body | None:
         """Return the owner's answer, or the outcome of the wait.
 
-        Return None if there is no answer in time, or the owner is lost during the wait.
+        Return None if there is no answer in time, or the owner is lost during the wait. A request
+        that hears nothing until it can no longer be in time is refused; the owner is not skipped for
+        that, because all that wait there would ask another one at the same moment.
         """
         if message.queueing is None:
             return await self._client.ask(owner, message, ANSWER_TIMEOUT)
@@ -237,7 +240,8 @@
             async with time_limit(message.queueing.max_wait + ANSWER_TIMEOUT):
                 return await outcome
         except TimeoutError:
-            return None
+            place.release()
+            return PlaceDenied(place.permit, 0.0, DropReason.TOO_LATE.value, 0.0)
         finally:
             self._waits.pop(message.permit, None)
 
