--- a/packages/decisions/src/jaylatch_decisions/fairness/demand.py
+++ b/packages/decisions/src/jaylatch_decisions/fairness/demand.py
@@ -34,7 +34,12 @@
         ]
 
     def _decay(self, now: float) -> None:
-        factor = exp(-max(now - self._updated_at, 0.0) / TIME_CONSTANT)
-        self._updated_at = max(now, self._updated_at)
-        rates = {account: rate * factor for account, rate in self._rates.items()}
-        self._rates = {account: rate for account, rate in rates.items() if rate > NEGLIGIBLE_RATE}
+        if now <= self._updated_at:
+            return
+        factor = exp((self._updated_at - now) / TIME_CONSTANT)
+        self._updated_at = now
+        self._rates = {
+            account: decayed
+            for account, rate in self._rates.items()
+            if (decayed := rate * factor) > NEGLIGIBLE_RATE
+        }
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -224,8 +224,8 @@
         """Return the owner's answer, or the outcome of the wait.
 
         Return None if there is no answer in time, or the owner is lost during the wait. A request
-        that hears nothing until it can no longer be in time is refused; the owner is not skipped for
-        that, because all that wait there would ask another one at the same moment.
+        that hears nothing until it can no longer be in time is refused; the owner is not skipped
+        for that, because all that wait there would ask another one at the same moment.
         """
         if message.queueing is None:
             return await self._client.ask(owner, message, ANSWER_TIMEOUT)
