--- a/features/steps/balancing_gateway_steps.py
+++ b/features/steps/balancing_gateway_steps.py
@@ -213,7 +213,8 @@
 def step_loads(context: Context, loads: str, role: str) -> None:
     context.loads = [[float(item) for item in text.split("/")] for text in loads.split()]
     context.metrics = Metrics()
-    context.reporter = EvennessReporter(context.metrics, role)
+    gauge = context.metrics.gauge(f"{role}_largest_load_over_mean", "text", ("subject",))
+    context.reporter = EvennessReporter(gauge, role)
 
 
 @when(r"(?P<seconds>\d+) s have gone by")
--- a/features/support/even_load.py
+++ b/features/support/even_load.py
@@ -28,7 +28,8 @@
 REPORT_INTERVAL = 0.1
 """Seconds between two reports of all targets in cases with reports of a given age."""
 WARM_UP_SECONDS = 1.0
-REQUEST_SECONDS = 3.0
+EXPIRY_SECONDS = {"plain": 2.0, "streams": 8.5}
+"""Seconds after which a request is no longer counted: half a second after its caller's timeout."""
 TELL_INTERVAL = 0.2
 LAST_SECONDS = 5.0
 EVENT_START = 4.0
@@ -76,6 +77,11 @@
     kinds: tuple[Kind, ...] = PLAIN_KINDS
     seconds: float = 10.0
 
+    @property
+    def expiry(self) -> float:
+        """Return the seconds after which a request is no longer counted."""
+        return EXPIRY_SECONDS["plain" if self.kinds is PLAIN_KINDS else "streams"]
+
 
 @dataclass
 class Request:
@@ -230,7 +236,7 @@
 
     def sent(self, now: float, request: Request, target: Target) -> None:
         self.balancers[request.gateway].start(
-            now, str(request.number), target.instance, request.kind.name, now + REQUEST_SECONDS
+            now, str(request.number), target.instance, request.kind.name, now + self.case.expiry
         )
 
     def answered(self, now: float, request: Request, target: Target, load: int) -> None:
@@ -313,7 +319,7 @@
             return super().choose(now, gateway, request, listed)
         chosen = self.decide(now, listed)
         self.messages += 3
-        expires_at = now + REQUEST_SECONDS
+        expires_at = now + self.case.expiry
         self.table.start(now, str(request.number), chosen, request.kind.name, expires_at)
         return next(item for item in listed if item.instance == chosen)
 
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -258,6 +258,7 @@
     AttemptEnded,
     RequestRefused,
     RequestEnded,
+    LoadsMeasured,
     InternalError,
     TargetStateChanged,
     TargetProbed,
--- a/packages/decisions/src/jaylatch_decisions/balancing/pace.py
+++ b/packages/decisions/src/jaylatch_decisions/balancing/pace.py
@@ -25,7 +25,7 @@
 """Ratio to the mean below which a target counts as equal to the others: durations of one kind vary
 by 0.4 of their mean, and the mean of the last ten of them by 0.13."""
 MAX_RATIO = 8.0
-"""Bound of one measured ratio, so that one pause is forgotten within four half-lives."""
+"""Bound of one measured ratio, so that a pause is forgotten within five half-lives."""
 
 
 @dataclass
--- a/packages/node/src/jaylatch_node/control/places.py
+++ b/packages/node/src/jaylatch_node/control/places.py
@@ -36,7 +36,14 @@
         self._peers = peers
         self._queues = PlaceQueues()
         self._services = ServiceOwner()
-        self._evenness = EvennessReporter(metrics, "owner")
+        self._evenness = EvennessReporter(
+            metrics.gauge(
+                "owner_largest_load_over_mean",
+                "Largest load over the mean of the targets of a subject, all gateways.",
+                ("subject",),
+            ),
+            "owner",
+        )
         self._waiting: dict[str, StreamConnection] = {}
         self._timer: TimerHandle | None = None
         self._lengths = metrics.gauge(
--- a/packages/node/src/jaylatch_node/evenness.py
+++ b/packages/node/src/jaylatch_node/evenness.py
@@ -3,24 +3,25 @@
 import logging
 from collections.abc import Sequence
 
+from prometheus_client import Gauge
+
 from jaylatch_core.log_records import LoadsMeasured
 from jaylatch_decisions.balancing import EvennessMeter
-from jaylatch_node.observability import Metrics, log_record
+from jaylatch_node.observability import log_record
 
 _log = logging.getLogger("jaylatch.balancing")
 
 
 class EvennessReporter:
-    """Reports the loads that one role of this process counts; ``role`` is owner or gateway."""
+    """Reports the loads that one role of this process counts; ``role`` is owner or gateway.
+
+    ``ratios`` is its gauge, with the label ``subject``.
+    """
 
-    def __init__(self, metrics: Metrics, role: str) -> None:
+    def __init__(self, ratios: Gauge, role: str) -> None:
         self._role = role
         self._meter = EvennessMeter()
-        self._ratios = metrics.gauge(
-            f"{role}_largest_load_over_mean",
-            "Largest load of a target over the mean of its model or service, over the last 10 s.",
-            ("subject",),
-        )
+        self._ratios = ratios
 
     def sample(self, now: float, subject: str, loads: Sequence[float]) -> None:
         """Add the loads at one choice of a target."""
--- a/packages/node/src/jaylatch_node/gateway/balancing.py
+++ b/packages/node/src/jaylatch_node/gateway/balancing.py
@@ -42,7 +42,14 @@
         )
         self._subjects: dict[InstanceId, str] = {}
         self._scope: tuple[Deployment | None, bool] = (None, False)
-        self._evenness = EvennessReporter(board.metrics, "gateway")
+        self._evenness = EvennessReporter(
+            board.metrics.gauge(
+                "gateway_largest_load_over_mean",
+                "Largest load over the mean of the targets of a subject, this gateway only.",
+                ("subject",),
+            ),
+            "gateway",
+        )
         self._sent = 0
 
     @property
