End the wait after a start once all voters have said that they do not lead

Cause: after a loss of power of all control instances every voter withheld its vote for an election timeout, and stood for election at a random time up to two of them after its start. The wait protects the lease of a leader that still runs and counts an answer that the voter sent before its restart. After a loss of power there is no such leader.

Change: a restarted voter asks all voters whether they lead, with a number of this start, and ends its wait when all of them and all voters that they name have answered that they do not. The first pre-votes after a start follow each other soon; a first start on empty disks counts its rounds as before. A voter that does not return leaves the others to the wait as it was.

Seeded histories with restarts, losses of power and changes of voters keep all invariants, and two broken rules are found.

--- a/features/consensus/raft.feature
+++ b/features/consensus/raft.feature
@@ -41,6 +41,38 @@
       | 5      | disk filling                | 60        | 500   | 45   | 100        | 1000    |
       | 5      | everything and disk filling | 60        | 500   | 46   | 100        | 500     |
 
+  # Guards against two leaders with valid leases after a restart: a voter that ends its wait early
+  # votes although a leader that it answered before its restart still runs, or though the voters
+  # have changed and it does not know the leader.
+  Scenario Outline: Histories of <voters> voters that restart singly or together, network <network>
+    Given <voters> voters on a network that is "<network>"
+    When <histories> histories of <steps> steps run from seed <seed>
+    Then no invariant was ever broken
+    And after the faults a leader committed and all voters caught up
+
+    Examples:
+      | voters | network                   | histories | steps | seed |
+      | 3      | restarting                | 200       | 400   | 50   |
+      | 3      | losing power              | 200       | 400   | 51   |
+      | 3      | changing and losing power | 300       | 400   | 52   |
+      | 5      | restarting                | 60        | 400   | 53   |
+      | 5      | changing and losing power | 60        | 400   | 54   |
+
+  # Guards against a return from a loss of power that waits out leases which nobody can hold: the wait
+  # after a start alone takes an election timeout. Times are those of the simulated network.
+  Scenario Outline: <voters> voters that all restart elect a leader sooner than their wait, network <network>
+    Given <voters> voters on a network that is "<network>"
+    When all voters restart at once in 200 histories from seed <seed>
+    Then half of them commit within <timeouts> election timeouts
+    And no invariant was ever broken
+    And after the faults a leader committed and all voters caught up
+
+    Examples:
+      | voters | network | seed | timeouts |
+      | 3      | perfect | 60   | 0.8      |
+      | 5      | perfect | 61   | 0.8      |
+      | 3      | lossy   | 62   | 1.1      |
+
   Scenario Outline: A first start of <voters> voters outlives its first leader, network <network>
     Given <voters> voters on a network that is "<network>"
     When the first leader of 200 first starts from seed <seed> is lost at its commit
@@ -66,3 +98,5 @@
       | has no lease            | partitioned | 300       | 200   | 23   |
       | repairs without what failed | disks filling amid crashes | 300 | 500 | 24 |
       | answers without its disk    | all disks filling          | 300 | 500 | 25 |
+      | votes at once after a restart       | restarting | 400 | 400 | 26 |
+      | believes a majority after a restart | restarting | 400 | 400 | 27 |
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -43,6 +43,25 @@
         context.faults += [f"history {number}: {fault}" for fault in history.faults]
 
 
+@when("all voters restart at once in {histories:d} histories from seed {seed:d}")
+def step_restart_together(context: Context, histories: int, seed: int) -> None:
+    context.faults = []
+    context.commits = 0
+    context.waits = []
+    for number in range(histories):
+        number += seed * HISTORIES_PER_SEED
+        history = History(context.voters, context.network, number)
+        context.waits.append(history.restart_all())
+        context.faults += history.faults
+        context.commits += history.commits
+
+
+@then("half of them commit within {timeouts:g} election timeouts")
+def step_quick_restart(context: Context, timeouts: float) -> None:
+    waits = sorted(context.waits)
+    assert waits[len(waits) // 2] <= timeouts, waits[:: max(len(waits) // 10, 1)]
+
+
 @when("up to {histories:d} histories of {steps:d} steps run from seed {seed:d}, until one fails")
 def step_run_until_failure(context: Context, histories: int, steps: int, seed: int) -> None:
     context.faults = []
--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -43,6 +43,8 @@
     disk_loss: float = 0.0
     transfer: float = 0.0
     disk_trouble: float = 0.0
+    power_loss: float = 0.0
+    restart: float = 0.0
 
 
 LOSSY = {"loss": 0.1, "duplication": 0.1, "delay": 0.3}
@@ -59,6 +61,13 @@
     "disk filling": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_trouble=0.02),
     "all disks filling": Faults(**LOSSY, snapshot=0.05, disk_trouble=0.1),
     "disks filling amid crashes": Faults(0.2, 0.1, 0.3, crash=0.03, disk_trouble=0.03),
+    "restarting": Faults(0.02, 0.0, 0.1, partition=0.05, restart=0.1),
+    "losing power": Faults(
+        0.1, 0.1, 0.3, crash=0.01, partition=0.02, snapshot=0.02, power_loss=0.01, restart=0.03
+    ),
+    "changing and losing power": Faults(
+        0.1, 0.1, 0.3, crash=0.01, partition=0.03, change=0.05, power_loss=0.01, restart=0.03
+    ),
     "everything and disk filling": Faults(
         0.1, 0.1, 0.3, 0.02, 0.01, 0.05, 0.03, 0.01, 0.01, disk_trouble=0.02
     ),
@@ -157,6 +166,18 @@
         if self.commits == before:
             self.faults.append("no progress: the voters left have no quorum")
 
+    def restart_all(self) -> float:
+        """Restart all voters at once; return the time until a commit, in election timeouts."""
+        self._run_until(lambda: self.commits > 0)
+        for name in self._instances:
+            self._crash(name)
+            self._restart(name)
+        started_at, before = self._now, self.commits
+        self._run_until(lambda: self.commits > before)
+        if self.commits == before:
+            self.faults.append("no progress: no commit after a restart of all")
+        return (self._now - started_at) / TIMING.election_timeout
+
     def _run_until(self, is_reached: Callable[[], bool]) -> None:
         end = self._now + 2 * RECOVERY_BOUND
         while self._now < end and not is_reached():
@@ -205,6 +226,18 @@
         random, faults = self._random, self._faults
         if random.random() < faults.crash:
             self._crash(random.choice(self._instances))
+        if random.random() < faults.restart:
+            name = random.choice(self._instances)
+            self._crash(name)
+            self._restart(name)
+        if random.random() < faults.power_loss:
+            for name in self._instances:
+                self._crash(name)
+            # Each process but perhaps one returns at once, in the step of the loss.
+            late = random.choice(self._instances) if random.random() < 0.3 else None
+            for name in self._instances:
+                if name != late:
+                    self._restart(name)
         if random.random() < faults.disk_trouble:
             self._begin_disk_trouble(random.choice(self._instances))
         for name in list(self._withheld):
@@ -336,6 +369,10 @@
             list(disk.entries),
             self._clock(name),
         )
+        if self._broken_rule == "votes at once after a restart":
+            node._state.end_start_wait(self._clock(name))
+        if self._broken_rule == "believes a majority after a restart":
+            _believe_majority(node)
         self._nodes[name] = node
         self._applied[name] = _load(disk.snapshot.data)
 
@@ -456,6 +493,18 @@
                 has_matched = has_matched or one == two
 
 
+def _believe_majority(node: RaftNode) -> None:
+    """Let a voter end its wait once a majority, instead of all, has said that it does not lead."""
+    check = node._elections._restarts
+    list_missing = check._missing
+
+    def list_missing_of_majority() -> set[InstanceId]:
+        is_majority = len(check._answered) + 1 >= node._state.quorum
+        return set() if is_majority else list_missing()
+
+    check._missing = list_missing_of_majority
+
+
 def _write(disk: Disk, effects: Effects) -> None:
     if effects.snapshot is not None:
         disk.snapshot = effects.snapshot
--- a/packages/core/src/jaylatch_core/messages/consensus.py
+++ b/packages/core/src/jaylatch_core/messages/consensus.py
@@ -48,6 +48,7 @@
 
     ``is_transfer``: the leader of the previous term released its lease and asked for this election.
     ``recovering_disk`` is the number of the sender's disk while it may not vote; replies return it.
+    ``start`` is the number of the sender's start while it withholds its vote because of that start.
     """
 
     log: str
@@ -58,12 +59,14 @@
     is_pre_vote: bool
     is_transfer: bool = False
     recovering_disk: int = 0
+    start: int = 0
 
 
 class VoteReply(msgspec.Struct, frozen=True, tag=2, array_like=True):
     """Answer to a ``VoteRequest`` of the same ``term``.
 
-    ``is_fresh``: the sender has no entry and has seen no term. ``recovering_disk``: the request's.
+    ``is_fresh``: the sender has no entry and has seen no term. ``recovering_disk`` and ``start``
+    are the request's. ``is_leading`` and ``voters`` are the sender's state, for ``start``.
     """
 
     log: str
@@ -73,6 +76,9 @@
     is_pre_vote: bool
     is_fresh: bool = False
     recovering_disk: int = 0
+    start: int = 0
+    is_leading: bool = True
+    voters: tuple[InstanceId, ...] = ()
 
 
 class AppendRequest(msgspec.Struct, frozen=True, tag=3, array_like=True):
--- a/packages/decisions/src/jaylatch_decisions/consensus/elections.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/elections.py
@@ -2,7 +2,7 @@
 
 No voter grants a vote within ``election_timeout`` of the last message from a leader, because the
 leader's lease depends on this. The only exception is a transfer, before which the leader released
-its lease.
+its lease. The wait after a voter's own start may end early, see ``restarts``.
 
 A voter on an empty disk may have lost votes and entries. It grants no vote until either every
 other voter has reported, after this voter's start, that it is fresh too (a first start), or a
@@ -15,6 +15,7 @@
 
 from jaylatch_core.ids import InstanceId, Term
 from jaylatch_core.messages.consensus import TransferLeadership, VoteReply, VoteRequest
+from jaylatch_decisions.consensus.restarts import RestartCheck
 from jaylatch_decisions.consensus.state import VoterState
 from jaylatch_decisions.consensus.types import NOBODY, RaftRole
 
@@ -22,6 +23,10 @@
 """Pre-votes of a first start that need all voters; after these a majority is enough, so that a
 voter that is lost during the first start does not prevent it."""
 
+START_ROUNDS = 8
+"""Pre-votes after a start that follow each other soon."""
+MIN_START_PAUSE_TIMEOUTS = 0.1
+
 
 class Elections:
     """Election logic of one voter. Methods return True when the election is won."""
@@ -31,10 +36,18 @@
         self._votes: set[InstanceId] = set()
         self._fresh: set[InstanceId] = set()
         self._first_rounds = 0
+        self._start_rounds = 0
+        self._restarts = RestartCheck(state)
+
+    @property
+    def due(self) -> float:
+        """Return the time at which ``tick`` must be called next."""
+        return min(self._state.election_due, self._restarts.due)
 
     def tick(self, now: float) -> bool:
         """Start an election if the election timeout has passed without contact from a leader."""
         state = self._state
+        self._restarts.tick(now)
         if now < state.election_due:
             return False
         if not state.is_voter:
@@ -57,11 +70,19 @@
             message.is_pre_vote,
             state.is_fresh,
             message.recovering_disk,
+            message.start,
+            state.role is RaftRole.LEADER,
+            state.log.voters,
         )
         state.send(message.sender, reply)
 
     def handle_reply(self, now: float, message: VoteReply) -> bool:
         """Count a granted vote, or adopt the newer term of a refusal."""
+        is_won = self._count_reply(now, message)
+        self._restarts.record(now, message)
+        return is_won
+
+    def _count_reply(self, now: float, message: VoteReply) -> bool:
         state = self._state
         if state.recovering_disk and message.recovering_disk == state.recovering_disk:
             self._record_fresh_voter(message)
@@ -90,7 +111,7 @@
         state = self._state
         state.role = RaftRole.PRE_CANDIDATE
         state.leader = NOBODY
-        state.reset_election_timer(now)
+        self._set_next_pre_vote(now)
         self._votes = set() if state.recovering_disk else {state.instance}
         if state.recovering_disk and not state.peers:
             # A sole voter has no peer that could hold votes or entries that it lost.
@@ -101,6 +122,17 @@
         self._request_votes(Term(state.term + 1), is_pre_vote=True)
         return self._count_votes(now)
 
+    def _set_next_pre_vote(self, now: float) -> None:
+        """Ask again soon after a start: some voters may still be in their own wait."""
+        state = self._state
+        self._start_rounds += 1
+        # A first start counts its pre-votes, see FIRST_ELECTION_ROUNDS.
+        is_restart = not state.has_heard_leader and not state.is_fresh
+        if is_restart and self._start_rounds <= START_ROUNDS:
+            state.reset_start_timer(now + MIN_START_PAUSE_TIMEOUTS * state.timing.election_timeout)
+        else:
+            state.reset_election_timer(now)
+
     def _start_election(self, now: float, *, is_transfer: bool = False) -> bool:
         state = self._state
         state.role = RaftRole.CANDIDATE
--- a/packages/decisions/src/jaylatch_decisions/consensus/log.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/log.py
@@ -47,6 +47,12 @@
         """Return the latest set of voters, committed or not."""
         return self._voter_entries[-1].voters if self._voter_entries else self._snapshot.voters
 
+    @property
+    def mentioned_voters(self) -> frozenset[InstanceId]:
+        """Return all instances that were voters in the snapshot or in an entry after it."""
+        sets = (entry.voters for entry in self._voter_entries)
+        return frozenset(self._snapshot.voters).union(*sets)
+
     @property
     def voters_index(self) -> LogIndex:
         """Return the index of the entry that set the voters."""
--- a/packages/decisions/src/jaylatch_decisions/consensus/raft.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/raft.py
@@ -119,7 +119,7 @@
         """Return the time at which ``tick`` must be called next."""
         if self._state.role is RaftRole.LEADER:
             return self._leading.heartbeat_due
-        return self._state.election_due
+        return self._elections.due
 
     def term_at(self, index: int) -> Term | None:
         """Return the term of an entry, or None if it is not in memory."""
--- a/packages/decisions/src/jaylatch_decisions/consensus/state.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/state.py
@@ -10,6 +10,11 @@
 from jaylatch_decisions.consensus.progress import quorum_of
 from jaylatch_decisions.consensus.types import NOBODY, Effects, RaftRole, RaftTiming
 
+START_NUMBER_BITS = 48
+START_SPREAD_TIMEOUTS = (0.02, 0.25)
+"""Election timeouts between the end of the wait after a start, or a pre-vote that was refused in
+the first rounds after it, and the next pre-vote."""
+
 
 class VoterState:
     """Term, vote, role, log and timers of one voter, changed by elections and replication."""
@@ -34,17 +39,26 @@
         self.applied = log.snapshot.index
         self.effects = Effects()
         # A voter may have answered a leader just before its restart, so it withholds its vote.
-        self.last_leader_contact_at = now
-        self.election_due = now
+        self.start_wait_until = now + timing.election_timeout
+        self.is_in_start_wait = True
+        self.start_number = random.getrandbits(START_NUMBER_BITS) | 1
+        self.has_heard_leader = False
+        self.last_leader_contact_at = float("-inf")
         self._random = random
         self._hard_state = hard_state
-        self.reset_election_timer(now)
+        self.election_due = self.start_wait_until
+        self.reset_start_timer(self.start_wait_until)
 
     @property
     def term(self) -> Term:
         """Return the current term."""
         return self._hard_state.term
 
+    @property
+    def next_term(self) -> Term:
+        """Return the term after the current one."""
+        return Term(self.term + 1)
+
     @property
     def voted_for(self) -> InstanceId:
         """Return the vote in the current term, or an empty id."""
@@ -84,6 +98,8 @@
         """Return whether this voter leads or had contact with a leader within the timeout."""
         if self.role is RaftRole.LEADER:
             return True
+        if self.is_in_start_wait and now < self.start_wait_until:
+            return True
         return now < self.last_leader_contact_at + self.timing.election_timeout
 
     def become_follower(self, now: float, term: Term, leader: InstanceId) -> None:
@@ -98,6 +114,7 @@
         """Follow the leader that sent a message, and withhold votes for others."""
         self.become_follower(now, term, leader)
         self.last_leader_contact_at = now
+        self.has_heard_leader = True
 
     def set_vote(self, term: Term, voted_for: InstanceId) -> None:
         """Set the term and the vote, to be persisted before any message is sent."""
@@ -107,6 +124,21 @@
         """Take part in elections from now on; in this term, vote for no one but ``leader``."""
         self._set_hard_state(replace(self._hard_state, voted_for=leader, is_recovering=False))
 
+    def end_start_wait(self, now: float) -> None:
+        """Vote from now on: no leader of before the start can hold a lease."""
+        self.is_in_start_wait = False
+        if not self.has_heard_leader:
+            self.reset_start_timer(now)
+
+    def reset_start_timer(self, now: float) -> None:
+        """Set the next election soon after ``now``, for a log that had no leader since the start.
+
+        The spread lets one voter win before the next one stands. Only pre-votes are frequent then,
+        and they change nothing.
+        """
+        spread = self._random.uniform(*START_SPREAD_TIMEOUTS)
+        self.election_due = now + self.timing.election_timeout * spread
+
     def reset_election_timer(self, now: float) -> None:
         """Set the next election at a random time after the election timeout."""
         spread = self._random.uniform(1.0, 2.0)
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -17,6 +17,7 @@
 from functools import partial
 from pathlib import Path
 from random import Random
+from time import time_ns
 from typing import Generic, TypeVar
 
 from returns.pipeline import is_successful
@@ -303,7 +304,8 @@
         self._compaction.snapshot_size = len(snapshot.data)
         if snapshot.data:
             self._machine.load(snapshot.data)
-        random = Random(f"{self._name}/{self._instance}/{opened.hard_state}")
+        # The time makes the number of this start differ from that of each earlier one.
+        random = Random(f"{self._name}/{self._instance}/{opened.hard_state}/{time_ns()}")
         self._raft = RaftNode(
             self._name,
             self._instance,
