Do not take an engine for lost that streams, or that the agent did not read

Cause (trace of many_streams beside 12 busy processes on 7 cores): the agent's loop ran nothing for 0.43 s and then 0.32 s, a probe of the state took 0.74 s and timed out. The engine's last answer was 0.83 s old at the check, more than member_timeout, and the agent interrupted all 160 streams, which were going on. The group of this scenario has one member, so no connection between members is involved.

Change: tokens of a stream extend the health of an engine that is healthy; they do not revive one that has died. Time in which the agent's own process ran nothing is given back, at most member_timeout. The event of a broken group names how old each answer was. The bound on a member's answer (OrderGate) is unchanged: a head relies on it from the time of its own ping.

--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -199,7 +199,9 @@
     async def _run_model(self, record: AttemptRecord, start: StartAttempt, work: ModelWork) -> None:
         def on_tokens(tokens: int, text: str) -> None:
             if record.end is None:
-                self._load.count_tokens(monotonic(), start.attempt, tokens)
+                now = monotonic()
+                self._load.count_tokens(now, start.attempt, tokens)
+                self._board.member.record_tokens(now, self._settings.member_timeout)
                 record.emit(tokens, text.encode())
 
         engine = EngineClient(self._address(), self._client)
--- a/packages/node/src/jaylatch_node/agent/engine_controller.py
+++ b/packages/node/src/jaylatch_node/agent/engine_controller.py
@@ -71,7 +71,7 @@
 
     def _record_state(self, sent_at: float, state: EngineState) -> None:
         member = self._board.member
-        member.healthy_at = sent_at
+        member.healthy_at = max(member.healthy_at, sent_at)
         member.group = state.group
         member.epoch = state.epoch
         member.is_loaded = state.is_loaded
--- a/packages/node/src/jaylatch_node/agent/membership.py
+++ b/packages/node/src/jaylatch_node/agent/membership.py
@@ -26,6 +26,8 @@
 
 COMPLETENESS_CHECK_INTERVAL = 0.05
 """Seconds between two checks whether the group is complete."""
+OWN_PAUSE = 0.1
+"""Seconds by which a check is late if this process was paused or busy, beyond the usual jitter."""
 
 LossHandler = Callable[[], None]
 
@@ -55,9 +57,11 @@
         )
         self._probe: Task[None] | None = None
         self._was_complete = False
+        self._checked_at = 0.0
 
     def start(self) -> None:
         """Start to probe the target and the other members."""
+        self._checked_at = monotonic()
         self._probe = create_task(self._run_probe())
         self._heartbeats.start()
         self._completeness_timer.start()
@@ -163,7 +167,12 @@
         return is_current and member.is_loaded and is_trusted
 
     def _check_completeness(self) -> None:
-        is_complete = self.is_complete(monotonic())
+        now = monotonic()
+        late = now - self._checked_at - COMPLETENESS_CHECK_INTERVAL
+        if late > OWN_PAUSE:
+            self._board.member.record_own_pause(now, late, self._settings.member_timeout)
+        self._checked_at = now
+        is_complete = self.is_complete(now)
         if is_complete == self._was_complete:
             return
         self._was_complete = is_complete
@@ -171,7 +180,20 @@
         subject = assignment.group if assignment is not None else NO_GROUP
         name = EventName.GROUP_COMPLETE if is_complete else EventName.GROUP_BROKEN
         epoch = assignment.epoch if assignment is not None else NO_EPOCH
-        self._board.events.record(wall(), name, subject, group=subject, epoch=epoch)
+        detail = "" if is_complete else self._describe_loss(now)
+        self._board.events.record(wall(), name, subject, detail=detail, group=subject, epoch=epoch)
         if not is_complete:
             self._on_loss()
         self._on_change()
+
+    def _describe_loss(self, now: float) -> str:
+        """Return what an operator needs to find out why the group is incomplete."""
+        member = self._board.member
+        contacts = (
+            f"{name} {now - at:.2f} s" for name, at in member.member_last_contact_at.items()
+        )
+        return (
+            f"engine healthy {now - member.healthy_at:.2f} s ago at epoch {member.epoch}, "
+            f"loaded {member.is_loaded}, settled {self._engine.is_settled(now)}, "
+            f"members answered: {', '.join(contacts) or 'none'}"
+        )
--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -87,6 +87,23 @@
     member_last_contact_at: dict[InstanceId, float] = field(default_factory=dict)
     in_flight: int = 0
 
+    def record_tokens(self, now: float, timeout: float) -> None:
+        """Record that a healthy engine has generated tokens, so it is alive.
+
+        Where the processor is short, the answer to a probe can take longer than ``timeout`` while
+        streams go on. A target that is not healthy any more, or has died, stays so until a probe.
+        """
+        if self.healthy_at > now - timeout:
+            self.healthy_at = now
+
+    def record_own_pause(self, now: float, pause: float, timeout: float) -> None:
+        """Record that this process ran nothing, and read no answer, for the last ``pause`` seconds.
+
+        A target that was healthy before gets that time again, at most ``timeout`` seconds.
+        """
+        if self.healthy_at > now - pause - timeout:
+            self.healthy_at = min(self.healthy_at + min(pause, timeout), now)
+
 
 @dataclass
 class TargetBoard:
