Bound what a gateway holds for those that read slowly

Cause: nothing bounded the sum of unsent answers, whole answers, bodies and requests for targets that do not read. A caller that did not read a stream kept its target running into the gateway's memory.

Change: - Each connection: above 256 KiB of unsent answer the target is not read; its watchdog does not count that time. A caller that keeps its target waiting for 2 s is dropped and the target's work cancelled. Bodies are written to targets in pieces of 256 KiB; a target that answers before it has read the body is no longer waited for. Kernel buffers have fixed sizes. - The process (gateway.memory_limit; 0: none): decisions/readers chooses whom to drop, by unread bytes times the seconds without reading; one that reads is never dropped. New requests are refused as not run above three quarters of the bound, before anything is sent. - Dropped connections are reset, and so is a stream of HTTP/1.0 that is cut: its regular end would look like the end of the answer. - Metrics gateway_held_bytes and gateway_readers_dropped, log line "reader dropped". The watchdog of streams has a module of its own.

--- /dev/null
+++ b/features/steps/slow_reader_steps.py
@@ -0,0 +1,461 @@
+"""Steps on callers and targets of a gateway that read slowly or not at all."""
+
+import os
+import socket
+import subprocess
+import sys
+from asyncio import StreamReader, StreamWriter, create_task, gather, get_running_loop, sleep
+from pathlib import Path
+from time import monotonic
+from typing import Any
+
+import msgspec
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+from features.support.gateway import (
+    END_OF_STREAM,
+    MODEL,
+    GatewayHarness,
+    RawCaller,
+    Received,
+    ScriptedTarget,
+    answer_bytes,
+    make_route,
+    offer_slots,
+    request_bytes,
+    stream_head,
+)
+
+from jaylatch_core.deployment import RequestKind
+from jaylatch_core.settings import GatewaySettings
+from jaylatch_core.units import KIBIBYTE, MEBIBYTE
+from jaylatch_decisions.readers import Reader, choose_dropped, process_bound
+
+NOW = 1000.0
+SLOTS = 1000
+EVENT_SIZE = 16 * KIBIBYTE
+PART_SIZE = 64 * KIBIBYTE
+SMALL_BUFFER = 16 * KIBIBYTE
+SAMPLE_SECONDS = 0.005
+TIMEOUT_SECONDS = 20.0
+PROCESS_SECONDS = 8.0
+
+use_step_matcher("re")
+
+
+# Decisions
+
+
+@given(
+    r'connections that hold "(?P<readers>[^"]*)", as name:unread KiB:seconds since the last read'
+)
+def step_readers(context: Context, readers: str) -> None:
+    items = [text.split(":") for text in readers.split()]
+    context.names = {number: name for number, (name, _, _) in enumerate(items)}
+    context.readers = [
+        Reader(number, int(unread) * KIBIBYTE, NOW - float(age))
+        for number, (_, unread, age) in enumerate(items)
+    ]
+
+
+@when(r"(?P<excess>\d+) KiB must become free")
+def step_excess(context: Context, excess: str) -> None:
+    context.dropped = choose_dropped(NOW, int(excess) * KIBIBYTE, context.readers)
+
+
+@then(r'those dropped are "(?P<dropped>[^"]*)"')
+def step_dropped(context: Context, dropped: str) -> None:
+    assert [context.names[key] for key in context.dropped] == dropped.split(), context.dropped
+
+
+@then(r"a process with a limit of (?P<limit>\d+) MiB holds at most (?P<bound>\d+) MiB for others")
+def step_bound(context: Context, limit: str, bound: str) -> None:
+    assert process_bound(int(limit) * MEBIBYTE) == int(bound) * MEBIBYTE
+
+
+# A gateway in this process
+
+
+async def start_gateway(context: Context, script: Any, memory_limit: int = 0) -> None:
+    """Start a gateway with one target for requests of every kind."""
+    context.target = ScriptedTarget("target", script)
+    await context.target.start()
+    settings = GatewaySettings(evidence_warm_up=0.001, memory_limit=memory_limit * MEBIBYTE)
+    context.harness = harness = GatewayHarness(settings)
+    harness.start()
+    kinds = (RequestKind.IDEMPOTENT, RequestKind.ONCE, RequestKind.STREAM)
+    routes = [msgspec.structs.replace(make_route(kind), timeout=60.0) for kind in kinds]
+    harness.grant(routes, {kind: [context.target] for kind in kinds})
+    offer_slots(harness, SLOTS)
+    context.suspected = []
+    harness.role._forwarder._suspect = context.suspected.append
+    context.memory = harness.role._memory
+    context.peaks = {"unsent": 0, "total": 0}
+    context.sampler = create_task(sample(context))
+
+
+async def sample(context: Context) -> None:
+    """Record the largest sums that the gateway holds."""
+    memory = context.memory
+    while True:
+        unsent = sum(size for kind, size in memory._sums.items() if kind.value.startswith("unsent"))
+        context.peaks["unsent"] = max(context.peaks["unsent"], unsent)
+        context.peaks["total"] = max(context.peaks["total"], memory.total)
+        await sleep(SAMPLE_SECONDS)
+
+
+@given(r"a gateway whose target streams (?P<size>\d+) MiB as fast as it is read")
+def step_streaming(context: Context, size: str) -> None:
+    context.size = int(size) * MEBIBYTE
+
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        await write_stream(request, writer, context.size)
+        return True
+
+    context.runner.run(start_gateway(context, script))
+
+
+async def write_stream(request: Received, writer: StreamWriter, size: int) -> None:
+    """Write events of ``EVENT_SIZE`` bytes, as fast as the gateway reads them."""
+    writer.write(stream_head(request))
+    for number in range(size // EVENT_SIZE):
+        head = f"id: {number}\ndata: ".encode()
+        event = head + b"x" * (EVENT_SIZE - len(head) - 2) + b"\n\n"
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+    writer.write(END_OF_STREAM)
+    await writer.drain()
+
+
+@given(
+    r"a gateway with a memory limit of (?P<limit>\d+) MiB whose target answers with"
+    r" (?P<size>\d+) MiB"
+)
+def step_whole(context: Context, limit: str, size: str) -> None:
+    context.size = int(size) * MEBIBYTE
+
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        writer.write(answer_bytes(request, b"x" * context.size))
+        await writer.drain()
+        return True
+
+    context.runner.run(start_gateway(context, script, int(limit)))
+
+
+@given(r"a gateway whose target (?P<reads>reads the body slowly|answers before .*)")
+def step_reading(context: Context, reads: str) -> None:
+    async def serve(reader: StreamReader, writer: StreamWriter) -> None:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
+        headers = dict(line.split(": ", 1) for line in head[1:] if line)
+        request = Received("POST", "", headers, b"")
+        if reads.startswith("answers"):
+            writer.write(answer_bytes(request, b"early"))
+            await sleep(TIMEOUT_SECONDS)
+        await sleep(0.5)
+        body = await reader.readexactly(int(headers["Content-Length"]))
+        context.target.received.append(Received("POST", "", headers, body))
+        writer.write(answer_bytes(request, b"late"))
+
+    async def start() -> None:
+        await start_gateway(context, None)
+        context.target._serve = serve
+        context.target.server.close()
+        await context.target.start()
+
+    context.runner.run(start())
+
+
+async def open_caller(context: Context, request: bytes) -> socket.socket:
+    """Send a request on a connection whose kernel holds little of the answer."""
+    raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER)
+    raw.setblocking(False)
+    host, _, port = context.address.rpartition(":")
+    loop = get_running_loop()
+    await loop.sock_connect(raw, (host, int(port)))
+    await loop.sock_sendall(raw, request)
+    return raw
+
+
+async def read_rest(raw: socket.socket) -> tuple[bytes, bool]:
+    """Return what is left to read until the connection ends, and whether it was reset."""
+    parts = []
+    try:
+        while part := await get_running_loop().sock_recv(raw, PART_SIZE):
+            parts.append(part)
+    except ConnectionResetError:
+        return b"".join(parts), True
+    return b"".join(parts), False
+
+
+def stream_request(number: int = 0, version: str = "1.1") -> bytes:
+    """Return a request for a stream whose connection ends with the answer."""
+    data = request_bytes("/stream/x", f"r{number}", X_Model=MODEL, Connection="close")
+    return data.replace(b"HTTP/1.1", f"HTTP/{version}".encode())
+
+
+@when(r"a caller reads nothing for (?P<pause>[\d.]+) s and then the rest")
+def step_pausing(context: Context, pause: str) -> None:
+    async def read() -> None:
+        context.address = context.harness.address
+        raw = await open_caller(context, stream_request())
+        await sleep(float(pause))
+        context.data, context.was_reset = await read_rest(raw)
+
+    context.runner.run(read())
+
+
+@then(r"it has the complete stream, and the gateway held at most 1 MiB unsent")
+def step_complete(context: Context) -> None:
+    assert context.data.endswith(END_OF_STREAM) and not context.was_reset
+    assert context.data.count(b"id: ") == context.size // EVENT_SIZE
+    assert 0 < context.peaks["unsent"] <= MEBIBYTE, context.peaks
+
+
+@then(r"no target was suspected, and none was abandoned")
+def step_not_suspected(context: Context) -> None:
+    assert not context.suspected, context.suspected
+    assert len(context.target.received) == 1, context.target.received
+
+
+@when(r"a caller of HTTP/(?P<version>[\d.]+) reads nothing of a stream for (?P<time>\d+) s")
+def step_not_reading(context: Context, version: str, time: str) -> None:
+    async def ignore() -> None:
+        context.address = context.harness.address
+        raw = await open_caller(context, stream_request(version=version))
+        await sleep(float(time))
+        context.data, context.was_reset = await read_rest(raw)
+
+    context.runner.run(ignore())
+
+
+@then(r"its connection has been reset, and the target's connection closed")
+def step_reset(context: Context) -> None:
+    assert context.was_reset and not context.data.endswith(END_OF_STREAM)
+    assert context.target.abandoned == 1, context.target.abandoned
+
+
+@then(
+    r"(?P<number>\d+) (?P<kind>\w+) is counted as dropped for (?P<reason>\w+), and nothing is held"
+)
+def step_counted(context: Context, number: str, kind: str, reason: str) -> None:
+    text = context.harness.board.metrics.text().decode()
+    line = f'jaylatch_gateway_readers_dropped_total{{kind="{kind}",reason="{reason}"}} {number}.0'
+    assert line in text, [item for item in text.split("\n") if "dropped" in item]
+    assert f'jaylatch_gateway_held_bytes{{kind="{kind}"}} 0.0' in text
+    assert context.memory.total == 0 and not context.memory._holdings
+
+
+@when(
+    r"(?P<number>\d+) callers read nothing, and another one reads (?P<size>\d+) MiB of its stream"
+    r" meanwhile"
+)
+def step_beside(context: Context, number: str, size: str) -> None:
+    async def read() -> None:
+        context.address = context.harness.address
+        idle = [await open_caller(context, stream_request(item)) for item in range(int(number))]
+        raw = await open_caller(context, stream_request(int(number)))
+        left = int(size) * MEBIBYTE
+        context.gap, read_at = 0.0, monotonic()
+        while left > 0:
+            part = await get_running_loop().sock_recv(raw, PART_SIZE)
+            assert part
+            left -= len(part)
+            now = monotonic()
+            context.gap, read_at = max(context.gap, now - read_at), now
+        for item in (raw, *idle):
+            item.close()
+
+    context.runner.run(read())
+
+
+@then(r"the longest gap between two parts that it gets is under (?P<limit>[\d.]+) s")
+def step_gap(context: Context, limit: str) -> None:
+    assert context.gap < float(limit), context.gap
+
+
+@when(r"(?P<number>\d+) callers request such answers one after another and read nothing")
+def step_unread_answers(context: Context, number: str) -> None:
+    async def request() -> None:
+        context.address = context.harness.address
+        context.callers = []
+        for item in range(int(number)):
+            data = request_bytes("/idempotent/x", f"r{item}")
+            context.callers.append(await open_caller(context, data))
+            await sleep(0.25)
+
+    context.runner.run(request())
+
+
+@then(r"the gateway held at most (?P<size>\d+) MiB in all")
+def step_held(context: Context, size: str) -> None:
+    assert 0 < context.peaks["total"] <= int(size) * MEBIBYTE, context.peaks
+
+
+@then(r"callers were dropped for memory, each with an answer that is visibly incomplete")
+def step_visibly_incomplete(context: Context) -> None:
+    async def read(raw: socket.socket) -> tuple[bytes, bool]:
+        parts = []
+        try:
+            while part := await get_running_loop().sock_recv(raw, PART_SIZE):
+                parts.append(part)
+                head, found, body = b"".join(parts).partition(b"\r\n\r\n")
+                if found and len(body) >= content_length(head):
+                    return head, False
+        except ConnectionResetError:
+            return b"", True
+        raise AssertionError("a regular end in the middle of an answer")
+
+    async def read_all() -> list[tuple[bytes, bool]]:
+        return list(await gather(*(read(raw) for raw in context.callers)))
+
+    results = context.runner.run(read_all())
+    resets = sum(was_reset for _, was_reset in results)
+    assert 10 <= resets < len(results), resets
+    text = context.harness.board.metrics.text().decode()
+    line = f'dropped_total{{kind="unsent_answer",reason="memory"}} {resets}.0'
+    assert line in text, [item for item in text.split("\n") if "dropped" in item]
+
+
+def content_length(head: bytes) -> int:
+    """Return the length that the head of an answer states."""
+    lines = (line.split(b": ") for line in head.split(b"\r\n")[1:])
+    return next(int(value) for name, value in lines if name == b"Content-Length")
+
+
+@then(r"another caller gets a complete answer")
+def step_another(context: Context) -> None:
+    async def ask() -> None:
+        caller = await RawCaller.connect(context.harness.address)
+        answer = await caller.ask(request_bytes("/idempotent/x", "another"))
+        assert answer.status == 200 and len(answer.body) == context.size, answer.status
+
+    context.runner.run(ask())
+
+
+@when(
+    r"(?P<number>\d+) callers send a body of (?P<size>\d+) MiB each at the same time, without its"
+    r" last byte until all others have arrived"
+)
+def step_bodies(context: Context, number: str, size: str) -> None:
+    async def send() -> None:
+        body = b"b" * (int(size) * MEBIBYTE)
+        callers = [await RawCaller.connect(context.harness.address) for _ in range(int(number))]
+
+        async def send_most(item: int) -> None:
+            data = request_bytes("/once/x", f"r{item}", body)
+            callers[item].writer.write(data[:-1])
+            await callers[item].writer.drain()
+
+        await gather(*(send_most(item) for item in range(len(callers))))
+        await sleep(0.3)
+        for caller in callers:
+            caller.writer.write(b"b")
+        answers = await gather(*(caller.read(TIMEOUT_SECONDS) for caller in callers))
+        context.statuses = [answer.status for answer in answers]
+
+    context.runner.run(send())
+
+
+@then(r"some are answered with 200, the others with 503, and the target ran those of 200 only")
+def step_refused(context: Context) -> None:
+    statuses = context.statuses
+    assert set(statuses) == {200, 503}, statuses
+    assert len(context.target.received) == statuses.count(200), statuses
+
+
+@when(r"a request with a body of (?P<size>\d+) KiB is sent to it")
+def step_body(context: Context, size: str) -> None:
+    async def send() -> None:
+        context.body = os.urandom(int(size) * KIBIBYTE)
+        caller = await RawCaller.connect(context.harness.address)
+        data = request_bytes("/idempotent/x", "r1", context.body)
+        context.answer = await caller.ask(data, TIMEOUT_SECONDS / 2)
+
+    context.runner.run(send())
+
+
+@then(r"the caller gets the target's answer, and the unsent part was at most (?P<size>\d+) KiB")
+def step_target_answer(context: Context, size: str) -> None:
+    assert context.answer.status == 200, context.answer
+    assert context.answer.body == (b"late" if context.target.received else b"early")
+    assert all(item.body == context.body for item in context.target.received)
+    assert context.peaks["unsent"] <= int(size) * KIBIBYTE, context.peaks
+
+
+# A gateway in a process of its own
+
+
+@given(r"a gateway process with a memory limit of (?P<limit>\d+) MiB")
+def step_process(context: Context, limit: str) -> None:
+    async def start() -> None:
+        async def answer(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+            writer.write(answer_bytes(request, b"x" * (3 * MEBIBYTE)))
+            await writer.drain()
+            return True
+
+        async def ignore(reader: StreamReader, writer: StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await sleep(2 * PROCESS_SECONDS)
+
+        answering = ScriptedTarget("target-idempotent", answer)
+        await answering.start()
+        ignoring = ScriptedTarget("target-once", answer)
+        ignoring._serve = ignore
+        await ignoring.start()
+        command = [sys.executable, "-m", "features.support.gateway_process"]
+        command += [str(int(limit) * MEBIBYTE)]
+        command += [f"idempotent={answering.address}", f"once={ignoring.address}"]
+        environment = {**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])}
+        context.process = subprocess.Popen(command, stdout=subprocess.PIPE, env=environment)
+        context.add_cleanup(context.process.kill)
+        assert context.process.stdout is not None
+        line = await get_running_loop().run_in_executor(None, context.process.stdout.readline)
+        context.address = line.decode().strip()
+
+    context.runner.run(start())
+
+
+@when(
+    r"(?P<number>\d+) callers do not read 3 MiB each, and (?P<writers>\d+) requests of 1 MiB go"
+    r" to a target that does not read"
+)
+def step_both_sides(context: Context, number: str, writers: str) -> None:
+    async def ask(item: int, request: bytes) -> None:
+        context.sockets.append(await open_caller(context, request))
+
+    async def load() -> None:
+        context.sockets, context.resident = [], [resident_memory(context.process.pid)]
+        body = b"b" * MEBIBYTE
+        calls = [
+            create_task(ask(item, request_bytes("/idempotent/x", f"a{item}")))
+            for item in range(int(number))
+        ]
+        calls += [
+            create_task(ask(item, request_bytes("/once/x", f"b{item}", body)))
+            for item in range(int(writers))
+        ]
+        until = monotonic() + PROCESS_SECONDS
+        while monotonic() < until:
+            context.resident.append(resident_memory(context.process.pid))
+            await sleep(SAMPLE_SECONDS)
+        for call in calls:
+            call.cancel()
+        for item in context.sockets:
+            item.close()
+
+    context.runner.run(load())
+
+
+def resident_memory(process: int) -> int:
+    """Return the resident memory of a process in bytes."""
+    pages = int(Path(f"/proc/{process}/statm").read_text().split()[1])
+    return pages * os.sysconf("SC_PAGE_SIZE")
+
+
+@then(r"its resident memory stays below (?P<limit>\d+) MiB")
+def step_resident(context: Context, limit: str) -> None:
+    before, peak = context.resident[0] / MEBIBYTE, max(context.resident) / MEBIBYTE
+    print(f"resident memory: {before:.1f} MiB before, {peak:.1f} MiB at most")
+    assert context.process.poll() is None
+    assert peak < float(limit), f"{before:.1f} MiB before, {peak:.1f} MiB at most"
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -386,3 +386,16 @@
     def start(self) -> None:
         """Start the role on the running loop."""
         self.role.start()
+
+
+def offer_slots(harness: GatewayHarness, slots: int) -> None:
+    """Let each target of the granted view take ``slots`` requests at once."""
+    view = harness.board.grant.view
+    replace = msgspec.structs.replace
+    harness.board.grant.view = replace(
+        view,
+        version=view.version + 1,
+        groups=tuple(replace(group, slots=slots) for group in view.groups),
+        services=tuple(replace(service, slots=slots) for service in view.services),
+    )
+    harness.role.on_grant()
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -102,6 +102,21 @@
     first_ms: float = 0.0
 
 
+class ReaderDropped(LogRecord, frozen=True, kw_only=True, tag="reader dropped"):
+    """A connection was dropped because its other end did not read, or did not go on sending a body.
+
+    ``held`` bytes were held for it, of ``total`` in this process, and it had taken none for
+    ``silent`` seconds. ``reason`` is ``behind`` if it kept a target waiting for too long, and
+    ``memory`` if the process held too much.
+    """
+
+    kind: str
+    reason: str
+    held: int
+    silent: float
+    total: int
+
+
 class InternalError(LogRecord, frozen=True, kw_only=True, tag="own failure"):
     """An internal error ended the handling of a request."""
 
@@ -240,6 +255,7 @@
     AttemptEnded,
     RequestRefused,
     RequestEnded,
+    ReaderDropped,
     InternalError,
     TargetStateChanged,
     TargetProbed,
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -1,8 +1,7 @@
 """Sending of a request to targets, and forwarding of complete answers and events to its caller."""
 
-import logging
-from asyncio import Task, TimerHandle, create_task, get_running_loop, sleep
-from collections.abc import Callable
+from asyncio import Future, sleep
+from collections.abc import Awaitable, Callable
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
@@ -17,7 +16,9 @@
     suspicion_timeout,
 )
 from jaylatch_node.gateway.caller import Caller
+from jaylatch_node.gateway.held import HeldKind, Holding
 from jaylatch_node.gateway.successor import SuccessorReservation
+from jaylatch_node.gateway.watchdog import ResponseWatchdog
 from jaylatch_node.targets import (
     ExchangeFailed,
     InboundRequest,
@@ -35,15 +36,19 @@
 ConditionHandler = Callable[[InstanceId, AttemptId, ResponseFacts], None]
 """Called for each answer of a target, with the request's attempt id and what the head states."""
 
-_log = logging.getLogger("jaylatch.request")
-
 SUCCESS = range(200, 300)
 SERVER_ERROR = 500
 CONNECTION_ENDED = (ExchangeFailed.CLOSED, ExchangeFailed.INCOMPLETE)
 """Failures of an exchange that a target causes when it dies."""
-SUCCESSOR_POLL = 0.2
-"""Seconds between two searches for a successor of an unresponsive target; each may ask the owner of
-the places."""
+
+
+ROOM_TIMEOUT = 1.5
+"""Seconds for which a complete answer waits for memory: a target cuts off an answer that stays
+unread for some seconds."""
+ROOM_POLL = 0.05
+"""Seconds between two checks whether there is memory."""
+NO_MEMORY = "memory"
+"""Why a target was abandoned whose answer, or whose unread request, there is no memory for."""
 
 
 class Attempt:
@@ -82,9 +87,11 @@
         self._progress_at = 0.0
         self._has_content = False
         self._abandoned_because = ""
-        self._watchdog: _ResponseWatchdog | None = None
+        self._watchdog: ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
         self._target: TargetLoad | None = None
+        self._held_answer: Holding | None = None
+        self._is_paused = False
 
     @property
     def last_event(self) -> int:
@@ -143,19 +150,27 @@
         watchdog = None
         if self._route.kind is RequestKind.STREAM:
             may_abandon = has_attempts_left and self._route.may_repeat
-            watchdog = _ResponseWatchdog(
+            watchdog = ResponseWatchdog(
                 self,
                 connection,
                 target.instance,
                 self._successor if may_abandon else None,
             )
             self._watchdog = watchdog
+        unsent = self._caller.memory.hold(HeldKind.UNSENT_REQUEST, self._give_up_for_memory)
         try:
-            failure = await connection.exchange(outbound, self._take_head, self._take_data)
+            failure = await connection.exchange(
+                outbound,
+                self._take_head,
+                self._take_data,
+                lambda: unsent.watch(connection.stream, lambda: connection.unwritten),
+            )
         except BaseException:
+            self._release_answer()
             connection.close()
             raise
         finally:
+            unsent.release()
             self._watchdog = None
             if watchdog is not None:
                 watchdog.cancel()
@@ -176,6 +191,8 @@
         self._head = None
         self._facts = None
         self._body = []
+        self._release_answer()
+        self._is_paused = False
         self._is_stream = False
         self._is_broken = False
         self._has_content = False
@@ -198,14 +215,14 @@
         self._is_stream = self._route.kind is RequestKind.STREAM and is_success
         return True
 
-    def _take_data(self, data: bytes) -> None:
+    def _take_data(self, data: bytes) -> Awaitable[None] | None:
+        """Handle a part of the answer; return what must be done before the next one is read."""
         if not self._is_stream:
             self._progress_at = monotonic()
             self._has_content = True
-            self._body.append(data)
-            return
+            return self._keep(data)
         if self._is_broken:
-            return
+            return None
         events = self._splitter.feed(data)
         if self._splitter.is_broken:
             self._is_broken = True
@@ -213,7 +230,7 @@
                 self._connection.close()
         if not events:
             # Part of an event is no progress: a stalled target may send a byte now and then.
-            return
+            return None
         self._has_content = True
         self._progress_at = monotonic()
         if self._target is not None:
@@ -222,10 +239,60 @@
                 self._report_recovery(self._target)
         if self._caller.has_started:
             self._caller.send(events)
-            return
-        assert self._head is not None
-        headers = self._dialect.write_answer_headers(self._head)
-        self._caller.start_stream(self._head.status, self._head.reason, headers, events)
+        else:
+            assert self._head is not None
+            headers = self._dialect.write_answer_headers(self._head)
+            self._caller.start_stream(self._head.status, self._head.reason, headers, events)
+        caught_up = self._caller.wait_until_read()
+        return self._pause(caught_up) if caught_up is not None else None
+
+    # Answers for which there is no room
+
+    async def _pause(self, caught_up: "Future[None]") -> None:
+        """Read nothing from the target until the caller has read enough.
+
+        The target is not silent meanwhile.
+        """
+        self._is_paused = True
+        try:
+            await caught_up
+        finally:
+            self._is_paused = False
+            self._progress_at = monotonic()
+
+    def _keep(self, data: bytes) -> Awaitable[None] | None:
+        """Keep a part of an answer that is sent when it is complete."""
+        self._body.append(data)
+        if self._held_answer is None:
+            self._held_answer = self._caller.memory.hold(HeldKind.WHOLE_ANSWER, lambda: None)
+        self._held_answer.add(len(data))
+        self._held_answer.complete()
+        return None if self._caller.memory.has_room() else self._wait_for_room()
+
+    async def _wait_for_room(self) -> None:
+        self._is_paused = True
+        try:
+            until = monotonic() + ROOM_TIMEOUT
+            while not self._caller.memory.has_room():
+                if monotonic() >= until:
+                    self._give_up_for_memory()
+                    return
+                await sleep(ROOM_POLL)
+        finally:
+            self._is_paused = False
+            self._progress_at = monotonic()
+
+    def _give_up_for_memory(self) -> None:
+        self.mark_abandoned(NO_MEMORY)
+        self._body = []
+        self._release_answer()
+        if self._connection is not None:
+            self._connection.close()
+
+    def _release_answer(self) -> None:
+        if self._held_answer is not None:
+            self._held_answer.release()
+            self._held_answer = None
 
     # Outcomes
 
@@ -242,7 +309,8 @@
             target.record_report(now, facts.server_load)
         if failure is not None or facts is None or self._head is None:
             connection.close()
-            target.record_failure(now)
+            if self._abandoned_because != NO_MEMORY:
+                target.record_failure(now)
             if failure in CONNECTION_ENDED and not self._abandoned_because:
                 parts = self._request.shared_parts
                 self._suspect(SuspectTarget(target.instance, self._digest, parts))
@@ -275,7 +343,10 @@
 
     def _send_complete(self, head: ResponseHead) -> None:
         headers = self._dialect.write_answer_headers(head)
-        self._caller.send_answer(head.status, head.reason, headers, b"".join(self._body))
+        body = b"".join(self._body)
+        self._body = []
+        self._caller.send_answer(head.status, head.reason, headers, body)
+        self._release_answer()
 
     # Unresponsive targets
 
@@ -285,8 +356,8 @@
             self._watchdog.mark_lost()
 
     def idle_time(self, now: float) -> float:
-        """Return the seconds since the last progress."""
-        return now - self._progress_at
+        """Return the seconds since the last progress, 0 while this gateway does not read."""
+        return 0.0 if self._is_paused else now - self._progress_at
 
     def suspicion_limit(self) -> float:
         """Return the seconds without progress after which the target is reported."""
@@ -309,89 +380,3 @@
     def mark_abandoned(self, reason: str) -> None:
         """Record that the target was abandoned for another one, and why."""
         self._abandoned_because = reason
-
-
-class _ResponseWatchdog:
-    """Reports a target that sends nothing on a connection, and abandons it for a successor.
-
-    Without a successor the target keeps the request: it may go on after its silence, while closing
-    the connection would end the answer.
-    """
-
-    def __init__(
-        self,
-        attempt: Attempt,
-        connection: TargetConnection,
-        instance: InstanceId,
-        successor: SuccessorReservation | None,
-    ) -> None:
-        self._attempt = attempt
-        self._connection = connection
-        self._instance = instance
-        self._successor = successor
-        self._is_reported = False
-        self._is_lost = False
-        self._search: Task[None] | None = None
-        self._timer: TimerHandle
-        self._check()
-
-    def cancel(self) -> None:
-        """Stop watching."""
-        self._timer.cancel()
-        if self._search is not None:
-            self._search.cancel()
-
-    def mark_lost(self) -> None:
-        """Seek a successor soon, unless the target makes progress from now on."""
-        self._is_lost = True
-        if self._search is None:
-            self._timer.cancel()
-            self._check()
-
-    def mark_recovered(self) -> bool:
-        """Record progress; return whether control had taken the target for lost."""
-        was_lost, self._is_lost = self._is_lost, False
-        return was_lost
-
-    def _check(self) -> None:
-        """Report the target, or start to seek a successor, if it is silent for too long."""
-        idle = self._attempt.idle_time(monotonic())
-        suspicion = self._attempt.suspicion_limit()
-        if idle < suspicion:
-            self._is_reported = False
-        elif not self._is_reported:
-            self._is_reported = True
-            self._attempt.report_unresponsive(self._instance)
-        limit = self._response_timeout()
-        if self._successor is not None and idle >= limit:
-            self._search = create_task(self._seek_successor(self._successor))
-            return
-        wait = min((item - idle for item in (suspicion, limit) if item > idle), default=suspicion)
-        self._timer = get_running_loop().call_later(wait, self._check)
-
-    async def _seek_successor(self, successor: SuccessorReservation) -> None:
-        """Abandon the target once a successor is reserved, unless it makes progress before."""
-        while self._is_unresponsive():
-            if await self._reserve(successor):
-                if self._is_unresponsive():
-                    self._attempt.mark_abandoned("lost" if self._is_lost else "silent")
-                    self._connection.close()
-                    return
-                successor.release()
-            await sleep(SUCCESSOR_POLL)
-        self._search = None
-        self._check()
-
-    async def _reserve(self, successor: SuccessorReservation) -> bool:
-        try:
-            return await successor.reserve()
-        except Exception:
-            # The target keeps the request, and the search goes on.
-            _log.exception("unexpected error in the search for a successor")
-            return False
-
-    def _is_unresponsive(self) -> bool:
-        return self._attempt.idle_time(monotonic()) >= self._response_timeout()
-
-    def _response_timeout(self) -> float:
-        return self._attempt.response_timeout(self._is_lost)
--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -1,5 +1,6 @@
 """The caller's side of one request: the answer, and whether the caller is still connected."""
 
+from asyncio import Future
 from collections.abc import Callable
 
 from tornado.http1connection import HTTP1Connection
@@ -7,6 +8,12 @@
 from tornado.iostream import StreamClosedError
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.units import KIBIBYTE
+from jaylatch_node.gateway.held import HeldKind, HeldMemory, Holding
+from jaylatch_node.sockets import reset_on_close
+
+LARGE_BODY = 64 * KIBIBYTE
+"""Bytes from which a body is written apart from its head, which would copy it."""
 
 
 class Caller:
@@ -15,9 +22,18 @@
     ``expects_body`` is False for a HEAD request, whose answer has no body.
     """
 
-    def __init__(self, connection: HTTP1Connection, must_close: Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        connection: HTTP1Connection,
+        must_close: Callable[[], bool],
+        memory: HeldMemory,
+        on_drop: Callable[[], None],
+    ) -> None:
+        self.memory = memory
         self._connection = connection
         self._must_close = must_close
+        self._on_drop = on_drop
+        self._unsent: Holding | None = None
         self.expects_body = True
         self.has_started = False
         self.has_finished = False
@@ -41,6 +57,11 @@
         """Send further events."""
         if not self.is_disconnected:
             self._ignore_disconnect(self._connection.write(data))
+            self._hold_unsent()
+
+    def wait_until_read(self) -> "Future[None] | None":
+        """Return what resolves once the caller has read enough, or None if it is not behind."""
+        return self._unsent.wait_until_read() if self._unsent is not None else None
 
     def finish(self) -> None:
         """End a stream that is complete."""
@@ -53,12 +74,34 @@
         After a complete answer, whose last bytes may not have been sent yet, do nothing.
         """
         if not self.has_finished:
-            self.is_disconnected = True
+            self.disconnect()
+            if self.has_started and not self._connection._chunking_output:  # noqa: SLF001
+                # Without chunks the regular end of the connection would look like that of the body.
+                reset_on_close(self._connection.stream.socket)
             self._connection.close()
 
+    def disconnect(self) -> None:
+        """Write nothing more, and hold nothing more."""
+        self.is_disconnected = True
+        if self._unsent is not None:
+            self._unsent.release()
+
+    def drop(self) -> None:
+        """Reset the connection of a caller that does not read, and stop the work for it."""
+        self.is_disconnected = True
+        reset_on_close(self._connection.stream.socket)
+        self._on_drop()
+
     def _finish(self) -> None:
         self._connection.finish()
         self.has_finished = True
+        if self._unsent is not None:
+            self._unsent.end()
+
+    def _hold_unsent(self) -> None:
+        if self._unsent is None:
+            self._unsent = self.memory.hold(HeldKind.UNSENT_ANSWER, self.drop)
+        self._unsent.watch(self._connection.stream)
 
     def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         self.has_started = True
@@ -67,7 +110,12 @@
             headers["Connection"] = "close"
             self._connection._disconnect_on_finish = True  # noqa: SLF001
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
-        self._ignore_disconnect(self._connection.write_headers(start_line, headers, data or None))
+        is_large = len(data) > LARGE_BODY
+        first = None if is_large else data or None
+        self._ignore_disconnect(self._connection.write_headers(start_line, headers, first))
+        if is_large:
+            self._ignore_disconnect(self._connection.write(data))
+        self._hold_unsent()
 
     def _ignore_disconnect(self, written: object) -> None:
         """Ignore failed writes to a disconnected caller: the close of its connection is handled."""
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -62,6 +62,9 @@
 """Seconds after which a caller may retry at another instance."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
+NO_MEMORY = "this instance holds too much for others"
+MEMORY_RETRY = 1.0
+"""Seconds after which there is room again: those that do not read are dropped within a second."""
 ENDING = "this instance is ending"
 INTERNAL_ERROR = "an error of this instance"
 
@@ -165,6 +168,15 @@
                 admitted.history.may_have_run = True
                 self._give_up(admitted, INTERNAL_ERROR, 0.0)
 
+    def refuse_for_memory(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request whose body was not kept; nothing has been sent to a target."""
+        read = self._dialect.read_request(start_line, headers, b"")
+        request = read if isinstance(read, InboundRequest) else None
+        refusal = Refusal(RefusalKind.NOT_RUN, NO_MEMORY, self._add_jitter(MEMORY_RETRY))
+        self._refuse(caller, request, refusal, "")
+
     def _log_error(self, request: InboundRequest | None, error: Exception) -> None:
         _log.exception("unexpected error while handling a request")
         attempt = request.attempt if request is not None else ""
--- a/packages/node/src/jaylatch_node/gateway/metrics.py
+++ b/packages/node/src/jaylatch_node/gateway/metrics.py
@@ -34,3 +34,25 @@
     def record_time(self, seconds: float) -> None:
         """Add the time of an ended request."""
         self._times.record(seconds)
+
+
+class HeldMetrics:
+    """What the gateway holds for its callers and targets, and what it has dropped."""
+
+    def __init__(self, metrics: Metrics) -> None:
+        self._held = metrics.gauge(
+            "gateway_held_bytes", "Bytes held for callers and targets, by kind.", ("kind",)
+        )
+        self._dropped = metrics.counter(
+            "gateway_readers_dropped",
+            "Connections dropped because they did not read (or send), by kind and reason.",
+            ("kind", "reason"),
+        )
+
+    def record_held(self, kind: str, size: int) -> None:
+        """Record the bytes that are held of one kind."""
+        self._held.labels(kind).set(size)
+
+    def count_dropped(self, kind: str, reason: str) -> None:
+        """Count a dropped connection."""
+        self._dropped.labels(kind, reason).inc()
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -15,13 +15,15 @@
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.quarantine import AnsweredParts
+from jaylatch_decisions.readers import process_bound
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.forwarder import Forwarder
-from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.gateway.held import HeldMemory
+from jaylatch_node.gateway.metrics import GatewayMetrics, HeldMetrics
 from jaylatch_node.gateway.placement import Placer
 from jaylatch_node.gateway.places import PlaceClient
 from jaylatch_node.gateway.server import GatewayServer
@@ -82,7 +84,15 @@
             self._answered_parts,
         )
         self._deployment: Deployment = board.grant.deployment
-        self._server = GatewayServer(self._forwarder.handle, self._deployment.limits)
+        self._memory = HeldMemory(
+            process_bound(self._settings.memory_limit), HeldMetrics(board.metrics)
+        )
+        self._server = GatewayServer(
+            self._forwarder.handle,
+            self._deployment.limits,
+            self._memory,
+            self._forwarder.refuse_for_memory,
+        )
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
         self._progress_reported_at = 0.0
@@ -101,6 +111,7 @@
         """Close the listeners and the idle connections to targets."""
         self._server.stop()
         self._readiness.stop()
+        self._memory.stop()
         self._pool.close()
 
     async def drain(self) -> None:
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -1,6 +1,7 @@
 """HTTP server for callers, below tornado's web framework so that bodies pass unchanged."""
 
 import logging
+import socket
 from asyncio import Task, TimerHandle, create_task, get_running_loop
 from collections.abc import Awaitable, Callable
 
@@ -18,8 +19,14 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import ConnectionLimits
 from jaylatch_node.gateway.caller import Caller
+from jaylatch_node.gateway.held import HeldKind, HeldMemory, Holding
+from jaylatch_node.gateway.metrics import HeldMetrics
+from jaylatch_node.observability import Metrics
+from jaylatch_node.sockets import bound_buffers
 
 RequestHandler = Callable[[RequestStartLine, HTTPHeaders, bytes, Caller], Awaitable[None]]
+RefusalHandler = Callable[[RequestStartLine, HTTPHeaders, Caller], None]
+"""Refuses a request for whose body there is no memory."""
 
 IDLE_MARGIN = 5.0
 """Seconds added to the stated idle timeout, so that a request at its very end is still served."""
@@ -32,10 +39,21 @@
 
 
 class GatewayServer(HTTPServerConnectionDelegate):
-    """Accepts callers' connections and passes each complete request to ``handle``."""
+    """Accepts callers' connections and passes each complete request to ``handle``.
 
-    def __init__(self, handle: RequestHandler, limits: ConnectionLimits) -> None:
+    Without ``memory`` there is no bound for the process, and nothing is refused.
+    """
+
+    def __init__(
+        self,
+        handle: RequestHandler,
+        limits: ConnectionLimits,
+        memory: HeldMemory | None = None,
+        refuse: RefusalHandler = lambda start_line, headers, caller: caller.abort(),
+    ) -> None:
         self._handle = handle
+        self._refuse = refuse
+        self.memory = memory or HeldMemory(0, HeldMetrics(Metrics()))
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
         self._idle: set[_InboundMessage] = set()
@@ -83,6 +101,7 @@
         """Return the receiver of one request."""
         assert isinstance(request_conn, HTTP1Connection)
         request_conn.stream.set_nodelay(True)
+        bound_buffers(request_conn.stream.socket, socket.SO_SNDBUF)
         message = _InboundMessage(self, request_conn)
         self._idle.add(message)
         return message
@@ -126,12 +145,17 @@
 
     async def _run(self, message: "_InboundMessage") -> None:
         try:
-            await self._handle(message.start_line, message.headers, message.body, message.caller)
+            if message.is_refused:
+                self._refuse(message.start_line, message.headers, message.caller)
+            else:
+                body = message.take_body()
+                await self._handle(message.start_line, message.headers, body, message.caller)
         except Exception:
             # The caller must not wait for an answer that will not come.
             _log.exception("a request was not answered; its connection is closed")
             message.caller.abort()
         finally:
+            message.release_body()
             self._messages.discard(message)
 
 
@@ -146,8 +170,10 @@
         self._connection = connection
         self.idle_since = monotonic()
         self._chunks: list[bytes] = []
+        self._held_body: Holding | None = None
         self._task: Task[None] | None = None
-        self.caller = Caller(connection, server.is_draining)
+        self.is_refused = False
+        self.caller = Caller(connection, server.is_draining, server.memory, self._drop)
 
     @property
     def is_closed(self) -> bool:
@@ -159,10 +185,18 @@
         """Return whether nothing has been read that the HTTP library has yet to pass on."""
         return self._connection.stream.reading()
 
-    @property
-    def body(self) -> bytes:
-        """Return the complete body."""
-        return b"".join(self._chunks)
+    def take_body(self) -> bytes:
+        """Return the complete body, whose chunks are dropped."""
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        return body
+
+    def release_body(self) -> None:
+        """Hold the body no longer."""
+        self._chunks.clear()
+        if self._held_body is not None:
+            self._held_body.release()
+            self._held_body = None
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -176,13 +210,24 @@
         self._server.mark_active(self)
 
     def data_received(self, chunk: bytes) -> None:
-        """Handle a chunk of the body."""
+        """Handle a chunk of the body, which is not kept if there is no memory for it."""
+        if self.is_refused:
+            return
         self._chunks.append(chunk)
+        if self._held_body is None:
+            self._held_body = self._server.memory.hold(HeldKind.BODY, self._refuse)
+        self._held_body.add(len(chunk))
+        if not self._server.memory.has_room_for_request():
+            self._refuse()
 
     def finish(self) -> None:
         """Handle the request, which is now complete, unless its connection has been closed."""
         if self.is_closed:
             return
+        if self._held_body is not None:
+            self._held_body.complete()
+        if not self._server.memory.has_room_for_request():
+            self._refuse()
         self._connection.set_close_callback(self.on_connection_close)
         self._task = self._server.start_handling(self)
 
@@ -192,11 +237,22 @@
 
     def on_connection_close(self) -> None:
         """Stop work for a caller that has disconnected."""
-        self.caller.is_disconnected = True
+        self.caller.disconnect()
         self._server.mark_active(self)
+        self.release_body()
         self.interrupt()
 
     def interrupt(self) -> None:
         """Cancel the handling of the request."""
         if self._task is not None:
             self._task.cancel()
+
+    def _refuse(self) -> None:
+        """Drop the body; the request is refused once the caller has sent the rest of it."""
+        self.is_refused = True
+        self.release_body()
+
+    def _drop(self) -> None:
+        """Stop the work for a caller that does not read, and close its connection."""
+        self.interrupt()
+        self.close()
--- a/packages/node/src/jaylatch_node/sockets.py
+++ b/packages/node/src/jaylatch_node/sockets.py
@@ -1,7 +1,8 @@
-"""Socket options that detect a dead peer."""
+"""Socket options that detect a dead peer, bound the kernel's buffers, and reset a connection."""
 
 import logging
 import socket
+import struct
 
 KEEPALIVE_IDLE = 1
 """Idle seconds after which the kernel sends the first keepalive probe."""
@@ -10,6 +11,11 @@
 KEEPALIVE_PROBES = 2
 """Unanswered keepalive probes after which the kernel closes the connection."""
 MILLISECONDS_PER_SECOND = 1000
+BUFFER_SIZE = 256 * 1024
+"""Bytes of each kernel buffer of a caller's or target's connection; the kernel doubles it. It grows
+to 4 MiB and more without a bound, for each connection whose other end does not read."""
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger for 0 seconds: the close drops unsent bytes and resets the connection."""
 
 _log = logging.getLogger("jaylatch.sockets")
 
@@ -28,6 +34,26 @@
         _log.debug("connection ended before its options were set", extra={"fault": str(fault)})
 
 
+def bound_buffers(connection: socket.socket | None, *options: int) -> None:
+    """Bound the kernel's buffers of ``connection``: SO_SNDBUF, SO_RCVBUF or both."""
+    for option in options:
+        _set_option(connection, option, BUFFER_SIZE)
+
+
+def reset_on_close(connection: socket.socket | None) -> None:
+    """Let the close of ``connection`` reset it, so that its other end sees no regular end."""
+    _set_option(connection, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
+def _set_option(connection: socket.socket | None, option: int, value: int | bytes) -> None:
+    if connection is None:
+        return
+    try:
+        connection.setsockopt(socket.SOL_SOCKET, option, value)
+    except OSError as fault:
+        _log.debug("connection ended before an option was set", extra={"fault": str(fault)})
+
+
 def _set_options(connection: socket.socket, unacknowledged_timeout: float) -> None:
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE)
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -5,7 +5,8 @@
 """
 
 import socket
-from collections.abc import Callable
+from asyncio import Task, create_task
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
 
@@ -22,16 +23,22 @@
 from jaylatch_core.settings import split_address
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_node.deadlines import time_limit
-from jaylatch_node.sockets import detect_dead_peer
+from jaylatch_node.sockets import bound_buffers, detect_dead_peer
 
 HEADER_LIMIT = 32 * KIBIBYTE
 BODY_LIMIT = 16 * MEBIBYTE
 CHUNK_SIZE = 64 * KIBIBYTE
 UNACKNOWLEDGED_TIMEOUT = 1.0
 """Seconds for which a request may stay unacknowledged: a lost packet is retransmitted sooner."""
+PIECE_SIZE = 256 * KIBIBYTE
+"""Bytes of a request's body that are written at once: a target that reads slowly costs one piece,
+no second copy of the body."""
 STALE_ANSWERS_LIMIT = 2
 """Answers to earlier requests that are skipped on a connection before it is closed."""
 
+DataHandler = Callable[[bytes], Awaitable[None] | None]
+"""Called for each chunk of a response's body. No more is read until what it returns is done."""
+
 _PARAMETERS = HTTP1ConnectionParameters(
     max_header_size=HEADER_LIMIT, max_body_size=BODY_LIMIT, chunk_size=CHUNK_SIZE
 )
@@ -78,13 +85,17 @@
     """Receives one response. ``on_head`` returns whether it answers the current request."""
 
     def __init__(
-        self, on_head: Callable[[ResponseHead], bool], on_data: Callable[[bytes], None]
+        self,
+        on_head: Callable[[ResponseHead], bool],
+        on_data: DataHandler,
+        on_complete: Callable[[], None],
     ) -> None:
         self.head: ResponseHead | None = None
         self.is_complete = False
         self.is_skipped = False
         self._on_head = on_head
         self._on_data = on_data
+        self._on_complete = on_complete
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -98,14 +109,15 @@
         if not self.is_skipped:
             self.head = head
 
-    def data_received(self, chunk: bytes) -> None:
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Handle a chunk of the body."""
-        if not self.is_skipped:
-            self._on_data(chunk)
+        return None if self.is_skipped else self._on_data(chunk)
 
     def finish(self) -> None:
         """Mark the response as complete according to its framing."""
         self.is_complete = True
+        if not self.is_skipped:
+            self._on_complete()
 
 
 class TargetConnection:
@@ -114,6 +126,8 @@
     def __init__(self, stream: TargetStream) -> None:
         self._stream = stream
         self._was_closed_here = False
+        self._writer: Task[None] | None = None
+        self._unwritten = 0
         self.idle_since = 0.0
         self.usable_until = float("inf")
 
@@ -121,6 +135,7 @@
     async def connect(cls, address: str, timeout: float) -> "TargetConnection | None":
         """Return a new connection, or None if there is none within ``timeout`` seconds."""
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        bound_buffers(raw, socket.SO_SNDBUF, socket.SO_RCVBUF)
         stream = TargetStream(raw, max_buffer_size=BODY_LIMIT)
         try:
             async with time_limit(timeout):
@@ -134,6 +149,16 @@
         detect_dead_peer(raw, UNACKNOWLEDGED_TIMEOUT)
         return cls(stream)
 
+    @property
+    def stream(self) -> TargetStream:
+        """Return the stream below HTTP."""
+        return self._stream
+
+    @property
+    def unwritten(self) -> int:
+        """Return the bytes of the request that wait until the target has read earlier ones."""
+        return self._unwritten
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unexpected bytes in its buffer."""
@@ -156,11 +181,13 @@
         self,
         request: OutboundRequest,
         on_head: Callable[[ResponseHead], bool],
-        on_data: Callable[[bytes], None],
+        on_data: DataHandler,
+        on_unsent: Callable[[], None] = lambda: None,
     ) -> ExchangeFailed | None:
         """Send a request and read its response; return None if the response is complete.
 
         ``on_head`` returns False for a response that answers an earlier request; it is skipped.
+        ``on_unsent`` is called if the target does not take the whole request at once.
         """
         headers = request.headers
         if request.body or request.method not in ("GET", "HEAD", "DELETE"):
@@ -170,12 +197,18 @@
             sent = connection.write_headers(
                 RequestStartLine(request.method, request.target, "HTTP/1.1"),
                 headers,
-                request.body or None,
+                request.body[:PIECE_SIZE] or None,
             )
             sent.add_done_callback(lambda future: future.exception())
-            connection.finish()
+            if len(request.body) > PIECE_SIZE:
+                self._unwritten = len(request.body) - PIECE_SIZE
+                self._writer = create_task(self._write_rest(connection, sent, request.body))
+            else:
+                connection.finish()
+            if self._unwritten or self._stream.writing():
+                on_unsent()
             for _ in range(STALE_ANSWERS_LIMIT):
-                exchange = Exchange(on_head, on_data)
+                exchange = Exchange(on_head, on_data, self._end_writing)
                 await connection.read_response(exchange)
                 if not exchange.is_skipped:
                     return self._classify(exchange)
@@ -189,9 +222,34 @@
         except BaseException:
             self._stream.close()
             raise
+        finally:
+            if self._writer is not None:
+                self._writer.cancel()
+                self._writer = None
+            self._unwritten = 0
         self._stream.close()
         return ExchangeFailed.MALFORMED
 
+    async def _write_rest(
+        self, connection: HTTP1Connection, sent: Awaitable[None], body: bytes
+    ) -> None:
+        """Write the body after its first piece, each piece when the one before has been taken."""
+        try:
+            await sent
+            for begin in range(PIECE_SIZE, len(body), PIECE_SIZE):
+                piece = body[begin : begin + PIECE_SIZE]
+                self._unwritten -= len(piece)
+                await connection.write(piece)
+            connection.finish()
+        except StreamClosedError:
+            # The reader of the response sees the end of the connection.
+            return
+
+    def _end_writing(self) -> None:
+        """Close a connection whose target has answered without reading the whole request."""
+        if self._writer is not None and not self._writer.done():
+            self._stream.close()
+
     def _classify(self, exchange: Exchange) -> ExchangeFailed | None:
         if exchange.head is None:
             return ExchangeFailed.MALFORMED
