--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -120,6 +120,21 @@
     choices: int
 
 
+class ReaderDropped(LogRecord, frozen=True, kw_only=True, tag="reader dropped"):
+    """A connection was dropped because its other end did not read, or did not go on sending a body.
+
+    ``held`` bytes were held for it, of ``total`` in this process, and it had taken none for
+    ``silent`` seconds. ``reason`` is ``behind`` if it kept a target waiting for too long, and
+    ``memory`` if the process held too much.
+    """
+
+    kind: str
+    reason: str
+    held: int
+    silent: float
+    total: int
+
+
 class InternalError(LogRecord, frozen=True, kw_only=True, tag="own failure"):
     """An internal error ended the handling of a request."""
 
@@ -298,6 +313,7 @@
     RequestRefused,
     RequestEnded,
     LoadsMeasured,
+    ReaderDropped,
     InternalError,
     TargetStateChanged,
     DiskStateChanged,
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -65,6 +65,9 @@
 """Seconds after which a caller should retry; ``FULL_RETRY`` after any other obstacle."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
+NO_MEMORY = "this instance holds too much for others"
+MEMORY_RETRY = 1.0
+"""Seconds after which there is room again: those that do not read are dropped within a second."""
 ENDING = "this instance is ending"
 INTERNAL_ERROR = "an error of this instance"
 
@@ -170,6 +173,15 @@
                 admitted.history.may_have_run = True
                 self._give_up(admitted, INTERNAL_ERROR, 0.0)
 
+    def refuse_for_memory(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request whose body was not kept; nothing has been sent to a target."""
+        read = self._dialect.read_request(start_line, headers, b"")
+        request = read if isinstance(read, InboundRequest) else None
+        refusal = Refusal(RefusalKind.NOT_RUN, NO_MEMORY, self._add_jitter(MEMORY_RETRY))
+        self._refuse(caller, request, refusal, "")
+
     def _log_error(self, request: InboundRequest | None, error: Exception) -> None:
         _log.exception("unexpected error while handling a request")
         attempt = request.attempt if request is not None else ""
