Expect the time to the first token by its measured difference, and returns within a third of the time left

Cause: the expected time to the first token was the computed one times at most 4. Refused callers were asked to return later than they follow. Change: the measured difference and its deviation are added; delays are at most a third of the time left.

--- a/packages/decisions/src/jaylatch_decisions/places/returns.py
+++ b/packages/decisions/src/jaylatch_decisions/places/returns.py
@@ -11,6 +11,9 @@
 
 MIN_RETURN_DELAY = 0.2
 """Seconds; shorter delays bring a caller back into the same peak."""
+RETURN_FRACTION = 1 / 3
+"""Part of the time that a caller has left for which it follows a delay: beyond it callers return
+when they like."""
 MAX_RETURN_DELAY = 4.0
 """Seconds, also for a request whose time limit allows more."""
 MIN_SPARE_FRACTION = 0.02
@@ -72,7 +75,9 @@
         """
         # The duration of a place exceeds the time limit by a margin of less than a second.
         answer_time = terms.service_time + max(terms.max_wait, 0.0)
-        longest = min(max(request.duration - 1.0 - answer_time, 0.0), MAX_RETURN_DELAY)
+        left_over = max(request.duration - 1.0 - answer_time, 0.0)
+        followed = request.duration * RETURN_FRACTION
+        longest = min(left_over, followed, MAX_RETURN_DELAY)
         earliest = max(backlog, MIN_RETURN_DELAY)
         spare = max(left, total * MIN_SPARE_FRACTION, 1e-3)
         at = max(now + earliest, self._next_slots.get(terms.rank, 0.0))
--- a/packages/decisions/src/jaylatch_decisions/places/service_times.py
+++ b/packages/decisions/src/jaylatch_decisions/places/service_times.py
@@ -1,8 +1,10 @@
 """Expected times of requests at engines: to the first token, and until the place is free.
 
-The computed times come from the engine's profile. They are corrected by the mean ratio of measured
-to computed times of the model, because a profile states nothing of the network, of cold targets or
-of the mixture of lengths. Load pattern: a model at or near its capacity, where requests wait.
+The computed times come from the engine's profile. They are corrected by what is measured at the
+model, because a profile states nothing of the network, of cold targets or of the mixture of
+lengths: the duration by the mean ratio to the computed one, the time to the first token by the mean
+difference, most of which does not depend on the prompt. Load pattern: a model at or near its
+capacity, where requests wait.
 """
 
 from dataclasses import dataclass
@@ -13,6 +15,9 @@
 """Weight of a new measurement: about the last twenty requests count."""
 RATIO_BOUNDS = (0.25, 4.0)
 """Bounds of one measured ratio, so that a stalled stream does not move the mean for long."""
+MAX_FIRST_TOKEN_EXCESS = 2.0
+"""Seconds of one measured difference that count, so that a stalled stream does not move the mean
+for long."""
 MIN_WAIT_FRACTION = 0.25
 """Part of its objective for which any request may wait."""
 UNKNOWN_SERVICE_TIME = 1.0
@@ -29,7 +34,10 @@
 
 @dataclass
 class _Correction:
-    first_token: float = 1.0
+    """``first_token_excess`` and ``deviation``, its mean absolute deviation, are seconds."""
+
+    first_token_excess: float = 0.0
+    deviation: float = 0.0
     service: float = 1.0
     mean_service: float = UNKNOWN_SERVICE_TIME
 
@@ -43,11 +51,16 @@
     def expect(
         self, engine: EngineProfile, model: str, prompt_tokens: int, answer_tokens: int
     ) -> ExpectedTimes:
-        """Return the corrected times. A size of 0 is not known: the mean answer is taken then."""
+        """Return the corrected times. A size of 0 is not known: the mean answer is taken then.
+
+        The time to the first token includes the mean deviation: a request that waits as long as it
+        may would otherwise be late in half of all cases.
+        """
         known = self._corrections.get(model, _Correction())
         computed = compute_times(engine, model, prompt_tokens, answer_tokens)
         service = computed.service * known.service if answer_tokens else known.mean_service
-        return ExpectedTimes(computed.first_token * known.first_token, service)
+        excess = known.first_token_excess + known.deviation
+        return ExpectedTimes(max(computed.first_token + excess, 0.0), service)
 
     def record(
         self,
@@ -61,7 +74,10 @@
         known = self._corrections.setdefault(model, _Correction(mean_service=measured.service))
         known.mean_service += SMOOTHING_FACTOR * (measured.service - known.mean_service)
         computed = compute_times(engine, model, prompt_tokens, answer_tokens)
-        known.first_token = _smooth(known.first_token, measured.first_token, computed.first_token)
+        excess = min(measured.first_token - computed.first_token, MAX_FIRST_TOKEN_EXCESS)
+        known.first_token_excess += SMOOTHING_FACTOR * (excess - known.first_token_excess)
+        distance = abs(excess - known.first_token_excess)
+        known.deviation += SMOOTHING_FACTOR * (distance - known.deviation)
         if answer_tokens:
             known.service = _smooth(known.service, measured.service, computed.service)
 
