--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -13,9 +13,8 @@
 from collections import Counter
 from collections.abc import Iterator
 from dataclasses import dataclass
-from math import inf
 
-from jaylatch_core.ids import AccountId, InstanceId, RequestId
+from jaylatch_core.ids import InstanceId, RequestId
 from jaylatch_core.messages.places import (
     PlaceCandidate,
     PlaceDenied,
@@ -27,8 +26,8 @@
     QueueTerms,
     TakePlace,
 )
-from jaylatch_decisions.admission import AdmissionQueue, Drop, QueuedRequest
-from jaylatch_decisions.fairness import DemandMeter
+from jaylatch_decisions.admission import Drop, QueuedRequest
+from jaylatch_decisions.places.classes import EQUAL_SHARE, ClassQueue, RequestClass
 from jaylatch_decisions.places.forecast import PlaceForecast
 from jaylatch_decisions.places.returns import ReturnOrder, ReturnSchedule
 from jaylatch_decisions.places.table import FoundPlace, PlaceTable
@@ -38,17 +37,9 @@
 MAX_WAITING = 2048
 """Waiting requests of one class; more are refused. Bounds the memory and the time of a forecast."""
 FORECAST_LIFETIME = 0.02
-"""Seconds for which the expected ends of requests in flight, and what the accounts were served, are
-not computed anew."""
+"""Seconds for which the expected ends of requests in flight are not computed anew."""
 CANDIDATE_RETENTION = 0.5
 """Seconds for which a target counts as one of the model after a gateway has named it."""
-SERVICE_FLOOR = 0.4
-"""Part of the mean fraction that is served below which an account does not give way. A quarter is
-required; the rest allows for the delay of the averages."""
-OVER_SHARE_DELAY = 1000.0
-"""Seconds by which requests of accounts above their share are ordered later: after all others."""
-EQUAL_SHARE = 1.0
-"""Share of each account: a deployment document states none."""
 
 Outcome = PlaceGranted | PlaceDenied
 
@@ -65,88 +56,14 @@
     targets: tuple[InstanceId, ...]
 
 
-@dataclass(frozen=True, order=True)
-class _Class:
-    """Requests that compete as equals."""
-
-    rank: int
-    order: ReturnOrder
-
-
-@dataclass(frozen=True)
-class _Standing:
-    """How the accounts of a class stand: what each was served, in place seconds a second.
-
-    ``over_share`` are those that ask for more than their share. ``starved`` are those that are
-    served far less often than all.
-    """
-
-    at: float
-    served: dict[AccountId, float]
-    over_share: frozenset[AccountId]
-    starved: frozenset[AccountId]
-
-
-class _ClassQueue:
-    """Waiting requests of one class, and what its accounts were served."""
-
-    def __init__(self) -> None:
-        self.queue = AdmissionQueue(self._choose_victim)
-        self._served = DemandMeter()
-        self._standing = _Standing(-inf, {}, frozenset(), frozenset())
-        self.slots = inf
-
-    def order(self, now: float, account: AccountId, due: float) -> float:
-        """Return the key by which a request is ordered: by the share of its account, then by due.
-
-        A request that is admitted may become late by the error of the forecast. With due time
-        alone that would be as often one of an account that keeps to its share.
-        """
-        standing = self._renew_standing(now)
-        is_later = account in standing.over_share and account not in standing.starved
-        return due + (OVER_SHARE_DELAY if is_later else 0.0)
-
-    def count_served(self, now: float, account: AccountId, work: float) -> None:
-        """Count a request that has got a place."""
-        self._served.offer(now, account, EQUAL_SHARE, work)
-
-    def _choose_victim(
-        self, now: float, items: list[QueuedRequest], over_share: frozenset[AccountId]
-    ) -> QueuedRequest:
-        """Return the request that gives way: of an account above its share that got the most.
-
-        Accounts that are served far less often than the class give way only to each other.
-        """
-        standing = self._renew_standing(now)
-        left = [item for item in items if item.account not in standing.starved] or items
-        above = [item for item in left if item.account in over_share]
-        if above:
-            served = standing.served
-            return max(above, key=lambda item: (served.get(item.account, 0.0), item.rank))
-        return max(left, key=lambda item: item.rank)
-
-    def _renew_standing(self, now: float) -> _Standing:
-        if now < self._standing.at + FORECAST_LIFETIME:
-            return self._standing
-        served = {item.account: item.demand for item in self._served.demands(now)}
-        offered = self.queue.offered(now)
-        floor = SERVICE_FLOOR * sum(served.values()) / max(sum(offered.values()), 1e-9)
-        starved = frozenset(
-            account for account, work in offered.items() if served.get(account, 0.0) < floor * work
-        )
-        over_share = self.queue.over_share(now, self.slots)
-        self._standing = _Standing(now, served, over_share, starved)
-        return self._standing
-
-
 class PlaceQueue:
     """The waiting requests of one model. Outcomes are returned once, and each ends a wait."""
 
     def __init__(self, table: PlaceTable, load_limit: float = QUEUED_LOAD_LIMIT) -> None:
         self._table = table
         self._load_limit = load_limit
-        self._classes: dict[_Class, _ClassQueue] = {}
-        self._waiting: dict[str, tuple[_Class, _Waiting]] = {}
+        self._classes: dict[RequestClass, ClassQueue] = {}
+        self._waiting: dict[str, tuple[RequestClass, _Waiting]] = {}
         self._known: dict[InstanceId, tuple[int, float]] = {}
         self._returns = ReturnSchedule()
         self._forecast: tuple[float, PlaceForecast] | None = None
@@ -169,7 +86,7 @@
         """
         for candidate in request.candidates:
             self._known[candidate.instance] = (candidate.slots, now)
-        key = _Class(terms.rank, self._returns.take_return(now, request.digest))
+        key = RequestClass(terms.rank, self._returns.take_return(now, request.digest))
         candidates = {item.instance: item for item in request.candidates}
         targets = tuple(candidates)
         # What is free for requests with the same candidates, these have already got.
@@ -180,7 +97,7 @@
         due = now + max(terms.max_wait, 0.0)
         work = max(terms.service_time, 1e-3)
         if key not in self._classes:
-            self._classes[key] = _ClassQueue()
+            self._classes[key] = ClassQueue()
             self._classes = dict(sorted(self._classes.items()))
         class_queue = self._classes[key]
         order = class_queue.order(now, terms.account, due) if len(class_queue.queue) else due
@@ -199,7 +116,7 @@
         if found is not None:
             self._classes[found[0]].queue.remove(RequestId(permit))
 
-    def _forget(self, permit: str) -> tuple[_Class, _Waiting] | None:
+    def _forget(self, permit: str) -> tuple[RequestClass, _Waiting] | None:
         found = self._waiting.pop(permit, None)
         if found is not None:
             targets = found[1].targets
@@ -279,7 +196,7 @@
             self._forecast[1].occupy(now, terms.service_time)
         return PlaceGranted(permit, instance, load)
 
-    def _refuse_late(self, now: float, only: _Class | None = None) -> list[Outcome]:
+    def _refuse_late(self, now: float, only: RequestClass | None = None) -> list[Outcome]:
         """Refuse what cannot be in time, rank by rank with the places that the others leave.
 
         With ``only``, requests of other classes are not refused.
@@ -325,7 +242,7 @@
         return forecast
 
     def _deny(
-        self, now: float, drop: Drop, key: _Class, backlog: float, left: float, total: float
+        self, now: float, drop: Drop, key: RequestClass, backlog: float, left: float, total: float
     ) -> PlaceDenied:
         """Refuse a dropped request, and agree on a time of its return."""
         forgotten = self._forget(drop.id)
