--- a/packages/node/src/jaylatch_node/control/evacuation.py
+++ b/packages/node/src/jaylatch_node/control/evacuation.py
@@ -106,7 +106,11 @@
             if order.domain not in self._running:
                 self._begin(order, now + self._hold_time, "ordered")
         self._update_fractions(now)
-        self._update_groups(now)
+        if self._running:
+            self._update_groups(now)
+        else:
+            self._groups = self._held = frozenset()
+            self._domains, self._ending_since = {}, {}
 
     def slot_fraction(self, members: Iterable[InstanceId]) -> float:
         """Return the fraction of the slots that targets use while load returns to them."""
@@ -123,6 +127,8 @@
 
     def remaining_instances(self, instances: Iterable[InstanceFacts]) -> list[InstanceFacts]:
         """Return the instances that the planner may use."""
+        if not self._running:
+            return list(instances)
         groups = [self._state.groups[item] for item in self._groups if item in self._state.groups]
         return remaining_instances(instances, self._evacuated_targets(), groups)
 
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -8,14 +8,13 @@
 import msgspec
 
 from jaylatch_core.clock import wall
-from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import DomainUnknown, Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.log_records import PartsQuarantined, PlanCommitted, SupplyChanged, ViewPublished
-from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
+from jaylatch_core.messages.administration import HistoryReport, StatusReport
 from jaylatch_core.messages.control import (
     CommitPreset,
     ControlCommand,
@@ -53,9 +52,11 @@
 )
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.control.drains import Drains
 from jaylatch_node.control.evacuation import EvacuationController
 from jaylatch_node.control.group_metrics import GroupMetrics
 from jaylatch_node.control.routes import group_route, service_routes, uses_views
+from jaylatch_node.control.status import build_status
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.streams import StreamConnection
@@ -100,6 +101,7 @@
         self._propose = propose
         self._targets = targets
         self._leases = LeaseTable(settings.duration, settings.drift, now)
+        self._drains = Drains(state, self._leases)
         self._evacuations = EvacuationController(
             state, targets, self._leases, evacuation_bound, now
         )
@@ -140,7 +142,7 @@
             None if has_configuration else self._state.configuration,
             self._view if self._needs_view(now, renewal) else None,
             self._assignment(now, renewal.instance),
-            self._is_drained(renewal.instance, renewal.failure_domain),
+            self._drains.covers(renewal.instance, renewal.failure_domain),
             self._deployment_change(renewal),
             self._list_peers(),
             self._gateways,
@@ -242,34 +244,13 @@
 
     def status(self, now: float) -> StatusReport:
         """Return the complete state for operators."""
-        nodes = tuple(
-            NodeStatus(
-                holder.renewal.instance,
-                tuple(role.value for role in holder.renewal.roles),
-                holder.renewal.failure_domain,
-                holder.renewal.stream,
-                holder.renewal.configuration,
-                holder.renewal.preset_in_force,
-                holder.lapses_at - now,
-                holder.renewal.member,
-            )
-            for holder in self._leases.live(now)
-        )
-        return StatusReport(
+        return build_status(
+            now,
             self._board.identity.instance,
-            self._state.generation,
-            self._state.configuration,
-            self._state.preset,
-            nodes,
-            tuple(self._state.groups.values()),
-            tuple(f"{scope.value}/{subject}" for scope, subject in sorted(self._state.drains)),
-            tuple(self._outdated_instances(now)),
-            self._metrics.group_downtime,
-            self._metrics.stranded_seconds,
-            tuple(
-                holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
-            ),
-            self._leases.knows_all(now),
+            self._state,
+            self._leases,
+            self._outdated_instances(now),
+            self._metrics,
             self._evacuations.status(),
         )
 
@@ -293,7 +274,7 @@
 
     def _refresh_view(self, now: float) -> None:
         known = self._state.groups.values()
-        draining = {group.id for group in known if self._is_draining(group)}
+        draining = {group.id for group in known if self._drains.is_draining(group, self._retiring)}
         admitting = (group for group in known if group.id not in draining)
         groups = tuple(
             route for group in admitting if (route := self._route(now, group)) is not None
@@ -340,7 +321,7 @@
     def _serving_renewals(self, now: float) -> list[RenewLease]:
         renewals = [holder.renewal for holder in self._leases.live(now)]
         return [
-            item for item in renewals if not self._is_drained(item.instance, item.failure_domain)
+            item for item in renewals if not self._drains.covers(item.instance, item.failure_domain)
         ]
 
     def _assignment(self, now: float, instance: InstanceId) -> Assignment | None:
@@ -355,34 +336,10 @@
             group.model,
             group.members,
             addresses,
-            self._is_draining(group),
+            self._drains.is_draining(group, self._retiring),
             (instance, group.epoch) in self._permits,
         )
 
-    def _is_draining(self, group: Group) -> bool:
-        if group.id in self._retiring or self._effective_configuration.model(group.model) is None:
-            return True
-        if not self._state.drains:
-            return False
-        if (DrainScope.GROUP, group.id) in self._state.drains:
-            return True
-        return any(self._is_drained(member, self._domain(member)) for member in group.members)
-
-    @property
-    def _effective_configuration(self) -> Configuration:
-        return self._state.effective_configuration()
-
-    def _is_drained(self, instance: InstanceId, domain: FailureDomainId) -> bool:
-        drains = self._state.drains
-        return (DrainScope.INSTANCE, instance) in drains or (
-            DrainScope.FAILURE_DOMAIN,
-            domain,
-        ) in drains
-
-    def _domain(self, instance: InstanceId) -> FailureDomainId:
-        holder = self._leases.known(instance)
-        return holder.renewal.failure_domain if holder is not None else FailureDomainId("")
-
     def _announce_changes(self) -> None:
         """Notify only the nodes that a change concerns, so that not all renew after a repair."""
         current = _AnnouncedState(
@@ -471,7 +428,7 @@
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
-        leaving = self._members_of_drained_groups()
+        leaving = self._drains.members_of_drained_groups()
         direct = (
             self._targets.facts(now, self._state.groups.values())
             if self._targets is not None
@@ -495,7 +452,7 @@
             instance,
             renewal.failure_domain,
             is_usable,
-            instance in leaving or self._is_drained(instance, renewal.failure_domain),
+            instance in leaving or self._drains.covers(instance, renewal.failure_domain),
             member.epoch,
             member.is_serving,
             member.in_flight,
@@ -527,14 +484,6 @@
             return False
         return member.epoch != group.epoch or not member.is_loaded
 
-    def _members_of_drained_groups(self) -> set[InstanceId]:
-        return {
-            member
-            for group in self._state.groups.values()
-            if (DrainScope.GROUP, group.id) in self._state.drains
-            for member in group.members
-        }
-
     async def _propose_all(self, commands: list[ControlCommand]) -> None:
         try:
             for command in commands:
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -253,6 +253,7 @@
                 "peers": peers,
                 "data_folder": str(self.folder / name),
                 "initial_configuration": str(self._configuration),
+                "failure_domains": [f"domain-{item + 1}" for item in range(self._plan.domains)],
             },
         }
         if role == "entry":
