Serve new requests of a rank before those that return

Cause: callers that returned at the time they had been told went first. Change: the order of a rank is new, returned as agreed, returned otherwise.

--- a/packages/decisions/src/jaylatch_decisions/places/returns.py
+++ b/packages/decisions/src/jaylatch_decisions/places/returns.py
@@ -33,13 +33,15 @@
 
 
 class ReturnOrder(IntEnum):
-    """Order of the requests of a rank: those that return at their agreed time go first.
+    """Order of the requests of a rank: new ones go first, because they can still be in time.
 
-    Those that return otherwise are late already, and get the places that new ones leave.
+    Those that return are late already. If they went first, they would fill the places for as long
+    as the load lasts: every request would first be refused and then answered late. Those that
+    return at their agreed time go before the others.
     """
 
-    AGREED = 0
-    NEW = 1
+    NEW = 0
+    AGREED = 1
     LATE = 2
 
 
