Use only a confirmed control leader as the first owner of cold targets

The supposed leader changes by rotation after each failed call. In an election gateways therefore used different owners, among them instances without a vote that know no warm target. Without a confirmed leader the order by hash holds.

--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -45,3 +45,25 @@
       | rate | first          | stated               |
       | 26   | the leader     | a cold rate of 26    |
       | 0    | the next owner | a cold rate of 0     |
+
+  # Guards against gateways that use different first owners during an election: the instance that is
+  # called next changes with each failed call, and it may have no vote and know no warm target.
+  Scenario Outline: after calls that end with <answers> the first owner is <first>
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are cold, with a cold rate of 26
+    And an owner for cold targets that grants
+    And calls to the leader of control that end with "<answers>"
+    When a request of kind stream is sent
+    Then the first owner that was asked is <first>
+
+    Examples: in N:A the instance N answers with A; the instance N leads if A is ok
+      | answers                      | first                      |
+      | -                            | the first one by hash      |
+      | 2:ok                         | instance 2                 |
+      | 1:names 3                    | instance 3                 |
+      | 2:ok 2:nothing               | the first one by hash      |
+      | 2:ok 2:no leader             | the first one by hash      |
+      | 2:ok 2:nothing 3:nothing     | the first one by hash      |
+      | 2:ok 2:storage failed        | the first one by hash      |
+      | 2:ok 2:unavailable           | instance 2                 |
+      | 2:ok 2:nothing 1:names 3     | instance 3                 |
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -1,15 +1,22 @@
 """Steps on a gateway before targets that may be cold."""
 
+import re
 from math import inf
 
 import msgspec
 from behave import given, then, use_step_matcher
 from behave.runner import Context
+from features.support.gateway import MODEL
+from returns.result import Failure as Err
+from returns.result import Success
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.exceptions import NotLeader, StorageFailed, Unavailable
+from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
-from jaylatch_decisions.places import GRANT_VALIDITY
+from jaylatch_decisions.places import GRANT_VALIDITY, first_owner
 from jaylatch_node.control.client import CONTROL_LOG
+from jaylatch_node.streams.connection import CallResult
 
 GATEWAYS = 1
 REFUSED_STATUSES = (429, 503)
@@ -77,10 +84,45 @@
 
 @given(r'the leader of control is at "(?P<address>[^"]*)"')
 def step_control_leader(context: Context, address: str) -> None:
-    context.harness.client._leaders[CONTROL_LOG] = address
+    context.harness.client._confirm(CONTROL_LOG, address)
     context.leader_address = address
 
 
+@given(r'calls to the leader of control that end with "(?P<answers>[^"]*)"')
+def step_leader_calls(context: Context, answers: str) -> None:
+    client = context.harness.client
+    client._addresses = {InstanceId(f"control-{i}"): item for i, item in enumerate(OWNERS, 1)}
+    for call in re.split(r" (?=\d:)", answers) if answers != "-" else ():
+        number, _, answer = call.partition(":")
+        client._handle_answer(CONTROL_LOG, OWNERS[int(number) - 1], leader_answer(answer))
+
+
+def leader_answer(answer: str) -> CallResult:
+    """Return the result of a call to the leader of control."""
+    match answer.split(" "):
+        case ["ok"]:
+            return Success(PlacesFull(0.0))
+        case ["names", number]:
+            return Success(NotLeader("", f"control-{number}"))
+        case ["no", "leader"]:
+            return Success(NotLeader("", ""))
+        case ["unavailable"]:
+            return Success(Unavailable(""))
+        case ["storage", "failed"]:
+            return Success(StorageFailed(""))
+        case ["nothing"]:
+            return Err(Unavailable("timed out"))
+    raise ValueError(answer)
+
+
+@then(r"the first owner that was asked is (?P<first>the first one by hash|instance \d)")
+def step_first_owner(context: Context, first: str) -> None:
+    expected = (
+        first_owner(MODEL, OWNERS) if "hash" in first else OWNERS[int(first.rpartition(" ")[2]) - 1]
+    )
+    assert context.asked[0][0] == expected, (context.asked[0][0], expected)
+
+
 @then(r"it is (?P<outcome>answered|refused), after (?P<asks>\d+) questions to owners")
 def step_outcome(context: Context, outcome: str, asks: str) -> None:
     assert len(context.asked) == int(asks), [address for address, _ in context.asked]
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -47,6 +47,7 @@
         self._shards = settings.journal_shards
         self._peers = peers
         self._leaders: dict[str, str] = {}
+        self._confirmed: dict[str, str] = {}
         self._voters: tuple[ControlPeer, ...] = ()
         self._configured_peers = list(settings.peers)
         self._notices: dict[str, SentNotices[Body]] = {}
@@ -77,9 +78,13 @@
         return self._voters
 
     @property
-    def leader(self) -> str | None:
-        """Return the address of the supposed leader of the control log, None if none is known."""
-        return self._leaders.get(CONTROL_LOG)
+    def confirmed_leader(self) -> str | None:
+        """Return the address of the leader of the control log, None if it is not known.
+
+        It has answered as the leader, or another instance has named it, and no call has failed
+        since. The instance that is called next may be another one, found by rotation.
+        """
+        return self._confirmed.get(CONTROL_LOG)
 
     async def ask(self, address: str, body: Body, timeout: float) -> Body | None:
         """Call one control instance, leader or not; return None if it does not answer.
@@ -139,7 +144,7 @@
                 if done:
                     await sleep(RETRY_DELAY)
                 elif address is not None:
-                    self._leaders[log] = self._next(address)
+                    self._call_next(log, address)
         finally:
             for task in running:
                 task.cancel()
@@ -153,13 +158,13 @@
         answer = result.unwrap() if is_successful(result) else None
         match answer:
             case NotLeader(_, leader) if (peer := self._find(InstanceId(leader))) is not None:
-                self._leaders[log] = peer
+                self._confirm(log, peer)
             case None | NotLeader() | StorageFailed():
-                self._leaders[log] = self._next(address)
+                self._call_next(log, address)
             case Unavailable():
                 pass
             case _:
-                self._leaders[log] = address
+                self._confirm(log, address)
                 return answer
         return None
 
@@ -185,6 +190,14 @@
         connected = [item for item in left if self._peers.get(item).connection is not None]
         return next(iter(connected or ([] if asked else left)), None)
 
+    def _confirm(self, log: str, address: str) -> None:
+        self._leaders[log] = self._confirmed[log] = address
+
+    def _call_next(self, log: str, address: str) -> None:
+        """Call the instance after ``address`` next; no leader is confirmed then."""
+        self._leaders[log] = self._next(address)
+        self._confirmed.pop(log, None)
+
     def _next(self, address: str) -> str:
         return self._order[(self._position(address) + 1) % len(self._order)]
 
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -83,7 +83,7 @@
     """What is asked of an owner. ``subject`` is the model or, where only limits are kept, the
     service. ``counts_places`` is False in that case. ``is_metered``: the owner states how even the
     load of the subject's targets is. ``cold_rate`` is that of the service; if it is set, the
-    control leader is the first owner.
+    control leader is the first owner as far as it is known.
     """
 
     subject: str
@@ -190,7 +190,7 @@
         """
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
-        leader = self._client.leader if request.cold_rate else None
+        leader = self._client.confirmed_leader if request.cold_rate else None
         owner = self._owners.choose(now, request.subject, owners, leader)
         if owner is None:
             self._conditions.record_owner(now, has_answered=False)
