Ask another owner when one that does not lead refuses a request

Such an owner refuses requests to targets without evidence that the leader may grant, and its refusal was final. Its refusals are now marked. The gateway asks the confirmed leader or the next owner once, and then uses its own part for targets that are proven warm.

--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -25,6 +25,20 @@
       | idempotent | cold                 | 26   | grants too late once        | answered | 2    |
       | stream     | cold                 | 26   | is full                     | refused  | 1    |
 
+    # Guards against requests that are refused for good by an owner that does not lead.
+    Examples: owners that do not lead: another one is asked once, then the own part is used
+      | kind       | state                | rate | owner                       | outcome  | asks |
+      | stream     | cold                 | 26   | does not lead once          | answered | 2    |
+      | idempotent | cold                 | 26   | does not lead once          | answered | 2    |
+      | stream     | cold                 | 26   | does not lead               | refused  | 2    |
+      | idempotent | cold                 | 26   | does not lead               | refused  | 4    |
+      | stream     | warm and not proven  | 26   | does not lead               | refused  | 2    |
+      | stream     | proven but cold      | 26   | does not lead               | refused  | 2    |
+      | stream     | warm and proven      | 26   | does not lead               | answered | 2    |
+      | idempotent | warm and proven      | 26   | does not lead               | answered | 2    |
+      | stream     | cold                 | 26   | does not lead, then fails   | refused  | 2    |
+      | stream     | warm and proven      | 26   | does not lead, then fails   | answered | 2    |
+
     Examples: without a cold rate everything is as before: one question for streams, none for others
       | kind       | state                | rate | owner                       | outcome  | asks |
       | stream     | cold                 | 0    | does not answer             | answered | 1    |
@@ -67,3 +81,16 @@
       | 2:ok 2:storage failed        | the first one by hash      |
       | 2:ok 2:unavailable           | instance 2                 |
       | 2:ok 2:nothing 1:names 3     | instance 3                 |
+
+  # Guards against a second question to another instance than the leader that has become known.
+  Scenario Outline: after an owner that does not lead <second> is asked, <case>
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are cold, with a cold rate of 26
+    And an owner for cold targets that <owner>
+    When a request of kind stream is sent
+    Then the second owner that was asked is <second>
+
+    Examples:
+      | case                               | owner                                   | second          |
+      | a leader has become known          | does not lead once and names the leader | the leader named |
+      | the leader is not known            | does not lead once                      | the next by hash |
--- a/features/cold/owner.feature
+++ b/features/cold/owner.feature
@@ -44,3 +44,16 @@
       | leads since time 0  |
       | leads since time 10 |
       | does not lead       |
+
+  # Guards against a refusal that is taken for final although the control leader might grant.
+  Scenario Outline: the refusals of an owner that <owner> <state> that it does not lead, <case>
+    Given an owner that <owner>, and knows "-" to be warm
+    When it is asked for places "<asks>"
+    And a request that can wait 0.5 s asks it at time 10 for "a", with a cold rate of <rate>
+    Then its refusals, at least <count>, <state> that it does not lead
+
+    Examples:
+      | case                   | owner              | asks      | rate | count | state        |
+      | for a cold target      | does not lead      | a*x2@10   | 2    | 3     | state        |
+      | at the bound           | leads since time 0 | a*x5@10   | 2    | 2     | do not state |
+      | in its first second    | leads since time 9.9 | a*x2@10 | 2    | 3     | do not state |
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -15,6 +15,7 @@
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.places import PlacesFull, PlaceTaken, TakePlace
 from jaylatch_decisions.places import GRANT_VALIDITY, first_owner
+from jaylatch_decisions.places.cold import WINDOW_SECONDS
 from jaylatch_node.control.client import CONTROL_LOG
 from jaylatch_node.streams.connection import CallResult
 
@@ -23,6 +24,8 @@
 LONG_AGO_SECONDS = 60.0
 OWNERS = [f"10.9.9.{number}:1" for number in (1, 2, 3)]
 
+NAMED_LEADER = "10.9.9.8:1"
+
 use_step_matcher("re")
 
 
@@ -76,6 +79,18 @@
                 return PlacesFull(1.0, 0.5)
             case "does not answer":
                 return None
+            case "does not lead":
+                return PlacesFull(1.0, WINDOW_SECONDS, is_unled=True)
+            case "does not lead once" | "does not lead once and names the leader":
+                if len(context.asked) > 1:
+                    return PlaceTaken(body.candidates[0].instance, 0.1)
+                if "names" in owner:
+                    context.harness.client._confirm(CONTROL_LOG, NAMED_LEADER)
+                return PlacesFull(1.0, WINDOW_SECONDS, is_unled=True)
+            case "does not lead, then fails":
+                if len(context.asked) > 1:
+                    return None
+                return PlacesFull(1.0, WINDOW_SECONDS, is_unled=True)
             case _:
                 raise ValueError(owner)
 
@@ -123,6 +138,14 @@
     assert context.asked[0][0] == expected, (context.asked[0][0], expected)
 
 
+@then(r"the second owner that was asked is (?P<second>the leader named|the next by hash)")
+def step_second_owner(context: Context, second: str) -> None:
+    first = first_owner(MODEL, OWNERS)
+    others = [item for item in OWNERS if item != first]
+    expected = NAMED_LEADER if second == "the leader named" else first_owner(MODEL, others)
+    assert [address for address, _ in context.asked] == [first, expected], context.asked
+
+
 @then(r"it is (?P<outcome>answered|refused), after (?P<asks>\d+) questions to owners")
 def step_outcome(context: Context, outcome: str, asks: str) -> None:
     assert len(context.asked) == int(asks), [address for address, _ in context.asked]
--- a/features/steps/cold_target_steps.py
+++ b/features/steps/cold_target_steps.py
@@ -16,18 +16,27 @@
     ModelProfile,
     ServiceProfile,
 )
-from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId, RequestDigest, Term
+from jaylatch_core.ids import (
+    AccountId,
+    Epoch,
+    FailureDomainId,
+    GroupId,
+    InstanceId,
+    RequestDigest,
+    Term,
+)
 from jaylatch_core.messages.control import Group, GroupState
 from jaylatch_core.messages.places import (
     CandidateLimit,
     PlaceCandidate,
     PlacesFull,
     PlaceTaken,
+    QueueTerms,
     TakePlace,
 )
 from jaylatch_core.messages.targets import TargetCheckIn
 from jaylatch_core.settings import ColdSettings
-from jaylatch_decisions.places import LimitTable, PlaceTable
+from jaylatch_decisions.places import LimitTable, PlaceQueues, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_decisions.targets.coldness import ColdFacts, is_cold
 from jaylatch_node.control.targets import TargetController
@@ -165,6 +174,25 @@
             context.cold_answers.append(context.cold_owner.take(float(ask["at"]), request))
 
 
+@when(
+    r'a request that can wait 0.5 s asks it at time (?P<at>\d+) for "(?P<name>\w)",'
+    r" with a cold rate of (?P<rate>\d+)"
+)
+def step_ranked_ask(context: Context, at: str, name: str, rate: str) -> None:
+    terms = QueueTerms(0, AccountId("x"), 0.5, 1.0, "model")
+    candidate = PlaceCandidate(InstanceId(name), COLD_SLOTS_OF_OWNER, None, float(rate), True)
+    request = TakePlace("ranked", (candidate,), 90.0, RequestDigest("ranked"), queueing=terms)
+    context.cold_answers.append(PlaceQueues(context.cold_owner).take(float(at), request))
+
+
+@then(r"its refusals, at least (?P<count>\d+), (?P<state>state|do not state) that it does not lead")
+def step_unled_refusals(context: Context, count: str, state: str) -> None:
+    refusals = [item for item in context.cold_answers if not isinstance(item, PlaceTaken)]
+    assert len(refusals) >= int(count), context.cold_answers
+    assert all(isinstance(item, PlacesFull) for item in refusals), refusals
+    assert {item.is_unled for item in refusals} == {state == "state"}, refusals
+
+
 @then(r'its answers are "(?P<answers>[^"]*)"')
 def step_cold_answers(context: Context, answers: str) -> None:
     found = [
--- a/packages/core/src/jaylatch_core/messages/places.py
+++ b/packages/core/src/jaylatch_core/messages/places.py
@@ -80,13 +80,15 @@
 
     ``wait`` is set if all candidates have reached their limits: the seconds until one has not.
     ``reason`` and ``retry_after`` (seconds) are set where requests wait by rank: why this one may
-    not, and when there is room for it.
+    not, and when there is room for it. ``is_unled``: a candidate has a cold rate, and the owner
+    does not lead, so that the control leader may grant what this owner refuses.
     """
 
     load: float
     wait: float = 0.0
     reason: str = ""
     retry_after: float = 0.0
+    is_unled: bool = False
 
 
 class PlaceQueued(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/places/cold.py
+++ b/packages/decisions/src/jaylatch_decisions/places/cold.py
@@ -102,6 +102,11 @@
         self._cold_until: dict[InstanceId, float] = {}
         self._rates: dict[InstanceId, tuple[float, float]] = {}
 
+    @property
+    def is_leading(self) -> bool:
+        """Return whether this process leads, as far as it was told."""
+        return self._is_leading
+
     def begin_term(self, now: float, term: Term) -> None:
         """Record that this process leads; a new term begins as if the last window was used."""
         if term != self._term:
--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -298,7 +298,8 @@
                 case PlaceGranted(permit, instance, load) if permit == request.permit:
                     answer = PlaceTaken(instance, load)
                 case PlaceDenied(permit, load, reason, retry_after) if permit == request.permit:
-                    answer = PlacesFull(load, 0.0, reason, retry_after)
+                    is_unled = self._table.is_unled(request)
+                    answer = PlacesFull(load, 0.0, reason, retry_after, is_unled)
                 case _:
                     self._outcomes.append(outcome)
         if answer is None:
--- a/packages/decisions/src/jaylatch_decisions/places/table.py
+++ b/packages/decisions/src/jaylatch_decisions/places/table.py
@@ -111,11 +111,16 @@
         found = self.find(now, request.candidates, fraction)
         if found.wait > 0 or found.load > self._load_limit(now, request):
             self._remember_refusal(now, request.digest)
-            return PlacesFull(found.load, found.wait)
+            return PlacesFull(found.load, found.wait, is_unled=self.is_unled(request))
         self._refused.pop(request.digest, None)
         self.grant(now, request, found.instance)
         return PlaceTaken(found.instance, found.load)
 
+    def is_unled(self, request: TakePlace) -> bool:
+        """Return whether a candidate has a cold rate and this process does not lead."""
+        is_leading = self._request_limits.cold.is_leading
+        return not is_leading and any(item.cold_rate for item in request.candidates)
+
     def record_limits(self, now: float, request: TakePlace) -> None:
         """Record the limits of the candidates that the gateway knows."""
         for item in request.candidates:
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -245,6 +245,10 @@
         if place is not None:
             if place.target is not None:
                 return place.target, place
+            if place.is_unled:
+                part = self._choose_unshared(monotonic(), candidates, cold_rate)
+                if part is not None:
+                    return part, None
             obstacle = Obstacle.AT_LIMIT if place.wait else Obstacle.FULL
             return NoPlacement(
                 obstacle,
@@ -290,7 +294,8 @@
             place = await self._take_place(job, service, [target], cold_rate, counts_places=False)
             if place is not None and place.target is not None:
                 return target, place
-            if place is None and self._choose_unshared(monotonic(), [target], cold_rate):
+            may_use_part = place is None or place.is_unled
+            if may_use_part and self._choose_unshared(monotonic(), [target], cold_rate):
                 return target, None
             waits.append(place.wait if place is not None else 0.0)
             left.remove(target)
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -49,12 +49,14 @@
 
     ``wait`` is then set if all have reached their limits: the seconds until one has not. ``reason``
     and ``retry_after`` are set if the owner refused the request by its rank.
+    ``is_unled``: the owner refused it without being the control leader, which may grant it.
     ``send_until`` is the time after which the request must not be sent any more.
     """
 
     def __init__(self, client: "PlaceClient", subject: str, owner: str, permit: str) -> None:
         self._client = client
         self.subject = subject
+        self.owner = owner
         self.owners = {owner}
         self.permit = permit
         self.send_until = inf
@@ -63,6 +65,7 @@
         self.wait = 0.0
         self.reason = ""
         self.retry_after = 0.0
+        self.is_unled = False
         self.expires_at = 0.0
         self.ends_at = 0.0
         self.is_answered = False
@@ -114,10 +117,27 @@
         """Return the place, whose ``target`` is None if no target takes the request.
 
         With ``terms`` the request may wait for it. Return None if no target is usable or no owner
-        answers.
+        answers. If an owner that does not lead refuses it, the confirmed leader or else the next
+        owner is asked once.
         """
         if not request.usable:
             return None
+        asked_at = monotonic()
+        place = await self._take_from_first(request, terms)
+        if place is None or not place.is_unled:
+            return place
+        if terms is not None:
+            left = max(asked_at + terms.max_wait - monotonic(), 0.0)
+            terms = msgspec.structs.replace(terms, max_wait=left)
+        try:
+            return await self._take(request, terms, refused_by=place.owner) or place
+        except _OwnerLostError:
+            return place
+
+    async def _take_from_first(
+        self, request: PlaceRequest, terms: QueueTerms | None
+    ) -> Place | None:
+        """Return the answer of the first owner that gives one, None if there is none."""
         if terms is None:
             return await self._take(request, None)
         due = monotonic() + terms.max_wait
@@ -182,8 +202,10 @@
         for owner in place.owners:
             self._client.notify(owner, GiveBackPlace(place.permit, place.is_answered))
 
-    async def _take(self, request: PlaceRequest, terms: QueueTerms | None) -> Place | None:
-        """Ask one owner.
+    async def _take(
+        self, request: PlaceRequest, terms: QueueTerms | None, refused_by: str = ""
+    ) -> Place | None:
+        """Ask one owner, another than ``refused_by``.
 
         Raises _OwnerLostError if a request with terms gets no answer, or its owner is lost while it
         waits.
@@ -191,7 +213,9 @@
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
         leader = self._client.confirmed_leader if request.cold_rate else None
-        owner = self._owners.choose(now, request.subject, owners, leader)
+        preferred = leader if leader != refused_by else None
+        others = [item for item in owners if item != refused_by]
+        owner = self._owners.choose(now, request.subject, others, preferred)
         if owner is None:
             self._conditions.record_owner(now, has_answered=False)
             return None
@@ -210,7 +234,9 @@
                 # The owner may have granted it nevertheless.
                 place.release()
         ended_at = now if terms is None else monotonic()
-        self._conditions.record_owner(ended_at, has_answer)
+        # While no owner grants for cold targets, this process may use its own part of their bounds.
+        is_unled = isinstance(answer, PlacesFull) and answer.is_unled
+        self._conditions.record_owner(ended_at, has_answer and not is_unled)
         match answer:
             case PlaceTaken(instance, load) | PlaceGranted(_, instance, load):
                 place.target = next(item for item in request.usable if item.instance == instance)
@@ -223,7 +249,7 @@
                     self._hold(place, message, terms)
                 return place
             case PlacesFull(load, wait, reason, retry_after):
-                place.load, place.wait = load, wait
+                place.load, place.wait, place.is_unled = load, wait, is_unled
                 place.reason, place.retry_after = reason, retry_after
                 return place
             case PlaceDenied(_, load, reason, retry_after):
