Do not count an expired permission to send as a failed connection

It shows a pause of the gateway and no fault of a target, but the third one ended the request. It is an outcome of its own now, and its repeats are bounded by the request's deadline.

--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -23,6 +23,7 @@
       | idempotent | cold                 | 26   | grants                      | answered | 1    |
       | stream     | cold                 | 26   | grants too late once        | answered | 2    |
       | idempotent | cold                 | 26   | grants too late once        | answered | 2    |
+      | stream     | cold                 | 26   | grants too late 4 times     | answered | 5    |
       | stream     | cold                 | 26   | is full                     | refused  | 1    |
 
     # Guards against requests that are refused for good by an owner that does not lead.
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -68,8 +68,8 @@
         match owner:
             case "grants":
                 return PlaceTaken(body.candidates[0].instance, 0.1)
-            case "grants too late once":
-                if len(context.asked) == 1:
+            case "grants too late once" | "grants too late 4 times":
+                if len(context.asked) <= (1 if owner.endswith("once") else 4):
                     # The gateway pauses, so that its own timeout does not come first.
                     until = monotonic() + 2 * GRANT_VALIDITY
                     while monotonic() < until:
--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -54,6 +54,7 @@
 DOMAIN = FailureDomainId("d")
 OUTCOMES = {
     "N": AttemptOutcome.NOT_SENT,
+    "E": AttemptOutcome.EXPIRED,
     "R": AttemptOutcome.NOT_RUN,
     "B": AttemptOutcome.BROKEN,
     "S": AttemptOutcome.STALLED,
@@ -318,7 +319,7 @@
     context.has_budget = budget == "yes"
 
 
-@when(r'the attempts end "(?P<outcomes>[NRBSF ]+)"')
+@when(r'the attempts end "(?P<outcomes>[NERBSF ]+)"')
 def step_attempts_end(context: Context, outcomes: str) -> None:
     history = AttemptHistory()
     for outcome in outcomes.split():
--- a/features/targets/attempts.feature
+++ b/features/targets/attempts.feature
@@ -1,6 +1,6 @@
 Feature: The next step after an attempt without a complete answer
 
-  Outcomes: N not sent, R reported as not run, B broken, S stalled, F failed by the target.
+  Outcomes: N not sent, E not sent as the permission had expired, R reported as not run, B broken, S stalled, F failed by the target.
 
   Scenario Outline: <kind>, at most <attempts> targets: <outcomes>
     Given a route of kind <kind> for at most <attempts> targets, with a retry budget: <budget>
@@ -31,3 +31,13 @@
       | resumable  | 2        | yes    | S        | again   |
       | stream     | 2        | yes    | S        | failed  |
       | stream     | 2        | yes    | R        | again   |
+
+    # Guards against pauses of the gateway that count as dead targets and end the request.
+    Examples: a permission to send that expires
+      | kind       | attempts | budget | outcomes  | next    |
+      | once       | 1        | no     | E E E E   | again   |
+      | stream     | 2        | no     | N N E     | again   |
+      | stream     | 2        | no     | N E E N   | again   |
+      | stream     | 2        | no     | N E N E N | refused |
+      | once       | 2        | no     | E R       | refused |
+      | idempotent | 2        | yes    | B E       | again   |
--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -18,11 +18,12 @@
 class AttemptOutcome(Enum):
     """Outcome of an attempt without a complete answer.
 
-    After ``NOT_SENT`` and ``NOT_RUN`` the request certainly did not run; after the others it may
-    have run.
+    After ``NOT_SENT``, ``EXPIRED`` and ``NOT_RUN`` the request certainly did not run; after the
+    others it may have run. ``EXPIRED``: the permission to send ended before it was used.
     """
 
     NOT_SENT = "not_sent"
+    EXPIRED = "expired"
     NOT_RUN = "not_run"
     BROKEN = "broken"
     STALLED = "stalled"
@@ -48,6 +49,8 @@
 
 def record_outcome(history: AttemptHistory, outcome: AttemptOutcome) -> None:
     """Add the outcome of the latest attempt to ``history``."""
+    if outcome is AttemptOutcome.EXPIRED:
+        return
     if outcome is AttemptOutcome.NOT_SENT:
         history.connection_failures += 1
         return
@@ -63,6 +66,9 @@
 
     ``has_budget`` is true if the budget allows a further send now.
     """
+    if outcome is AttemptOutcome.EXPIRED:
+        # A pause of this process is no fault of a target; the request's deadline bounds repeats.
+        return NextStep.RETRY
     final_step = NextStep.FAIL if history.may_have_run else NextStep.REFUSE
     if outcome is AttemptOutcome.NOT_SENT:
         may_retry = history.connection_failures < MAX_CONNECTION_ATTEMPTS
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -93,7 +93,6 @@
         self._progress_at = 0.0
         self._sent_at = 0.0
         self._has_content = False
-        self._has_expired = False
         self._abandoned_because = ""
         self._watchdog: ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
@@ -120,11 +119,6 @@
         assert self._target is not None
         return self._target.instance
 
-    @property
-    def has_expired(self) -> bool:
-        """Return whether the permission to send to the latest target expired before it was used."""
-        return self._has_expired
-
     @property
     def abandoned_because(self) -> str:
         """Return why the latest target was abandoned for another one, or an empty text."""
@@ -161,9 +155,8 @@
             self._pool.release(now, address, connection, None)
             return AttemptOutcome.NOT_SENT
         if monotonic() > send_until:
-            self._has_expired = True
             self._pool.release(now, address, connection, None)
-            return AttemptOutcome.NOT_SENT
+            return AttemptOutcome.EXPIRED
         resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
             self._request, target.instance, account, deadline - monotonic(), resume_after
@@ -218,7 +211,6 @@
         self._is_stream = False
         self._is_broken = False
         self._has_content = False
-        self._has_expired = False
         self._abandoned_because = ""
         self._splitter.restart()
         self._progress_at = self._sent_at = monotonic()
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -269,7 +269,7 @@
                 is_answered = outcome is None and job.placements == 1
             finally:
                 placement.release(is_answered)
-            if attempt.has_expired:
+            if outcome is AttemptOutcome.EXPIRED:
                 del job.attempted[target.instance]
             if outcome is None:
                 self._evidence.clear([job.digest])
@@ -302,7 +302,8 @@
         """
         record_outcome(job.history, outcome)
         self._metrics.count_outcome(outcome)
-        is_paid = outcome is AttemptOutcome.NOT_SENT or successor.is_reserved
+        is_unsent = outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.EXPIRED)
+        is_paid = is_unsent or successor.is_reserved
         has_budget = is_paid or self._budget.available >= 1.0
         step = decide_next(job.route, job.history, outcome, has_budget)
         log_record(
