--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -26,6 +26,15 @@
       | stream     | cold                 | 26   | grants too late 4 times     | answered | 5    |
       | stream     | cold                 | 26   | is full                     | refused  | 1    |
 
+    # Guards against a model that gets nothing while all its heads pause after failures.
+    Examples: targets that pause after failures: the owner is asked for the one whose pause ends first
+      | kind       | state                | rate | owner                       | outcome  | asks |
+      | stream     | warm but paused      | 26   | grants                      | answered | 1    |
+      | idempotent | warm but paused      | 26   | grants                      | answered | 1    |
+      | stream     | warm but paused      | 26   | is full                     | refused  | 1    |
+      | stream     | warm but paused      | 26   | does not answer             | refused  | 3    |
+      | stream     | warm but paused      | 0    | grants                      | answered | 0    |
+
     # Guards against requests that are refused for good by an owner that does not lead.
     Examples: owners that do not lead: another one is asked once, then the own part is used
       | kind       | state                | rate | owner                       | outcome  | asks |
@@ -95,3 +104,11 @@
       | case                               | owner                                   | second          |
       | a leader has become known          | does not lead once and names the leader | the leader named |
       | the leader is not known            | does not lead once                      | the next by hash |
+
+  # Guards against a question for a head that has failed more often than another one.
+  Scenario: while all heads pause the owner is asked for the one whose pause ends first
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are warm but paused, with a cold rate of 26
+    And an owner for cold targets that is full
+    When a request of kind stream is sent
+    Then the owner was asked for the head whose pause ends first, and for no other one
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -22,6 +22,7 @@
 GATEWAYS = 1
 REFUSED_STATUSES = (429, 503)
 LONG_AGO_SECONDS = 60.0
+PAUSE_SECONDS = 8.0
 OWNERS = [f"10.9.9.{number}:1" for number in (1, 2, 3)]
 
 NAMED_LEADER = "10.9.9.8:1"
@@ -53,10 +54,12 @@
     conditions._unshared_since = monotonic() - LONG_AGO_SECONDS
     directory = context.harness.role._directory
     for loads in (*directory._by_service.values(), *directory._by_model.values()):
-        for load in loads:
+        for place, load in enumerate(loads):
             is_proven = "proven" in state and "not proven" not in state
             load.proven_at = monotonic() if is_proven else -inf
-            load.failures = 1 if "failed" in state else 0
+            load.failures = 1 if "failed" in state or "paused" in state else 0
+            # The pause of the last one ends first.
+            load.usable_from = monotonic() + PAUSE_SECONDS - place if "paused" in state else 0.0
 
 
 @given(r"an owner for cold targets that (?P<owner>.+)")
@@ -146,6 +149,16 @@
     assert [address for address, _ in context.asked] == [first, expected], context.asked
 
 
+@then(r"the owner was asked for the head whose pause ends first, and for no other one")
+def step_first_back(context: Context) -> None:
+    directory = context.harness.role._directory
+    heads = [load for loads in directory._by_model.values() for load in loads]
+    assert len(heads) > 1, heads
+    first = min(heads, key=lambda item: item.usable_from)
+    _, body = context.asked[0]
+    assert [item.instance for item in body.candidates] == [first.instance], body.candidates
+
+
 @then(r"it is (?P<outcome>answered|refused), after (?P<asks>\d+) questions to owners")
 def step_outcome(context: Context, outcome: str, asks: str) -> None:
     assert len(context.asked) == int(asks), [address for address, _ in context.asked]
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -241,6 +241,9 @@
         terms = self._queue_terms(job, service, model)
         rank = terms.rank if terms is not None else None
         cold_rate = self._cold_rate(service)
+        if cold_rate and candidates and not usable:
+            # As without a cold rate: the request would certainly be refused otherwise.
+            usable = [min(candidates, key=lambda item: item.usable_from)]
         place = await self._take_place(job, model, usable, cold_rate, True, terms)
         if place is not None:
             if place.target is not None:
