--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -112,3 +112,19 @@
     And an owner for cold targets that is full
     When a request of kind stream is sent
     Then the owner was asked for the head whose pause ends first, and for no other one
+
+  # Guards against a request that is allowed without an owner and sent after a pause, in a second whose
+  # part is used already.
+  Scenario Outline: a pause of <pause> s before a request is sent without an owner, with a rate of <rate>
+    Given a gateway with two targets, of which the first one used answers
+    And its targets are warm and proven, with a cold rate of <rate>
+    And an owner for cold targets that does not answer
+    And a pause of <pause> s of the gateway before its first send
+    When a request of kind stream is sent
+    Then the caller is answered after <choices> choices of a target
+
+    Examples:
+      | pause | rate | choices |
+      | 0.12  | 26   | 2       |
+      | 0     | 26   | 1       |
+      | 0.12  | 0    | 1       |
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -159,6 +159,28 @@
     assert [item.instance for item in body.candidates] == [first.instance], body.candidates
 
 
+@given(r"a pause of (?P<pause>[\d.]+) s of the gateway before its first send")
+def step_pause_before_send(context: Context, pause: str) -> None:
+    pool = context.harness.role._pool
+    take = pool.take
+    context.choices = 0
+
+    def take_after_pause(now: float, address: str) -> object:
+        context.choices += 1
+        until = monotonic() + (float(pause) if context.choices == 1 else 0.0)
+        while monotonic() < until:
+            pass
+        return take(now, address)
+
+    pool.take = take_after_pause
+
+
+@then(r"the caller is answered after (?P<choices>\d) choices of a target")
+def step_choices(context: Context, choices: str) -> None:
+    assert context.answer.status == 200, context.answer
+    assert context.choices == int(choices), context.choices
+
+
 @then(r"it is (?P<outcome>answered|refused), after (?P<asks>\d+) questions to owners")
 def step_outcome(context: Context, outcome: str, asks: str) -> None:
     assert len(context.asked) == int(asks), [address for address, _ in context.asked]
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -12,7 +12,12 @@
 from jaylatch_core.ids import AccountId
 from jaylatch_core.messages.places import QueueTerms
 from jaylatch_core.settings import ColdSettings
-from jaylatch_decisions.places import EVIDENCE_VALIDITY, ServiceTimes, unshared_bound
+from jaylatch_decisions.places import (
+    EVIDENCE_VALIDITY,
+    GRANT_VALIDITY,
+    ServiceTimes,
+    unshared_bound,
+)
 from jaylatch_decisions.places.service_times import ExpectedTimes, longest_wait
 from jaylatch_decisions.targets import (
     TargetConditions,
@@ -49,7 +54,8 @@
 class Placement:
     """The target of a request; ``place`` is set if the owner of the places granted it.
 
-    ``sent`` is set where this process counts the request as work of the target.
+    ``sent`` is set where this process counts the request as work of the target. After
+    ``send_until`` the request must not be sent any more.
     """
 
     target: TargetLoad
@@ -57,11 +63,7 @@
     place: Place | None
     candidates: int
     sent: SentRequest | None = None
-
-    @property
-    def send_until(self) -> float:
-        """Return the time after which the request must not be sent any more."""
-        return self.place.send_until if self.place is not None else inf
+    send_until: float = inf
 
     def release(self, is_answered: bool = False) -> None:
         """Notify the owner of the place, if there is one, that the request has ended.
@@ -139,13 +141,14 @@
             if isinstance(found, NoPlacement):
                 return found
             target, place = found
+            send_until = place.send_until if place is not None else self._own_send_until(service)
             address = self._directory.address(target.instance)
             if address is not None:
                 subject = job.request.model or service
                 sent = self._balancer.start(
                     monotonic(), subject, job.route.name, target, job.deadline
                 )
-                return Placement(target, address, place, len(candidates), sent)
+                return Placement(target, address, place, len(candidates), sent, send_until)
             # The view has changed since the candidates were chosen.
             if place is not None:
                 place.release()
@@ -365,6 +368,13 @@
         profile = self._board.grant.deployment.service(service)
         return profile.cold_rate if profile is not None and profile.may_be_cold else 0.0
 
+    def _own_send_until(self, service: str) -> float:
+        """Return until when a request that this process allows now, without an owner, may be sent.
+
+        A later send would fall into a second whose part of the bound is used by others.
+        """
+        return monotonic() + GRANT_VALIDITY if self._cold_rate(service) else inf
+
     def _has_limit(self, now: float, target: TargetLoad, cold_rate: float) -> bool:
         return cold_rate > 0 or self._conditions.limit(now, target.instance) is not None
 
