Report held places to a new control leader, and ask it for what waits

The loss and the return of an owner were handled by the hash order also where the leader is the first owner, and a change of the leader without a lost connection triggered nothing.

--- a/features/queueing/owner.feature
+++ b/features/queueing/owner.feature
@@ -31,3 +31,17 @@
       | a grant comes late                           | 1        | 0        | a grant for a request that waits no more comes   | the first owner counts 0 places within 0.2 s |
       | a call is broken off after 50 ms             | 1        | 0        | the owner answers after 0.2 s                    | the request is not held for more than 0.25 s, and no owner counts it 1 s later |
       | two owners at once                           | 2        | 0        | the first gateway asks another owner for a time  | no more than 1 place is held in excess, and none once it is back |
+
+  # Guards against a new control leader that does not know the places that are held, and against
+  # requests of services with a cold rate that go on waiting at the old one.
+  Scenario Outline: with a cold rate of <rate>, <change>
+    Given three owners that may lead, and a place held at the first one with a cold rate of <rate>
+    When 2 requests wait at the leader and <change>
+    Then within 0.2 s <first> wait at the first owner and <second> at the second, which counts <places>
+
+    Examples:
+      | rate | change                                                           | first | second | places |
+      | 26   | the second owner is confirmed as the leader                      | 0     | 2      | 1      |
+      | 26   | a call fails and the second owner is confirmed as the leader     | 0     | 2      | 1      |
+      | 26   | a call fails and the first owner is confirmed again              | 2     | 0      | 0      |
+      | 0    | the second owner is confirmed as the leader                      | 2     | 0      | 0      |
--- a/features/steps/place_owner_steps.py
+++ b/features/steps/place_owner_steps.py
@@ -9,6 +9,7 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.ids import AccountId, InstanceId, RequestDigest
 from jaylatch_core.messages.places import PlaceCandidate, QueueTerms, TakePlace
+from jaylatch_node.control.client import CONTROL_LOG
 from jaylatch_node.gateway.places import Place
 
 WAIT_SECONDS = 1.0
@@ -31,6 +32,70 @@
     context.runner.run(start())
 
 
+@given(
+    r"three owners that may lead, and a place held at the first one"
+    r" with a cold rate of (?P<rate>\d+)"
+)
+def step_cold_network(context: Context, rate: str) -> None:
+    async def start() -> None:
+        context.network = OwnerNetwork(1, 1)
+        await context.network.connect()
+        gateway = context.network.gateways[0]
+        gateway.cold_rate = float(rate)
+        gateway.client._confirm(CONTROL_LOG, context.network.owners[0].address)
+        context.held = await gateway.request("held")
+        assert context.held is not None and context.held.target is not None
+        context.held.ends_at = monotonic()
+
+    context.runner.run(start())
+
+
+@when(r"2 requests wait at the leader and (?P<change_of_leader>.+)")
+def step_new_leader(context: Context, change_of_leader: str) -> None:
+    async def change() -> None:
+        first, second = context.network.owners[:2]
+        gateway = context.network.gateways[0]
+        await sleep(0.15)
+        context.tasks = [gateway.request(f"r{i}", max_wait=WAIT_SECONDS) for i in range(2)]
+        await until(lambda: first.waiting == 2)
+        for address in leaders(context, change_of_leader):
+            if address is None:
+                gateway.client._call_next(CONTROL_LOG, second.address)
+            else:
+                gateway.client._confirm(CONTROL_LOG, address)
+
+    context.runner.run(change())
+
+
+def leaders(context: Context, change: str) -> list[str | None]:
+    """Return the leaders that become known one after the other, None for a failed call."""
+    first, second = (owner.address for owner in context.network.owners[:2])
+    match change:
+        case "the second owner is confirmed as the leader":
+            return [second]
+        case "a call fails and the second owner is confirmed as the leader":
+            return [None, second]
+        case "a call fails and the first owner is confirmed again":
+            return [None, first]
+    raise ValueError(change)
+
+
+@then(
+    r"within 0.2 s (?P<first>\d) wait at the first owner and (?P<second>\d) at the second, which"
+    r" counts (?P<places>\d)"
+)
+def step_waits_at_leader(context: Context, first: str, second: str, places: str) -> None:
+    async def check() -> None:
+        expected = (int(first), int(second), int(places))
+        one, other = context.network.owners[:2]
+        await sleep(0.2)
+        found = (one.waiting, other.waiting, other.count_places())
+        assert found == expected, found
+        await gather(*map(leave, context.tasks))
+
+    context.runner.run(check())
+
+
 @when(r"(?P<requests>\d) requests wait there and (?P<event>.+)")
 def step_event(context: Context, requests: str, event: str) -> None:
     context.runner.run(wait_and_disturb(context, int(requests), event))
--- a/features/support/place_owners.py
+++ b/features/support/place_owners.py
@@ -8,11 +8,11 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.events import EventLog
-from jaylatch_core.ids import AccountId, AttemptId, FailureDomainId, InstanceId, RequestDigest
+from jaylatch_core.ids import AccountId, AttemptId, FailureDomainId, InstanceId, RequestDigest, Term
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.places import QueueTerms
 from jaylatch_core.settings import ControlSettings
-from jaylatch_decisions.places import PlaceTable, first_owner
+from jaylatch_decisions.places import LimitTable, PlaceTable, first_owner
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.control.places import PlaceController
@@ -45,7 +45,11 @@
         traffic = Traffic(self.metrics)
         events = EventLog("owner")
         peers = PeerPool(events, traffic, self._handle)
-        self.controller = PlaceController(peers, self.metrics, PlaceTable(), lambda now: None)
+        limits = LimitTable()
+        limits.cold.begin_term(0.0, Term(1))
+        limits.cold.set_state(True, ())
+        table = PlaceTable(request_limits=limits)
+        self.controller = PlaceController(peers, self.metrics, table, lambda now: None)
         self._connections: list[StreamConnection] = []
         self.server = StreamServer(events, traffic, self._handle)
         self.server.on_open(self._connections.append)
@@ -81,6 +85,7 @@
     def __init__(self, number: int, addresses: list[str], slots: int) -> None:
         self._number = number
         self._count = 0
+        self.cold_rate = 0.0
         events = EventLog(f"gateway-{number}")
         self.pool = PeerPool(events, Traffic(Metrics()), self._handle)
         peers = tuple(ControlPeer(InstanceId(item), item) for item in addresses)
@@ -102,6 +107,7 @@
             monotonic() + seconds,
             RequestDigest(name),
             False,
+            cold_rate=self.cold_rate,
         )
         terms = QueueTerms(rank, AccountId("x"), max_wait, SERVICE_SECONDS, MODEL)
         return create_task(self._take(name, request, terms))
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -1,6 +1,7 @@
 """Calls from any process to the leader of the control log or of a journal shard."""
 
 from asyncio import FIRST_COMPLETED, Task, create_task, sleep, wait
+from collections.abc import Callable
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err
@@ -48,6 +49,7 @@
         self._peers = peers
         self._leaders: dict[str, str] = {}
         self._confirmed: dict[str, str] = {}
+        self._leader_handlers: list[Callable[[str], None]] = []
         self._voters: tuple[ControlPeer, ...] = ()
         self._configured_peers = list(settings.peers)
         self._notices: dict[str, SentNotices[Body]] = {}
@@ -86,6 +88,10 @@
         """
         return self._confirmed.get(CONTROL_LOG)
 
+    def on_new_leader(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler`` with the address when a leader of the control log becomes known."""
+        self._leader_handlers.append(handler)
+
     async def ask(self, address: str, body: Body, timeout: float) -> Body | None:
         """Call one control instance, leader or not; return None if it does not answer.
 
@@ -191,7 +197,11 @@
         return next(iter(connected or ([] if asked else left)), None)
 
     def _confirm(self, log: str, address: str) -> None:
+        is_new = self._confirmed.get(log) != address
         self._leaders[log] = self._confirmed[log] = address
+        if log == CONTROL_LOG and is_new:
+            for handler in self._leader_handlers:
+                handler(address)
 
     def _call_next(self, log: str, address: str) -> None:
         """Call the instance after ``address`` next; no leader is confirmed then."""
--- a/packages/node/src/jaylatch_node/gateway/places.py
+++ b/packages/node/src/jaylatch_node/gateway/places.py
@@ -44,6 +44,22 @@
 _Answer = PlaceTaken | PlacesFull | PlaceGranted | PlaceDenied
 
 
+class _OwnerChanged:
+    """Ends a wait because another control instance has become the first owner."""
+
+
+_Outcome = _Answer | _OwnerChanged | None
+
+
+@dataclass(frozen=True)
+class _Wait:
+    """A request for a place of ``subject`` that waits at ``owner``."""
+
+    owner: str
+    subject: str
+    outcome: Future[_Outcome]
+
+
 class Place:
     """A place that a request holds; ``target`` is None if no target takes the request.
 
@@ -108,10 +124,12 @@
         self._conditions = conditions
         self._owners = OwnerTable()
         self._counting_owners = OwnerTable()
-        self._waits: dict[str, tuple[str, Future[_Answer | None]]] = {}
+        self._waits: dict[str, _Wait] = {}
+        self._cold_subjects: set[str] = set()
         self._held: defaultdict[str, dict[str, Place]] = defaultdict(dict)
         self._informed: dict[str, tuple[str, float]] = {}
         self._watched: dict[str, Peer] = {}
+        client.on_new_leader(self._on_new_leader)
 
     async def take(self, request: PlaceRequest, terms: QueueTerms | None = None) -> Place | None:
         """Return the place, whose ``target`` is None if no target takes the request.
@@ -131,6 +149,8 @@
             terms = msgspec.structs.replace(terms, max_wait=left)
         try:
             return await self._take(request, terms, refused_by=place.owner) or place
+        except _OwnerChangedError:
+            return await self._take_from_first(request, terms)
         except _OwnerLostError:
             return place
 
@@ -186,8 +206,8 @@
         match body:
             case PlaceGranted(permit) | PlaceDenied(permit):
                 wait = self._waits.pop(permit, None)
-                if wait is not None and not wait[1].done():
-                    wait[1].set_result(body)
+                if wait is not None and not wait.outcome.done():
+                    wait.outcome.set_result(body)
                 elif isinstance(body, PlaceGranted):
                     # It comes after the request has ceased to wait.
                     connection.send(GiveBackPlace(permit))
@@ -212,7 +232,11 @@
         """
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
-        leader = self._client.confirmed_leader if request.cold_rate else None
+        if request.cold_rate:
+            self._cold_subjects.add(request.subject)
+        else:
+            self._cold_subjects.discard(request.subject)
+        leader = self._leader_of(request.subject)
         preferred = leader if leader != refused_by else None
         others = [item for item in owners if item != refused_by]
         owner = self._owners.choose(now, request.subject, others, preferred)
@@ -227,7 +251,7 @@
         answer: Body | None = None
         has_answer = False
         try:
-            answer = await self._ask(owner, place, message)
+            answer = await self._ask(owner, request.subject, place, message)
             has_answer = isinstance(answer, _Answer)
         finally:
             if not has_answer:
@@ -291,25 +315,29 @@
             request.subject if request.is_metered else "",
         )
 
-    async def _ask(self, owner: str, place: Place, message: TakePlace) -> Body | None:
+    async def _ask(self, owner: str, subject: str, place: Place, message: TakePlace) -> Body | None:
         """Return the owner's answer, or the outcome of the wait.
 
         Return None if there is no answer in time, or the owner is lost during the wait. A request
         that hears nothing until it can no longer be in time is refused; the owner is not skipped
         for that, because all that wait there would ask another one at the same moment.
+        Raises _OwnerChangedError if another owner must be asked now.
         """
         if message.queueing is None:
             return await self._client.ask(owner, message, ANSWER_TIMEOUT)
         self._watch(owner)
-        outcome: Future[_Answer | None] = get_running_loop().create_future()
+        outcome: Future[_Outcome] = get_running_loop().create_future()
         # The outcome may arrive together with the answer to the call.
-        self._waits[message.permit] = (owner, outcome)
+        self._waits[message.permit] = _Wait(owner, subject, outcome)
         try:
             answer = await self._client.ask(owner, message, ANSWER_TIMEOUT)
             if not isinstance(answer, PlaceQueued):
                 return answer
             async with time_limit(message.queueing.max_wait + ANSWER_TIMEOUT):
-                return await outcome
+                ended = await outcome
+            if isinstance(ended, _OwnerChanged):
+                raise _OwnerChangedError
+            return ended
         except TimeoutError:
             place.release()
             return PlaceDenied(place.permit, 0.0, DropReason.TOO_LATE.value, 0.0)
@@ -356,7 +384,7 @@
         for subject, (owner, _) in list(self._informed.items()):
             if owner == peer.address:
                 owners = self._client.addresses[:OWNER_COUNT]
-                successor = self._owners.choose(now, subject, owners)
+                successor = self._owners.choose(now, subject, owners, self._leader_of(subject))
                 if successor is not None:
                     self._inform(now, subject, successor)
 
@@ -365,15 +393,33 @@
         now = monotonic()
         owners = self._client.addresses[:OWNER_COUNT]
         for subject in list(self._held):
-            if first_owner(subject, owners) == peer.address:
+            if (self._leader_of(subject) or first_owner(subject, owners)) == peer.address:
                 self._report_places(now, subject, peer.address)
 
+    def _on_new_leader(self, leader: str) -> None:
+        """Report the places of services with a cold rate, and end their waits at other owners.
+
+        The requests that waited ask the leader.
+        """
+        now = monotonic()
+        self._watch(leader)
+        for subject in self._cold_subjects:
+            self._inform(now, subject, leader)
+        for wait in list(self._waits.values()):
+            is_elsewhere = wait.owner != leader and wait.subject in self._cold_subjects
+            if is_elsewhere and not wait.outcome.done():
+                wait.outcome.set_result(_OwnerChanged())
+
+    def _leader_of(self, subject: str) -> str | None:
+        """Return the confirmed leader if it is the first owner of the subject, or else None."""
+        return self._client.confirmed_leader if subject in self._cold_subjects else None
+
     def _fail_owner(self, now: float, owner: str) -> None:
         """Skip the owner for a time, and end all waiting there."""
         self._owners.record_failure(now, owner)
-        for waiting_at, outcome in list(self._waits.values()):
-            if waiting_at == owner and not outcome.done():
-                outcome.set_result(None)
+        for wait in list(self._waits.values()):
+            if wait.owner == owner and not wait.outcome.done():
+                wait.outcome.set_result(None)
 
     def _is_cold(self, now: float, target: TargetLoad) -> bool:
         return target.is_cold or self._conditions.is_cold(now, target.instance)
@@ -381,3 +427,7 @@
 
 class _OwnerLostError(Exception):
     """The owner at which a request waited is lost or slow."""
+
+
+class _OwnerChangedError(_OwnerLostError):
+    """Another control instance has become the first owner during a wait."""
