Elect a leader and commit when all disks are slow

A candidate left its election when the write of its own vote was slow, and a leader its leadership at its first entry, so voters whose writes all take more than half an election timeout never had a leader; nor had a single voter.

A candidate now waits for a slow write, and a leader without a peer that is known to be quicker too, up to 4 election timeouts. Election timers and the check for a quorum allow for two slow writes. Leases and the wait before a vote are unchanged, and messages still leave only after their write.

--- a/features/consensus/raft.feature
+++ b/features/consensus/raft.feature
@@ -41,6 +41,23 @@
       | 5      | disk filling                | 60        | 500   | 45   | 100        | 1000    |
       | 5      | everything and disk filling | 60        | 500   | 46   | 100        | 500     |
 
+  # Guards against a candidate that stays one during a slow write of its own vote, and then asks for
+  # votes in a term that the disk does not hold or that it has left meanwhile.
+  Scenario Outline: Histories of <voters> voters with writes that are slow and then succeed, network <network>
+    Given <voters> voters on a network that is "<network>"
+    When <histories> histories of <steps> steps run from seed <seed>
+    Then no invariant was ever broken
+    And after the faults a leader committed and all voters caught up
+    And disks recovered at least <recoveries> times, and at least <commits> entries were committed
+    And candidates outlived at least <outlived> slow writes
+
+    Examples:
+      | voters | network                       | histories | steps | seed | recoveries | commits | outlived |
+      | 1      | slow to write                 | 100       | 300   | 70   | 50         | 1000    | 0        |
+      | 3      | slow to write                 | 100       | 400   | 71   | 500        | 1000    | 10       |
+      | 3      | slow to write amid partitions | 100       | 400   | 72   | 500        | 500     | 10       |
+      | 5      | slow to write amid partitions | 40        | 400   | 73   | 200        | 500     | 5        |
+
   # Guards against two leaders with valid leases after a restart: a voter that ends its wait early
   # votes although a leader that it answered before its restart still runs, or though the voters
   # have changed and it does not know the leader.
@@ -98,5 +115,6 @@
       | has no lease            | partitioned | 300       | 200   | 23   |
       | repairs without what failed | disks filling amid crashes | 300 | 500 | 24 |
       | answers without its disk    | all disks filling          | 300 | 500 | 25 |
+      | sends before a slow write ends | slow to write amid partitions | 300 | 500 | 28 |
       | votes at once after a restart       | restarting | 400 | 400 | 26 |
       | believes a majority after a restart | restarting | 400 | 400 | 27 |
--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -24,6 +24,7 @@
     context.faults = []
     context.commits = 0
     context.recoveries = 0
+    context.outlived = 0
     for number in range(histories):
         history = History(context.voters, context.network, seed * HISTORIES_PER_SEED + number)
         history.run(steps)
@@ -31,6 +32,7 @@
         context.faults += [f"history {number}: {fault}" for fault in history.faults]
         context.commits += history.commits
         context.recoveries += history.disk_recoveries
+        context.outlived += history.slow_elections
 
 
 @when("the first leader of {histories:d} first starts from seed {seed:d} is lost at its commit")
@@ -96,3 +98,8 @@
 @then("an invariant was broken")
 def step_found(context: Context) -> None:
     assert context.faults, "the checks did not detect the broken rule"
+
+
+@then("candidates outlived at least {number:d} slow writes")
+def step_outlived(context: Context, number: int) -> None:
+    assert context.outlived >= number, context.outlived
--- a/features/steps/disk_trouble_steps.py
+++ b/features/steps/disk_trouble_steps.py
@@ -1,6 +1,6 @@
 """Steps that test logs whose disks fill, stall, are slow or fail their syncs, and recover."""
 
-from asyncio import create_task, get_running_loop, sleep
+from asyncio import create_task, get_running_loop, sleep, timeout
 from collections.abc import Awaitable
 from shutil import rmtree
 
@@ -21,6 +21,8 @@
 """Longest turn of the loop that is not taken for a wait for the disk, on a busy machine. A stall of
 the tests lasts longer."""
 MIN_FAULT_SECONDS = 1.5
+MAX_STALLED_ANSWER_SECONDS = 10.0
+"""A stalled write is one of 4 election timeouts, 1.2 s; the rest is for a busy machine."""
 
 
 class Trouble:
@@ -218,3 +220,66 @@
         assert not is_successful(refused)
 
     run(context, work())
+
+
+@given("a single log whose disk is slow from its start")
+def step_single_slow(context: Context) -> None:
+    network = LogNetwork(context.folder)
+    context.trouble = Trouble(network)
+    context.trouble.victim = FIRST_VOTERS[0]
+    disk = FaultyDisk()
+    disk.start("is slow")
+    network.start(FIRST_VOTERS[0], (FIRST_VOTERS[0],), disk)
+
+
+@when("{number:d} commands are proposed to it one after another")
+def step_propose_to_single(context: Context, number: int) -> None:
+    trouble = context.trouble
+    log = trouble.network.logs[trouble.victim]
+    context.terms = []
+    context.answers = []
+
+    async def work() -> None:
+        async def has_leader() -> bool:
+            return trouble.network.leader is not None
+
+        await wait_until(has_leader, WAIT_TIMEOUT, "the single voter leads")
+        for position in range(number):
+            context.terms.append(log.term)
+            context.answers.append(await log.propose(f"{position}".encode()))
+
+    run(context, work())
+
+
+@then("it commits each of them in one term")
+def step_single_commits(context: Context) -> None:
+    assert all(is_successful(answer) for answer in context.answers), context.answers
+    assert len(set(context.terms)) == 1, context.terms
+
+
+@then("a command proposed to it during a long stall is answered before the stall ends")
+def step_single_stall(context: Context) -> None:
+    trouble = context.trouble
+    log = trouble.network.logs[trouble.victim]
+    disk = trouble.network.disks[trouble.victim]
+
+    async def work() -> None:
+        disk.start("stalls")
+        try:
+            async with timeout(MAX_STALLED_ANSWER_SECONDS):
+                answer = await log.propose(b"stalled")
+        finally:
+            disk.recover()
+        assert not is_successful(answer), answer
+
+    run(context, work())
+
+
+@when("each write on every disk takes {seconds:g} s while {number:d} more commands commit")
+def step_all_slow(context: Context, seconds: float, number: int) -> None:
+    for disk in context.trouble.network.disks.values():
+        disk.write_seconds = seconds
+        disk.start("is slow")
+    run(context, context.trouble.commit(number))
+    for disk in context.trouble.network.disks.values():
+        disk.recover()
--- a/features/storage/disk_trouble.feature
+++ b/features/storage/disk_trouble.feature
@@ -30,6 +30,21 @@
     Then 10 more commands commit with its vote
     And after a restart of all voters no acknowledged command is lost
 
+  # Guards against a voter without peers that gives up its election, or its leadership and all that
+  # was proposed, at each write that is slow but succeeds.
+  Scenario: A single voter with a slow disk is elected and commits
+    Given a single log whose disk is slow from its start
+    When 5 commands are proposed to it one after another
+    Then it commits each of them in one term
+    And a command proposed to it during a long stall is answered before the stall ends
+
+  # Guards against voters that never elect a leader, or leaders that give up before they commit,
+  # because each write takes longer than an election timeout and none of the disks is quicker.
+  Scenario: Voters whose disks are all slow elect a leader and commit
+    Given 3 connected logs with faulty disks, and 40 commands
+    When each write on every disk takes 0.4 s while 5 more commands commit
+    Then after a restart of all voters no acknowledged command is lost
+
   # Guards against a start that ends because the folder cannot be created on a full disk, or that
   # waits without end for a disk that does not answer.
   Scenario Outline: A voter starts with a disk that <fault>, on <folder>
--- a/features/support/disk_faults.py
+++ b/features/support/disk_faults.py
@@ -20,6 +20,7 @@
         self.fault = ""
         self.is_full = False
         self.synced = 0
+        self.write_seconds = SLOW_WRITE_SECONDS
         self._released = Event()
 
     def start(self, fault: str) -> None:
@@ -40,7 +41,7 @@
         if self.fault == "stalls":
             self._released.wait(STALL_LIMIT_SECONDS)
         if self.fault == "is slow":
-            sleep(SLOW_WRITE_SECONDS)
+            sleep(self.write_seconds)
         return super().write(descriptor, data)
 
     def sync(self, descriptor: int) -> None:
--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -23,6 +23,8 @@
 DISK_RECOVERY_RATE = 0.06
 """Probability per step that a disk in trouble takes bytes again: after half an election timeout to
 several ones."""
+HAND_ON_RATE = 0.05
+"""Probability per step that a leader hands leadership on during a slow write."""
 CRASH_IN_TROUBLE_RATE = 0.3
 """Probability that a process crashes before its disk takes bytes again."""
 RECOVERY_BOUND = 3.0
@@ -44,6 +46,7 @@
     transfer: float = 0.0
     disk_trouble: float = 0.0
     power_loss: float = 0.0
+    slow_write: float = 0.0
     restart: float = 0.0
 
 
@@ -61,6 +64,10 @@
     "disk filling": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_trouble=0.02),
     "all disks filling": Faults(**LOSSY, snapshot=0.05, disk_trouble=0.1),
     "disks filling amid crashes": Faults(0.2, 0.1, 0.3, crash=0.03, disk_trouble=0.03),
+    "slow to write": Faults(**LOSSY, crash=0.01, snapshot=0.02, slow_write=0.1),
+    "slow to write amid partitions": Faults(
+        **LOSSY, crash=0.02, partition=0.02, disk_trouble=0.02, slow_write=0.1
+    ),
     "restarting": Faults(0.02, 0.0, 0.1, partition=0.05, restart=0.1),
     "losing power": Faults(
         0.1, 0.1, 0.3, crash=0.01, partition=0.02, snapshot=0.02, power_loss=0.01, restart=0.03
@@ -111,7 +118,9 @@
         self._nodes: dict[InstanceId, RaftNode] = {}
         self._applied: dict[InstanceId, list[bytes]] = {}
         self._withheld: dict[InstanceId, Turn] = {}
+        self._slow_writes: dict[InstanceId, tuple[float, Effects]] = {}
         self.disk_recoveries = 0
+        self.slow_elections = 0
         self._network: list[tuple[InstanceId, InstanceId, ConsensusMessage]] = []
         self._blocked: set[tuple[InstanceId, InstanceId]] = set()
         self._committed: dict[int, LogEntry] = {}
@@ -140,6 +149,8 @@
         """End all faults; one leader must commit and all voters catch up within the bound."""
         self._faults = Faults()
         self._blocked.clear()
+        for name in list(self._slow_writes):
+            self._end_slow_write(name)
         for name in list(self._withheld):
             self._end_disk_trouble(name)
         for name in self._instances:
@@ -240,6 +251,8 @@
                     self._restart(name)
         if random.random() < faults.disk_trouble:
             self._begin_disk_trouble(random.choice(self._instances))
+        if faults.slow_write:
+            self._step_slow_writes()
         for name in list(self._withheld):
             if random.random() < DISK_RECOVERY_RATE:
                 if random.random() < CRASH_IN_TROUBLE_RATE:
@@ -258,7 +271,9 @@
             if name not in self._withheld and random.random() < faults.transfer:
                 node.transfer(self._clock(name))
             self._process_effects(name)
-            can_write = name in self._nodes and name not in self._withheld
+            can_write = (
+                name in self._nodes and name not in self._withheld and name not in self._slow_writes
+            )
             if can_write and random.random() < faults.snapshot:
                 self._compact(name, node)
 
@@ -302,6 +317,13 @@
     def _crash(self, name: InstanceId) -> None:
         """End a process. A full disk may hold a part of the write that failed."""
         node = self._nodes.pop(name, None)
+        _, in_flight = self._slow_writes.pop(name, (0.0, None))
+        if in_flight is not None and in_flight.snapshot is None:
+            # Any part of the write may have reached the disk, or all of it.
+            kept = self._random.randint(0, len(in_flight.entries))
+            in_flight.entries = in_flight.entries[:kept]
+            if not (in_flight.hard_state and self._random.random() < 0.5):
+                _write(self._disks[name], in_flight)
         turn = self._withheld.get(name)
         if node is None or turn is None:
             return
@@ -318,9 +340,45 @@
     def _begin_disk_trouble(self, name: InstanceId) -> None:
         """Fill or stall a disk."""
         if name not in self._withheld:
-            self._withheld[name] = Turn()
+            turn = Turn()
+            _, in_flight = self._slow_writes.pop(name, (0.0, None))
+            if in_flight is not None:
+                # The write was slow, and now fails.
+                turn.absorb(in_flight)
+                turn.messages.clear()
+            self._withheld[name] = turn
             self._process_effects(name)
 
+    def _step_slow_writes(self) -> None:
+        """Let leaders hand on during slow writes, and let some of the writes end."""
+        random = self._random
+        for name in list(self._slow_writes):
+            node = self._nodes[name]
+            if node.role is RaftRole.LEADER and random.random() < HAND_ON_RATE:
+                # A peer is known to be quicker.
+                handed_on = node.step_down(self._clock(name))
+                self._network += [(name, peer, message) for peer, message in handed_on]
+                self._slow_writes[name][1].messages.clear()
+            if random.random() < DISK_RECOVERY_RATE:
+                self._end_slow_write(name)
+
+    def _begin_slow_write(self, name: InstanceId, effects: Effects) -> None:
+        """Begin a write that takes long; its messages leave, and its entries apply, after it."""
+        self._slow_writes[name] = (self._clock(name), effects)
+        if self._broken_rule == "sends before a slow write ends":
+            self._send(name, effects)
+
+    def _end_slow_write(self, name: InstanceId) -> None:
+        """End a slow write with success; a candidate or leader goes on as one."""
+        started_at, effects = self._slow_writes.pop(name)
+        node, now = self._nodes[name], self._clock(name)
+        self.disk_recoveries += 1
+        self.slow_elections += node.role is RaftRole.CANDIDATE
+        _write(self._disks[name], effects)
+        node.note_write(now, now - started_at)
+        self._finish(name, effects)
+        self._process_effects(name)
+
     def _end_disk_trouble(self, name: InstanceId) -> None:
         """Write the complete state in memory, as a voter repairs its folder; then apply."""
         turn = self._withheld.pop(name)
@@ -386,7 +444,7 @@
 
     def _tick(self) -> None:
         for name in list(self._nodes):
-            if name not in self._withheld:
+            if name not in self._withheld and name not in self._slow_writes:
                 self._nodes[name].tick(self._clock(name))
             self._process_effects(name)
         self._check_leaders()
@@ -401,12 +459,23 @@
         if name in self._withheld:
             self._process_without_disk(name)
             return
+        if name in self._slow_writes:
+            # What arrives during a write shares the next one.
+            return
         effects = self._nodes[name].take_effects()
         has_writes = bool(effects.entries or effects.hard_state or effects.snapshot)
         if has_writes and self._random.random() < self._faults.crash / 4:
             self._crash_during_write(name, effects)
             return
+        slow_rate = self._faults.slow_write
+        if has_writes and slow_rate and self._random.random() < slow_rate:
+            self._begin_slow_write(name, effects)
+            return
         _write(self._disks[name], effects)
+        self._finish(name, effects)
+
+    def _finish(self, name: InstanceId, effects: Effects) -> None:
+        """Send and apply what a write allows."""
         self._send(name, effects)
         if effects.snapshot is not None:
             self._applied[name] = _load(effects.snapshot.data)
--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -322,7 +322,7 @@
 
     def _has_quorum_contact(self, now: float) -> bool:
         state = self._state
-        limit = now - QUORUM_TIMEOUTS * state.timing.election_timeout
+        limit = now - QUORUM_TIMEOUTS * state.timing.election_timeout - state.write_allowance
         peers = [self._progress[peer] for peer in state.peers]
         responsive = sum(
             progress.last_contact_at >= limit and progress.counts_towards_quorum
--- a/packages/decisions/src/jaylatch_decisions/consensus/raft.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/raft.py
@@ -215,6 +215,13 @@
             if isinstance(message, TransferLeadership)
         ]
 
+    def note_write(self, now: float, duration: float) -> None:
+        """Note how long the last write took, 0 for one that was not slow.
+
+        Elections and the check for a quorum then allow for the time that the answers need.
+        """
+        self._state.note_write(now, duration)
+
     def compact(self, index: LogIndex, data: bytes) -> Snapshot:
         """Replace the entries up to the applied ``index`` with the state machine's ``data``."""
         return self._log.compact(index, data)
--- a/packages/decisions/src/jaylatch_decisions/consensus/state.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/state.py
@@ -44,6 +44,7 @@
         self.start_number = random.getrandbits(START_NUMBER_BITS) | 1
         self.has_heard_leader = False
         self.last_leader_contact_at = float("-inf")
+        self._write_duration = 0.0
         self._random = random
         self._hard_state = hard_state
         self.election_due = self.start_wait_until
@@ -142,7 +143,24 @@
     def reset_election_timer(self, now: float) -> None:
         """Set the next election at a random time after the election timeout."""
         spread = self._random.uniform(1.0, 2.0)
-        self.election_due = now + self.timing.election_timeout * spread
+        self.election_due = now + self.timing.election_timeout * spread + self.write_allowance
+
+    @property
+    def write_allowance(self) -> float:
+        """Return the time that a request and its answer wait for two writes on slow disks.
+
+        Other disks are taken to be as slow as the own one. Only timers without effect on safety
+        use it: leases and the wait before a vote do not.
+        """
+        return 2 * self._write_duration
+
+    def note_write(self, now: float, duration: float) -> None:
+        """Note how long the last write took, 0 for a write that was not slow."""
+        self._write_duration = duration
+        if duration and self.role is not RaftRole.LEADER:
+            self.election_due = max(
+                self.election_due, now + self.timing.election_timeout + self.write_allowance
+            )
 
     def advance_commit(self, index: int) -> None:
         """Raise the commit index; it never decreases."""
--- a/packages/node/src/jaylatch_node/consensus/disk.py
+++ b/packages/node/src/jaylatch_node/consensus/disk.py
@@ -18,6 +18,9 @@
 SLOW_FRACTION = 0.5
 """Fraction of the election timeout after which a write counts as slow. All messages of a leader
 wait for its write, so its followers would elect another one after the whole timeout."""
+STALL_TIMEOUTS = 4
+"""Election timeouts after which a write counts as stalled: the voter then leaves its election or
+leadership in any case."""
 FIRST_RETRY_PAUSE = 0.1
 MAX_RETRY_PAUSE = 2.0
 """Seconds between two attempts at a disk that fails; each pause is twice the one before."""
@@ -47,7 +50,9 @@
     def __init__(self, worker: DiskWorker, election_timeout: float) -> None:
         self._worker = worker
         self._limit = SLOW_FRACTION * election_timeout
+        self._stall_limit = STALL_TIMEOUTS * election_timeout
         self._started_at: float | None = None
+        self.slow_duration = 0.0
         self._retry_pause = FIRST_RETRY_PAUSE
         self._retry_at = 0.0
         self.failure: StorageFailed | StorageCorrupt | None = None
@@ -58,6 +63,11 @@
         """Return whether a write is under way."""
         return self._started_at is not None
 
+    @property
+    def limit(self) -> float:
+        """Return the seconds after which a write is slow."""
+        return self._limit
+
     @property
     def slow_text(self) -> str:
         """Return the description of a write that takes too long."""
@@ -71,6 +81,11 @@
             return True
         return self.failure is not None
 
+    def is_slow_only(self, now: float) -> bool:
+        """Return whether no attempt has failed, and the write under way is not stalled yet."""
+        is_stalled = self._started_at is not None and now >= self._started_at + self._stall_limit
+        return self.failure is None and not is_stalled
+
     def may_retry(self, now: float) -> bool:
         """Return whether the next attempt after a failure is due."""
         return self.failure is not None and not self.is_busy and now >= self._retry_at
@@ -105,7 +120,9 @@
             return
         self.failure = None
         self._retry_pause = FIRST_RETRY_PAUSE
+        self.slow_duration = 0.0
         if started_at is not None and now >= started_at + self._limit:
+            self.slow_duration = min(now - started_at, self._stall_limit)
             self._set(DiskState.SLOW, self.slow_text)
         else:
             self._set(DiskState.USABLE, "")
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -5,8 +5,10 @@
 write that holds what they depend on.
 
 While the disk fails or a write takes too long, the voter leads no one, stands for no election and
-sends nothing but the message that hands leadership on. It goes on to follow a leader in memory,
-which always holds at least what the disk holds, so it can write all of it once the disk works.
+sends nothing but the message that hands leadership on. A candidate and a leader without a quicker
+peer wait for a write that is only slow: if all disks are slow, one of them must lead. A follower
+goes on to follow a leader in memory, which always holds at least what the disk holds, so it can
+write all of it once the disk works.
 """
 
 from asyncio import get_running_loop, sleep
@@ -34,6 +36,7 @@
 )
 from jaylatch_core.ids import InstanceId, LogIndex, Term
 from jaylatch_core.messages.consensus import (
+    AppendReply,
     AppendRequest,
     ConsensusMessage,
     LogEntry,
@@ -44,6 +47,7 @@
 from jaylatch_node.consensus.compaction import CompactionPolicy
 from jaylatch_node.consensus.disk import DiskCondition, LogDisk
 from jaylatch_node.consensus.opening import FolderOpening, OpenedLog
+from jaylatch_node.consensus.peer_speed import PeerSpeed
 from jaylatch_node.consensus.proposals import ProposalResult, Proposals
 from jaylatch_node.consensus.turn import Turn
 from jaylatch_node.storage import DiskWorker, FileSystem, LogStore
@@ -99,6 +103,7 @@
         self._own_worker = DiskWorker() if worker is None else None
         self._worker = self._own_worker or worker or DiskWorker()
         self._disk = LogDisk(self._worker, timing.election_timeout)
+        self._peer_speed = PeerSpeed(self._disk.limit)
         self._raft: RaftNode | None = None
         self._store: LogStore | None = None
         self._set_aside: Path | None = None
@@ -235,7 +240,9 @@
         if self._raft is None:
             self._heard_leader = message.sender if is_from_leader else self._heard_leader
             return
-        if is_from_leader or not self._disk.is_withheld(now):
+        if is_from_leader or not self._disk.is_withheld(now) or self._waits(now, self._raft):
+            if isinstance(message, AppendReply) and message.term == self._raft.term:
+                self._peer_speed.note_reply(now, message)
             self._raft.step(now, message)
             self._schedule_pump()
 
@@ -331,6 +338,9 @@
             return
         now = monotonic()
         if self._disk.is_withheld(now):
+            if self._waits(now, raft):
+                # The end of the write calls this again.
+                return
             self._go_without_disk(now, raft)
             if self._disk.may_retry(now):
                 self._repair(raft, store)
@@ -366,6 +376,8 @@
         self._turn_in_flight = Turn()
         if self._is_stopped:
             return
+        if self._raft is not None:
+            self._raft.note_write(monotonic(), self._disk.slow_duration)
         if not is_successful(written):
             turn.put_before(self._turn)
             self._turn = turn
@@ -384,6 +396,16 @@
         entries = raft.entries_after(snapshot.index)
         return partial(store.replace, snapshot, raft.hard_state, entries)
 
+    def _waits(self, now: float, raft: RaftNode) -> bool:
+        """Return whether this voter keeps its candidacy or leadership during a slow write.
+
+        The requests of a candidate leave only after its write. A leader hands leadership on only if
+        a peer is known to be quicker; if all disks are slow, the next leader would be slow too.
+        """
+        if raft.role is RaftRole.FOLLOWER or not self._disk.is_slow_only(now):
+            return False
+        return raft.role is not RaftRole.LEADER or not self._peer_speed.has_quick_peer
+
     def _go_without_disk(self, now: float, raft: RaftNode) -> None:
         """Lead no one and send nothing that depends on the disk; follow in memory."""
         was_leader = raft.role is RaftRole.LEADER
@@ -428,6 +450,10 @@
 
     def _deliver(self, turn: Turn) -> None:
         """Send and apply what the last write allows."""
+        if not self.is_leader:
+            self._peer_speed.reset()
+        elif turn.first_entry is not None:
+            self._peer_speed.note_sent(monotonic(), turn.first_entry)
         for peer, message in turn.messages:
             self._send(peer, message)
         if turn.snapshot is not None:
