Repair a log after an error of any kind in a write

An exception other than OSError on the worker thread never reached the voter, which then wrote nothing more and reported nothing. The store now returns it as StorageFailed, and a new segment replaces the old one at the repair.

--- a/features/storage/disk_trouble.feature
+++ b/features/storage/disk_trouble.feature
@@ -2,7 +2,8 @@
 
   # Guards against a voter that ends, or that stops for good, at the first write that fails, against
   # one that answers for what its disk does not hold, and against a loop that waits for a stalled
-  # disk. After the recovery the quorum needs the voter, and it restarts from its folder.
+  # disk, and against an error of another kind that ends the log's writes for good without a report.
+  # After the recovery the quorum needs the voter, and it restarts from its folder.
   Scenario Outline: The disk of <voter> <fault> and recovers
     Given 3 connected logs with faulty disks, and 40 commands
     When the disk of "<voter>" <fault> while 20 more commands commit
@@ -17,6 +18,8 @@
       | the leader | is full         | failed    |
       | the leader | fails each sync | failed    |
       | the leader | stalls          | slow      |
+      | the leader | raises an unexpected error | failed |
+      | a follower | raises an unexpected error | failed |
       | a follower | is full         | failed    |
       | a follower | fails each sync | failed    |
       | a follower | stalls          | slow      |
--- a/features/support/disk_faults.py
+++ b/features/support/disk_faults.py
@@ -38,6 +38,8 @@
     def write(self, descriptor: int, data: bytes) -> int:
         if self.is_full:
             raise OSError(errno.ENOSPC, "no space left on device")
+        if self.fault == "raises an unexpected error":
+            raise ValueError("not an error of the disk")
         if self.fault == "stalls":
             self._released.wait(STALL_LIMIT_SECONDS)
         if self.fault == "is slow":
--- a/packages/node/src/jaylatch_node/storage/log_store.py
+++ b/packages/node/src/jaylatch_node/storage/log_store.py
@@ -76,7 +76,7 @@
             return Success(None)
         try:
             self._append(pack_batch(Batch(hard_state, tuple(entries))))
-        except OSError as error:
+        except Exception as error:
             return self._fail(error)
         return Success(None)
 
@@ -88,7 +88,7 @@
             return Err(self._failure)
         try:
             self._replace(snapshot, hard_state, entries)
-        except OSError as error:
+        except Exception as error:
             return self._fail(error)
         return Success(None)
 
@@ -104,8 +104,8 @@
             return Err(self._failure)
         try:
             self._replace(snapshot, hard_state, entries)
-        except OSError as error:
-            if self._must_replace:
+        except Exception as error:
+            if self._must_replace or not isinstance(error, OSError):
                 return self._fail(error).map(lambda _: False)
             added = [entry for entry in entries if entry.index >= first]
             return self.append(hard_state, added).map(lambda _: False)
@@ -134,7 +134,7 @@
             else:
                 added = tuple(entry for entry in entries if entry.index >= first)
                 self._append(pack_batch(Batch(hard_state, added)))
-        except OSError as error:
+        except Exception as error:
             return self._fail(error)
         self._failure = None
         return Success(None)
@@ -208,7 +208,10 @@
         }
         _remove_leftovers(self._folder, named)
 
-    def _fail(self, error: OSError) -> Result[None, StorageFailed]:
+    def _fail(self, error: Exception) -> Result[None, StorageFailed]:
+        if not isinstance(error, OSError):
+            # It is unknown which steps of the operation took place.
+            self._must_replace = True
         self._failure = _failed(self._folder, error)
         return Err(self._failure)
 
@@ -311,7 +314,7 @@
     )
 
 
-def _failed(folder: Path, error: OSError) -> StorageFailed:
+def _failed(folder: Path, error: Exception) -> StorageFailed:
     return StorageFailed(
         f"log folder {str(folder)!r} cannot be read or written: {error}; free or replace the disk;"
         " the process tries again by itself"
