--- a/features/steps/disk_trouble_steps.py
+++ b/features/steps/disk_trouble_steps.py
@@ -11,7 +11,7 @@
 from support.log_network import FIRST_VOTERS, WAIT_TIMEOUT, LogNetwork
 
 from jaylatch_core.clock import monotonic
-from jaylatch_core.ids import InstanceId
+from jaylatch_core.ids import InstanceId, Term
 from jaylatch_core.messages.consensus import AppendReply, VoteReply
 from jaylatch_node.consensus import DiskState
 from jaylatch_standins.deployment import wait_until
@@ -283,3 +283,33 @@
     run(context, context.trouble.commit(number))
     for disk in context.trouble.network.disks.values():
         disk.recover()
+
+
+@when("the leader's disk stalls in a proposal, and a voter reports a newer term at once")
+def step_lose_term_in_stall(context: Context) -> None:
+    trouble = context.trouble
+
+    async def work() -> None:
+        network = trouble.network
+        trouble.victim = await trouble.find("the leader")
+        log, disk = network.logs[trouble.victim], network.disks[trouble.victim]
+        peer = next(name for name in FIRST_VOTERS if name != trouble.victim)
+        disk.start("stalls")
+        proposal = create_task(log.propose(b"stalled"))
+        try:
+            # One turn of the loop adds the proposal, the next one starts its write.
+            await sleep(0)
+            await sleep(0)
+            log.step(VoteReply("log", peer, Term(log.term + 1), False, False))
+            assert not log.is_leader
+            async with timeout(MAX_STALLED_ANSWER_SECONDS):
+                context.answer = await proposal
+        finally:
+            disk.recover()
+
+    run(context, work())
+
+
+@then("the proposal is refused before the stall ends")
+def step_refused_in_stall(context: Context) -> None:
+    assert not is_successful(context.answer), context.answer
--- a/features/storage/disk_trouble.feature
+++ b/features/storage/disk_trouble.feature
@@ -41,6 +41,13 @@
     Then it commits each of them in one term
     And a command proposed to it during a long stall is answered before the stall ends
 
+  # Guards against a proposal that waits as long as the disk stalls, because the leader had learned of
+  # a newer term before its write counted as slow.
+  Scenario: A proposal is answered when its leader loses its term during a stall
+    Given 3 connected logs with faulty disks, and 40 commands
+    When the leader's disk stalls in a proposal, and a voter reports a newer term at once
+    Then the proposal is refused before the stall ends
+
   # Guards against voters that never elect a leader, or leaders that give up before they commit,
   # because each write takes longer than an election timeout and none of the disks is quicker.
   Scenario: Voters whose disks are all slow elect a leader and commit
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -414,6 +414,8 @@
         if was_leader:
             # Rounds of a term in which this voter leads no longer would delay the next election.
             self._turn_in_flight.messages.clear()
+        if not self.is_leader:
+            # Leadership may also have ended by a message during the write.
             self._abort_proposals()
         self._turn.absorb(raft.take_effects())
         self._turn.messages.clear()
