--- a/features/storage/disk_trouble.feature
+++ b/features/storage/disk_trouble.feature
@@ -2,7 +2,8 @@
 
   # Guards against a voter that ends, or that stops for good, at the first write that fails, against
   # one that answers for what its disk does not hold, and against a loop that waits for a stalled
-  # disk. After the recovery the quorum needs the voter, and it restarts from its folder.
+  # disk, and against an error of another kind that ends the log's writes for good without a report.
+  # After the recovery the quorum needs the voter, and it restarts from its folder.
   Scenario Outline: The disk of <voter> <fault> and recovers
     Given 3 connected logs with faulty disks, and 40 commands
     When the disk of "<voter>" <fault> while 20 more commands commit
@@ -17,6 +18,8 @@
       | the leader | is full         | failed    |
       | the leader | fails each sync | failed    |
       | the leader | stalls          | slow      |
+      | the leader | raises an unexpected error | failed |
+      | a follower | raises an unexpected error | failed |
       | a follower | is full         | failed    |
       | a follower | fails each sync | failed    |
       | a follower | stalls          | slow      |
@@ -30,6 +33,28 @@
     Then 10 more commands commit with its vote
     And after a restart of all voters no acknowledged command is lost
 
+  # Guards against a voter without peers that gives up its election, or its leadership and all that
+  # was proposed, at each write that is slow but succeeds.
+  Scenario: A single voter with a slow disk is elected and commits
+    Given a single log whose disk is slow from its start
+    When 5 commands are proposed to it one after another
+    Then it commits each of them in one term
+    And a command proposed to it during a long stall is answered before the stall ends
+
+  # Guards against a proposal that waits as long as the disk stalls, because the leader had learned of
+  # a newer term before its write counted as slow.
+  Scenario: A proposal is answered when its leader loses its term during a stall
+    Given 3 connected logs with faulty disks, and 40 commands
+    When the leader's disk stalls in a proposal, and a voter reports a newer term at once
+    Then the proposal is refused before the stall ends
+
+  # Guards against voters that never elect a leader, or leaders that give up before they commit,
+  # because each write takes longer than an election timeout and none of the disks is quicker.
+  Scenario: Voters whose disks are all slow elect a leader and commit
+    Given 3 connected logs with faulty disks, and 40 commands
+    When each write on every disk takes 0.4 s while 5 more commands commit
+    Then after a restart of all voters no acknowledged command is lost
+
   # Guards against a start that ends because the folder cannot be created on a full disk, or that
   # waits without end for a disk that does not answer.
   Scenario Outline: A voter starts with a disk that <fault>, on <folder>
--- a/features/support/disk_faults.py
+++ b/features/support/disk_faults.py
@@ -20,6 +20,7 @@
         self.fault = ""
         self.is_full = False
         self.synced = 0
+        self.write_seconds = SLOW_WRITE_SECONDS
         self._released = Event()
 
     def start(self, fault: str) -> None:
@@ -37,10 +38,12 @@
     def write(self, descriptor: int, data: bytes) -> int:
         if self.is_full:
             raise OSError(errno.ENOSPC, "no space left on device")
+        if self.fault == "raises an unexpected error":
+            raise ValueError("not an error of the disk")
         if self.fault == "stalls":
             self._released.wait(STALL_LIMIT_SECONDS)
         if self.fault == "is slow":
-            sleep(SLOW_WRITE_SECONDS)
+            sleep(self.write_seconds)
         return super().write(descriptor, data)
 
     def sync(self, descriptor: int) -> None:
