Fail an answer that was given up for lack of memory

The last part of a whole answer waits up to 1.5 s for room. If there is none, the parts are cleared and the connection is closed, but the answer is complete according to its framing: it was sent with status 200 and an empty body, and counted as a success. It now fails, and parts that the HTTP library still holds are ignored.

--- a/features/gateway/slow_readers.feature
+++ b/features/gateway/slow_readers.feature
@@ -81,6 +81,18 @@
     And callers were dropped for memory, each with an answer that is visibly incomplete
     And another caller gets a complete answer
 
+  # Guards against an empty answer with the target's status after its only chunk was given up.
+  Scenario Outline: an answer of <size> KiB that gets no room is not delivered empty or cut
+    Given a gateway with a memory limit of 64 MiB whose target leaves no room for its answer of <size> KiB
+    When a request of the kind once is sent to it and waits for room
+    Then it is answered with 502, and the target's connection is not used again
+
+    Examples:
+      | size |
+      | 1    |
+      | 60   |
+      | 200  |
+
   # Guards against bodies under way that use up the memory, and refusals after the request was sent.
   Scenario: bodies for which there is no memory are refused before they are sent anywhere
     Given a gateway with a memory limit of 64 MiB whose target answers with 1 MiB
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -31,6 +31,7 @@
 from jaylatch_core.settings import GatewaySettings
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_decisions.readers import Reader, choose_dropped, process_bound
+from jaylatch_node.gateway.held import HeldKind
 
 NOW = 1000.0
 SLOTS = 1000
@@ -143,6 +144,42 @@
     context.runner.run(start_gateway(context, script, int(limit)))
 
 
+@given(
+    r"a gateway with a memory limit of (?P<limit>\d+) MiB whose targets? leaves? no room for its"
+    r" answer of (?P<size>\d+) KiB"
+)
+def step_no_room(context: Context, limit: str, size: str) -> None:
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        # Held as complete, so that nothing can be dropped to make room.
+        holding = context.memory.hold(HeldKind.BODY, lambda: None)
+        holding.add(process_bound(int(limit) * MEBIBYTE))
+        holding.complete()
+        context.filler = holding
+        writer.write(answer_bytes(request, b"x" * (int(size) * KIBIBYTE)))
+        return True
+
+    context.runner.run(start_gateway(context, script, int(limit)))
+
+
+@when(r"a request of the kind (?P<kind>\w+) is sent to it and waits for room")
+def step_waiting_for_room(context: Context, kind: str) -> None:
+    async def send() -> None:
+        caller = await RawCaller.connect(context.harness.address)
+        context.answer = await caller.ask(request_bytes(f"/{kind}/x"), TIMEOUT_SECONDS)
+        context.filler.release()
+
+    context.runner.run(send())
+
+
+@then(r"it is answered with 502, and the target's connection is not used again")
+def step_failed_for_room(context: Context) -> None:
+    assert context.answer.status == 502, context.answer
+    assert len(context.target.received) == 1, context.target.received
+    pool = context.harness.role._forwarder._pool
+    assert pool.take(monotonic(), context.target.address) is None
+    assert context.memory.total == 0 and not context.memory._holdings
+
+
 @given(r"a gateway whose target (?P<reads>reads the body slowly|answers before .*)")
 def step_reading(context: Context, reads: str) -> None:
     async def serve(reader: StreamReader, writer: StreamWriter) -> None:
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -130,6 +130,11 @@
         """Return why the latest target was abandoned for another one, or an empty text."""
         return self._abandoned_because
 
+    @property
+    def _has_no_memory(self) -> bool:
+        """Return whether the answer, or the unread request, was given up for lack of memory."""
+        return self._abandoned_because == NO_MEMORY
+
     @property
     def _has_begun(self) -> bool:
         """Return whether the target answers with a stream that the caller has begun to receive."""
@@ -241,6 +246,9 @@
 
     def _take_data(self, data: bytes) -> Awaitable[None] | None:
         """Handle a part of the answer; return what must be done before the next one is read."""
+        if self._has_no_memory:
+            # The HTTP library may hold further parts although the connection is closed.
+            return None
         if not self._is_stream:
             self._progress_at = monotonic()
             self._has_content = True
@@ -332,9 +340,11 @@
         facts = self._facts
         if facts is not None and facts.server_load is not None:
             target.record_report(now, facts.server_load)
-        if failure is not None or facts is None or self._head is None:
+        # An answer whose last part was given up is complete according to its framing.
+        has_failed = failure is not None or self._has_no_memory
+        if has_failed or facts is None or self._head is None:
             connection.close()
-            if self._abandoned_because != NO_MEMORY:
+            if not self._has_no_memory:
                 target.record_failure(now)
             if failure in CONNECTION_ENDED and not self._abandoned_because:
                 parts = self._request.shared_parts
