Do not run a request again whose answer was given up for memory

The attempt ended as stalled, so a request that may be repeated was sent to the next target although it had run, while memory was short. It now has an outcome of its own, no_memory, after which the request ends with 502. A request that its target does not read is still sent to another target.

--- a/features/gateway/slow_readers.feature
+++ b/features/gateway/slow_readers.feature
@@ -93,6 +93,18 @@
       | 60   |
       | 200  |
 
+  # Guards against a request that has run and runs again when memory is short.
+  Scenario Outline: a request of the kind <kind> whose answer of <size> KiB gets no room runs once
+    Given a gateway with a memory limit of 64 MiB whose targets leave no room for its answer of <size> KiB
+    And a second target that would answer the same request
+    When a request of the kind <kind> is sent to it and waits for room
+    Then it is answered with 502, and no target ran it again
+
+    Examples:
+      | kind       | size |
+      | idempotent | 1    |
+      | idempotent | 200  |
+
   # Guards against bodies under way that use up the memory, and refusals after the request was sent.
   Scenario: bodies for which there is no memory are refused before they are sent anywhere
     Given a gateway with a memory limit of 64 MiB whose target answers with 1 MiB
--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -58,6 +58,7 @@
     "B": AttemptOutcome.BROKEN,
     "S": AttemptOutcome.STALLED,
     "F": AttemptOutcome.FAILED,
+    "M": AttemptOutcome.NO_MEMORY,
 }
 NEXT_STEPS = {"again": NextStep.RETRY, "refused": NextStep.REFUSE, "failed": NextStep.FAIL}
 ORDER_NAMES = {
@@ -318,7 +319,7 @@
     context.has_budget = budget == "yes"
 
 
-@when(r'the attempts end "(?P<outcomes>[NRBSF ]+)"')
+@when(r'the attempts end "(?P<outcomes>[NRBSFM ]+)"')
 def step_attempts_end(context: Context, outcomes: str) -> None:
     history = AttemptHistory()
     for outcome in outcomes.split():
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -161,6 +161,19 @@
     context.runner.run(start_gateway(context, script, int(limit)))
 
 
+@given(r"a second target that would answer the same request")
+def step_second_target(context: Context) -> None:
+    async def start() -> None:
+        context.second = ScriptedTarget("second", context.target.script)
+        await context.second.start()
+        kinds = (RequestKind.IDEMPOTENT, RequestKind.ONCE)
+        routes = [msgspec.structs.replace(make_route(kind), timeout=60.0) for kind in kinds]
+        context.harness.grant(routes, {kind: [context.target, context.second] for kind in kinds})
+        offer_slots(context.harness, SLOTS)
+
+    context.runner.run(start())
+
+
 @when(r"a request of the kind (?P<kind>\w+) is sent to it and waits for room")
 def step_waiting_for_room(context: Context, kind: str) -> None:
     async def send() -> None:
@@ -180,6 +193,16 @@
     assert context.memory.total == 0 and not context.memory._holdings
 
 
+@then(r"it is answered with 502, and no target ran it again")
+def step_not_run_again(context: Context) -> None:
+    assert context.answer.status == 502, context.answer
+    runs = len(context.target.received) + len(context.second.received)
+    assert runs == 1, runs
+    text = context.harness.board.metrics.text().decode()
+    line = 'jaylatch_gateway_failed_attempts_total{outcome="no_memory"} 1.0'
+    assert line in text, [item for item in text.split("\n") if "failed_attempts" in item]
+
+
 @given(r"a gateway whose target (?P<reads>reads the body slowly|answers before .*)")
 def step_reading(context: Context, reads: str) -> None:
     async def serve(reader: StreamReader, writer: StreamWriter) -> None:
--- a/features/targets/attempts.feature
+++ b/features/targets/attempts.feature
@@ -1,6 +1,7 @@
 Feature: The next step after an attempt without a complete answer
 
-  Outcomes: N not sent, R reported as not run, B broken, S stalled, F failed by the target.
+  Outcomes: N not sent, R reported as not run, B broken, S stalled, F failed by the target, M answer
+  given up for lack of memory.
 
   Scenario Outline: <kind>, at most <attempts> targets: <outcomes>
     Given a route of kind <kind> for at most <attempts> targets, with a retry budget: <budget>
@@ -31,3 +32,5 @@
       | resumable  | 2        | yes    | S        | again   |
       | stream     | 2        | yes    | S        | failed  |
       | stream     | 2        | yes    | R        | again   |
+      | idempotent | 2        | yes    | M        | failed  |
+      | resumable  | 3        | yes    | S M      | failed  |
--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -19,7 +19,7 @@
     """Outcome of an attempt without a complete answer.
 
     After ``NOT_SENT`` and ``NOT_RUN`` the request certainly did not run; after the others it may
-    have run.
+    have run. ``NO_MEMORY`` is an answer that this process gave up for lack of memory.
     """
 
     NOT_SENT = "not_sent"
@@ -27,6 +27,7 @@
     BROKEN = "broken"
     STALLED = "stalled"
     FAILED = "failed"
+    NO_MEMORY = "no_memory"
 
 
 class NextStep(Enum):
@@ -67,6 +68,9 @@
     if outcome is AttemptOutcome.NOT_SENT:
         may_retry = history.connection_failures < MAX_CONNECTION_ATTEMPTS
         return NextStep.RETRY if may_retry else final_step
+    if outcome is AttemptOutcome.NO_MEMORY:
+        # A repeat would run the request again while there is no room for its answer.
+        return final_step
     if history.may_have_run and not route.may_repeat:
         return NextStep.FAIL
     return NextStep.RETRY if history.sends < route.attempts and has_budget else final_step
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -349,6 +349,8 @@
             if failure in CONNECTION_ENDED and not self._abandoned_because:
                 parts = self._request.shared_parts
                 self._suspect(SuspectTarget(target.instance, self._digest, parts))
+            if self._has_no_memory and self._head is not None:
+                return AttemptOutcome.NO_MEMORY
             return AttemptOutcome.STALLED if self._abandoned_because else AttemptOutcome.BROKEN
         self._pool.release(now, address, connection, facts.keep_alive)
         if facts.is_not_run:
