Release a body whose connection closes before it is handled

The HTTP library reports the end of a connection only until the body is complete. A connection that closed after that left its body in the sum of what the process holds, for good.

--- a/features/gateway/slow_readers.feature
+++ b/features/gateway/slow_readers.feature
@@ -112,6 +112,13 @@
     Then some are answered with 200, the others with 503, and the target ran those of 200 only
     And the gateway held at most 20 MiB in all
 
+  # Guards against a body that is held for good, because the end of its connection is reported to
+  # nobody once its last part has been taken.
+  Scenario: a caller's connection closes between the last part of its body and the handling
+    Given a gateway with a memory limit of 64 MiB whose target answers with 1 MiB
+    When 3 callers' connections close right after the last part of a body of 100 KiB
+    Then no body is held, and no target got a request
+
   # Guards against a body that is lost or reordered when it is written in pieces.
   Scenario Outline: a body of <size> KiB for a target that <reads>
     Given a gateway whose target <reads>
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -470,6 +470,41 @@
     assert len(context.target.received) == statuses.count(200), statuses
 
 
+@when(
+    r"(?P<number>\d+) callers' connections close right after the last part of a body of"
+    r" (?P<size>\d+) KiB"
+)
+def step_closing(context: Context, number: str, size: str) -> None:
+    left = 0
+    has_room = context.memory.has_room_for_request
+
+    def close_after_last_part() -> bool:
+        # Called for each part, once it is held.
+        if context.memory.total >= left:
+            for connection in tuple(context.harness.role._server._http._connections):
+                connection.stream.close()
+        return has_room()
+
+    async def send() -> None:
+        nonlocal left
+        body = b"b" * (int(size) * KIBIBYTE)
+        context.memory.has_room_for_request = close_after_last_part
+        for item in range(int(number)):
+            left = context.memory.total + len(body)
+            caller = await RawCaller.connect(context.harness.address)
+            answer = await caller.ask(request_bytes("/once/x", f"r{item}", body))
+            assert answer.status == 0, answer.status
+        await sleep(SAMPLE_SECONDS * 20)
+
+    context.runner.run(send())
+
+
+@then(r"no body is held, and no target got a request")
+def step_no_body_held(context: Context) -> None:
+    step_nothing_held(context)
+    assert not context.target.received, context.target.received
+
+
 @when(r"a request with a body of (?P<size>\d+) KiB is sent to it")
 def step_body(context: Context, size: str) -> None:
     async def send() -> None:
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -223,6 +223,8 @@
     def finish(self) -> None:
         """Handle the request, which is now complete, unless its connection has been closed."""
         if self.is_closed:
+            # The HTTP library reports the end of a connection only until the body is complete.
+            self.release_body()
             return
         if self._held_body is not None:
             self._held_body.complete()
