--- a/features/gateway/slow_readers.feature
+++ b/features/gateway/slow_readers.feature
@@ -81,6 +81,30 @@
     And callers were dropped for memory, each with an answer that is visibly incomplete
     And another caller gets a complete answer
 
+  # Guards against an empty answer with the target's status after its only chunk was given up.
+  Scenario Outline: an answer of <size> KiB that gets no room is not delivered empty or cut
+    Given a gateway with a memory limit of 64 MiB whose target leaves no room for its answer of <size> KiB
+    When a request of the kind once is sent to it and waits for room
+    Then it is answered with 502, and the target's connection is not used again
+
+    Examples:
+      | size |
+      | 1    |
+      | 60   |
+      | 200  |
+
+  # Guards against a request that has run and runs again when memory is short.
+  Scenario Outline: a request of the kind <kind> whose answer of <size> KiB gets no room runs once
+    Given a gateway with a memory limit of 64 MiB whose targets leave no room for its answer of <size> KiB
+    And a second target that would answer the same request
+    When a request of the kind <kind> is sent to it and waits for room
+    Then it is answered with 502, and no target ran it again
+
+    Examples:
+      | kind       | size |
+      | idempotent | 1    |
+      | idempotent | 200  |
+
   # Guards against bodies under way that use up the memory, and refusals after the request was sent.
   Scenario: bodies for which there is no memory are refused before they are sent anywhere
     Given a gateway with a memory limit of 64 MiB whose target answers with 1 MiB
@@ -88,6 +112,13 @@
     Then some are answered with 200, the others with 503, and the target ran those of 200 only
     And the gateway held at most 20 MiB in all
 
+  # Guards against a body that is held for good, because the end of its connection is reported to
+  # nobody once its last part has been taken.
+  Scenario: a caller's connection closes between the last part of its body and the handling
+    Given a gateway with a memory limit of 64 MiB whose target answers with 1 MiB
+    When 3 callers' connections close right after the last part of a body of 100 KiB
+    Then no body is held, and no target got a request
+
   # Guards against a body that is lost or reordered when it is written in pieces.
   Scenario Outline: a body of <size> KiB for a target that <reads>
     Given a gateway whose target <reads>
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -31,6 +31,7 @@
 from jaylatch_core.settings import GatewaySettings
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_decisions.readers import Reader, choose_dropped, process_bound
+from jaylatch_node.gateway.held import HeldKind
 
 NOW = 1000.0
 SLOTS = 1000
@@ -143,6 +144,65 @@
     context.runner.run(start_gateway(context, script, int(limit)))
 
 
+@given(
+    r"a gateway with a memory limit of (?P<limit>\d+) MiB whose targets? leaves? no room for its"
+    r" answer of (?P<size>\d+) KiB"
+)
+def step_no_room(context: Context, limit: str, size: str) -> None:
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        # Held as complete, so that nothing can be dropped to make room.
+        holding = context.memory.hold(HeldKind.BODY, lambda: None)
+        holding.add(process_bound(int(limit) * MEBIBYTE))
+        holding.complete()
+        context.filler = holding
+        writer.write(answer_bytes(request, b"x" * (int(size) * KIBIBYTE)))
+        return True
+
+    context.runner.run(start_gateway(context, script, int(limit)))
+
+
+@given(r"a second target that would answer the same request")
+def step_second_target(context: Context) -> None:
+    async def start() -> None:
+        context.second = ScriptedTarget("second", context.target.script)
+        await context.second.start()
+        kinds = (RequestKind.IDEMPOTENT, RequestKind.ONCE)
+        routes = [msgspec.structs.replace(make_route(kind), timeout=60.0) for kind in kinds]
+        context.harness.grant(routes, {kind: [context.target, context.second] for kind in kinds})
+        offer_slots(context.harness, SLOTS)
+
+    context.runner.run(start())
+
+
+@when(r"a request of the kind (?P<kind>\w+) is sent to it and waits for room")
+def step_waiting_for_room(context: Context, kind: str) -> None:
+    async def send() -> None:
+        caller = await RawCaller.connect(context.harness.address)
+        context.answer = await caller.ask(request_bytes(f"/{kind}/x"), TIMEOUT_SECONDS)
+        context.filler.release()
+
+    context.runner.run(send())
+
+
+@then(r"it is answered with 502, and the target's connection is not used again")
+def step_failed_for_room(context: Context) -> None:
+    assert context.answer.status == 502, context.answer
+    assert len(context.target.received) == 1, context.target.received
+    pool = context.harness.role._forwarder._pool
+    assert pool.take(monotonic(), context.target.address) is None
+    assert context.memory.total == 0 and not context.memory._holdings
+
+
+@then(r"it is answered with 502, and no target ran it again")
+def step_not_run_again(context: Context) -> None:
+    assert context.answer.status == 502, context.answer
+    runs = len(context.target.received) + len(context.second.received)
+    assert runs == 1, runs
+    text = context.harness.board.metrics.text().decode()
+    line = 'jaylatch_gateway_failed_attempts_total{outcome="no_memory"} 1.0'
+    assert line in text, [item for item in text.split("\n") if "failed_attempts" in item]
+
+
 @given(r"a gateway whose target (?P<reads>reads the body slowly|answers before .*)")
 def step_reading(context: Context, reads: str) -> None:
     async def serve(reader: StreamReader, writer: StreamWriter) -> None:
@@ -410,6 +470,41 @@
     assert len(context.target.received) == statuses.count(200), statuses
 
 
+@when(
+    r"(?P<number>\d+) callers' connections close right after the last part of a body of"
+    r" (?P<size>\d+) KiB"
+)
+def step_closing(context: Context, number: str, size: str) -> None:
+    left = 0
+    has_room = context.memory.has_room_for_request
+
+    def close_after_last_part() -> bool:
+        # Called for each part, once it is held.
+        if context.memory.total >= left:
+            for connection in tuple(context.harness.role._server._http._connections):
+                connection.stream.close()
+        return has_room()
+
+    async def send() -> None:
+        nonlocal left
+        body = b"b" * (int(size) * KIBIBYTE)
+        context.memory.has_room_for_request = close_after_last_part
+        for item in range(int(number)):
+            left = context.memory.total + len(body)
+            caller = await RawCaller.connect(context.harness.address)
+            answer = await caller.ask(request_bytes("/once/x", f"r{item}", body))
+            assert answer.status == 0, answer.status
+        await sleep(SAMPLE_SECONDS * 20)
+
+    context.runner.run(send())
+
+
+@then(r"no body is held, and no target got a request")
+def step_no_body_held(context: Context) -> None:
+    step_nothing_held(context)
+    assert not context.target.received, context.target.received
+
+
 @when(r"a request with a body of (?P<size>\d+) KiB is sent to it")
 def step_body(context: Context, size: str) -> None:
     async def send() -> None:
