--- a/features/queueing/gateway.feature
+++ b/features/queueing/gateway.feature
@@ -23,3 +23,4 @@
       | case                                    | ranks                     | requests  | event           | outcome |
       | without ranks nothing waits             | routes of one rank        | a:less    | no answer ends  | a is refused at once, without terms |
       | a service of its own has no ranks       | routes of two services    | a:less    | no answer ends  | a is refused at once, without terms |
+      | without the setting nothing waits       | routes of ranks 0 and 2 and without the setting | a:less | no answer ends | a is refused at once, without terms |
--- a/features/steps/ranked_gateway_steps.py
+++ b/features/steps/ranked_gateway_steps.py
@@ -33,7 +33,9 @@
 from jaylatch_core.ids import AccountId, InstanceId
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.places import TakePlace
+from jaylatch_core.settings import GatewaySettings
 
+WITHOUT_SETTING = " and without the setting"
 SLOTS = 4
 OBJECTIVE_SECONDS = 1.0
 CALL_SECONDS = 1.0
@@ -65,7 +67,9 @@
     logger.addHandler(handler)
     context.stop_logging = lambda: logger.removeHandler(handler)
     peers = (ControlPeer(InstanceId("owner"), context.owner.address),)
-    context.harness = harness = GatewayHarness(peers=peers)
+    is_set = not ranks.endswith(WITHOUT_SETTING)
+    settings = GatewaySettings(evidence_warm_up=0.001, queues_by_rank=is_set)
+    context.harness = harness = GatewayHarness(settings, peers)
     harness.client.connect()
     ask = harness.client.ask
 
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -129,6 +129,7 @@
     time after the start in which it suspects no parts of prompts, since it has had few answers.
     ``balancing`` is how targets are chosen where no owner of places answers, and among plain
     services. ``memory_limit`` is the memory that the process may use (0: no limit).
+    With ``queues_by_rank`` requests of services with ranked streams wait for places by rank.
     """
 
     http: str = "127.0.0.1:8081"
@@ -140,6 +141,7 @@
     repeat_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     repeat_burst: Annotated[float, Meta(ge=0)] = 10.0
     balancing: Balancing = Balancing.REPORTED_LOAD
+    queues_by_rank: bool = False
     memory_limit: Annotated[int, Meta(ge=0)] = 0
 
 
--- a/packages/decisions/src/jaylatch_decisions/places/queue.py
+++ b/packages/decisions/src/jaylatch_decisions/places/queue.py
@@ -6,8 +6,8 @@
 time for it, and is refused as soon as it is certain that none does. Ranks share one forecast of
 the free places, in order, so a less urgent request never costs a more urgent one its place. Within
 a rank, accounts above their weighted max-min share give way first. Refused callers are told when
-there is room, spread over what the ranks leave, and come first in their rank at that time; so few
-are refused twice, and there are never more of them than there is room.
+there is room, spread over what the ranks leave, and come before others that return; new requests go
+before them, because these can still be in time.
 """
 
 from collections import Counter
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -112,8 +112,10 @@
         random: Random,
         balancer: TargetBalancer,
         cold: ColdSettings,
+        queues_by_rank: bool,
     ) -> None:
         self._cold = cold
+        self._queues_by_rank = queues_by_rank
         self._balancer = balancer
         self._board = board
         self._directory = directory
@@ -193,7 +195,7 @@
         deployment = self._board.grant.deployment
         if self._ranked[0] is not deployment:
             self._ranked = (deployment, deployment.ranked_services())
-        if service not in self._ranked[1]:
+        if not self._queues_by_rank or service not in self._ranked[1]:
             return None
         profile = deployment.service(service)
         return profile.engine if profile is not None else None
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -78,6 +78,7 @@
             random,
             self._balancer,
             settings.cold,
+            self._settings.queues_by_rank,
         )
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
