Drop a caller only if it reads nothing, or keeps its target for 4 s

A caller that read all the time was reset once its target had waited 2 s. What the kernel had taken did not show that it read: the kernel takes more only once a third of its buffer is free. Reading is now seen by what the caller's kernel acknowledges. A target waits for a slow reader for 4 s at most.

--- a/features/gateway/slow_readers.feature
+++ b/features/gateway/slow_readers.feature
@@ -55,6 +55,26 @@
       | 1.1     |
       | 1.0     |
 
+  # Guards against a reset of a caller that reads all the time, but slower than a step of the
+  # kernel's buffer in 2 s.
+  Scenario: a caller reads a stream slowly but steadily
+    Given a gateway whose target streams 64 MiB as fast as it is read
+    When a caller reads 64 KiB of a stream per second for 9 s, in parts of 8 KiB
+    Then it is still connected, and no reader was dropped
+
+  # Guards against a target that waits for a slow caller until it cuts the answer off.
+  Scenario Outline: a caller that is behind for <behind> s and read <read> s ago is <decision>
+    Then a caller that is behind for <behind> s and read <read> s ago is <decision>
+
+    Examples:
+      | behind | read | decision |
+      | 1.9    | 9    | kept     |
+      | 2.0    | 2.0  | dropped  |
+      | 2.1    | 9    | dropped  |
+      | 3.9    | 1.9  | kept     |
+      | 3.9    | 2.1  | dropped  |
+      | 4.1    | 0.1  | dropped  |
+
   # Guards against one sum of work or memory that makes those wait that read. The others keep their
   # targets waiting for 2 s.
   Scenario: a caller that reads is not delayed by 40 that do not
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -30,7 +30,7 @@
 from jaylatch_core.deployment import RequestKind
 from jaylatch_core.settings import GatewaySettings
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
-from jaylatch_decisions.readers import Reader, choose_dropped, process_bound
+from jaylatch_decisions.readers import Reader, choose_dropped, is_overdue, process_bound
 from jaylatch_node.gateway.held import HeldKind
 
 NOW = 1000.0
@@ -75,6 +75,15 @@
     assert process_bound(int(limit) * MEBIBYTE) == int(bound) * MEBIBYTE
 
 
+@then(
+    r"a caller that is behind for (?P<behind>[\d.]+) s and read (?P<read>[\d.]+) s ago is"
+    r" (?P<decision>kept|dropped)"
+)
+def step_overdue(context: Context, behind: str, read: str, decision: str) -> None:
+    is_dropped = is_overdue(NOW, NOW - float(behind), NOW - float(read))
+    assert is_dropped is (decision == "dropped")
+
+
 # A gateway in this process
 
 
@@ -290,6 +299,35 @@
     context.runner.run(ignore())
 
 
+@when(
+    r"a caller reads (?P<rate>\d+) KiB of a stream per second for (?P<time>\d+) s, in parts of"
+    r" (?P<part>\d+) KiB"
+)
+def step_reading_slowly(context: Context, rate: str, time: str, part: str) -> None:
+    async def read() -> None:
+        context.address = context.harness.address
+        raw = await open_caller(context, stream_request())
+        began, size = monotonic(), 0
+        context.was_reset = False
+        try:
+            while monotonic() < began + float(time):
+                size += len(await get_running_loop().sock_recv(raw, int(part) * KIBIBYTE))
+                await sleep(max(began + size / (int(rate) * KIBIBYTE) - monotonic(), 0.0))
+        except ConnectionResetError:
+            context.was_reset = True
+        context.took = monotonic() - began
+        raw.close()
+
+    context.runner.run(read())
+
+
+@then(r"it is still connected, and no reader was dropped")
+def step_not_dropped(context: Context) -> None:
+    assert not context.was_reset, context.took
+    text = context.harness.board.metrics.text()
+    assert b"jaylatch_gateway_readers_dropped_total{" not in text
+
+
 @then(r"its connection has been reset, and the target's connection closed")
 def step_reset(context: Context) -> None:
     assert context.was_reset and not context.data.endswith(END_OF_STREAM)
--- a/packages/decisions/src/jaylatch_decisions/readers/pressure.py
+++ b/packages/decisions/src/jaylatch_decisions/readers/pressure.py
@@ -15,8 +15,10 @@
 CAUGHT_UP_SIZE = 192 * KIBIBYTE
 """Unsent bytes below which the target is read again."""
 BEHIND_TIMEOUT = 2.0
-"""Seconds for which a target waits for a caller: a target cuts off an answer that stays unread for
-some seconds."""
+"""Seconds without reading after which a caller is dropped for which a target waits."""
+WAIT_LIMIT = 4.0
+"""Seconds for which a target waits at once for a caller that reads: a target cuts off an answer
+that stays unread for some seconds."""
 STALL_TIME = 0.5
 """Seconds without reading after which a connection may be dropped for lack of memory: longer than
 retransmissions of a lost packet take."""
@@ -56,9 +58,13 @@
     return unsent > (CAUGHT_UP_SIZE if was_behind else BEHIND_SIZE)
 
 
-def is_overdue(now: float, behind_since: float) -> bool:
-    """Return whether a caller has kept its target waiting for too long."""
-    return now - behind_since >= BEHIND_TIMEOUT
+def is_overdue(now: float, behind_since: float, read_at: float) -> bool:
+    """Return whether a caller that last read at ``read_at`` has kept its target waiting too long.
+
+    One that reads slowly is not dropped before ``WAIT_LIMIT``.
+    """
+    silent_since = max(behind_since, read_at)
+    return now - silent_since >= BEHIND_TIMEOUT or now - behind_since >= WAIT_LIMIT
 
 
 def choose_dropped(now: float, excess: int, readers: Iterable[Reader]) -> list[int]:
--- a/packages/node/src/jaylatch_node/gateway/held.py
+++ b/packages/node/src/jaylatch_node/gateway/held.py
@@ -19,6 +19,7 @@
 )
 from jaylatch_node.gateway.metrics import HeldMetrics
 from jaylatch_node.observability import log_record
+from jaylatch_node.sockets import unacknowledged_size
 
 CHECK_INTERVAL = 0.05
 """Seconds between two looks at the connections that have something to read. The time for which a
@@ -56,6 +57,16 @@
     return stream._total_write_index - stream._total_write_done_index  # noqa: SLF001
 
 
+def read_size(stream: IOStream) -> int:
+    """Return the bytes that the other end of ``stream`` has acknowledged.
+
+    The kernel takes further bytes only once a third of its buffer is free. What it has taken would
+    not change for seconds while the other end reads slowly.
+    """
+    written: int = stream._total_write_done_index  # noqa: SLF001
+    return written - unacknowledged_size(stream.socket)
+
+
 class Holding:
     """The bytes that are held for one connection."""
 
@@ -91,7 +102,7 @@
         if self._stream is not stream:
             self._stream = stream
             self._unwritten = unwritten
-            self._taken = stream._total_write_done_index  # noqa: SLF001
+            self._taken = read_size(stream)
             self.read_at = monotonic()
         self.update(monotonic())
         if self.unread:
@@ -102,7 +113,7 @@
         if self._stream is None:
             return False
         size = unsent_size(self._stream)
-        taken = self._stream._total_write_done_index  # noqa: SLF001
+        taken = read_size(self._stream)
         if taken != self._taken or not self.size:
             self._taken, self.read_at = taken, now
         self._resize(size, size + self._unwritten())
@@ -123,7 +134,7 @@
 
     def is_overdue(self, now: float) -> bool:
         """Return whether this reader has kept its target waiting for too long."""
-        return self._caught_up is not None and is_overdue(now, self.behind_since)
+        return self._caught_up is not None and is_overdue(now, self.behind_since, self.read_at)
 
     def end(self) -> None:
         """Release this holding as soon as the stream has sent all its bytes."""
--- a/packages/node/src/jaylatch_node/sockets.py
+++ b/packages/node/src/jaylatch_node/sockets.py
@@ -3,6 +3,9 @@
 import logging
 import socket
 import struct
+import sys
+from fcntl import ioctl
+from termios import TIOCOUTQ
 
 KEEPALIVE_IDLE = 1
 """Idle seconds after which the kernel sends the first keepalive probe."""
@@ -45,6 +48,17 @@
     _set_option(connection, socket.SO_LINGER, RESET_ON_CLOSE)
 
 
+def unacknowledged_size(connection: socket.socket | None) -> int:
+    """Return the bytes in the kernel that the other end of ``connection`` has not acknowledged."""
+    if connection is None:
+        return 0
+    try:
+        return int.from_bytes(ioctl(connection, TIOCOUTQ, bytes(4)), sys.byteorder)
+    except (OSError, ValueError):
+        # The connection has been closed.
+        return 0
+
+
 def _set_option(connection: socket.socket | None, option: int, value: int | bytes) -> None:
     if connection is None:
         return
