--- a/features/cold/gateway.feature
+++ b/features/cold/gateway.feature
@@ -61,7 +61,7 @@
     Given a gateway with two targets, of which the first one used answers
     And its targets are cold, with a cold rate of <rate>
     And an owner for cold targets that grants
-    And the leader of control is at "10.9.9.9:1"
+    And the leader of control is at "127.0.0.1:9"
     When a request of kind stream is sent
     Then the owner that was asked is <first>, and was told <stated>
 
--- a/features/steps/cold_gateway_steps.py
+++ b/features/steps/cold_gateway_steps.py
@@ -23,9 +23,9 @@
 REFUSED_STATUSES = (429, 503)
 LONG_AGO_SECONDS = 60.0
 PAUSE_SECONDS = 8.0
-OWNERS = [f"10.9.9.{number}:1" for number in (1, 2, 3)]
+OWNERS = [f"127.0.0.1:{number}" for number in (1, 2, 3)]
 
-NAMED_LEADER = "10.9.9.8:1"
+NAMED_LEADER = "127.0.0.1:8"
 
 use_step_matcher("re")
 
@@ -102,7 +102,10 @@
 
 @given(r'the leader of control is at "(?P<address>[^"]*)"')
 def step_control_leader(context: Context, address: str) -> None:
-    context.harness.client._confirm(CONTROL_LOG, address)
+    async def confirm() -> None:
+        context.harness.client._confirm(CONTROL_LOG, address)
+
+    context.runner.run(confirm())
     context.leader_address = address
 
 
@@ -110,9 +113,13 @@
 def step_leader_calls(context: Context, answers: str) -> None:
     client = context.harness.client
     client._addresses = {InstanceId(f"control-{i}"): item for i, item in enumerate(OWNERS, 1)}
-    for call in re.split(r" (?=\d:)", answers) if answers != "-" else ():
-        number, _, answer = call.partition(":")
-        client._handle_answer(CONTROL_LOG, OWNERS[int(number) - 1], leader_answer(answer))
+
+    async def answer_calls() -> None:
+        for call in re.split(r" (?=\d:)", answers) if answers != "-" else ():
+            number, _, answer = call.partition(":")
+            client._handle_answer(CONTROL_LOG, OWNERS[int(number) - 1], leader_answer(answer))
+
+    context.runner.run(answer_calls())
 
 
 def leader_answer(answer: str) -> CallResult:
