Expect returning requests after new ones in the order of a rank

Change: the row expects the opposite, and a second one expects a new request to displace a returning one. Result: features/queueing/order 23 scenarios passed.

--- a/features/queueing/order.feature
+++ b/features/queueing/order.feature
@@ -37,9 +37,10 @@
       | the large one is displaced             | a:1     | +p:0:g:0.2:1@0 +q:0:g:0.2:1@0.9 +r:0:s:0.2:1@0.95                                            | p:taken:a q:queued:0 r:queued:0 q:denied |
       | alone it keeps its place               | a:1     | +p:0:g:0.2:1@0 +q:0:g:0.2:1@0.9 +r:0:g:0.2:1@0.95                                            | p:taken:a q:queued:0 r:full |
 
-    Examples: a refused request that returns at its time goes first in its rank
+    Examples: a refused request that returns goes after new ones, and first among those that return at its time
       | case                                     | targets | messages                                                                                          | outcomes |
-      | at its agreed time                       | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.1 -p@1 +r:0:x:0.3:1@1 +s:0:x:0.2:1@1.9 +q2:0:x:0.2:1@1.9 tick@1.92   | p:taken:a q:full r:taken:a s:queued:0 q2:queued:0 s:denied |
+      | at its agreed time after a new one       | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.1 -p@1 +r:0:x:0.3:1@1 +s:0:x:0.2:1@1.9 +q2:0:x:0.2:1@1.9 tick@1.92   | p:taken:a q:full r:taken:a s:queued:0 q2:full |
+      | a new one after it displaces it          | a:1     | +p:0:x:0.2:1@0 +q:0:x:0.2:1@0.1 -p@1 +r:0:x:0.3:1@1 +q2:0:x:0.2:1@1.9 +s:0:x:0.2:1@1.9 tick@1.92   | p:taken:a q:full r:taken:a q2:queued:0 s:queued:0 q2:denied |
 
   Scenario: refused callers are told times at which there is room, one after the other
     Given a queue by rank for the targets "a:4"
