--- a/features/steps/consensus_steps.py
+++ b/features/steps/consensus_steps.py
@@ -23,12 +23,16 @@
 def step_run(context: Context, histories: int, steps: int, seed: int) -> None:
     context.faults = []
     context.commits = 0
+    context.recoveries = 0
+    context.outlived = 0
     for number in range(histories):
         history = History(context.voters, context.network, seed * HISTORIES_PER_SEED + number)
         history.run(steps)
         history.recover()
         context.faults += [f"history {number}: {fault}" for fault in history.faults]
         context.commits += history.commits
+        context.recoveries += history.disk_recoveries
+        context.outlived += history.slow_elections
 
 
 @when("the first leader of {histories:d} first starts from seed {seed:d} is lost at its commit")
@@ -41,6 +45,25 @@
         context.faults += [f"history {number}: {fault}" for fault in history.faults]
 
 
+@when("all voters restart at once in {histories:d} histories from seed {seed:d}")
+def step_restart_together(context: Context, histories: int, seed: int) -> None:
+    context.faults = []
+    context.commits = 0
+    context.waits = []
+    for number in range(histories):
+        number += seed * HISTORIES_PER_SEED
+        history = History(context.voters, context.network, number)
+        context.waits.append(history.restart_all())
+        context.faults += history.faults
+        context.commits += history.commits
+
+
+@then("half of them commit within {timeouts:g} election timeouts")
+def step_quick_restart(context: Context, timeouts: float) -> None:
+    waits = sorted(context.waits)
+    assert waits[len(waits) // 2] <= timeouts, waits[:: max(len(waits) // 10, 1)]
+
+
 @when("up to {histories:d} histories of {steps:d} steps run from seed {seed:d}, until one fails")
 def step_run_until_failure(context: Context, histories: int, steps: int, seed: int) -> None:
     context.faults = []
@@ -66,6 +89,17 @@
     assert not stuck, stuck[:10]
 
 
+@then("disks recovered at least {number:d} times, and at least {commits:d} entries were committed")
+def step_recoveries(context: Context, number: int, commits: int) -> None:
+    assert context.recoveries >= number, context.recoveries
+    assert context.commits >= commits, context.commits
+
+
 @then("an invariant was broken")
 def step_found(context: Context) -> None:
     assert context.faults, "the checks did not detect the broken rule"
+
+
+@then("candidates outlived at least {number:d} slow writes")
+def step_outlived(context: Context, number: int) -> None:
+    assert context.outlived >= number, context.outlived
--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -5,13 +5,28 @@
 from random import Random
 
 from jaylatch_core.ids import InstanceId, Term
-from jaylatch_core.messages.consensus import ConsensusMessage, HardState, LogEntry, Snapshot
+from jaylatch_core.messages.consensus import (
+    AppendRequest,
+    ConsensusMessage,
+    HardState,
+    LogEntry,
+    Snapshot,
+    SnapshotRequest,
+)
 from jaylatch_decisions.consensus import Effects, RaftNode, RaftRole, RaftTiming
+from jaylatch_node.consensus.turn import Turn
 
 TIMING = RaftTiming(heartbeat_interval=0.08, election_timeout=0.3, drift=0.02)
 MAX_STEP_SECONDS = 0.03
 RECHECKED_ENTRIES = 12
 """Entries at the end of the logs that are compared after each step."""
+DISK_RECOVERY_RATE = 0.06
+"""Probability per step that a disk in trouble takes bytes again: after half an election timeout to
+several ones."""
+HAND_ON_RATE = 0.05
+"""Probability per step that a leader hands leadership on during a slow write."""
+CRASH_IN_TROUBLE_RATE = 0.3
+"""Probability that a process crashes before its disk takes bytes again."""
 RECOVERY_BOUND = 3.0
 """Seconds after the last fault until all voters must have recovered: ten election timeouts."""
 
@@ -29,6 +44,10 @@
     change: float = 0.0
     disk_loss: float = 0.0
     transfer: float = 0.0
+    disk_trouble: float = 0.0
+    power_loss: float = 0.0
+    slow_write: float = 0.0
+    restart: float = 0.0
 
 
 LOSSY = {"loss": 0.1, "duplication": 0.1, "delay": 0.3}
@@ -42,6 +61,23 @@
     "disk losing": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_loss=0.01),
     "slow": Faults(delay=0.9, crash=0.05, partition=0.05, disk_loss=0.02),
     "everything": Faults(0.1, 0.1, 0.3, 0.02, 0.01, 0.05, 0.03, 0.01, 0.01),
+    "disk filling": Faults(**LOSSY, crash=0.01, partition=0.01, snapshot=0.05, disk_trouble=0.02),
+    "all disks filling": Faults(**LOSSY, snapshot=0.05, disk_trouble=0.1),
+    "disks filling amid crashes": Faults(0.2, 0.1, 0.3, crash=0.03, disk_trouble=0.03),
+    "slow to write": Faults(**LOSSY, crash=0.01, snapshot=0.02, slow_write=0.1),
+    "slow to write amid partitions": Faults(
+        **LOSSY, crash=0.02, partition=0.02, disk_trouble=0.02, slow_write=0.1
+    ),
+    "restarting": Faults(0.02, 0.0, 0.1, partition=0.05, restart=0.1),
+    "losing power": Faults(
+        0.1, 0.1, 0.3, crash=0.01, partition=0.02, snapshot=0.02, power_loss=0.01, restart=0.03
+    ),
+    "changing and losing power": Faults(
+        0.1, 0.1, 0.3, crash=0.01, partition=0.03, change=0.05, power_loss=0.01, restart=0.03
+    ),
+    "everything and disk filling": Faults(
+        0.1, 0.1, 0.3, 0.02, 0.01, 0.05, 0.03, 0.01, 0.01, disk_trouble=0.02
+    ),
 }
 
 
@@ -81,6 +117,10 @@
         self._disks = {name: self._new_disk() for name in self._instances}
         self._nodes: dict[InstanceId, RaftNode] = {}
         self._applied: dict[InstanceId, list[bytes]] = {}
+        self._withheld: dict[InstanceId, Turn] = {}
+        self._slow_writes: dict[InstanceId, tuple[float, Effects]] = {}
+        self.disk_recoveries = 0
+        self.slow_elections = 0
         self._network: list[tuple[InstanceId, InstanceId, ConsensusMessage]] = []
         self._blocked: set[tuple[InstanceId, InstanceId]] = set()
         self._committed: dict[int, LogEntry] = {}
@@ -109,6 +149,10 @@
         """End all faults; one leader must commit and all voters catch up within the bound."""
         self._faults = Faults()
         self._blocked.clear()
+        for name in list(self._slow_writes):
+            self._end_slow_write(name)
+        for name in list(self._withheld):
+            self._end_disk_trouble(name)
         for name in self._instances:
             if name not in self._nodes:
                 self._restart(name)
@@ -133,6 +177,18 @@
         if self.commits == before:
             self.faults.append("no progress: the voters left have no quorum")
 
+    def restart_all(self) -> float:
+        """Restart all voters at once; return the time until a commit, in election timeouts."""
+        self._run_until(lambda: self.commits > 0)
+        for name in self._instances:
+            self._crash(name)
+            self._restart(name)
+        started_at, before = self._now, self.commits
+        self._run_until(lambda: self.commits > before)
+        if self.commits == before:
+            self.faults.append("no progress: no commit after a restart of all")
+        return (self._now - started_at) / TIMING.election_timeout
+
     def _run_until(self, is_reached: Callable[[], bool]) -> None:
         end = self._now + 2 * RECOVERY_BOUND
         while self._now < end and not is_reached():
@@ -169,6 +225,10 @@
             if random.random() < faults.duplication:
                 self._network.append((sender, receiver, message))
             node = self._nodes.get(receiver)
+            if receiver in self._withheld and not isinstance(
+                message, AppendRequest | SnapshotRequest
+            ):
+                continue
             if node is not None:
                 node.step(self._clock(receiver), message)
                 self._process_effects(receiver)
@@ -176,7 +236,28 @@
     def _inject_faults(self) -> None:
         random, faults = self._random, self._faults
         if random.random() < faults.crash:
-            self._nodes.pop(random.choice(self._instances), None)
+            self._crash(random.choice(self._instances))
+        if random.random() < faults.restart:
+            name = random.choice(self._instances)
+            self._crash(name)
+            self._restart(name)
+        if random.random() < faults.power_loss:
+            for name in self._instances:
+                self._crash(name)
+            # Each process but perhaps one returns at once, in the step of the loss.
+            late = random.choice(self._instances) if random.random() < 0.3 else None
+            for name in self._instances:
+                if name != late:
+                    self._restart(name)
+        if random.random() < faults.disk_trouble:
+            self._begin_disk_trouble(random.choice(self._instances))
+        if faults.slow_write:
+            self._step_slow_writes()
+        for name in list(self._withheld):
+            if random.random() < DISK_RECOVERY_RATE:
+                if random.random() < CRASH_IN_TROUBLE_RATE:
+                    self._crash(name)
+                self._end_disk_trouble(name)
         if random.random() < faults.disk_loss:
             self._lose_disk(random.choice(self._instances))
         for name in self._instances:
@@ -187,10 +268,13 @@
         if random.random() < faults.change:
             self._change_voters()
         for name, node in list(self._nodes.items()):
-            if random.random() < faults.transfer:
+            if name not in self._withheld and random.random() < faults.transfer:
                 node.transfer(self._clock(name))
             self._process_effects(name)
-            if name in self._nodes and random.random() < faults.snapshot:
+            can_write = (
+                name in self._nodes and name not in self._withheld and name not in self._slow_writes
+            )
+            if can_write and random.random() < faults.snapshot:
                 self._compact(name, node)
 
     def _change_partition(self) -> None:
@@ -226,9 +310,94 @@
         is_restored = all(not disk.hard_state.is_recovering for disk in self._disks.values())
         if not is_restored or len(self._initial_voters) < 3:
             return
-        self._nodes.pop(name, None)
+        self._crash(name)
+        self._withheld.pop(name, None)
         self._disks[name] = self._new_disk()
 
+    def _crash(self, name: InstanceId) -> None:
+        """End a process. A full disk may hold a part of the write that failed."""
+        node = self._nodes.pop(name, None)
+        _, in_flight = self._slow_writes.pop(name, (0.0, None))
+        if in_flight is not None and in_flight.snapshot is None:
+            # Any part of the write may have reached the disk, or all of it.
+            kept = self._random.randint(0, len(in_flight.entries))
+            in_flight.entries = in_flight.entries[:kept]
+            if not (in_flight.hard_state and self._random.random() < 0.5):
+                _write(self._disks[name], in_flight)
+        turn = self._withheld.get(name)
+        if node is None or turn is None:
+            return
+        if turn.snapshot is None and self._random.random() < 0.5:
+            disk = self._disks[name]
+            disk.hard_state = node.hard_state
+            first = node.last_index + 1 if turn.first_entry is None else turn.first_entry
+            for entry in node.entries_after(first - 1):
+                if self._random.random() < 0.3:
+                    break
+                _write_entry(disk, entry)
+        self._withheld[name] = Turn()
+
+    def _begin_disk_trouble(self, name: InstanceId) -> None:
+        """Fill or stall a disk."""
+        if name not in self._withheld:
+            turn = Turn()
+            _, in_flight = self._slow_writes.pop(name, (0.0, None))
+            if in_flight is not None:
+                # The write was slow, and now fails.
+                turn.absorb(in_flight)
+                turn.messages.clear()
+            self._withheld[name] = turn
+            self._process_effects(name)
+
+    def _step_slow_writes(self) -> None:
+        """Let leaders hand on during slow writes, and let some of the writes end."""
+        random = self._random
+        for name in list(self._slow_writes):
+            node = self._nodes[name]
+            if node.role is RaftRole.LEADER and random.random() < HAND_ON_RATE:
+                # A peer is known to be quicker.
+                handed_on = node.step_down(self._clock(name))
+                self._network += [(name, peer, message) for peer, message in handed_on]
+                self._slow_writes[name][1].messages.clear()
+            if random.random() < DISK_RECOVERY_RATE:
+                self._end_slow_write(name)
+
+    def _begin_slow_write(self, name: InstanceId, effects: Effects) -> None:
+        """Begin a write that takes long; its messages leave, and its entries apply, after it."""
+        self._slow_writes[name] = (self._clock(name), effects)
+        if self._broken_rule == "sends before a slow write ends":
+            self._send(name, effects)
+
+    def _end_slow_write(self, name: InstanceId) -> None:
+        """End a slow write with success; a candidate or leader goes on as one."""
+        started_at, effects = self._slow_writes.pop(name)
+        node, now = self._nodes[name], self._clock(name)
+        self.disk_recoveries += 1
+        self.slow_elections += node.role is RaftRole.CANDIDATE
+        _write(self._disks[name], effects)
+        node.note_write(now, now - started_at)
+        self._finish(name, effects)
+        self._process_effects(name)
+
+    def _end_disk_trouble(self, name: InstanceId) -> None:
+        """Write the complete state in memory, as a voter repairs its folder; then apply."""
+        turn = self._withheld.pop(name)
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        self.disk_recoveries += 1
+        disk = self._disks[name]
+        disk.hard_state = node.hard_state
+        if self._broken_rule == "repairs without what failed":
+            pass
+        elif turn.first_entry is not None or turn.snapshot is not None:
+            disk.snapshot = node.snapshot
+            disk.entries = node.entries_after(node.snapshot.index)
+        if turn.snapshot is not None:
+            self._applied[name] = _load(turn.snapshot.data)
+        for entry in turn.committed:
+            self._apply(name, entry)
+
     def _new_disk(self) -> Disk:
         self._disk_count += 1
         is_first = self._disk_count <= len(self._instances)
@@ -239,6 +408,9 @@
         return Disk(hard_state, Snapshot(0, Term(0), self._initial_voters, b""))
 
     def _restart(self, name: InstanceId) -> None:
+        if name in self._withheld:
+            # The folder cannot be opened before the disk takes bytes.
+            return
         disk = self._disks[name]
         if self._broken_rule == "forgets its vote":
             state = disk.hard_state
@@ -255,6 +427,10 @@
             list(disk.entries),
             self._clock(name),
         )
+        if self._broken_rule == "votes at once after a restart":
+            node._state.end_start_wait(self._clock(name))
+        if self._broken_rule == "believes a majority after a restart":
+            _believe_majority(node)
         self._nodes[name] = node
         self._applied[name] = _load(disk.snapshot.data)
 
@@ -262,13 +438,14 @@
 
     def _propose(self) -> None:
         for name, node in self._nodes.items():
-            if self._random.random() < 0.2:
+            if name not in self._withheld and self._random.random() < 0.2:
                 self._proposed += 1
                 node.propose(self._clock(name), f"{self._proposed}".encode())
 
     def _tick(self) -> None:
         for name in list(self._nodes):
-            self._nodes[name].tick(self._clock(name))
+            if name not in self._withheld and name not in self._slow_writes:
+                self._nodes[name].tick(self._clock(name))
             self._process_effects(name)
         self._check_leaders()
 
@@ -279,18 +456,46 @@
             disk.entries = [entry for entry in disk.entries if entry.index > node.commit]
 
     def _process_effects(self, name: InstanceId) -> None:
+        if name in self._withheld:
+            self._process_without_disk(name)
+            return
+        if name in self._slow_writes:
+            # What arrives during a write shares the next one.
+            return
         effects = self._nodes[name].take_effects()
         has_writes = bool(effects.entries or effects.hard_state or effects.snapshot)
         if has_writes and self._random.random() < self._faults.crash / 4:
             self._crash_during_write(name, effects)
             return
+        slow_rate = self._faults.slow_write
+        if has_writes and slow_rate and self._random.random() < slow_rate:
+            self._begin_slow_write(name, effects)
+            return
         _write(self._disks[name], effects)
+        self._finish(name, effects)
+
+    def _finish(self, name: InstanceId, effects: Effects) -> None:
+        """Send and apply what a write allows."""
         self._send(name, effects)
         if effects.snapshot is not None:
             self._applied[name] = _load(effects.snapshot.data)
         for entry in effects.committed:
             self._apply(name, entry)
 
+    def _process_without_disk(self, name: InstanceId) -> None:
+        """Send only what hands leadership on, and keep the rest for the next write."""
+        node = self._nodes.get(name)
+        if node is None:
+            return
+        self._network += [
+            (name, peer, message) for peer, message in node.step_down(self._clock(name))
+        ]
+        turn = self._withheld[name]
+        turn.absorb(node.take_effects())
+        if self._broken_rule == "answers without its disk":
+            self._network += [(name, peer, message) for peer, message in turn.messages]
+        turn.messages.clear()
+
     def _crash_during_write(self, name: InstanceId, effects: Effects) -> None:
         """Keep part of the writes that were not yet synced, and send nothing."""
         if effects.snapshot is None:
@@ -357,14 +562,30 @@
                 has_matched = has_matched or one == two
 
 
+def _believe_majority(node: RaftNode) -> None:
+    """Let a voter end its wait once a majority, instead of all, has said that it does not lead."""
+    check = node._elections._restarts
+    list_missing = check._missing
+
+    def list_missing_of_majority() -> set[InstanceId]:
+        is_majority = len(check._answered) + 1 >= node._state.quorum
+        return set() if is_majority else list_missing()
+
+    check._missing = list_missing_of_majority
+
+
 def _write(disk: Disk, effects: Effects) -> None:
     if effects.snapshot is not None:
         disk.snapshot = effects.snapshot
         disk.entries = []
     disk.hard_state = effects.hard_state or disk.hard_state
     for entry in effects.entries:
-        del disk.entries[entry.index - disk.snapshot.index - 1 :]
-        disk.entries.append(entry)
+        _write_entry(disk, entry)
+
+
+def _write_entry(disk: Disk, entry: LogEntry) -> None:
+    del disk.entries[entry.index - disk.snapshot.index - 1 :]
+    disk.entries.append(entry)
 
 
 def _load(data: bytes) -> list[bytes]:
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -70,7 +70,8 @@
     """The gateway refused a request. ``retry_after`` is 0 where no advice was given.
 
     ``load`` is that of the least loaded target if load was the reason. ``lease_left`` is the number
-    of seconds until the lease of this process expires.
+    of seconds until the lease of this process expires. ``rank`` is that of the request where
+    requests wait for places by rank, -1 elsewhere; ``reason`` then tells why it got none.
     """
 
     lines_per_second: ClassVar[float] = 500.0
@@ -86,6 +87,7 @@
     view: int = 0
     deployment: int = 0
     model: str = ""
+    rank: int = -1
 
 
 class RequestEnded(LogRecord, frozen=True, kw_only=True, tag="ended"):
@@ -102,6 +104,37 @@
     first_ms: float = 0.0
 
 
+class LoadsMeasured(LogRecord, frozen=True, kw_only=True, tag="loads"):
+    """How even the load of the targets of a model or service was over the last 10 s.
+
+    ``counted_by`` is ``owner`` or ``gateway``; a gateway that chooses by itself knows only its own
+    requests. Loads are means over the choices, in requests for each slot.
+    """
+
+    subject: str
+    counted_by: str
+    largest: float
+    mean: float
+    largest_over_mean: float
+    targets: int
+    choices: int
+
+
+class ReaderDropped(LogRecord, frozen=True, kw_only=True, tag="reader dropped"):
+    """A connection was dropped because its other end did not read, or did not go on sending a body.
+
+    ``held`` bytes were held for it, of ``total`` in this process, and it had taken none for
+    ``silent`` seconds. ``reason`` is ``behind`` if it kept a target waiting for too long, and
+    ``memory`` if the process held too much.
+    """
+
+    kind: str
+    reason: str
+    held: int
+    silent: float
+    total: int
+
+
 class InternalError(LogRecord, frozen=True, kw_only=True, tag="own failure"):
     """An internal error ended the handling of a request."""
 
@@ -120,6 +153,31 @@
     staged: tuple[str, ...] = ()
 
 
+class DiskStateChanged(LogRecord, frozen=True, kw_only=True, tag="disk"):
+    """The disk of a log became usable, slow or failed; ``since`` is the wall-clock time of it.
+
+    While it is failed, this control instance has no vote in the log.
+    """
+
+    log: str
+    state: str
+    error: str
+    since: float
+
+
+class TargetColdnessChanged(LogRecord, frozen=True, kw_only=True, tag="cold target"):
+    """Control takes a target for cold from now on, or no longer.
+
+    ``used`` is the highest part of its bound that this leader granted in a window while the target
+    was cold.
+    """
+
+    target: str
+    service: str
+    is_cold: bool
+    used: float
+
+
 class TargetProbed(LogRecord, frozen=True, kw_only=True, tag="probe"):
     """A suspected target answered no probe: it is lost or silent, or has sent a heartbeat since."""
 
@@ -146,7 +204,7 @@
 
     ``condition`` is ``limit``, with the requests a second that the target takes from all gateways
     together as its ``value``, or ``limit ended``, ``rest``, with the seconds for which it wants no
-    request from this gateway, or ``leaving``.
+    request from this gateway, ``leaving``, or ``cold``, with the seconds for which it stays so.
     """
 
     target: str
@@ -190,6 +248,20 @@
     loading: int
 
 
+class EvacuationChanged(LogRecord, frozen=True, kw_only=True, tag="evacuation"):
+    """The evacuation of a failure domain reached a ``state``.
+
+    The states are ``ordered``, ``taken over`` by a new leader, ``holding`` while the last groups of
+    a model go on, ``stopped`` when none does, ``in force`` when every gateway keeps to it, and
+    ``ended``. ``operator`` asked for it, or for its end.
+    """
+
+    domain: str
+    state: str
+    operator: str = ""
+    holding: tuple[str, ...] = ()
+
+
 class VotersChanged(LogRecord, frozen=True, kw_only=True, tag="voters"):
     """The leader tried to change the voters of a log; ``outcome`` is the result."""
 
@@ -240,8 +312,12 @@
     AttemptEnded,
     RequestRefused,
     RequestEnded,
+    LoadsMeasured,
+    ReaderDropped,
     InternalError,
     TargetStateChanged,
+    DiskStateChanged,
+    TargetColdnessChanged,
     TargetProbed,
     TargetDied,
     PartsQuarantined,
@@ -250,6 +326,7 @@
     ViewPublished,
     PlanCommitted,
     SupplyChanged,
+    EvacuationChanged,
     VotersChanged,
     DeploymentReceived,
     HeartbeatRefused,
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -5,6 +5,7 @@
 from jaylatch_core.exceptions import (
     CommandRefused,
     ConfigurationInvalid,
+    DomainUnknown,
     GenerationConflict,
     NotLeader,
     StorageFailed,
@@ -45,7 +46,16 @@
     RenewLease,
     ViewChanged,
 )
-from jaylatch_core.messages.places import GiveBackPlace, PlacesFull, PlaceTaken, TakePlace
+from jaylatch_core.messages.places import (
+    GiveBackPlace,
+    PlaceDenied,
+    PlaceGranted,
+    PlaceQueued,
+    PlacesFull,
+    PlacesHeld,
+    PlaceTaken,
+    TakePlace,
+)
 from jaylatch_core.messages.requests import (
     AttemptChunk,
     AttemptCredit,
@@ -72,6 +82,7 @@
 FailureBody = (
     CommandRefused
     | ConfigurationInvalid
+    | DomainUnknown
     | GenerationConflict
     | NotLeader
     | StorageFailed
@@ -127,6 +138,10 @@
     | TakePlace
     | PlaceTaken
     | PlacesFull
+    | PlaceQueued
+    | PlaceGranted
+    | PlaceDenied
+    | PlacesHeld
     | GiveBackPlace
     | FailureBody
 )
--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -1,6 +1,7 @@
 """Calls from any process to the leader of the control log or of a journal shard."""
 
 from asyncio import FIRST_COMPLETED, Task, create_task, sleep, wait
+from collections.abc import Callable
 
 from returns.pipeline import is_successful
 from returns.result import Failure as Err
@@ -14,7 +15,8 @@
 from jaylatch_core.messages.journal import JournalCommand
 from jaylatch_core.settings import ControlSettings
 from jaylatch_decisions.journal import shard_of
-from jaylatch_node.streams import PeerPool
+from jaylatch_decisions.places import SentNotices
+from jaylatch_node.streams import Peer, PeerPool
 from jaylatch_node.streams.connection import CallResult
 
 CONTROL_LOG = "control"
@@ -46,8 +48,11 @@
         self._shards = settings.journal_shards
         self._peers = peers
         self._leaders: dict[str, str] = {}
+        self._confirmed: dict[str, str] = {}
+        self._leader_handlers: list[Callable[[str], None]] = []
         self._voters: tuple[ControlPeer, ...] = ()
         self._configured_peers = list(settings.peers)
+        self._notices: dict[str, SentNotices[Body]] = {}
 
     def connect(self) -> None:
         """Open the connections to all control instances."""
@@ -74,6 +79,19 @@
         """Return the current voters as far as this process was told, none before that."""
         return self._voters
 
+    @property
+    def confirmed_leader(self) -> str | None:
+        """Return the address of the leader of the control log, None if it is not known.
+
+        It has answered as the leader, or another instance has named it, and no call has failed
+        since. The instance that is called next may be another one, found by rotation.
+        """
+        return self._confirmed.get(CONTROL_LOG)
+
+    def on_new_leader(self, handler: Callable[[str], None]) -> None:
+        """Call ``handler`` with the address when a leader of the control log becomes known."""
+        self._leader_handlers.append(handler)
+
     async def ask(self, address: str, body: Body, timeout: float) -> Body | None:
         """Call one control instance, leader or not; return None if it does not answer.
 
@@ -84,9 +102,25 @@
             return None
         return (await peer.call(body, timeout)).value_or(None)
 
+    def peer(self, address: str) -> Peer:
+        """Return the connection to one control instance."""
+        return self._peers.get(address)
+
     def notify(self, address: str, body: Body) -> None:
-        """Send one control instance a message that expects no reply; it may be lost."""
-        self._peers.get(address).send(body)
+        """Send one control instance an idempotent message that expects no reply.
+
+        It is sent again on the next connection, because a lost one may not have delivered it.
+        """
+        peer = self._peers.get(address)
+        if address not in self._notices:
+            self._notices[address] = SentNotices()
+            peer.on_connect(self._resend_notices)
+        self._notices[address].record(monotonic(), body)
+        peer.send(body)
+
+    def _resend_notices(self, peer: Peer) -> None:
+        for body in self._notices[peer.address].recent(monotonic()):
+            peer.send(body)
 
     async def call_journal(self, command: JournalCommand, timeout: float) -> CallResult:
         """Commit a journal command on the shard of its order."""
@@ -116,7 +150,7 @@
                 if done:
                     await sleep(RETRY_DELAY)
                 elif address is not None:
-                    self._leaders[log] = self._next(address)
+                    self._call_next(log, address)
         finally:
             for task in running:
                 task.cancel()
@@ -130,13 +164,13 @@
         answer = result.unwrap() if is_successful(result) else None
         match answer:
             case NotLeader(_, leader) if (peer := self._find(InstanceId(leader))) is not None:
-                self._leaders[log] = peer
+                self._confirm(log, peer)
             case None | NotLeader() | StorageFailed():
-                self._leaders[log] = self._next(address)
+                self._call_next(log, address)
             case Unavailable():
                 pass
             case _:
-                self._leaders[log] = address
+                self._confirm(log, address)
                 return answer
         return None
 
@@ -162,6 +196,18 @@
         connected = [item for item in left if self._peers.get(item).connection is not None]
         return next(iter(connected or ([] if asked else left)), None)
 
+    def _confirm(self, log: str, address: str) -> None:
+        is_new = self._confirmed.get(log) != address
+        self._leaders[log] = self._confirmed[log] = address
+        if log == CONTROL_LOG and is_new:
+            for handler in self._leader_handlers:
+                handler(address)
+
+    def _call_next(self, log: str, address: str) -> None:
+        """Call the instance after ``address`` next; no leader is confirmed then."""
+        self._leaders[log] = self._next(address)
+        self._confirmed.pop(log, None)
+
     def _next(self, address: str) -> str:
         return self._order[(self._position(address) + 1) % len(self._order)]
 
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -2,21 +2,26 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 import msgspec
 
 from jaylatch_core.clock import wall
-from jaylatch_core.configuration import Configuration
 from jaylatch_core.control_peers import ControlPeer
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
-from jaylatch_core.exceptions import Unavailable
+from jaylatch_core.exceptions import DomainUnknown, Unavailable
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
 from jaylatch_core.log_records import PartsQuarantined, PlanCommitted, SupplyChanged, ViewPublished
-from jaylatch_core.messages.administration import HistoryReport, NodeStatus, StatusReport
-from jaylatch_core.messages.control import CommitPreset, ControlCommand, Group, QuarantineParts
+from jaylatch_core.messages.administration import HistoryReport, StatusReport
+from jaylatch_core.messages.control import (
+    CommitPreset,
+    ControlCommand,
+    Group,
+    QuarantineParts,
+    SetDrain,
+)
 from jaylatch_core.messages.membership import (
     Assignment,
     GroupRoute,
@@ -47,8 +52,11 @@
 )
 from jaylatch_decisions.leases import LeaseTable
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.control.drains import Drains
+from jaylatch_node.control.evacuation import EvacuationController
 from jaylatch_node.control.group_metrics import GroupMetrics
-from jaylatch_node.control.routes import group_route, service_routes
+from jaylatch_node.control.routes import group_route, service_routes, uses_views
+from jaylatch_node.control.status import build_status
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.streams import StreamConnection
@@ -84,6 +92,7 @@
         now: float,
         targets: TargetController | None = None,
         list_peers: Callable[[], tuple[ControlPeer, ...]] = tuple,
+        evacuation_bound: float = 5.0,
     ) -> None:
         self._list_peers = list_peers
         self._board = board
@@ -92,6 +101,10 @@
         self._propose = propose
         self._targets = targets
         self._leases = LeaseTable(settings.duration, settings.drift, now)
+        self._drains = Drains(state, self._leases)
+        self._evacuations = EvacuationController(
+            state, targets, self._leases, evacuation_bound, now
+        )
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._view_from = now + self._suspect_after
@@ -129,7 +142,7 @@
             None if has_configuration else self._state.configuration,
             self._view if self._needs_view(now, renewal) else None,
             self._assignment(now, renewal.instance),
-            self._is_drained(renewal.instance, renewal.failure_domain),
+            self._drains.covers(renewal.instance, renewal.failure_domain),
             self._deployment_change(renewal),
             self._list_peers(),
             self._gateways,
@@ -158,6 +171,7 @@
 
     def on_targets_changed(self, now: float) -> None:
         """Apply a change in the registry of direct targets at once."""
+        self._evacuations.update(now)
         self._refresh_view(now)
         self._announce_changes()
 
@@ -169,6 +183,19 @@
                 now, suspicion.instance, groups, suspicion.digest, suspicion.parts
             )
 
+    def check_drain(
+        self, now: float, command: SetDrain, configured: Collection[FailureDomainId]
+    ) -> DomainUnknown | Unavailable | None:
+        """Return why an order to drain is refused, or None."""
+        if command.scope is not DrainScope.FAILURE_DOMAIN:
+            return None
+        domain = FailureDomainId(command.subject)
+        return self._evacuations.check_domain(now, domain, configured)
+
+    def cold_targets(self, now: float) -> dict[InstanceId, str]:
+        """Return the direct targets that are taken for cold, with their services."""
+        return self._targets.coldness.list_cold(now) if self._targets is not None else {}
+
     def deployment(self) -> DeploymentReport:
         """Return the deployment document in force."""
         return self._state.published
@@ -180,7 +207,8 @@
             policy = self._state.configuration.policy(self._state.preset.preset)
             self._targets.part_evidence.expire(now, policy.quarantine_time)
         self._gateways = self._count_gateways(now)
-        facts = self._facts(now)
+        self._evacuations.update(now)
+        facts = self._evacuations.remaining_instances(self._facts(now))
         self._update_metrics(now, facts)
         self._update_retiring(facts)
         self._permit_loads(now)
@@ -206,7 +234,7 @@
         conversion: Conversion | None,
     ) -> None:
         groups = tuple(self._state.groups.values())
-        recalled = groups_to_recall(plan_input)
+        recalled = groups_to_recall(plan_input) | self._evacuations.closing(now)
         if conversion is not None and conversion.is_ready:
             recalled |= {conversion.group}
         targets.recall(now, recalled)
@@ -220,34 +248,14 @@
 
     def status(self, now: float) -> StatusReport:
         """Return the complete state for operators."""
-        nodes = tuple(
-            NodeStatus(
-                holder.renewal.instance,
-                tuple(role.value for role in holder.renewal.roles),
-                holder.renewal.failure_domain,
-                holder.renewal.stream,
-                holder.renewal.configuration,
-                holder.renewal.preset_in_force,
-                holder.lapses_at - now,
-                holder.renewal.member,
-            )
-            for holder in self._leases.live(now)
-        )
-        return StatusReport(
+        return build_status(
+            now,
             self._board.identity.instance,
-            self._state.generation,
-            self._state.configuration,
-            self._state.preset,
-            nodes,
-            tuple(self._state.groups.values()),
-            tuple(f"{scope.value}/{subject}" for scope, subject in sorted(self._state.drains)),
-            tuple(self._outdated_instances(now)),
-            self._metrics.group_downtime,
-            self._metrics.stranded_seconds,
-            tuple(
-                holder.renewal.instance for holder in self._leases.all() if now >= holder.lapses_at
-            ),
-            self._leases.knows_all(now),
+            self._state,
+            self._leases,
+            self._outdated_instances(now),
+            self._metrics,
+            self._evacuations.status(),
         )
 
     def history(self) -> HistoryReport:
@@ -263,24 +271,30 @@
         earlier leader gave it. A node without one, as after a restart of all processes, follows
         every view of this leader.
         """
-        if not _uses_views(renewal) or renewal.view == self._view.version:
+        if not uses_views(renewal) or renewal.view == self._view.version:
             return False
         is_own_view = renewal.view >= self._term * VIEW_VERSIONS_PER_TERM
         return renewal.view == NO_VIEW or is_own_view or now >= self._view_from
 
     def _refresh_view(self, now: float) -> None:
-        admitting = [group for group in self._state.groups.values() if not self._is_draining(group)]
+        known = self._state.groups.values()
+        draining = {group.id for group in known if self._drains.is_draining(group, self._retiring)}
+        admitting = (group for group in known if group.id not in draining)
         groups = tuple(
             route for group in admitting if (route := self._route(now, group)) is not None
         )
         services = service_routes(self._serving_renewals(now))
+        evacuations = self._evacuations
         if self._targets is not None:
-            direct = self._targets.group_routes(now, admitting)
+            # Gateways take the head of a group that is no longer listed for lost.
+            ending = evacuations.ending.union(draining)
+            direct = self._targets.group_routes(now, known, ending, evacuations.slot_fraction)
             groups += tuple(sorted(direct, key=lambda route: route.group))
-            services += tuple(
-                sorted(self._targets.service_routes(now), key=lambda route: route.instance)
+            plain = self._targets.service_routes(
+                now, evacuations.domains, evacuations.slot_fraction
             )
-        view = View(self._view.version, groups, services)
+            services += tuple(sorted(plain, key=lambda route: route.instance))
+        view = View(self._view.version, groups, services, evacuated=evacuations.withdrawn)
         if self._targets is not None:
             evidence = self._targets.part_evidence
             view = msgspec.structs.replace(
@@ -296,6 +310,7 @@
                 f"{route.group}@{route.epoch}{'!' if route.is_ending else ''}" for route in groups
             )
             log_record(_log, ViewPublished(version=self._view.version, groups=names))
+        evacuations.record_view(now, self._view.version)
 
     def _log_quarantine(self, view: View) -> None:
         """Log the parts of prompts that ``view`` names, if they are not those of the last view."""
@@ -310,7 +325,7 @@
     def _serving_renewals(self, now: float) -> list[RenewLease]:
         renewals = [holder.renewal for holder in self._leases.live(now)]
         return [
-            item for item in renewals if not self._is_drained(item.instance, item.failure_domain)
+            item for item in renewals if not self._drains.covers(item.instance, item.failure_domain)
         ]
 
     def _assignment(self, now: float, instance: InstanceId) -> Assignment | None:
@@ -325,34 +340,10 @@
             group.model,
             group.members,
             addresses,
-            self._is_draining(group),
+            self._drains.is_draining(group, self._retiring),
             (instance, group.epoch) in self._permits,
         )
 
-    def _is_draining(self, group: Group) -> bool:
-        if group.id in self._retiring or self._effective_configuration.model(group.model) is None:
-            return True
-        if not self._state.drains:
-            return False
-        if (DrainScope.GROUP, group.id) in self._state.drains:
-            return True
-        return any(self._is_drained(member, self._domain(member)) for member in group.members)
-
-    @property
-    def _effective_configuration(self) -> Configuration:
-        return self._state.effective_configuration()
-
-    def _is_drained(self, instance: InstanceId, domain: FailureDomainId) -> bool:
-        drains = self._state.drains
-        return (DrainScope.INSTANCE, instance) in drains or (
-            DrainScope.FAILURE_DOMAIN,
-            domain,
-        ) in drains
-
-    def _domain(self, instance: InstanceId) -> FailureDomainId:
-        holder = self._leases.known(instance)
-        return holder.renewal.failure_domain if holder is not None else FailureDomainId("")
-
     def _announce_changes(self) -> None:
         """Notify only the nodes that a change concerns, so that not all renew after a repair."""
         current = _AnnouncedState(
@@ -386,7 +377,7 @@
 
     def _is_view_user(self, instance: InstanceId) -> bool:
         holder = self._leases.known(instance)
-        return holder is not None and _uses_views(holder.renewal)
+        return holder is not None and uses_views(holder.renewal)
 
     def _log_supply(self, plan_input: PlanInput) -> None:
         """Log the supply of each model for which it has changed."""
@@ -424,7 +415,7 @@
         if self._targets is None:
             return []
         changed = {getattr(command, "group", None) for command in planned}
-        broken = self._targets.broken_groups(now, self._state.groups.values())
+        broken = self._targets.broken_groups(now, self._evacuations.remaining_groups())
         return [command for command in broken if command.group not in changed]
 
     def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
@@ -432,7 +423,7 @@
         return PlanInput(
             state.effective_configuration(),
             state.configuration.policy(state.preset.preset),
-            tuple(state.groups.values()),
+            self._evacuations.remaining_groups(),
             dict(state.occupied),
             tuple(facts),
             self._targets is None or not self._targets.has_served,
@@ -441,7 +432,7 @@
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
-        leaving = self._members_of_drained_groups()
+        leaving = self._drains.members_of_drained_groups()
         direct = (
             self._targets.facts(now, self._state.groups.values())
             if self._targets is not None
@@ -465,7 +456,7 @@
             instance,
             renewal.failure_domain,
             is_usable,
-            instance in leaving or self._is_drained(instance, renewal.failure_domain),
+            instance in leaving or self._drains.covers(instance, renewal.failure_domain),
             member.epoch,
             member.is_serving,
             member.in_flight,
@@ -477,7 +468,7 @@
     def _update_retiring(self, facts: list[InstanceFacts]) -> None:
         """Update the retiring groups, so that their heads admit no new work."""
         usable = {item.instance for item in facts if item.is_usable}
-        groups = tuple(self._state.groups.values())
+        groups = self._evacuations.remaining_groups()
         lost = frozenset(item for group in groups for item in group.members if item not in usable)
         self._retiring = retiring_groups(self._state.effective_configuration(), groups, lost)
 
@@ -497,14 +488,6 @@
             return False
         return member.epoch != group.epoch or not member.is_loaded
 
-    def _members_of_drained_groups(self) -> set[InstanceId]:
-        return {
-            member
-            for group in self._state.groups.values()
-            if (DrainScope.GROUP, group.id) in self._state.drains
-            for member in group.members
-        }
-
     async def _propose_all(self, commands: list[ControlCommand]) -> None:
         try:
             for command in commands:
@@ -522,7 +505,7 @@
         if now < self._plan_from:
             self._metrics.skip_to(now)
         else:
-            self._metrics.add(now, facts, self._state.groups.values())
+            self._metrics.add(now, facts, self._evacuations.remaining_groups())
 
     def _outdated_instances(self, now: float) -> list[InstanceId]:
         return self._leases.lagging_holders(
@@ -533,10 +516,6 @@
         )
 
 
-def _uses_views(renewal: RenewLease) -> bool:
-    return Role.ENTRY in renewal.roles or Role.GATEWAY in renewal.roles
-
-
 def _is_engine(member: MemberReport) -> bool:
     return member.announcement is not None and member.announcement.kind is TargetKind.ENGINE
 
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -2,7 +2,7 @@
 
 import logging
 from asyncio import create_task
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -13,13 +13,11 @@
 from returns.result import Result
 from tornado.ioloop import PeriodicCallback
 
-from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic, wall
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
 from jaylatch_core.compression import compress_large, expand
 from jaylatch_core.configuration import parse_configuration
 from jaylatch_core.control_peers import ControlPeer, address_of
-from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import (
-    Failure,
     JaylatchError,
     NotLeader,
     StorageFailed,
@@ -41,7 +39,6 @@
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.journal import JournalCommand, OrderVerdict
 from jaylatch_core.messages.membership import RenewLease
-from jaylatch_core.messages.places import GiveBackPlace, TakePlace
 from jaylatch_core.messages.targets import (
     PublishDeployment,
     ReadDeployment,
@@ -57,23 +54,24 @@
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
-from jaylatch_decisions.places import STAND_IN_FRACTION, PlaceTable
+from jaylatch_decisions.places import LimitTable, PlaceTable
 from jaylatch_decisions.targets import TargetRegistry
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.consensus import ConsensusOutbox, ReplicatedLog, StateMachine
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient, journal_log
+from jaylatch_node.control.cold_targets import ColdReport, KnownWarm
+from jaylatch_node.control.disk_watch import DiskWatch
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
+from jaylatch_node.control.places import PlaceController
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
+from jaylatch_node.storage import DiskWorker
 from jaylatch_node.streams import PeerPool, StreamConnection
 from jaylatch_node.targets.orders import EngineOrderClient
 
 _log = logging.getLogger("jaylatch.control")
 
-FailureHandler = Callable[[Failure], None]
-"""Called, possibly repeatedly, with the failure of a log whose voter has stopped."""
-
 LEADER_TICK = 0.1
 """Seconds between two rounds of the leader's duties."""
 JOIN_INTERVAL = 1.0
@@ -99,7 +97,6 @@
         board: Blackboard,
         peers: PeerPool,
         client: ControlClient,
-        fail: FailureHandler,
         engines: EngineOrderClient | None = None,
     ) -> None:
         self._client = client
@@ -108,11 +105,19 @@
         self._settings = settings
         self._board = board
         self._peers = peers
-        self._places = PlaceTable()
+        self._limits = LimitTable(settings.cold)
+        # What it knows as an owner, leader or not.
+        self._known_warm = KnownWarm(self._registry, monotonic())
+        self._places = PlaceController(
+            peers,
+            board.metrics,
+            PlaceTable(request_limits=self._limits),
+            self._update_cold_limits,
+        )
+        self._cold_report = ColdReport(board.metrics, self._limits.cold)
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
-        self._fail = fail
         self._joining: set[str] = set()
         self._admitting: set[str] = set()
         period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
@@ -124,6 +129,7 @@
         self._retention = RetentionTimes(control.answer_retention, control.key_retention)
         self._journals = [JournalState(self._retention) for _ in range(shards)]
         self._outbox = ConsensusOutbox(self._send)
+        self._disk_worker = DiskWorker()
         self._control: ReplicatedLog[ControlResult] = self._open_log(
             CONTROL_LOG, StateMachine(self._apply_control, self._dump_control, self._load_control)
         )
@@ -133,6 +139,7 @@
         ]
         self._logs: dict[str, ReplicatedLog[Any]] = {self._control.name: self._control}
         self._logs.update((shard.name, shard) for shard in self._shards)
+        self._disk_watch = DiskWatch(board, self._logs.values())
         self._timer = PeriodicCallback(self._tick, LEADER_TICK * MILLISECONDS_PER_SECOND)
         # One timer for all logs: messages due at the same time are sent to each peer in one frame.
         period = settings.control.heartbeat_interval * MILLISECONDS_PER_SECOND
@@ -140,7 +147,7 @@
 
     def start(self) -> None:
         """Take part in elections, and perform the leader's duties when elected."""
-        self._report_logs()
+        self._disk_watch.report()
         self._consensus_timer.start()
         self._timer.start()
         self._join_timer.start()
@@ -152,8 +159,10 @@
         self._join_timer.stop()
         self._announcement_timer.stop()
         self._consensus_timer.stop()
+        self._places.stop()
         for log in self._logs.values():
             log.stop()
+        self._disk_worker.stop(0.0)
 
     def handle_consensus(self, batch: ConsensusBatch) -> None:
         """Pass a voter's messages to their logs; drop messages for unknown logs."""
@@ -181,14 +190,11 @@
                     self._record_target_message(now, message)
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
-            case TakePlace():
-                fraction = self._limit_fraction(body)
-                connection.reply(call, self._places.take(monotonic(), body, fraction))
-            case GiveBackPlace():
-                self._places.release(body.permit)
             case ReadDeployment():
                 connection.reply(call, self._deployment())
-            case ApplyConfiguration() | PreparePreset() | SetDrain() | PublishDeployment():
+            case SetDrain():
+                create_task(_answer(connection, call, self._set_drain(body)))
+            case ApplyConfiguration() | PreparePreset() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
             case VotersAnnounced():
                 # It is meant for instances without a disk; this one learns the voters from the log.
@@ -196,7 +202,7 @@
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
             case _:
-                return False
+                return self._places.handle(connection, call, body)
         return True
 
     def _open_log(self, name: str, machine: StateMachine[Any]) -> ReplicatedLog[Any]:
@@ -211,6 +217,7 @@
             Path(control.data_folder) / name,
             machine,
             self._outbox.send,
+            worker=self._disk_worker,
         )
 
     def _journal_machine(self, number: int) -> StateMachine[OrderVerdict]:
@@ -225,15 +232,6 @@
         for log in self._logs.values():
             log.tick(now)
 
-    def _report_logs(self) -> None:
-        for log in self._logs.values():
-            if log.set_aside_folder is not None:
-                self._board.events.record(
-                    wall(), EventName.STORAGE_SET_ASIDE, str(log.set_aside_folder)
-                )
-            if log.is_recovering:
-                self._board.events.record(wall(), EventName.STORAGE_RECOVERING, log.name)
-
     def _send(self, peer: InstanceId, batch: ConsensusBatch) -> None:
         address = self._address(peer)
         if address is not None:
@@ -269,6 +267,14 @@
         committed = await self._control.propose(compress_large(_encoder.encode(command)))
         return _flatten(committed.value_or(committed))
 
+    async def _set_drain(self, command: SetDrain) -> Body:
+        now = monotonic()
+        leader = self._current_leader(now)
+        if not isinstance(leader, LeaderController):
+            return leader
+        refusal = leader.check_drain(now, command, self._settings.control.failure_domains)
+        return refusal or await self._propose_control(command)
+
     async def _propose_journal(self, command: JournalCommand) -> Body:
         shard = self._shards[shard_of(command.order, len(self._shards))]
         return _flatten(await shard.propose(_encoder.encode(command)))
@@ -280,15 +286,11 @@
             return leader.renew(now, renewal, connection)
         return leader
 
-    def _limit_fraction(self, request: TakePlace) -> float:
-        """Return the part of the targets' limits that this instance may grant.
-
-        An owner that does not answer a gateway, but is connected to this instance, may still grant
-        all of them to other gateways.
-        """
-        absent = request.absent_owner
-        is_absent_here = not absent or self._peers.get(absent).connection is None
-        return 1.0 if is_absent_here else STAND_IN_FRACTION
+    def _update_cold_limits(self, now: float) -> None:
+        """Tell the limits of cold targets whether this instance leads, and what is warm."""
+        is_leading = isinstance(self._current_leader(now), LeaderController)
+        warm = self._known_warm.instances(now, self._state.deployment)
+        self._limits.cold.set_state(is_leading, warm)
 
     def _status(self) -> Body:
         now = monotonic()
@@ -415,11 +417,10 @@
 
     def _tick(self) -> None:
         now = monotonic()
-        failed = next((log.failure for log in self._logs.values() if log.failure), None)
-        if failed is not None:
-            self._fail(failed)
+        self._disk_watch.report()
         if not self._control.is_leader:
             self._leader = None
+            self._cold_report.clear()
             self._unforwarded.clear()
             return
         if not self._control.can_read(now):
@@ -434,9 +435,12 @@
                 now,
                 self._create_target_controller(now),
                 self._voting_peers,
+                self._settings.control.evacuation_bound,
             )
             self._apply_initial_configuration()
+            self._limits.cold.begin_term(now, self._control.term)
         self._leader.tick(now)
+        self._cold_report.update(now, self._leader.cold_targets(now))
         self._forward_heartbeats()
 
     def _create_target_controller(self, now: float) -> TargetController | None:
--- a/packages/node/src/jaylatch_node/gateway/directory.py
+++ b/packages/node/src/jaylatch_node/gateway/directory.py
@@ -13,6 +13,7 @@
 
     address: str
     load: TargetLoad
+    service: str
 
 
 class TargetDirectory:
@@ -24,12 +25,18 @@
         self._by_service: dict[str, list[TargetLoad]] = {}
         self._by_model: dict[tuple[str, str], list[TargetLoad]] = {}
         self._unlisted: dict[InstanceId, TargetLoad] = {}
+        self._open: set[InstanceId] = set()
 
     @property
     def addresses(self) -> set[str]:
         """Return the addresses of all targets."""
         return {target.address for target in self._targets.values()}
 
+    @property
+    def instances(self) -> set[InstanceId]:
+        """Return all targets."""
+        return set(self._targets)
+
     def update(self, view: View) -> set[InstanceId]:
         """Use the targets of ``view``; return the heads that no longer serve their groups.
 
@@ -47,6 +54,7 @@
         self._view = view
         old, self._targets = self._targets, {}
         self._by_service, self._by_model = {}, {}
+        self._open = set()
         for group in view.groups:
             if group.service:
                 load = TargetLoad(
@@ -55,15 +63,23 @@
                     group.failure_domain,
                     group=group.group,
                     epoch=group.epoch,
+                    is_cold=group.is_cold,
                 )
-                known = self._add(old, group.address, load)
-                if not group.is_ending:
+                known = self._add(old, group.address, load, group.service)
+                if not group.is_ending and group.failure_domain not in view.evacuated:
                     self._by_model.setdefault((group.service, group.model), []).append(known.load)
+                    self._open.add(group.head)
         for service in view.services:
-            if service.slots:
-                load = TargetLoad(service.instance, service.slots, service.failure_domain)
-                known = self._add(old, service.address, load)
+            if service.slots and service.failure_domain not in view.evacuated:
+                load = TargetLoad(
+                    service.instance,
+                    service.slots,
+                    service.failure_domain,
+                    is_cold=service.is_cold,
+                )
+                known = self._add(old, service.address, load, service.service)
                 self._by_service.setdefault(service.service, []).append(known.load)
+                self._open.add(service.instance)
         return lost
 
     def candidates(self, service: str, model: str | None) -> list[TargetLoad]:
@@ -72,6 +88,10 @@
             return self._by_service.get(service, [])
         return self._by_model.get((service, model), [])
 
+    def takes_requests(self, instance: InstanceId) -> bool:
+        """Return whether the view lists the target for new requests."""
+        return instance in self._open
+
     def progress_since(self, since: float, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have sent part of an answer since ``since``."""
         self._unlisted = {
@@ -93,11 +113,22 @@
         known = self._targets.get(instance)
         return known.address if known is not None else None
 
+    def service(self, instance: InstanceId) -> str:
+        """Return the service of a target, or an empty text if the view does not contain it."""
+        known = self._targets.get(instance)
+        return known.service if known is not None else ""
+
     def _add(
-        self, old: dict[InstanceId, KnownTarget], address: str, load: TargetLoad
+        self,
+        old: dict[InstanceId, KnownTarget],
+        address: str,
+        load: TargetLoad,
+        service: str,
     ) -> KnownTarget:
         known = old.get(load.instance)
         if known is None or known.address != address or known.load.epoch != load.epoch:
-            known = KnownTarget(address, load)
+            known = KnownTarget(address, load, service)
+        # The slots change while load returns to a domain that was evacuated, and while it is cold.
+        known.load.slots, known.load.is_cold = load.slots, load.is_cold
         self._targets[load.instance] = known
         return known
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -33,6 +33,7 @@
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.deadlines import loop_time
 from jaylatch_node.gateway.attempt import Attempt, RecoveryHandler, SuspicionHandler
+from jaylatch_node.gateway.balancing import TargetBalancer
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
@@ -60,8 +61,13 @@
 """Seconds after which a node without a lease may have one again: one renewal interval."""
 SHUTDOWN_RETRY = 0.02
 """Seconds after which a caller may retry at another instance."""
+RETRY_DELAYS = {Obstacle.NO_TARGET: NO_TARGET_RETRY, Obstacle.NO_LEASE: NO_LEASE_RETRY}
+"""Seconds after which a caller should retry; ``FULL_RETRY`` after any other obstacle."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
+NO_MEMORY = "this instance holds too much for others"
+MEMORY_RETRY = 1.0
+"""Seconds after which there is room again: those that do not read are dropped within a second."""
 ENDING = "this instance is ending"
 INTERNAL_ERROR = "an error of this instance"
 
@@ -76,6 +82,7 @@
         board: Blackboard,
         dialect: TargetDialect,
         placer: Placer,
+        balancer: TargetBalancer,
         conditions: TargetConditions,
         pool: TargetPool,
         budget: RetryBudget,
@@ -91,6 +98,7 @@
         self._conditions = conditions
         self._apply_bound = apply_bound
         self._placer = placer
+        self._balancer = balancer
         self._evidence = EvidenceTable()
         self._suspect = suspect
         self._report_recovery = report_recovery
@@ -165,6 +173,15 @@
                 admitted.history.may_have_run = True
                 self._give_up(admitted, INTERNAL_ERROR, 0.0)
 
+    def refuse_for_memory(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request whose body was not kept; nothing has been sent to a target."""
+        read = self._dialect.read_request(start_line, headers, b"")
+        request = read if isinstance(read, InboundRequest) else None
+        refusal = Refusal(RefusalKind.NOT_RUN, NO_MEMORY, self._add_jitter(MEMORY_RETRY))
+        self._refuse(caller, request, refusal, "")
+
     def _log_error(self, request: InboundRequest | None, error: Exception) -> None:
         _log.exception("unexpected error while handling a request")
         attempt = request.attempt if request is not None else ""
@@ -205,12 +222,6 @@
     async def _run(self, job: Job) -> None:
         """Send the request until it is answered or fails."""
         successor = SuccessorReservation(lambda: self._placer.place(job), self._budget)
-        try:
-            await self._run_attempts(job, successor)
-        finally:
-            successor.release()
-
-    async def _run_attempts(self, job: Job, successor: SuccessorReservation) -> None:
         attempt = Attempt(
             job.request,
             job.digest,
@@ -222,15 +233,24 @@
             self._record_conditions,
             self._report_recovery,
             successor,
+            self._placer.may_send,
         )
+        try:
+            await self._run_attempts(job, attempt, successor)
+        finally:
+            attempt.release()
+            successor.release()
+
+    async def _run_attempts(
+        self, job: Job, attempt: Attempt, successor: SuccessorReservation
+    ) -> None:
         while True:
             placement = successor.take() or await self._placer.place(job)
             if isinstance(placement, NoPlacement):
                 if await self._placer.wait_for_target(job, placement):
                     continue
-                is_missing = placement.obstacle is Obstacle.NO_TARGET
-                retry_after = NO_TARGET_RETRY if is_missing else FULL_RETRY
-                self._give_up(job, placement.obstacle.value, retry_after, placement)
+                retry_after = RETRY_DELAYS.get(placement.obstacle, FULL_RETRY)
+                self._give_up(job, placement.cause, retry_after, placement)
                 return
             if self._has_quarantined_part(job.request):
                 # It was quarantined while this request waited or was running elsewhere.
@@ -242,15 +262,24 @@
             job.placements += 1
             job.waits_since = None
             self._record_placement(job, placement, attempt.last_event)
+            sent_at = monotonic()
+            is_answered = False
             try:
-                outcome = await self._send(job, attempt, target, placement.address)
+                outcome = await self._send(job, attempt, placement)
+                is_answered = outcome is None and job.placements == 1
             finally:
-                placement.release()
+                placement.release(is_answered)
+            if outcome is AttemptOutcome.EXPIRED:
+                del job.attempted[target.instance]
             if outcome is None:
                 self._evidence.clear([job.digest])
                 if attempt.has_answered:
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
                 self._record_end(job, "answered", target)
+                is_whole = job.placements == 1 and job.request.resume_after is None
+                if is_whole and job.caller.started_at > sent_at:
+                    first_token = job.caller.started_at - sent_at
+                    self._placer.record_times(job, target, first_token, monotonic() - sent_at)
                 return
             if self._decide_next(job, outcome, attempt, successor) is NextStep.RETRY:
                 continue
@@ -273,7 +302,8 @@
         """
         record_outcome(job.history, outcome)
         self._metrics.count_outcome(outcome)
-        is_paid = outcome is AttemptOutcome.NOT_SENT or successor.is_reserved
+        is_unsent = outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.EXPIRED)
+        is_paid = is_unsent or successor.is_reserved
         has_budget = is_paid or self._budget.available >= 1.0
         step = decide_next(job.route, job.history, outcome, has_budget)
         log_record(
@@ -294,18 +324,20 @@
         return step
 
     async def _send(
-        self, job: Job, attempt: Attempt, target: TargetLoad, address: str
+        self, job: Job, attempt: Attempt, placement: Placement
     ) -> AttemptOutcome | None:
+        target = placement.target
         target.own_in_flight += 1
         running = self._attempts[target.instance]
         running.add(attempt)
         try:
             return await attempt.send(
-                address,
+                placement.address,
                 target,
                 job.account.name if job.account is not None else None,
                 job.deadline,
                 job.history.sends + 1 < job.route.attempts,
+                placement.send_until,
             )
         finally:
             target.own_in_flight -= 1
@@ -318,6 +350,8 @@
     ) -> None:
         """Record the conditions that an answer of a target states, and log their changes."""
         now = monotonic()
+        if facts.server_load is not None:
+            self._balancer.record_report(now, instance, facts.server_load)
         changes = []
         if self._conditions.record_limit(now, instance, facts.limit):
             changes.append(("limit ended" if facts.limit is None else "limit", facts.limit or 0.0))
@@ -325,6 +359,8 @@
             changes.append(("rest", facts.rest))
         if facts.is_leaving and self._conditions.record_leaving(now, instance):
             changes.append(("leaving", 0.0))
+        if facts.cold_left and self._conditions.record_cold(now, instance, facts.cold_left):
+            changes.append(("cold", facts.cold_left))
         for condition, value in changes:
             log_record(
                 _log,
@@ -349,7 +385,10 @@
             refusal = Refusal(RefusalKind.FAILED, reason)
         else:
             wait = found.wait if found is not None else 0.0
-            refusal = Refusal(RefusalKind.NOT_RUN, reason, wait + self._add_jitter(retry_after))
+            agreed = found.retry_after if found is not None else 0.0
+            # An owner that agrees on a time spreads the callers itself.
+            delay = agreed or wait + self._add_jitter(retry_after)
+            refusal = Refusal(RefusalKind.NOT_RUN, reason, delay)
         self._refuse(job.caller, job.request, refusal, job.route.name, found)
 
     def _add_jitter(self, retry_after: float) -> float:
@@ -376,6 +415,9 @@
         attempt = request.attempt if request is not None else None
         caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
         self._metrics.count_refusal(refusal.kind.value)
+        rank = found.rank if found is not None else None
+        if rank is not None:
+            self._metrics.count_ranked_refusal(refusal.reason, rank)
         now = monotonic()
         grant = self._board.grant
         log_record(
@@ -392,6 +434,7 @@
                 view=grant.view.version,
                 deployment=grant.deployment.number,
                 model=(request.model if request is not None else None) or "",
+                rank=rank if rank is not None else -1,
             ),
         )
 
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -11,22 +11,27 @@
 from jaylatch_core.deployment import Deployment
 from jaylatch_core.event_names import EventName
 from jaylatch_core.ids import InstanceId, PromptPartId
+from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.membership import GroupProgress
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.quarantine import AnsweredParts
+from jaylatch_decisions.readers import process_bound
 from jaylatch_decisions.retry import RetryBudget
 from jaylatch_decisions.targets import TargetConditions, TargetLoad
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.control.client import CONTROL_LOG, ControlClient
+from jaylatch_node.gateway.balancing import TargetBalancer
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.forwarder import Forwarder
-from jaylatch_node.gateway.metrics import GatewayMetrics
+from jaylatch_node.gateway.held import HeldMemory
+from jaylatch_node.gateway.metrics import GatewayMetrics, HeldMetrics
 from jaylatch_node.gateway.placement import Placer
 from jaylatch_node.gateway.places import PlaceClient
 from jaylatch_node.gateway.server import GatewayServer
 from jaylatch_node.listening import listen_at
 from jaylatch_node.role import NodeRole
+from jaylatch_node.streams import StreamConnection
 from jaylatch_node.targets import TargetDialect, TargetPool
 
 GRACE_MARGIN = 0.4
@@ -63,13 +68,24 @@
         self._answered_parts = AnsweredParts(monotonic() + self._settings.evidence_warm_up)
         random = Random(board.identity.incarnation)
         conditions = TargetConditions(random)
-        places = PlaceClient(client, conditions)
-        placer = Placer(board, self._directory, places, conditions, random)
+        self._places = PlaceClient(client, conditions)
+        self._balancer = TargetBalancer(board, self._settings.balancing, random)
+        placer = Placer(
+            board,
+            self._directory,
+            self._places,
+            conditions,
+            random,
+            self._balancer,
+            settings.cold,
+            self._settings.queues_by_rank,
+        )
         budget = RetryBudget(self._settings.repeat_burst)
         self._forwarder = Forwarder(
             board,
             dialect,
             placer,
+            self._balancer,
             conditions,
             self._pool,
             budget,
@@ -82,7 +98,15 @@
             self._answered_parts,
         )
         self._deployment: Deployment = board.grant.deployment
-        self._server = GatewayServer(self._forwarder.handle, self._deployment.limits)
+        self._memory = HeldMemory(
+            process_bound(self._settings.memory_limit), HeldMetrics(board.metrics)
+        )
+        self._server = GatewayServer(
+            self._forwarder.handle,
+            self._deployment.limits,
+            self._memory,
+            self._forwarder.refuse_for_memory,
+        )
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
         self._progress_reported_at = 0.0
@@ -101,6 +125,7 @@
         """Close the listeners and the idle connections to targets."""
         self._server.stop()
         self._readiness.stop()
+        self._memory.stop()
         self._pool.close()
 
     async def drain(self) -> None:
@@ -124,6 +149,10 @@
         self._server.interrupt()
         await sleep(DRAIN_POLL)
 
+    def handle_call(self, connection: StreamConnection, call: int, body: Body) -> bool:
+        """Handle what an owner tells a waiting request; returns False for other bodies."""
+        return self._places.handle(connection, body)
+
     def report_progress(self, now: float) -> tuple[GroupProgress, ...]:
         """Return the groups that have served this gateway since the last report."""
         since, self._progress_reported_at = self._progress_reported_at, now
@@ -146,6 +175,7 @@
         if lost:
             self._forwarder.mark_lost(lost)
         self._pool.retain(self._directory.addresses)
+        self._balancer.retain(self._directory.instances)
 
     def _suspect(self, suspicion: SuspectTarget) -> None:
         """Report an unresponsive target to the control leader, no more often than it probes.
