--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,14 +1,14 @@
-"""An operator's order that reached a frozen control node takes effect after a later order.
+"""Control nodes without a vote form a second quorum when the seeds name them.
 
-The order of events: the operator withdraws an evacuation, the first node that it calls stands
-still, and another node acknowledges; the operator orders the evacuation again; then the first node
-wakes and reads the old call, whose sender has long given up.
+The order of events: five of the eight control nodes are voters; the settings files name the other
+three as seeds; these are stopped and started in turn; each then takes the seeds for the voters of
+a first start, and they elect a leader of their own beside the one that serves.
 """
 
 import os
-import signal
 import sys
-from asyncio import create_task, run, sleep
+from asyncio import run, sleep
+from json import loads
 from pathlib import Path
 from time import monotonic
 
@@ -16,95 +16,124 @@
 
 from world import (  # noqa: E402
     BOUNDS,
+    CONTROL_PORT,
+    KEY,
     SERVER_PORT,
+    Answer,
     CannotRun,
     Machines,
     Operator,
     Record,
     Server,
     ask,
+    call,
     document,
+    restart,
     wait_until_served,
 )
 
-ZONES = ("pirkanmaa-a", "pirkanmaa-b", "pirkanmaa-c")
-FREEZE = 3.5
-"""Seconds; the dose of node_freeze in the site file."""
-REQUEST_PAUSE = 0.05
-OBSERVED = 6.0
+ZONES = tuple(f"is-south-{letter}" for letter in "abcd" for _ in range(2))
+TOLERATED_LOSSES = 2
+VOTERS = 2 * TOLERATED_LOSSES + 1
+OTHER_KEY = "key-two"
+ROLL_GAP = 2.0
+SETTLE_TIME = 10.0
+OBSERVED = 4.0
 """Seconds."""
-EVACUATE, OUTER, CONTACT = (
-    int(BOUNDS[name]) / 1000 for name in ("evacuateMs", "outerMs", "contactMs")
-)
+APPLY, REVOKE = (int(BOUNDS[name]) / 1000 for name in ("configApplyMs", "revokeMs"))
+
+
+def read_voters(machines: Machines) -> set[str]:
+    """Return the machines that are voters, from what the leader has logged."""
+    changes = []
+    for ip in machines.ips:
+        for line in machines.log_of(ip, "control").splitlines():
+            if '"message": "voters"' in line:
+                change = loads(line)
+                if "Success" in change["outcome"]:
+                    changes.append((change["asctime"], change["voters"]))
+    if not changes:
+        return set()
+    return {voter.partition(":")[0] for voter in max(changes)[1]}
+
+
+async def wait_for_voters(machines: Machines) -> set[str]:
+    """Wait until as many machines are voters as the deployment needs."""
+    for _ in range(100):
+        voters = read_voters(machines)
+        if len(voters) == VOTERS:
+            return voters
+        await sleep(0.2)
+    raise CannotRun(f"the voters are {sorted(read_voters(machines))}")
 
 
-async def send_all_the_time(machines: Machines, frozen: str, record: Record) -> None:
-    """Send a lookup after another through the machines that are never disturbed."""
-    fronts = [front for front in machines.fronts if not front.startswith(f"{frozen}:")]
-    number = 0
-    while True:
-        number += 1
-        attempt = f"lookup-{number}"
-        answer = await ask(fronts[number % len(fronts)], attempt, "/stock/1", 1.5)
-        record.write(f"answered {attempt} with {answer.status} by {fronts[number % len(fronts)]}")
-        await sleep(REQUEST_PAUSE)
+async def count_old_reads(machines: Machines, version: int, record: Record) -> int:
+    """Read the configuration at each control node; return how many give an older version."""
+    old = 0
+    for address in machines.controls:
+        answer: Answer = await call("GET", address, "/v1/config")
+        found = loads(answer.body)["version"] if answer.status == 200 else None
+        record.write(f"read     config at {address}: {answer.status}, version {found}")
+        if found is not None and found < version:
+            record.write(f"CONFIG: {address} answers a read with version {found}")
+            old += 1
+    return old
 
 
 async def play(record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
-    machines = Machines(record, ZONES)
+    machines = Machines(record, ZONES, TOLERATED_LOSSES)
     servers: list[Server] = []
     try:
         machines.start()
-        for number, zone in enumerate(ZONES * 2):
+        for number, zone in enumerate(ZONES[::2]):
             address = f"{machines.network}.{100 + number}:{SERVER_PORT}"
-            servers.append(
-                Server(f"i-{zone}-{number}", "orders", zone, address, machines.controls, record)
-            )
-            await servers[-1].start()
+            server = Server(f"i-{zone}", "orders", zone, address, machines.controls, record)
+            await server.start()
+            servers.append(server)
         operator = Operator(machines.controls, record)
-        await sleep(2.0)
-        await operator.order("PUT", "/v1/config", document())
+        await sleep(3.0)
+        keys = {"name": "tenant-one", "apiKeys": [KEY, OTHER_KEY], "priority": 1}
+        await operator.order("PUT", "/v1/config", document(1, tenants=[keys]))
         await wait_until_served(machines, record)
-        await sleep(1.0)
-        leader = machines.leader()
-        frozen = next(ip for ip in reversed(machines.ips) if ip != leader)
-        position = machines.ips.index(frozen)
-        other = machines.ips.index(leader)
-        create_task(send_all_the_time(machines, frozen, record))
-
-        # A gateway prefers its own zone, so the zone is that of a machine that stays in touch.
-        evacuated = ZONES[other]
-        path = f"/v1/drain/{evacuated}"
-        acknowledged_at = await operator.order("POST", path, first=other)
-        await sleep(EVACUATE + 1.0)
-        zone_servers = [server for server in servers if server.zone == evacuated]
-        if any(at > acknowledged_at + EVACUATE for server in zone_servers for at, _ in server.runs):
-            raise CannotRun("the first evacuation has no effect")
-
-        frozen_at = monotonic()
-        if has_trouble:
-            machines.signal(frozen, signal.SIGSTOP)
-        await operator.order("DELETE", path, first=position)
-        await sleep(0.2)
-        acknowledged_at = await operator.order("POST", path, first=other)
-        record.write(f"the evacuation of {evacuated} is acknowledged")
-        await sleep(max(frozen_at + FREEZE - monotonic(), 0.0))
-        woken_at = monotonic()
-        if has_trouble:
-            machines.signal(frozen, signal.SIGCONT)
+        voters = await wait_for_voters(machines)
+        others = [ip for ip in machines.ips if ip not in voters]
+        record.write(f"voters   {sorted(voters)}; others {others}")
 
-        counted_from = max(acknowledged_at + EVACUATE + OUTER, woken_at + CONTACT)
-        await sleep(counted_from + OBSERVED - monotonic())
-        late = [at for server in zone_servers for at, _ in server.runs if at > counted_from]
-        total = sum(at > counted_from for server in servers for at, _ in server.runs)
+        if has_trouble:
+            machines.seeds = [f"{ip}:{CONTROL_PORT}" for ip in others]
+            record.write(f"the settings name the seeds {machines.seeds}")
+        for ip in others:
+            await restart(machines, ip, record)
+            await sleep(ROLL_GAP)
+        await sleep(SETTLE_TIME)
+
+        # The operator takes a key away, and calls a node that has just been restarted first.
+        left = {"name": "tenant-one", "apiKeys": [OTHER_KEY], "priority": 1}
+        first = machines.ips.index(others[0])
+        body = document(2, tenants=[left])
+        acknowledged_at = await operator.order("PUT", "/v1/config", body, first)
+        record.write("version 2 is acknowledged")
+        await sleep(max(APPLY, REVOKE) + 0.5)
+        old_reads = await count_old_reads(machines, 2, record)
+        revoked_runs = 0
+        until = monotonic() + OBSERVED
+        number = 0
+        while monotonic() < until:
+            for front in machines.fronts:
+                number += 1
+                attempt = f"revoked-{number}"
+                answer = await ask(front, attempt, "/stock/1", 1.5)
+                record.write(f"answered {attempt} by {front} with {answer.status}")
+                await sleep(0.02)
+        runs = {attempt for server in servers for _, attempt in server.runs}
+        revoked_runs = sum(attempt.startswith("revoked-") for attempt in runs)
         record.write(
-            f"EVAC: {len(late)} of {total} requests reached {evacuated} later than"
-            f" {EVACUATE + OUTER:.0f} s after the acknowledgement"
+            f"CONFIG: {old_reads} control nodes answered a read with an older version;"
+            f" {revoked_runs} of {number} requests with a key that was taken away ran, all sent later"
+            f" than {REVOKE:.0f} s after the acknowledgement (at {acknowledged_at:.0f})"
         )
-        if not total:
-            raise CannotRun("nothing was served")
-        return not late
+        return not old_reads and not revoked_runs
     finally:
         for server in servers:
             server.stop()
--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -28,6 +28,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 FRONT_PORT, READY_PORT, CONTROL_PORT, INTERNAL_PORT, SERVER_PORT = 20301, 20302, 20303, 20310, 20330
+SEED_COUNT = 3
 HOST = "shop.example"
 KEY = "key-one"
 CALL_TIMEOUT = 1.0
@@ -93,16 +94,21 @@
 
 
 class Machines:
-    """Machines with a disk, each with a control process and a gateway."""
+    """Machines with a disk, each with a control process and a gateway.
 
-    def __init__(self, record: Record, zones: tuple[str, ...]) -> None:
+    ``seeds`` are those of the settings files that are written from now on, at each start of a process.
+    """
+
+    def __init__(self, record: Record, zones: tuple[str, ...], tolerated_losses: int = 1) -> None:
         random = SystemRandom()
         self._record = record
+        self._tolerated_losses = tolerated_losses
         self._folder = tempfile.TemporaryDirectory()
         self.network = f"127.{random.randint(1, 254)}.{random.randint(1, 254)}"
         self.zones = zones
         self.ips = [f"{self.network}.{number + 1}" for number in range(len(zones))]
         self.processes: dict[tuple[str, str], subprocess.Popen[bytes]] = {}
+        self.seeds = self.controls[:SEED_COUNT]
 
     @property
     def controls(self) -> list[str]:
@@ -137,15 +143,15 @@
             "listen.ready": f"{ip}:{READY_PORT}",
             "listen.control": f"{ip}:{CONTROL_PORT}",
             "internalPortRange": f"{INTERNAL_PORT},{INTERNAL_PORT + 15}",
-            "seeds": ",".join(self.controls),
-            "bootstrap": "true",
+            "seeds": ",".join(self.seeds),
+            "bootstrap": "false" if (ip, role) in self.processes else "true",
             "inTolerance": "true",
             "limits.memoryMb": "200",
             "limits.maxFds": "4100",
             "limits.diskMb": "64",
             "dataDir": str(data) if role == "control" else "",
             "heartbeatMs": "1200",
-            "faultTolerance.machines": "1",
+            "faultTolerance.machines": str(self._tolerated_losses),
             **{f"zones.{name}": "region-one" for name in self.zones},
             **{f"bounds.{name}": value for name, value in BOUNDS.items()},
         }
@@ -365,6 +371,20 @@
     return dumps(content | changes).encode()
 
 
+async def restart(machines: Machines, ip: str, record: Record) -> None:
+    """Stop the processes of a machine with SIGTERM, and start each one again once it has ended."""
+    machines.signal(ip, signal.SIGTERM)
+    left = {"control", "gateway"}
+    while left:
+        for role in sorted(left):
+            code = machines.processes[ip, role].poll()
+            if code is not None:
+                record.write(f"{role} of {ip} has ended with {code} and starts again")
+                left.discard(role)
+                machines.start_process(ip, role)
+        await sleep(0.05)
+
+
 async def wait_until_served(machines: Machines, record: Record, limit: float = 25.0) -> None:
     """Wait until each gateway answers a client's request with success."""
     until = monotonic() + limit
