--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,12 +15,12 @@
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
 
 from world import (  # noqa: E402
-    BOUNDS,
     CONTROL_PORT,
     KEY,
+    NAMMIBAR_GROWN,
     SERVER_PORT,
     Answer,
-    CannotRun,
+    CannotRunError,
     Machines,
     Operator,
     Record,
@@ -40,7 +40,7 @@
 SETTLE_TIME = 10.0
 OBSERVED = 4.0
 """Seconds."""
-APPLY, REVOKE = (int(BOUNDS[name]) / 1000 for name in ("configApplyMs", "revokeMs"))
+APPLY, REVOKE = (int(NAMMIBAR_GROWN[name]) / 1000 for name in ("configApplyMs", "revokeMs"))
 
 
 def read_voters(machines: Machines) -> set[str]:
@@ -59,12 +59,12 @@
 
 async def wait_for_voters(machines: Machines) -> set[str]:
     """Wait until as many machines are voters as the deployment needs."""
-    for _ in range(100):
+    for _ in range(200):
         voters = read_voters(machines)
         if len(voters) == VOTERS:
             return voters
         await sleep(0.2)
-    raise CannotRun(f"the voters are {sorted(read_voters(machines))}")
+    raise CannotRunError(f"the voters are {sorted(read_voters(machines))}")
 
 
 async def count_old_reads(machines: Machines, version: int, record: Record) -> int:
@@ -82,7 +82,7 @@
 
 async def play(record: Record, has_trouble: bool) -> bool:
     """Play the case; return whether the rule held."""
-    machines = Machines(record, ZONES, TOLERATED_LOSSES)
+    machines = Machines(record, ZONES, TOLERATED_LOSSES, NAMMIBAR_GROWN)
     servers: list[Server] = []
     try:
         machines.start()
@@ -130,8 +130,8 @@
         revoked_runs = sum(attempt.startswith("revoked-") for attempt in runs)
         record.write(
             f"CONFIG: {old_reads} control nodes answered a read with an older version;"
-            f" {revoked_runs} of {number} requests with a key that was taken away ran, all sent later"
-            f" than {REVOKE:.0f} s after the acknowledgement (at {acknowledged_at:.0f})"
+            f" {revoked_runs} of {number} requests with a key that was taken away ran, all"
+            f" sent later than {REVOKE:.0f} s after the acknowledgement (at {acknowledged_at:.0f})"
         )
         return not old_reads and not revoked_runs
     finally:
@@ -145,7 +145,7 @@
     record = Record(Path(__file__).parent / "record.txt")
     try:
         has_held = run(play(record, os.environ.get("TROUBLE") != "0"))
-    except CannotRun as reason:
+    except CannotRunError as reason:
         record.write(f"the case could not run: {reason}")
         return 2
     print("the rule held" if has_held else "the rule was broken")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,6 +9,7 @@
 import socket
 import sys
 from asyncio import CancelledError, create_task, gather, open_connection, run, sleep, timeout
+from contextlib import suppress
 from pathlib import Path
 from time import monotonic
 
@@ -19,7 +20,7 @@
     HOST,
     KEY,
     SERVER_PORT,
-    CannotRun,
+    CannotRunError,
     Machines,
     Operator,
     Record,
@@ -130,7 +131,7 @@
             await sleep(0.45)
         await sleep(4.0)
         if any(client.cut for client in clients) or not any(item.complete for item in clients):
-            raise CannotRun("answers are not complete before the machine is stopped")
+            raise CannotRunError("answers are not complete before the machine is stopped")
         stopped_at = monotonic()
         restarting = None
         if has_trouble:
@@ -142,10 +143,8 @@
         await sleep(max(stopped_at + GRACE + 1.0 - monotonic(), 0.0))
         if restarting is not None:
             restarting.cancel()
-            try:
+            with suppress(CancelledError):
                 await restarting
-            except CancelledError:
-                pass
         cut = [text for client in clients for at, text in client.cut if at < stopped_at + ROTATION]
         for text in cut:
             record.write(f"LOST: {text}")
@@ -163,7 +162,7 @@
     record = Record(Path(__file__).parent / "record.txt")
     try:
         has_held = run(play(record, os.environ.get("TROUBLE") != "0"))
-    except CannotRun as reason:
+    except CannotRunError as reason:
         record.write(f"the case could not run: {reason}")
         return 2
     print("the rule held" if has_held else "the rule was broken")
