--- a/review/standins/world.py
+++ b/review/standins/world.py
@@ -322,7 +322,7 @@
 
 
 class Operator:
-    """Gives an order to a node of control, and to the next one after a second without a response."""
+    """Gives an order to a control node, and to the next one after a second without a response."""
 
     def __init__(self, controls: list[str], record: Record) -> None:
         self._controls = controls
