--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,15 +1,14 @@
-"""A gateway that is stopped as planned ends before it has sent the answers that it holds.
+"""An operator's order that reached a frozen control node takes effect after a later order.
 
-The order of events: clients on a slow link receive whole answers of a plain service; the machine
-gets SIGTERM; the gateway counts a request as ended as soon as its answer has been handed to the
-socket's buffer, so nothing is in flight at the end of its rotation time, and the process ends.
+The order of events: the operator withdraws an evacuation, the first node that it calls stands
+still, and another node acknowledges; the operator orders the evacuation again; then the first node
+wakes and reads the old call, whose sender has long given up.
 """
 
 import os
-import socket
+import signal
 import sys
-from asyncio import CancelledError, create_task, gather, open_connection, run, sleep, timeout
-from contextlib import suppress
+from asyncio import create_task, run, sleep
 from pathlib import Path
 from time import monotonic
 
@@ -17,92 +16,38 @@
 
 from world import (  # noqa: E402
     BOUNDS,
-    HOST,
-    KEY,
     SERVER_PORT,
     CannotRunError,
     Machines,
     Operator,
     Record,
     Server,
+    ask,
     document,
-    parse_headers,
-    restart,
     wait_until_served,
 )
 
 ZONES = ("pirkanmaa-a", "pirkanmaa-b", "pirkanmaa-c")
-ANSWER_SIZE = 3 * 1024 * 1024
-READ_RATE = 1_750_000
-"""Bytes a second: 14 Mbit/s, the link of the site's edge machines without a disk."""
-READ_SIZE = 16 * 1024
-RECEIVE_BUFFER = 64 * 1024
-CLIENTS = 4
-TIME_LIMIT = 5.9
-"""Seconds; within the route's timeout."""
-ROTATION = 2.0
-"""Seconds after SIGTERM in which the platform may still send new channels: two questions that are
-not answered with 200."""
-GRACE = float(BOUNDS["graceS"])
-
-
-class Client:
-    """Asks for one answer after another on new channels, and reads at the rate of a slow link."""
-
-    def __init__(self, name: str, front: str, record: Record) -> None:
-        self._name = name
-        self._front = front
-        self._record = record
-        self.is_sent_elsewhere = False
-        self.cut: list[tuple[float, str]] = []
-        self.complete = 0
-
-    async def send_all_the_time(self) -> None:
-        """Send until the platform sends new channels to other machines."""
-        number = 0
-        while not self.is_sent_elsewhere:
-            number += 1
-            await self._send(f"{self._name}-{number}")
-
-    async def _send(self, attempt: str) -> None:
-        host, _, port = self._front.rpartition(":")
-        raw = socket.socket()
-        raw.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER)
-        raw.setblocking(False)
-        received = -1
-        size = 0
-        sent_at = monotonic()
-        try:
-            async with timeout(TIME_LIMIT):
-                raw.connect_ex((host, int(port)))
-                reader, writer = await open_connection(sock=raw, limit=READ_SIZE)
-                lines = ["GET /stock/all HTTP/1.1", f"Host: {HOST}", f"Attempt-Id: {attempt}"]
-                lines += [f"Deadline-Ms: {TIME_LIMIT * 1000:.0f}", f"Authorization: Bearer {KEY}"]
-                writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-                self._record.write(f"sent     {attempt}")
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-                status = int(head[0].split(" ")[1])
-                size = int(parse_headers(head[1:])["content-length"])
-                received = 0
-                started_at = monotonic()
-                while received < size:
-                    part = await reader.read(READ_SIZE)
-                    if not part:
-                        raise EOFError
-                    received += len(part)
-                    ahead = received / READ_RATE - (monotonic() - started_at)
-                    if ahead > 0:
-                        await sleep(ahead)
-            self._record.write(f"answered {attempt} with {status}, {received} of {size} bytes")
-            self.complete += status == 200
-            writer.close()
-        except TimeoutError:
-            self._record.write(f"answered {attempt} not in time, {received} of {size} bytes")
-        except (EOFError, OSError) as error:
-            text = f"{attempt} after {monotonic() - sent_at:.2f} s: {error!r}"
-            self._record.write(f"cut      {text}, {received} of {size} bytes")
-            if received >= 0:
-                self.cut.append((sent_at, text))
+FREEZE = 3.5
+"""Seconds; the dose of node_freeze in the site file."""
+REQUEST_PAUSE = 0.05
+OBSERVED = 6.0
+"""Seconds."""
+EVACUATE, OUTER, CONTACT = (
+    int(BOUNDS[name]) / 1000 for name in ("evacuateMs", "outerMs", "contactMs")
+)
+
+
+async def send_all_the_time(machines: Machines, frozen: str, record: Record) -> None:
+    """Send a lookup after another through the machines that are never disturbed."""
+    fronts = [front for front in machines.fronts if not front.startswith(f"{frozen}:")]
+    number = 0
+    while True:
+        number += 1
+        attempt = f"lookup-{number}"
+        answer = await ask(fronts[number % len(fronts)], attempt, "/stock/1", 1.5)
+        record.write(f"answered {attempt} with {answer.status} by {fronts[number % len(fronts)]}")
+        await sleep(REQUEST_PAUSE)
 
 
 async def play(record: Record, has_trouble: bool) -> bool:
@@ -111,46 +56,55 @@
     servers: list[Server] = []
     try:
         machines.start()
-        for number, zone in enumerate(ZONES):
+        for number, zone in enumerate(ZONES * 2):
             address = f"{machines.network}.{100 + number}:{SERVER_PORT}"
-            server = Server(f"i-{zone}", "orders", zone, address, machines.controls, record)
-            await server.start()
-            servers.append(server)
+            servers.append(
+                Server(f"i-{zone}-{number}", "orders", zone, address, machines.controls, record)
+            )
+            await servers[-1].start()
+        operator = Operator(machines.controls, record)
         await sleep(2.0)
-        await Operator(machines.controls, record).order("PUT", "/v1/config", document())
+        await operator.order("PUT", "/v1/config", document())
         await wait_until_served(machines, record)
-        for server in servers:
-            server.body = bytes(ANSWER_SIZE)
+        await sleep(1.0)
         leader = machines.leader()
-        stopped = next(ip for ip in reversed(machines.ips) if ip != leader)
-        front = machines.fronts[machines.ips.index(stopped)]
-        clients = [Client(f"list-{number}", front, record) for number in range(CLIENTS)]
-        tasks = []
-        for client in clients:
-            tasks.append(create_task(client.send_all_the_time()))
-            await sleep(0.45)
-        await sleep(4.0)
-        if any(client.cut for client in clients) or not any(item.complete for item in clients):
-            raise CannotRunError("answers are not complete before the machine is stopped")
-        stopped_at = monotonic()
-        restarting = None
+        frozen = next(ip for ip in reversed(machines.ips) if ip != leader)
+        position = machines.ips.index(frozen)
+        other = machines.ips.index(leader)
+        create_task(send_all_the_time(machines, frozen, record))
+
+        # A gateway prefers its own zone, so the zone is that of a machine that stays in touch.
+        evacuated = ZONES[other]
+        path = f"/v1/drain/{evacuated}"
+        acknowledged_at = await operator.order("POST", path, first=other)
+        await sleep(EVACUATE + 1.0)
+        zone_servers = [server for server in servers if server.zone == evacuated]
+        if any(at > acknowledged_at + EVACUATE for server in zone_servers for at, _ in server.runs):
+            raise CannotRunError("the first evacuation has no effect")
+
+        frozen_at = monotonic()
+        if has_trouble:
+            machines.signal(frozen, signal.SIGSTOP)
+        await operator.order("DELETE", path, first=position)
+        await sleep(0.2)
+        acknowledged_at = await operator.order("POST", path, first=other)
+        record.write(f"the evacuation of {evacuated} is acknowledged")
+        await sleep(max(frozen_at + FREEZE - monotonic(), 0.0))
+        woken_at = monotonic()
         if has_trouble:
-            restarting = create_task(restart(machines, stopped, record))
-        await sleep(ROTATION)
-        for client in clients:
-            client.is_sent_elsewhere = True
-        await gather(*tasks)
-        await sleep(max(stopped_at + GRACE + 1.0 - monotonic(), 0.0))
-        if restarting is not None:
-            restarting.cancel()
-            with suppress(CancelledError):
-                await restarting
-        cut = [text for client in clients for at, text in client.cut if at < stopped_at + ROTATION]
-        for text in cut:
-            record.write(f"LOST: {text}")
-        complete = sum(client.complete for client in clients)
-        record.write(f"LOST: {len(cut)} answers were cut, {complete} were complete")
-        return not cut
+            machines.signal(frozen, signal.SIGCONT)
+
+        counted_from = max(acknowledged_at + EVACUATE + OUTER, woken_at + CONTACT)
+        await sleep(counted_from + OBSERVED - monotonic())
+        late = [at for server in zone_servers for at, _ in server.runs if at > counted_from]
+        total = sum(at > counted_from for server in servers for at, _ in server.runs)
+        record.write(
+            f"EVAC: {len(late)} of {total} requests reached {evacuated} later than"
+            f" {EVACUATE + OUTER:.0f} s after the acknowledgement"
+        )
+        if not total:
+            raise CannotRunError("nothing was served")
+        return not late
     finally:
         for server in servers:
             server.stop()
