Log the status of targets' answers, and answers to other requests

Lines on ended attempts and requests now name the status of the target's answer and whether the caller had a part of an answer; a skipped answer has a line of its own.

--- a/packages/cli/src/jaylatch_cli/request_trace.py
+++ b/packages/cli/src/jaylatch_cli/request_trace.py
@@ -10,6 +10,7 @@
 
 from jaylatch_cli.log_lines import LogLine
 from jaylatch_core.log_records import (
+    AnswerSkipped,
     AttemptEnded,
     EngineOrdered,
     InternalError,
@@ -89,10 +90,15 @@
                 f"view {record.view}, {record.time_left_ms} ms left"
             )
         case AttemptEnded():
+            status = f" with status {record.status}" if record.status else ""
+            begun = ", after a part of an answer" if record.has_begun else ""
             return (
-                f"the attempt at {record.target} failed: {record.outcome}; next step: {record.step}"
-                f" ({record.budget:.0f} retries left)"
+                f"the attempt at {record.target} failed{status}: {record.outcome}{begun}; next "
+                f"step: {record.step} ({record.budget:.0f} retries left)"
             )
+        case AnswerSkipped():
+            answered = record.answered or "no request"
+            return f"{record.target} answered {answered} instead, with status {record.status}"
         case RequestRefused():
             advice = f", retry after {record.retry_after:.2f} s" if record.retry_after else ""
             load = f", least load {record.load:.2f}" if record.load else ""
@@ -103,7 +109,11 @@
             )
         case RequestEnded():
             first = f", first output after {record.first_ms:.0f} ms" if record.first_ms else ""
-            return f"ended: {record.outcome} after {record.ms:.0f} ms{first}, {record.sends} sends"
+            status = f" with status {record.status}" if record.status else ""
+            return (
+                f"ended: {record.outcome}{status} after {record.ms:.0f} ms{first}, "
+                f"{record.sends} sends"
+            )
         case InternalError():
             return f"internal error of jaylatch: {record.error}"
         case TargetStateChanged():
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -51,7 +51,8 @@
     """An attempt ended incomplete. ``step`` is the next step, with ``budget`` retries left.
 
     ``silent_ms`` is the time without progress. ``abandoned`` states why the gateway abandoned the
-    target, and is empty if the target itself ended the attempt.
+    target, and is empty if the target itself ended the attempt. ``status`` is that of the target's
+    answer, 0 if there was none. ``has_begun``: the caller has received a part of an answer.
     """
 
     lines_per_second: ClassVar[float] = 200.0
@@ -64,6 +65,22 @@
     budget: float
     silent_ms: int = 0
     abandoned: str = ""
+    status: int = 0
+    has_begun: bool = False
+
+
+class AnswerSkipped(LogRecord, frozen=True, kw_only=True, tag="answer skipped"):
+    """A target sent an answer to another request than the one that waits on the connection.
+
+    ``answered`` is the request that the answer names, empty if it names none.
+    """
+
+    lines_per_second: ClassVar[float] = 20.0
+
+    request: str
+    target: str
+    answered: str
+    status: int
 
 
 class RequestRefused(LogRecord, frozen=True, kw_only=True, tag="refused"):
@@ -91,7 +108,10 @@
 
 
 class RequestEnded(LogRecord, frozen=True, kw_only=True, tag="ended"):
-    """A request was answered, or its stream or connection ended. ``ms`` counts from its arrival."""
+    """A request was answered, or its stream or connection ended. ``ms`` counts from its arrival.
+
+    ``status`` is that of the last target's answer, 0 if there was none.
+    """
 
     lines_per_second: ClassVar[float] = 500.0
 
@@ -102,6 +122,7 @@
     sends: int
     ms: float
     first_ms: float = 0.0
+    status: int = 0
 
 
 class LoadsMeasured(LogRecord, frozen=True, kw_only=True, tag="loads"):
@@ -310,6 +331,7 @@
 RECORD_TYPES: tuple[type[LogRecord], ...] = (
     RequestPlaced,
     AttemptEnded,
+    AnswerSkipped,
     RequestRefused,
     RequestEnded,
     LoadsMeasured,
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -1,5 +1,6 @@
 """Sending of a request to targets, and forwarding of complete answers and events to its caller."""
 
+import logging
 from asyncio import Future, sleep
 from collections.abc import Awaitable, Callable
 from math import inf
@@ -7,6 +8,7 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import RequestKind, RouteSpecification
 from jaylatch_core.ids import AccountId, AttemptId, InstanceId, RequestDigest
+from jaylatch_core.log_records import AnswerSkipped
 from jaylatch_core.messages.targets import SuspectTarget
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
@@ -20,6 +22,7 @@
 from jaylatch_node.gateway.held import HeldKind, Holding
 from jaylatch_node.gateway.successor import SuccessorReservation
 from jaylatch_node.gateway.watchdog import ResponseWatchdog
+from jaylatch_node.observability import log_record
 from jaylatch_node.targets import (
     ExchangeFailed,
     InboundRequest,
@@ -54,6 +57,8 @@
 NO_MEMORY = "memory"
 """Why a target was abandoned whose answer, or whose unread request, there is no memory for."""
 
+_log = logging.getLogger("jaylatch.request")
+
 
 class Attempt:
     """Sends a request to one target after another, and tracks what the caller has received."""
@@ -119,6 +124,11 @@
         assert self._target is not None
         return self._target.instance
 
+    @property
+    def status(self) -> int:
+        """Return the status of the latest target's answer, 0 if there is none."""
+        return self._head.status if self._head is not None else 0
+
     @property
     def abandoned_because(self) -> str:
         """Return why the latest target was abandoned for another one, or an empty text."""
@@ -226,6 +236,7 @@
         """Handle a response head; return False if it answers another request."""
         facts = self._dialect.read_response(head)
         if facts.attempt is not None and facts.attempt != self._request.attempt:
+            self._log_skipped(head, facts)
             return False
         if self._target is not None and not facts.is_misdirected:
             self._record_conditions(self._target.instance, self._request.attempt, facts)
@@ -236,6 +247,17 @@
         self._is_stream = self._route.kind is RequestKind.STREAM and is_success
         return True
 
+    def _log_skipped(self, head: ResponseHead, facts: ResponseFacts) -> None:
+        log_record(
+            _log,
+            AnswerSkipped(
+                request=self._request.attempt,
+                target=self.target,
+                answered=facts.attempt or "",
+                status=head.status,
+            ),
+        )
+
     def _take_data(self, data: bytes) -> Awaitable[None] | None:
         """Handle a part of the answer; return what must be done before the next one is read."""
         if self._has_no_memory:
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -275,7 +275,7 @@
                 self._evidence.clear([job.digest])
                 if attempt.has_answered:
                     self._answered_parts.record(monotonic(), job.request.shared_parts)
-                self._record_end(job, "answered", target)
+                self._record_end(job, "answered", target, attempt.status)
                 is_whole = job.placements == 1 and job.request.resume_after is None
                 if is_whole and job.caller.started_at > sent_at:
                     first_token = job.caller.started_at - sent_at
@@ -284,7 +284,7 @@
             if self._decide_next(job, outcome, attempt, successor) is NextStep.RETRY:
                 continue
             if outcome is AttemptOutcome.FAILED and attempt.forward_failure():
-                self._record_end(job, "failure_passed", target)
+                self._record_end(job, "failure_passed", target, attempt.status)
                 return
             self._give_up(job, outcome.value, FULL_RETRY)
             return
@@ -317,6 +317,8 @@
                 budget=round(self._budget.available, 1),
                 silent_ms=int(attempt.idle_time(monotonic()) * MILLISECONDS_PER_SECOND),
                 abandoned=attempt.abandoned_because,
+                status=attempt.status,
+                has_begun=job.caller.has_started,
             ),
         )
         if step is NextStep.RETRY and not is_paid:
@@ -438,7 +440,9 @@
             ),
         )
 
-    def _record_end(self, job: Job, outcome: str, target: TargetLoad | None = None) -> None:
+    def _record_end(
+        self, job: Job, outcome: str, target: TargetLoad | None = None, status: int = 0
+    ) -> None:
         now = monotonic()
         took = now - job.arrived_at
         self._metrics.record_time(took)
@@ -453,6 +457,7 @@
                 sends=job.placements,
                 ms=round(took * MILLISECONDS_PER_SECOND, 1),
                 first_ms=round(max(first_at - job.arrived_at, 0.0) * MILLISECONDS_PER_SECOND, 1),
+                status=status,
             ),
         )
 
