Show that an error answer is written into a begun stream

A target ends in the middle of a stream, and the next one answers the resumed request with a signed failure.

--- /dev/null
+++ b/features/steps/error_in_stream_steps.py
@@ -0,0 +1,158 @@
+"""Steps on streams that are resumed at targets whose answers do not continue them."""
+
+from asyncio import StreamReader, StreamWriter, sleep
+
+from behave import given, then, use_step_matcher, when
+from behave.runner import Context
+from features.support.gateway import (
+    END_OF_STREAM,
+    MODEL,
+    Answer,
+    GatewayHarness,
+    RawCaller,
+    Received,
+    ScriptedTarget,
+    answer_bytes,
+    event_bytes,
+    event_chunk,
+    make_route,
+    request_bytes,
+    stream_head,
+)
+
+from jaylatch_core.deployment import RequestKind
+
+EVENT_COUNT = 6
+EVENTS_BEFORE_END = 3
+ERROR_BODY = b"no such stream"
+REASONS = {
+    302: "Found",
+    400: "Bad Request",
+    404: "Not Found",
+    409: "Conflict",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+}
+
+use_step_matcher("re")
+
+
+def chunk(data: bytes) -> bytes:
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def answer_of(fault: str, request: Received) -> tuple[bytes, bool]:
+    """Return the answer of the target that should continue a stream, and if it is kept open."""
+    _, status, *rest = fault.split(" ", 2)
+    match status, " ".join(rest):
+        case _, "without a body":
+            return answer_bytes(request, b"", f"{status} {REASONS[int(status)]}"), True
+        case _, "without a length and closes":
+            whole = answer_bytes(request, ERROR_BODY, f"{status} {REASONS[int(status)]}")
+            return whole.replace(b"Content-Length: %d\r\n" % len(ERROR_BODY), b""), False
+        case _, "in events":
+            head = stream_head(request).replace(b"200 OK", f"{status} Not Found".encode())
+            return head + event_chunk(EVENTS_BEFORE_END) + END_OF_STREAM, True
+        case _, "without its signature":
+            whole = answer_bytes(request, ERROR_BODY, f"{status} {REASONS[int(status)]}")
+            return whole.replace(b"X-Proof: proof\r\n", b""), True
+        case _, "and says that it did not run":
+            headers = {"X-Not-Run": "1"}
+            return answer_bytes(request, b"", f"{status} Unavailable", **headers), True
+        case _, "":
+            return answer_bytes(request, ERROR_BODY, f"{status} {REASONS[int(status)]}"), True
+    raise AssertionError(fault)
+
+
+async def send_rest(request: Received, writer: StreamWriter) -> bool:
+    writer.write(stream_head(request))
+    for number in range(int(request.headers.get("X-Last", "-1")) + 1, EVENT_COUNT):
+        writer.write(event_chunk(number))
+    writer.write(END_OF_STREAM)
+    return True
+
+
+async def send_part(request: Received, writer: StreamWriter, events: list[bytes]) -> bool:
+    """Send a part of a stream, and close the connection."""
+    writer.write(stream_head(request) + b"".join(map(chunk, events)))
+    await writer.drain()
+    await sleep(0.1)
+    return False
+
+
+@given(
+    r"a gateway with (?P<count>\d) targets, of which the first one ends after three events"
+    r" and the next one (?P<fault>.+)"
+)
+def step_next_target(context: Context, count: str, fault: str) -> None:
+    events = [event_bytes(number) for number in range(EVENTS_BEFORE_END)]
+    context.runner.run(start_gateway(context, int(count), events, fault))
+
+
+@given(r"a gateway with 2 targets, of which the first one (?P<fault>answers 404)")
+def step_first_target(context: Context, fault: str) -> None:
+    context.runner.run(start_gateway(context, 2, [], fault))
+
+
+async def start_gateway(context: Context, count: int, events: list[bytes], fault: str) -> None:
+    """Start a gateway: the first target sends ``events``, the next one has the ``fault``."""
+    context.first_events = b"".join(events)
+
+    async def script(request: Received, reader: StreamReader, writer: StreamWriter) -> bool:
+        sends = sum(len(item.received) for item in context.targets)
+        if sends == 1 and events:
+            return await send_part(request, writer, events)
+        if fault and sends == 1 + bool(events):
+            answer, is_kept = answer_of(fault, request)
+            writer.write(answer)
+            return is_kept
+        return await send_rest(request, writer)
+
+    context.targets = [ScriptedTarget(f"target-{number}", script) for number in range(count)]
+    for target in context.targets:
+        await target.start()
+    context.harness = GatewayHarness()
+    context.harness.start()
+    route = make_route(RequestKind.STREAM, attempts=count)
+    context.harness.grant([route], {RequestKind.STREAM: context.targets})
+
+
+@when(r"a streaming request is sent")
+def step_request(context: Context) -> None:
+    context.raw = context.runner.run(ask(context))
+
+
+async def ask(context: Context) -> bytes:
+    """Return all bytes that a caller gets until its connection ends."""
+    caller = await RawCaller.connect(context.harness.address)
+    context.writer = caller.writer
+    caller.writer.write(request_bytes("/stream/x", X_Model=MODEL, Connection="close"))
+    return await caller._reader.read()
+
+
+def parse_answer(context: Context) -> Answer:
+    """Return the one answer that a caller got."""
+    assert context.raw.count(b"HTTP/1.1") == 1, context.raw
+    return context.runner.run(read_answer(context))
+
+
+async def read_answer(context: Context) -> Answer:
+    reader = StreamReader()
+    reader.feed_data(context.raw)
+    reader.feed_eof()
+    return await RawCaller(reader, context.writer).read()
+
+
+@then(r"its caller gets the first three events and no end of the stream")
+def step_part(context: Context) -> None:
+    answer = parse_answer(context)
+    got = (answer.status, answer.body, answer.is_complete)
+    assert got == (200, context.first_events, False), context.raw
+
+
+@then(r"its caller gets 404 with the signature and the body of the target")
+def step_whole_error(context: Context) -> None:
+    answer = parse_answer(context)
+    got = (answer.status, answer.headers.get("X-Proof"), answer.body)
+    assert got == (404, "proof", ERROR_BODY), context.raw
