Never forward a target's error answer into a stream that has begun

Cause: once an attempt ended with a whole, signed answer that is no success, it was forwarded as it is, whatever the caller already had. Server errors and refusals took another way, and an unsigned answer counts as broken, so only other errors were written: 3xx, 4xx and 429 without a guarantee.

--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -375,7 +375,9 @@
             target.record_failure(now)
             return AttemptOutcome.BROKEN
         target.record_success()
-        if self._head.status >= SERVER_ERROR and self._route.may_repeat:
+        is_repeatable_error = self._head.status >= SERVER_ERROR and self._route.may_repeat
+        if is_repeatable_error or self._caller.has_started:
+            # A stream that has begun can only be continued, not followed by another answer.
             return AttemptOutcome.FAILED
         self._send_complete(self._head)
         return None
