--- a/features/gateway/error_in_stream.feature
+++ b/features/gateway/error_in_stream.feature
@@ -25,3 +25,20 @@
     Given a gateway with 2 targets, of which the first one answers 404
     When a streaming request is sent
     Then its caller gets 404 with the signature and the body of the target
+
+  # Guards against the same corruption by any other part of the gateway.
+  Scenario Outline: a caller that <has> is told to <write>
+    Given a caller that <has>
+    When it is told to <write>
+    Then that raises an error, and the connection carries nothing more
+
+    Examples:
+      | has                     | write                  |
+      | has begun a stream      | send a complete answer |
+      | has begun a stream      | start another stream   |
+      | has sent a whole answer | send a complete answer |
+      | has sent a whole answer | start another stream   |
+      | has sent a whole answer | send further events    |
+      | has sent a whole answer | end the stream         |
+      | has sent nothing        | send further events    |
+      | has sent nothing        | end the stream         |
--- a/features/steps/error_in_stream_steps.py
+++ b/features/steps/error_in_stream_steps.py
@@ -1,6 +1,6 @@
 """Steps on streams that are resumed at targets whose answers do not continue them."""
 
-from asyncio import StreamReader, StreamWriter, sleep
+from asyncio import StreamReader, StreamWriter, sleep, wait_for
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
@@ -19,12 +19,17 @@
     request_bytes,
     stream_head,
 )
+from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from jaylatch_core.deployment import RequestKind
+from jaylatch_core.deployment import ConnectionLimits, RequestKind
+from jaylatch_node.gateway.caller import AnswerOrderError, Caller
+from jaylatch_node.gateway.server import GatewayServer
+from jaylatch_standins.ports import free_addresses
 
 EVENT_COUNT = 6
 EVENTS_BEFORE_END = 3
 ERROR_BODY = b"no such stream"
+FIRST_PART = b"first part"
 REASONS = {
     302: "Found",
     400: "Bad Request",
@@ -156,3 +161,70 @@
     answer = parse_answer(context)
     got = (answer.status, answer.headers.get("X-Proof"), answer.body)
     assert got == (404, "proof", ERROR_BODY), context.raw
+
+
+# The caller's side
+
+
+@given(r"a caller that has (?P<state>begun a stream|sent a whole answer|sent nothing)")
+def step_caller(context: Context, state: str) -> None:
+    context.runner.run(start_caller(context, state))
+
+
+async def start_caller(context: Context, state: str) -> None:
+    async def handle(
+        start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, caller: Caller
+    ) -> None:
+        context.inner = caller
+        match state:
+            case "begun a stream":
+                caller.start_stream(200, "OK", HTTPHeaders(), FIRST_PART)
+            case "sent a whole answer":
+                caller.send_answer(200, "OK", HTTPHeaders(), FIRST_PART)
+
+    address = free_addresses(1)[0]
+    host, _, port = address.rpartition(":")
+    context.server = GatewayServer(handle, ConnectionLimits())
+    context.server.listen(int(port), host, backlog=10)
+    context.caller = await RawCaller.connect(address)
+    context.caller.writer.write(request_bytes("/x"))
+    if state == "sent nothing":
+        await sleep(0.1)
+    else:
+        await context.caller._reader.readuntil(FIRST_PART)
+
+
+@when(
+    r"it is told to (?P<write>send a complete answer|start another stream|send further events"
+    r"|end the stream)"
+)
+def step_write(context: Context, write: str) -> None:
+    context.runner.run(write_again(context, write))
+
+
+async def write_again(context: Context, write: str) -> None:
+    caller: Caller = context.inner
+    context.error = None
+    try:
+        match write:
+            case "send a complete answer":
+                caller.send_answer(404, "Not Found", HTTPHeaders(), ERROR_BODY)
+            case "start another stream":
+                caller.start_stream(404, "Not Found", HTTPHeaders(), ERROR_BODY)
+            case "send further events":
+                caller.send(event_bytes(0))
+            case "end the stream":
+                caller.finish()
+    except Exception as error:
+        context.error = error
+    try:
+        context.raw = await wait_for(context.caller._reader.read(1024), 0.1)
+    except TimeoutError:
+        context.raw = b""
+
+
+@then(r"that raises an error, and the connection carries nothing more")
+def step_carried(context: Context) -> None:
+    assert isinstance(context.error, AnswerOrderError), context.error
+    # A stream that has begun is in chunks: the line end closes its first one.
+    assert context.raw in (b"", b"\r\n"), context.raw
--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -2,6 +2,7 @@
 
 from asyncio import Future
 from collections.abc import Callable
+from enum import Enum
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -16,9 +17,25 @@
 """Bytes from which a body is written apart from its head, which would copy it."""
 
 
+class AnswerState(Enum):
+    """How much of its one answer a caller has been sent."""
+
+    NONE = "none"
+    BEGUN = "begun"
+    WHOLE = "whole"
+
+
+class AnswerOrderError(RuntimeError):
+    """A part of an answer was to be written where it would corrupt what the caller has."""
+
+    def __init__(self, expected: AnswerState, state: AnswerState) -> None:
+        super().__init__(f"the caller's answer is {state.value}, not {expected.value}")
+
+
 class Caller:
     """Writes one answer, complete or as a stream; writes nothing after a disconnect.
 
+    Each write raises AnswerOrderError if it does not fit what was written before.
     ``expects_body`` is False for a HEAD request, whose answer has no body.
     """
 
@@ -35,11 +52,20 @@
         self._on_drop = on_drop
         self._unsent: Holding | None = None
         self.expects_body = True
-        self.has_started = False
-        self.has_finished = False
+        self._state = AnswerState.NONE
         self.started_at = 0.0
         self.is_disconnected = False
 
+    @property
+    def has_started(self) -> bool:
+        """Return whether the caller has been sent a part of its answer, or all of it."""
+        return self._state is not AnswerState.NONE
+
+    @property
+    def has_finished(self) -> bool:
+        """Return whether the caller has been sent its whole answer."""
+        return self._state is AnswerState.WHOLE
+
     def send_answer(self, status: int, reason: str, headers: HTTPHeaders, body: bytes) -> None:
         """Send a complete answer."""
         if self.is_disconnected:
@@ -56,6 +82,7 @@
     def send(self, data: bytes) -> None:
         """Send further events."""
         if not self.is_disconnected:
+            self._require(AnswerState.BEGUN)
             self._ignore_disconnect(self._connection.write(data))
             self._hold_unsent()
 
@@ -66,6 +93,7 @@
     def finish(self) -> None:
         """End a stream that is complete."""
         if not self.is_disconnected:
+            self._require(AnswerState.BEGUN)
             self._finish()
 
     def abort(self) -> None:
@@ -92,9 +120,13 @@
         reset_on_close(self._connection.stream.socket)
         self._on_drop()
 
+    def _require(self, expected: AnswerState) -> None:
+        if self._state is not expected:
+            raise AnswerOrderError(expected, self._state)
+
     def _finish(self) -> None:
         self._connection.finish()
-        self.has_finished = True
+        self._state = AnswerState.WHOLE
         if self._unsent is not None:
             self._unsent.end()
 
@@ -104,7 +136,8 @@
         self._unsent.watch(self._connection.stream)
 
     def _start(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
-        self.has_started = True
+        self._require(AnswerState.NONE)
+        self._state = AnswerState.BEGUN
         self.started_at = monotonic()
         if self._must_close():
             headers["Connection"] = "close"
