Refuse odd entries among the heartbeats of servers with 400

Another writer may leave an entry that is deeply nested, has a number too large or a port out of range. Cause: the heartbeat's types had no bounds and only two kinds of errors were expected. A deep value (RecursionError) and an integer above 64 bits (which no message carries) ended the handling without any answer; impossible ports, starts far in the future and endless cold times were acknowledged and passed on to all that read the list, and a start in the future outdates the server's own heartbeats for good.

--- a/packages/core/src/jaylatch_core/control_peers.py
+++ b/packages/core/src/jaylatch_core/control_peers.py
@@ -20,11 +20,14 @@
 def is_address(value: str) -> bool:
     """Return whether ``value`` is an IP address and a port from 1 to 65535."""
     host, _, port = value.rpartition(":")
+    is_number = port.isascii() and port.isdigit() and len(port) <= len(str(MAX_PORT))
+    if not is_number or not 1 <= int(port) <= MAX_PORT:
+        return False
     try:
         ip_address(host)
-        return 1 <= int(port) <= MAX_PORT
     except ValueError:
         return False
+    return True
 
 
 def address_of(instance: InstanceId, known: Mapping[InstanceId, str]) -> str | None:
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -300,9 +300,10 @@
 
 
 class HeartbeatRefused(LogRecord, frozen=True, kw_only=True, tag="heartbeat refused"):
-    """A heartbeat or another message of a target was invalid."""
+    """A heartbeat of a target was invalid; ``target`` is the id that it names."""
 
     reason: str
+    target: str = ""
 
 
 class EventRecorded(LogRecord, frozen=True, kw_only=True, tag="event"):
