--- a/features/administration/api.feature
+++ b/features/administration/api.feature
@@ -13,6 +13,8 @@
       | admin      | PUT configuration                | abc        |                                                  | 422    | CommandRefused     |
       | admin      | PUT configuration                | -1         |                                                  | 422    | CommandRefused     |
       | admin      | PUT configuration                |            |                                                  | 422    | CommandRefused     |
+      | admin      | PUT configuration                | 99999999999999999999 |                                        | 422    | CommandRefused     |
+      | admin      | PUT configuration                | 1          | drafts = 99999999999999999999                    | 422    | ConfigurationInvalid |
       | admin      | PUT configuration                | 99         |                                                  | 409    | GenerationConflict |
       | admin      | PUT configuration                | 1          | models = 3                                       | 422    | ConfigurationInvalid |
       | admin      | PUT configuration                | 1          | \xff\xfe                                         | 422    | ConfigurationInvalid |
--- a/features/bad_input/bad_input.feature
+++ b/features/bad_input/bad_input.feature
@@ -7,6 +7,7 @@
       | a body that is not JSON        | 400    | request_invalid | not_run |
       | a body that is not UTF-8       | 400    | request_invalid | not_run |
       | a body of the wrong shape      | 400    | request_invalid | not_run |
+      | a deeply nested body           | 400    | request_invalid | not_run |
       | an excessive max_tokens        | 400    | request_invalid | not_run |
       | a negative max_tokens          | 400    | request_invalid | not_run |
       | an unknown model               | 404    | not_found       | not_run |
--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -17,6 +17,7 @@
       | entry.body_limit = 4                   | documents.E003 | entry.body_limit       |
       | roles = ["controller"]                 | documents.E003 | roles                  |
       | entry = 8080                           | documents.E003 | entry                  |
+      | control.answer_retention = 99999999999999999999 | documents.E003 | control.answer_retention |
       | control.peers = [{instance = "c-1"}]   | documents.E004 | control.peers[0].address |
 
     Examples: combinations
@@ -61,6 +62,11 @@
     Then there are 3 findings, each with a hint
     And the daemon refuses the same file with exit code 2 and all 3 findings
 
+  Scenario: a document that is nested too deeply
+    Given a settings file that nests 10000 lists
+    When the settings are checked
+    Then there is exactly one finding, documents.E001 on document
+
   Scenario: a syntax error names its line
     Given a settings file with lease.duration = 4; lease.renew_interval = = 3
     When the settings are checked
--- a/features/steps/bad_input_steps.py
+++ b/features/steps/bad_input_steps.py
@@ -43,6 +43,12 @@
     "a body that is not JSON": ("POST", COMPLETIONS, b"{{{", {}),
     "a body that is not UTF-8": ("POST", COMPLETIONS, b'{"model": "\xff\xfe"}', {}),
     "a body of the wrong shape": ("POST", COMPLETIONS, b'{"model": 7}', {}),
+    "a deeply nested body": (
+        "POST",
+        COMPLETIONS,
+        b'{"model": "assistant", "other": ' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        {},
+    ),
     "an excessive max_tokens": ("POST", COMPLETIONS, COMPLETION_BODY % b"999999999999", {}),
     "a negative max_tokens": ("POST", COMPLETIONS, COMPLETION_BODY % b"-1", {}),
     "an unknown model": ("POST", COMPLETIONS, b'{"model": "other"}', {}),
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -29,6 +29,12 @@
     context.document.write_text("\n".join(lines.split(SEPARATOR)) + "\n")
 
 
+@given("a settings file that nests {depth:d} lists")
+def step_nested_settings(context: Context, depth: int) -> None:
+    context.document = context.folder / "node.toml"
+    context.document.write_text(f"roles = {'[' * depth}{']' * depth}\n")
+
+
 @given("a configuration document with {lines}")
 def step_configuration_document(context: Context, lines: str) -> None:
     context.document = context.folder / "configuration.toml"
--- a/packages/core/src/jaylatch_core/documents.py
+++ b/packages/core/src/jaylatch_core/documents.py
@@ -12,6 +12,7 @@
 from returns.result import Result, Success
 
 from jaylatch_core.findings import CheckMessage, error
+from jaylatch_core.json_documents import MAX_INTEGER
 
 SYNTAX = "documents.E001"
 UNKNOWN_KEY = "documents.E002"
@@ -28,7 +29,7 @@
     """Return the document as a ``structure``, or all its faults."""
     try:
         table = tomllib.loads(document.decode())
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as fault:
         hint = "correct the TOML syntax there; faults after it are not reported yet"
         return Err((error(SYNTAX, WHOLE_DOCUMENT, f"the document is not TOML: {fault}", hint),))
     faults = tuple(_find_faults(table, structure, ""))
@@ -63,6 +64,9 @@
                 for number, item in enumerate(value)
                 for fault in _find_value_faults(item, structure, f"{path}[{number}]")
             ]
+    if isinstance(value, int) and not -MAX_INTEGER <= value <= MAX_INTEGER:
+        text = f"the value is {value}"
+        return [error(WRONG_VALUE, path, text, f"give a number up to {MAX_INTEGER}")]
     try:
         msgspec.convert(value, kind)
     except msgspec.ValidationError as fault:
--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -11,6 +11,7 @@
 
 from jaylatch_core.exceptions import TargetFailed
 from jaylatch_core.ids import AttemptId, Epoch, GroupId
+from jaylatch_core.json_documents import decode_json
 from jaylatch_core.messages.membership import Assignment
 from jaylatch_core.messages.requests import ModelWork
 
@@ -39,6 +40,9 @@
     is_busy: bool
 
 
+_state_decoder = msgspec.json.Decoder(EngineState)
+
+
 class _Order(msgspec.Struct):
     order: str
     group: GroupId
@@ -84,7 +88,7 @@
                     request_timeout=STATE_TIMEOUT,
                 )
             )
-            return Success(msgspec.json.decode(response.body, type=EngineState))
+            return Success(decode_json(_state_decoder, response.body))
         except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
             return Err(
                 TargetFailed(f"the engine's state could not be read: {error}", has_run=False)
--- a/packages/node/src/jaylatch_node/entry/administration.py
+++ b/packages/node/src/jaylatch_node/entry/administration.py
@@ -20,6 +20,7 @@
     Unavailable,
 )
 from jaylatch_core.ids import CommandId, Generation
+from jaylatch_core.json_documents import MAX_INTEGER, decode_json
 from jaylatch_core.messages.administration import ReadStatus, StatusReport
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.settings import NodeSettings, OperatorSettings
@@ -97,7 +98,8 @@
     def expected_generation(self) -> Result[Generation, CommandRefused]:
         """Return the configuration generation that the change is based on, from its header."""
         text = self.request.headers.get(GENERATION_HEADER, "")
-        if not (text.isascii() and text.isdigit()):
+        is_number = text.isascii() and text.isdigit() and len(text) <= len(str(MAX_INTEGER))
+        if not is_number or int(text) > MAX_INTEGER:
             detail = (
                 f"{GENERATION_HEADER} is {text!r}; send the generation that the change is based on"
             )
@@ -107,8 +109,8 @@
     def parse_body(self, kind: type[T]) -> Result[T, CommandRefused]:
         """Parse the JSON body as ``kind``."""
         try:
-            return Success(msgspec.json.decode(self.request.body, type=kind))
-        except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+            return Success(decode_json(msgspec.json.Decoder(kind), self.request.body))
+        except msgspec.DecodeError as error:
             return Err(CommandRefused(f"the body is not valid for {self.request.path}: {error}"))
 
     async def call(self, body: Body) -> Body:
--- a/packages/node/src/jaylatch_node/entry/completions.py
+++ b/packages/node/src/jaylatch_node/entry/completions.py
@@ -14,6 +14,7 @@
 from jaylatch_core.enums import Outcome
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import RequestRefused
+from jaylatch_core.json_documents import decode_json
 from jaylatch_core.messages.requests import AttemptChunk, AttemptEnd, ModelWork
 from jaylatch_node.deadlines import loop_time
 from jaylatch_node.entry.base import (
@@ -44,6 +45,9 @@
     seed: int = 0
 
 
+_body_decoder = msgspec.json.Decoder(_CompletionBody)
+
+
 class CompletionHandler(CallerHandler):
     """``POST /v1/completions``."""
 
@@ -65,8 +69,8 @@
 
     def _parse(self) -> Result[_CompletionBody, RequestRefused]:
         try:
-            body = msgspec.json.decode(self._body, type=_CompletionBody)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            body = decode_json(_body_decoder, self._body)
+        except msgspec.DecodeError as error:
             return Err(bad_request(f"the body is not a completion request: {error}"))
         if self._services.board.grant.configuration.model(body.model) is None:
             return Err(not_found(f"model {body.model!r} is not configured; see /v1/models"))
