Connect to no address that is none, and let the target pass for lost

A view that an older process gives, or any other list, may name a target with an impossible port. Connecting raised an error that nobody expected: each request that was placed there was answered 502, as if it might have run, no failure of the target was counted, and it stayed the least loaded one; a host name was looked up on the event loop.

--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -9,6 +9,7 @@
 from tornado.iostream import IOStream, StreamClosedError
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.control_peers import is_address
 from jaylatch_core.events import EventLog
 from jaylatch_core.exceptions import StreamClosed
 from jaylatch_core.messages.frames import Body
@@ -108,6 +109,8 @@
             await sleep(RECONNECT_DELAY)
 
     async def _connect(self) -> IOStream | None:
+        if not is_address(self._address):
+            return None
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         stream = IOStream(raw, max_buffer_size=IO_BUFFER_SIZE)
         try:
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -20,6 +20,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
+from jaylatch_core.control_peers import is_address
 from jaylatch_core.settings import split_address
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_node.deadlines import time_limit
@@ -133,7 +134,12 @@
 
     @classmethod
     async def connect(cls, address: str, timeout: float) -> "TargetConnection | None":
-        """Return a new connection, or None if there is none within ``timeout`` seconds."""
+        """Return a new connection, or None if there is none within ``timeout`` seconds.
+
+        A host name is no address: looking it up would block the event loop.
+        """
+        if not is_address(address):
+            return None
         raw = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         bound_buffers(raw, socket.SO_SNDBUF, socket.SO_RCVBUF)
         stream = TargetStream(raw, max_buffer_size=BODY_LIMIT)
