Keep following control and peers after an unexpected error

The loops that renew a lease and that reconnect to a peer ended for good at the first error of whatever they called, and the process went on without following the list of targets until it was restarted; a connection whose handler failed was left open to its peer, and those who wait for its end were not told. The loops log the error and go on. features/process_faults/following.feature: 5 of 7 scenarios failed before, all pass.

--- a/packages/node/src/jaylatch_node/leases/controller.py
+++ b/packages/node/src/jaylatch_node/leases/controller.py
@@ -71,7 +71,12 @@
         while True:
             self._wake.clear()
             self._record_lapse()
-            has_changed = await self._renew()
+            try:
+                has_changed = await self._renew()
+            except Exception:
+                # Without further renewals the process would follow nothing until it is restarted.
+                _log.exception("unexpected error in the renewal of the lease")
+                has_changed = False
             if has_changed:
                 # Acknowledges the new generations without waiting for the next interval.
                 continue
--- a/packages/node/src/jaylatch_node/streams/peers.py
+++ b/packages/node/src/jaylatch_node/streams/peers.py
@@ -1,5 +1,6 @@
 """Connecting side of the streams: one persistent connection to each address."""
 
+import logging
 import socket
 from asyncio import Event, Task, create_task, sleep
 from collections.abc import Callable
@@ -25,6 +26,8 @@
 IO_BUFFER_SIZE = 64 * 1024 * 1024
 """Limit in bytes of a connection's read buffer."""
 
+_log = logging.getLogger("jaylatch.streams")
+
 PeerHandler = Callable[["Peer"], None]
 
 
@@ -103,9 +106,13 @@
 
     async def _run(self) -> None:
         while True:
-            stream = await self._connect()
-            if stream is not None:
-                await self._serve(stream)
+            try:
+                stream = await self._connect()
+                if stream is not None:
+                    await self._serve(stream)
+            except Exception:
+                # The peer must be reached again, whatever one of its messages has caused.
+                _log.exception("unexpected error on the connection to %s", self._address)
             await sleep(RECONNECT_DELAY)
 
     async def _connect(self) -> IOStream | None:
@@ -128,13 +135,16 @@
         self._connection = connection
         self._connected_at = monotonic()
         self._is_connected.set()
-        for handler in self._connect_handlers:
-            handler(self)
-        await connection.run()
-        self._connection = None
-        self._is_connected.clear()
-        for handler in self._disconnect_handlers:
-            handler(self)
+        try:
+            for handler in self._connect_handlers:
+                handler(self)
+            await connection.run()
+        finally:
+            connection.close()
+            self._connection = None
+            self._is_connected.clear()
+            for handler in self._disconnect_handlers:
+                handler(self)
 
 
 class PeerPool:
--- a/packages/node/src/jaylatch_node/streams/server.py
+++ b/packages/node/src/jaylatch_node/streams/server.py
@@ -34,8 +34,11 @@
     async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
         """Serve one accepted stream until it closes."""
         connection = StreamConnection(stream, self._events, self._traffic, self._handler)
-        for handler in self._open_handlers:
-            handler(connection)
-        await connection.run()
-        for handler in self._close_handlers:
-            handler(connection)
+        try:
+            for handler in self._open_handlers:
+                handler(connection)
+            await connection.run()
+        finally:
+            connection.close()
+            for handler in self._close_handlers:
+                handler(connection)
