--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -410,6 +410,17 @@
     assert context.splitter.has_partial == (left == "yes")
 
 
+@when(r"an event with an id of (?P<digits>\d+) digits arrives")
+def step_long_id(context: Context, digits: str) -> None:
+    context.event = b"id: " + b"9" * int(digits) + b"\ndata: text\n\n"
+    context.passed = context.splitter.feed(context.event)
+
+
+@then(r"it is passed on unchanged")
+def step_passed_unchanged(context: Context) -> None:
+    assert context.passed == context.event, context.passed
+
+
 @when(r"an event of (?P<size>\d+) KiB arrives in pieces of (?P<piece>\d+) KiB")
 def step_large_event(context: Context, size: str, piece: str) -> None:
     for _ in range(int(size) // int(piece)):
--- a/features/targets/streams.feature
+++ b/features/targets/streams.feature
@@ -17,6 +17,12 @@
       | an event is missing                             | -1   | 0+2+3       | 0      | no   |
       | a new target after a gap                        | -1   | 0+2 \| 1+2  | 0 1 2  | no   |
 
+  # Guards against an error in the reading of an answer, which its caller then does not get.
+  Scenario: an event whose id is a number of 5000 digits is passed on
+    Given a caller that has the events up to -1
+    When an event with an id of 5000 digits arrives
+    Then it is passed on unchanged
+
   Scenario Outline: an event of <size> KiB that arrives in pieces of 16 KiB
     Given a caller that has the events up to -1
     When an event of <size> KiB arrives in pieces of 16 KiB
--- a/packages/decisions/src/jaylatch_decisions/events/splitter.py
+++ b/packages/decisions/src/jaylatch_decisions/events/splitter.py
@@ -8,6 +8,8 @@
 
 MAX_EVENT_SIZE = 256 * KIBIBYTE
 """Bytes without the end of an event after which a stream is given up: events hold a few tokens."""
+MAX_ID_DIGITS = 18
+"""Digits of an event's id that is read as a number: any such number fits into a message."""
 END_OF_EVENT = b"\n\n"
 ID_FIELD = b"id:"
 
@@ -88,5 +90,5 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             value = line[len(ID_FIELD) :].strip()
-            return int(value) if value.isdigit() else None
+            return int(value) if value.isdigit() and len(value) <= MAX_ID_DIGITS else None
     return None
