--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -76,10 +76,11 @@
 
 
 def parse_heartbeat(text: str) -> TargetCheckIn:
+    text, _, service = text.partition("@")
     name, address, incarnation, sequence = text.rstrip("d").split(":")
     return TargetCheckIn(
         InstanceId(name),
-        "service",
+        service or "service",
         f"10.0.0.{address}:80",
         DOMAIN,
         DOMAIN,
@@ -92,6 +93,7 @@
 @given(r'a registry that has received "(?P<messages>[^"]*)", one message a second')
 def step_registry(context: Context, messages: str) -> None:
     context.registry = TargetRegistry(HEARTBEAT_TIMEOUT_SECONDS, started_at=0.0)
+    context.registry.use_services(frozenset({"service", "other"}))
     context.now = 0.0
     for message in messages.split():
         context.now += 1.0
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -26,6 +26,17 @@
       | a new incarnation after a departure                   | a:1:10:1 -a a:1:20:1       | 0       | a      |          |
       | a departure of an unknown target                      | -a a:1:10:1                | 0       | a      |          |
 
+    # Guards against entries that take the place of a sound target for as long as it lives.
+    Examples: another writer uses the id or the address of a target ("@x": of a service that does not exist)
+      | case                                                  | messages                             | seconds | usable | draining |
+      | under its id, of no service                           | a:1:10:1 a:1:10:2@x                  | 0       | a      |          |
+      | under its id, of no service, at another address       | a:1:10:1 a:9:99:1@x a:1:10:2 a:1:10:3 | 2       | a      |          |
+      | under its id, of another service                      | a:1:10:1 a:1:10:2@other a:1:10:3     | 2       | a      |          |
+      | under its id, with a sequence far ahead               | a:1:10:1 a:1:10:9000000000000d a:1:10:2 | 2       | a      |          |
+      | at its address, of no service                         | a:1:10:1 b:1:99:1@x a:1:10:2         | 2       | a      |          |
+      | under its id, of no service, after it is lost         | a:1:10:1 b:2:10:1 b:2:10:2 b:2:10:3 a:1:20:1@x | 0 | a b |        |
+      | a new life of another service                         | a:1:10:1 a:1:20:1@other              | 0       | a      |          |
+
   Scenario Outline: of a heartbeat that <case> it <says> that routes may change
     Given a registry that has received "a:1:10:1 b:2:20:1", one message a second
     Then before "<heartbeat>" after <seconds> s more it <says> that routes may change
--- a/packages/core/src/jaylatch_core/deployment.py
+++ b/packages/core/src/jaylatch_core/deployment.py
@@ -162,6 +162,11 @@
     limits: ConnectionLimits = ConnectionLimits()
     accounts: tuple[AccountProfile, ...] = ()
 
+    @property
+    def service_names(self) -> frozenset[str]:
+        """Return the names of all services."""
+        return frozenset(item.name for item in self.services)
+
     def service(self, name: str) -> ServiceProfile | None:
         """Return the service called ``name``, or None."""
         return next((item for item in self.services if item.name == name), None)
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -2,8 +2,9 @@
 
 Faults covered: a heartbeat that a partition delayed until its sender had crashed, an address that
 another target has taken over, an id that is used again after a restart, a target whose heartbeats
-stop, a sound target that is silent for a moment, and an older heartbeat that arrives after a
-departure. Times are seconds of the monotonic clock.
+stop, a sound target that is silent for a moment, an older heartbeat that arrives after a departure,
+and entries of another writer under the id or the address of a target. Times are seconds of the
+monotonic clock.
 """
 
 from dataclasses import dataclass
@@ -18,6 +19,8 @@
 DEPARTURE_GRACE_PERIOD = 8.0
 """Seconds for which a target that departs without draining may finish its work: it serves for at
 least 2 s and, as a member, until the head of its group has no work left, at most 10 s."""
+MAX_SEQUENCE_STEP = 10_000_000
+"""Most heartbeats of one incarnation that may be missed between two that arrive."""
 SILENCE_LIMIT = 1.2
 """Seconds after the first probe that a target accepts without an answer until one shows its loss. A
 sound target may be silent for a second or so; it is probed only after a part of that, so it answers
@@ -84,6 +87,7 @@
         self._holders: dict[str, InstanceId] = {}
         self._revision = 0
         self._departed: dict[InstanceId, int] = {}
+        self._services: frozenset[str] = frozenset()
 
     @property
     def complete_at(self) -> float:
@@ -95,6 +99,10 @@
         """Return a number that changes with each change of the records."""
         return self._revision
 
+    def use_services(self, services: frozenset[str]) -> None:
+        """Use ``services`` as all that exist; none are known before the first deployment."""
+        self._services = services
+
     def record(self, instance: InstanceId) -> TargetRecord | None:
         """Return the record of ``instance``, or None."""
         return self._records.get(instance)
@@ -116,7 +124,7 @@
 
     def record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> bool:
         """Record a heartbeat; returns False if a newer incarnation or heartbeat is known."""
-        if self._is_obsolete(heartbeat):
+        if self._is_obsolete(heartbeat) or self._is_foreign(now, heartbeat):
             return False
         known = self._records.get(heartbeat.instance)
         is_same_incarnation = known is not None and known.heartbeat.born_at == heartbeat.born_at
@@ -243,6 +251,24 @@
             if now >= record.last_contact_at + retention:
                 self._forget(instance)
 
+    def _is_foreign(self, now: float, heartbeat: TargetCheckIn) -> bool:
+        """Return whether another writer uses the id or the address of a target that is usable.
+
+        A target belongs to one service for its whole life and counts its heartbeats one by one. An
+        entry of a service that does not exist names no target, so it can't replace one.
+        """
+        known = self._records.get(heartbeat.instance)
+        holders = (heartbeat.instance, self._holders.get(heartbeat.address))
+        replaces_usable = any(item and self.is_usable(now, item) for item in holders)
+        if self._services and heartbeat.service not in self._services and replaces_usable:
+            return True
+        if known is None or not heartbeat.born_at or heartbeat.born_at != known.heartbeat.born_at:
+            return False
+        return (
+            heartbeat.service != known.heartbeat.service
+            or heartbeat.sequence > known.heartbeat.sequence + MAX_SEQUENCE_STEP
+        )
+
     def _is_obsolete(self, heartbeat: TargetCheckIn) -> bool:
         if self._departed.get(heartbeat.instance, -1) >= heartbeat.born_at:
             return True
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -333,6 +333,7 @@
                 log_record(_log, TargetStateChanged(target=body.instance, state="departed"))
 
     def _record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> None:
+        self._registry.use_services(self._state.deployment.service_names)
         is_new = self._registry.record(heartbeat.instance) is None
         if self._registry.record_heartbeat(now, heartbeat) and (is_new or heartbeat.is_draining):
             _log_target("draining" if heartbeat.is_draining else "ready", heartbeat)
