Take no answer that names no request for the one that waits on a kept connection

Cause: an answer was skipped only if it named another request; a refusal or an answer without an id, written once more on a kept connection, was taken for the next one. Such an answer is now believed only on a new connection. A one-time request waits for another answer, as the refusal may be an earlier one; what may be repeated goes on elsewhere at once.

--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -56,6 +56,8 @@
 """Seconds between two checks whether there is memory."""
 NO_MEMORY = "memory"
 """Why a target was abandoned whose answer, or whose unread request, there is no memory for."""
+UNIDENTIFIED = "unidentified answer"
+"""Why a target was abandoned that answered without naming the request on a kept connection."""
 
 _log = logging.getLogger("jaylatch.request")
 
@@ -235,8 +237,12 @@
     def _take_head(self, head: ResponseHead) -> bool:
         """Handle a response head; return False if it answers another request."""
         facts = self._dialect.read_response(head)
-        if facts.attempt is not None and facts.attempt != self._request.attempt:
+        if not self._is_own_answer(facts):
             self._log_skipped(head, facts)
+            if facts.attempt is None and self._route.may_repeat:
+                # If it is the answer after all, no other one comes.
+                self.mark_abandoned(UNIDENTIFIED)
+                self._close_connection()
             return False
         if self._target is not None and not facts.is_misdirected:
             self._record_conditions(self._target.instance, self._request.attempt, facts)
@@ -247,6 +253,15 @@
         self._is_stream = self._route.kind is RequestKind.STREAM and is_success
         return True
 
+    def _is_own_answer(self, facts: ResponseFacts) -> bool:
+        """Return whether an answer is to the request that waits for it.
+
+        Only on a new connection can an answer that names no request be to no other one.
+        """
+        if facts.attempt is not None:
+            return facts.attempt == self._request.attempt
+        return self._connection is not None and not self._connection.has_answered
+
     def _log_skipped(self, head: ResponseHead, facts: ResponseFacts) -> None:
         log_record(
             _log,
@@ -272,8 +287,7 @@
         events = self._splitter.feed(data)
         if self._splitter.is_broken:
             self._is_broken = True
-            if self._connection is not None:
-                self._connection.close()
+            self._close_connection()
         if not events:
             # Part of an event is no progress: a stalled target may send a byte now and then.
             return None
@@ -332,6 +346,9 @@
         self.mark_abandoned(NO_MEMORY)
         self._body = []
         self.release()
+        self._close_connection()
+
+    def _close_connection(self) -> None:
         if self._connection is not None:
             self._connection.close()
 
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -129,6 +129,7 @@
         self._was_closed_here = False
         self._writer: Task[None] | None = None
         self._unwritten = 0
+        self._has_answered = False
         self.idle_since = 0.0
         self.usable_until = float("inf")
 
@@ -165,6 +166,11 @@
         """Return the bytes of the request that wait until the target has read earlier ones."""
         return self._unwritten
 
+    @property
+    def has_answered(self) -> bool:
+        """Return whether an answer has arrived before the one that is read now."""
+        return self._has_answered
+
     @property
     def is_reusable(self) -> bool:
         """Return whether the connection is open and has no unexpected bytes in its buffer."""
@@ -216,6 +222,7 @@
             for _ in range(STALE_ANSWERS_LIMIT):
                 exchange = Exchange(on_head, on_data, self._end_writing)
                 await self._read(connection, exchange)
+                self._has_answered = True
                 if not exchange.is_skipped:
                     return self._classify(exchange)
                 if self._stream.closed():
