Send a request to the same target again on a new connection only

A target that is listed anew may get a request that it refused before. Its earlier refusal, written once more on the kept connection, then names just this request, and the caller was told "not run" of what was running. A second send of a request to an address now opens a connection, on which no earlier answer can arrive. features/gateway/repeated_refusal.feature: 1 of 2 new scenarios failed before, both pass.

--- a/features/gateway/repeated_refusal.feature
+++ b/features/gateway/repeated_refusal.feature
@@ -27,6 +27,17 @@
     When a request is refused, and a idempotent request is sent on the kept connection
     Then its caller gets the complete answer, and the target ran it once
 
+  # The target has a new epoch, so the same request may be sent to it again.
+  Scenario Outline: a target refuses a <kind> request, is listed anew, and repeats the refusal with its id
+    Given a gateway with a target that refuses a <kind> request and repeats that to its next send
+    When the <kind> request is sent, and the target is listed anew once it has refused
+    Then its caller gets the complete answer, and the target ran it once
+
+    Examples:
+      | kind   |
+      | once   |
+      | stream |
+
   Scenario Outline: a refusal without an id on a new connection
     Given a gateway with a target that refuses each request without an id
     When a <kind> request is sent on a new connection
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -106,6 +106,7 @@
         self._target: TargetLoad | None = None
         self._held_answer: Holding | None = None
         self._is_paused = False
+        self._sent_to: set[str] = set()
 
     @property
     def last_event(self) -> int:
@@ -163,7 +164,7 @@
         self._reset()
         self._target = target
         now = monotonic()
-        connection = self._pool.take(now, address) or await self._pool.connect(address)
+        connection = await self._open(now, address)
         if connection is None:
             target.record_failure(monotonic())
             self._suspect(SuspectTarget(target.instance))
@@ -208,6 +209,17 @@
                 watchdog.cancel()
         return self._classify(address, connection, target, failure)
 
+    async def _open(self, now: float, address: str) -> TargetConnection | None:
+        """Return a connection to the target, or None if there is none.
+
+        A target that refused this request before may write that refusal once more on a connection
+        that it keeps, where it can't be told from the answer to a later send.
+        """
+        is_repeated = address in self._sent_to
+        kept = None if is_repeated else self._pool.take(now, address)
+        self._sent_to.add(address)
+        return kept or await self._pool.connect(address)
+
     def forward_failure(self) -> bool:
         """Forward a target's complete error answer unchanged; return False if there is none."""
         if self._caller.has_started or self._head is None or self._is_stream:
