Use no kept connection on which something has arrived, read or not

The pool looked only at what the loop had read: an earlier answer, the end or a reset that had arrived since stayed unseen until a request was sent on it, which then failed or got the wrong answer. The pool now looks into the socket as well. features/gateway/repeated_refusal.feature: 3 of 4 new scenarios failed before, all pass; features/gateway: 261 passed.

--- a/features/gateway/repeated_refusal.feature
+++ b/features/gateway/repeated_refusal.feature
@@ -48,3 +48,15 @@
       | once       |
       | idempotent |
       | stream     |
+
+  Scenario Outline: <what> on an idle connection before the loop reads again
+    Given a pool with an idle connection to a target
+    When <what> on it, and a connection is taken before the loop reads again
+    Then <taken> is taken
+
+    Examples: nothing of a request has been sent yet
+      | what                      | taken          |
+      | nothing arrives           | the connection |
+      | an earlier answer arrives | no connection  |
+      | the end arrives           | no connection  |
+      | a reset arrives           | no connection  |
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -74,12 +74,20 @@
 
 
 class TargetStream(IOStream):
-    """A stream that exposes whether it has buffered bytes that were not consumed."""
+    """A stream that exposes whether something has arrived that was not consumed."""
 
     @property
     def has_unread(self) -> bool:
-        """Return whether the buffer holds received bytes."""
-        return self._read_buffer_size > 0
+        """Return whether bytes, or the end, have arrived in the buffer or are yet to be read."""
+        if self._read_buffer_size > 0:
+            return True
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
 
 
 class Exchange(HTTPMessageDelegate):
@@ -173,7 +181,7 @@
 
     @property
     def is_reusable(self) -> bool:
-        """Return whether the connection is open and has no unexpected bytes in its buffer."""
+        """Return whether the connection is open and nothing unexpected has arrived on it."""
         return not self._stream.closed() and not self._stream.has_unread
 
     def close(self) -> None:
