Believe no answer of a target that another request may have caused

The same cause in three more clients of targets, which match answers by their place on a kept connection alone: calls of plain services that may be repeated, the reading of an engine's state, and orders, where one repeated answer that a newer leader has sent orders ended those of the present leader for good.

--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -14,6 +14,7 @@
 from jaylatch_core.json_documents import decode_json
 from jaylatch_core.messages.membership import Assignment
 from jaylatch_core.messages.requests import ModelWork
+from jaylatch_node.adapters.connections import use_new_connection
 
 CONNECT_TIMEOUT = 0.5
 """Seconds to connect to the engine."""
@@ -86,6 +87,7 @@
                     f"http://{self._address}/state",
                     connect_timeout=CONNECT_TIMEOUT,
                     request_timeout=STATE_TIMEOUT,
+                    prepare_curl_callback=use_new_connection,
                 )
             )
             return Success(decode_json(_state_decoder, response.body))
@@ -134,7 +136,7 @@
                     connect_timeout=CONNECT_TIMEOUT,
                     request_timeout=budget,
                     streaming_callback=reader.feed,
-                    prepare_curl_callback=_use_fresh_connection,
+                    prepare_curl_callback=use_new_connection,
                 )
             )
         except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
@@ -165,6 +167,7 @@
                     body=body,
                     connect_timeout=CONNECT_TIMEOUT,
                     request_timeout=timeout,
+                    prepare_curl_callback=use_new_connection,
                 )
             )
             return Success(None)
@@ -172,11 +175,6 @@
             return Err(TargetFailed(f"request {path} to the engine failed: {error}", has_run=True))
 
 
-def _use_fresh_connection(curl: pycurl.Curl) -> None:
-    """Prevent curl from resending the request when a reused connection has closed."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-
-
 def _has_connected(error: Exception) -> bool:
     """Return False if the engine cannot have received the request."""
     return not (isinstance(error, CurlError) and error.errno == pycurl.E_COULDNT_CONNECT)
--- a/packages/node/src/jaylatch_node/adapters/service.py
+++ b/packages/node/src/jaylatch_node/adapters/service.py
@@ -10,6 +10,7 @@
 from jaylatch_core.exceptions import TargetFailed
 from jaylatch_core.ids import AttemptId
 from jaylatch_core.messages.requests import ServiceWork
+from jaylatch_node.adapters.connections import use_new_connection
 
 CONNECT_TIMEOUT = 0.5
 """Seconds to connect to the service."""
@@ -86,10 +87,7 @@
 
         def prepare(curl: pycurl.Curl) -> None:
             curl.setopt(pycurl.MAXFILESIZE, answer_limit)
-            # libcurl resends a request if a reused connection closes without a response. Only a
-            # new connection prevents that.
-            curl.setopt(pycurl.FRESH_CONNECT, has_body)
-            curl.setopt(pycurl.FORBID_REUSE, has_body)
+            use_new_connection(curl)
 
         return HTTPRequest(
             f"http://{self._address}{work.path}",
--- a/packages/node/src/jaylatch_node/targets/orders.py
+++ b/packages/node/src/jaylatch_node/targets/orders.py
@@ -24,10 +24,22 @@
         self._pool = TargetPool()
 
     async def send(self, record: TargetRecord, order: EngineOrder, fence: int) -> OrderOutcome:
-        """Send ``order``; return the engine's outcome, UNKNOWN if it did not answer."""
+        """Send ``order``; return the engine's outcome, UNKNOWN if it did not answer.
+
+        An answer does not name its order. That a newer leader has sent orders ends those of this
+        one for good, so it is believed only on a new connection; an order may be repeated.
+        """
+        outcome = await self._send(record, order, fence, may_reuse=True)
+        if outcome is OrderOutcome.FENCED:
+            outcome = await self._send(record, order, fence, may_reuse=False)
+        return outcome
+
+    async def _send(
+        self, record: TargetRecord, order: EngineOrder, fence: int, *, may_reuse: bool
+    ) -> OrderOutcome:
         heartbeat = record.heartbeat
         request = self._dialect.write_order(order, heartbeat.instance, fence)
-        answer = await self._exchange(heartbeat.address, request, ORDER_TIMEOUT)
+        answer = await self._exchange(heartbeat.address, request, ORDER_TIMEOUT, may_reuse)
         if isinstance(answer, ProbeOutcome):
             return OrderOutcome.UNKNOWN
         return self._dialect.read_order_outcome(answer)
