Pass on only what continues a stream that has begun

A begun stream that broke off was continued with whatever the next target answered under a success: a JSON document or an error event without an id in the middle of the stream, and an empty or missing body ended it as if it were complete. A stream whose events have no ids was begun anew behind them. The next answer must have the status and media type of the first and go on with an event that has an id; one without an id at the end is no place to go on from, so such a stream is cut.

--- a/features/steps/error_in_stream_steps.py
+++ b/features/steps/error_in_stream_steps.py
@@ -30,6 +30,8 @@
 EVENTS_BEFORE_END = 3
 ERROR_BODY = b"no such stream"
 FIRST_PART = b"first part"
+ERROR_EVENT = b'event: error\ndata: {"error": "lost"}\n\n'
+COMMENT = b": wait\n\n"
 REASONS = {
     302: "Found",
     400: "Bad Request",
@@ -49,8 +51,28 @@
 
 def answer_of(fault: str, request: Received) -> tuple[bytes, bool]:
     """Return the answer of the target that should continue a stream, and if it is kept open."""
+    unframed_head = stream_head(request).replace(b"Transfer-Encoding: chunked\r\n", b"")
     _, status, *rest = fault.split(" ", 2)
     match status, " ".join(rest):
+        case "204", "":
+            head = answer_bytes(request, b"", "204 No Content")
+            return head.replace(b"Content-Length: 0\r\n", b""), True
+        case "200", "without a body":
+            return answer_bytes(request, b""), True
+        case "200", "with a JSON document":
+            headers = {"Content-Type": "application/json"}
+            return answer_bytes(request, b'{"error": "lost"}\n\n', **headers), True
+        case "200", "with an error text":
+            return answer_bytes(request, ERROR_BODY), True
+        case "200", "with an error event without an id":
+            return stream_head(request) + chunk(ERROR_EVENT) + END_OF_STREAM, True
+        case "200", "with no event":
+            return stream_head(request) + END_OF_STREAM, True
+        case "200", "with no event and no framing":
+            return unframed_head, False
+        case "200", "in an encoding":
+            headers = {"Content-Encoding": "gzip", "Content-Type": "text/event-stream"}
+            return answer_bytes(request, event_bytes(EVENTS_BEFORE_END), **headers), True
         case _, "without a body":
             return answer_bytes(request, b"", f"{status} {REASONS[int(status)]}"), True
         case _, "without a length and closes":
@@ -70,6 +92,20 @@
     raise AssertionError(fault)
 
 
+def events_of(events: str) -> list[bytes]:
+    """Return the events that the first target sends before it ends."""
+    match events:
+        case "none has an id":
+            return [b"data: text 0\n\n", b"data: text 1\n\n"]
+        case "the last has no id":
+            return [event_bytes(0), event_bytes(1), b"data: text 2\n\n"]
+        case "the first has no id":
+            return [b"data: begins\n\n", event_bytes(0), event_bytes(1)]
+        case "the last is a comment":
+            return [event_bytes(0), event_bytes(1), COMMENT]
+    raise AssertionError(events)
+
+
 async def send_rest(request: Received, writer: StreamWriter) -> bool:
     writer.write(stream_head(request))
     for number in range(int(request.headers.get("X-Last", "-1")) + 1, EVENT_COUNT):
@@ -95,6 +131,14 @@
     context.runner.run(start_gateway(context, int(count), events, fault))
 
 
+@given(
+    r"a gateway with 2 targets, of which the first one sends events of which (?P<events>.+),"
+    r" and ends"
+)
+def step_events(context: Context, events: str) -> None:
+    context.runner.run(start_gateway(context, 2, events_of(events), ""))
+
+
 @given(r"a gateway with 2 targets, of which the first one (?P<fault>answers 404)")
 def step_first_target(context: Context, fault: str) -> None:
     context.runner.run(start_gateway(context, 2, [], fault))
@@ -149,11 +193,22 @@
     return await RawCaller(reader, context.writer).read()
 
 
-@then(r"its caller gets the first three events and no end of the stream")
-def step_part(context: Context) -> None:
+@then(r"its caller gets (?P<part>the first three events|what the first one sent) and (?P<end>.+)")
+def step_part(context: Context, part: str, end: str) -> None:
     answer = parse_answer(context)
+    goes_on = end == "the events of the next one"
+    expected: bytes = context.first_events
+    if goes_on:
+        expected += b"".join(map(event_bytes, range(2, EVENT_COUNT)))
     got = (answer.status, answer.body, answer.is_complete)
-    assert got == (200, context.first_events, False), context.raw
+    assert got == (200, expected, goes_on), context.raw
+
+
+@then(r"its caller gets every event once")
+def step_all(context: Context) -> None:
+    answer = parse_answer(context)
+    expected = b"".join(map(event_bytes, range(EVENT_COUNT)))
+    assert (answer.status, answer.body, answer.is_complete) == (200, expected, True), context.raw
 
 
 @then(r"its caller gets 404 with the signature and the body of the target")
--- a/packages/decisions/src/jaylatch_decisions/events/splitter.py
+++ b/packages/decisions/src/jaylatch_decisions/events/splitter.py
@@ -17,13 +17,29 @@
 class EventSplitter:
     """Buffers the part of the stream after the last complete event.
 
-    Events up to ``last_id`` are dropped, so that a resumed stream contains no duplicates.
+    Events up to ``last_id`` are dropped, so that a resumed stream contains no duplicates. An event
+    without an id can't be recognised as one, so a stream goes on elsewhere only behind one with an
+    id, and begins there with the next one. Comments may be anywhere.
     """
 
     def __init__(self, last_id: int = -1) -> None:
         self._pending = bytearray()
         self._last_id = last_id
         self._is_broken = False
+        self._has_passed = False
+        self._is_resumed = False
+        self._has_continued = False
+        self._is_resumable = True
+
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another target can go on behind the last event that was passed on."""
+        return self._is_resumable
+
+    @property
+    def lacks_continuation(self) -> bool:
+        """Return whether the present target has not gone on with the stream of an earlier one."""
+        return self._is_resumed and not self._has_continued
 
     @property
     def last_id(self) -> int:
@@ -49,6 +65,8 @@
         """Begin the stream of another target, which continues after the last complete event."""
         self._pending.clear()
         self._is_broken = False
+        self._is_resumed = self._has_passed
+        self._has_continued = False
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, unchanged.
@@ -66,19 +84,31 @@
             return b""
         complete = bytes(self._pending[: end + len(END_OF_EVENT)])
         del self._pending[: end + len(END_OF_EVENT)]
-        return b"".join(self._filter_event(event) for event in _split(complete))
+        passed = b"".join(self._filter_event(event) for event in _split(complete))
+        self._has_passed |= bool(passed)
+        return passed
 
     def _filter_event(self, event: bytes) -> bytes:
-        """Return ``event``, or no bytes if it is a duplicate or follows a gap."""
+        """Return ``event``, or no bytes if it is a duplicate or does not continue the stream."""
         number = _read_id(event)
         if number is None:
-            return event
+            return self._filter_unnumbered(event)
         if number <= self._last_id:
             return b""
         if self._is_broken or 0 <= self._last_id < number - 1:
             self._is_broken = True
             return b""
         self._last_id = number
+        self._has_continued = self._is_resumable = True
+        return event
+
+    def _filter_unnumbered(self, event: bytes) -> bytes:
+        if _is_comment(event):
+            return event
+        if self.lacks_continuation:
+            self._is_broken = True
+            return b""
+        self._is_resumable = False
         return event
 
 
@@ -92,3 +122,7 @@
             value = line[len(ID_FIELD) :].strip()
             return int(value) if value.isdigit() and len(value) <= MAX_ID_DIGITS else None
     return None
+
+
+def _is_comment(event: bytes) -> bool:
+    return all(line.startswith(b":") for line in event.split(b"\n") if line)
--- a/packages/decisions/src/jaylatch_decisions/targets/attempts.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/attempts.py
@@ -42,11 +42,15 @@
 
 @dataclass
 class AttemptHistory:
-    """Attempts made for one request. ``sends`` counts the targets that it was sent to."""
+    """Attempts made for one request. ``sends`` counts the targets that it was sent to.
+
+    ``is_resumable``: another target can go on with what the caller has received.
+    """
 
     sends: int = 0
     connection_failures: int = 0
     may_have_run: bool = False
+    is_resumable: bool = True
 
 
 def record_outcome(history: AttemptHistory, outcome: AttemptOutcome) -> None:
@@ -78,7 +82,7 @@
     if outcome is AttemptOutcome.NO_MEMORY:
         # A repeat would run the request again while there is no room for its answer.
         return final_step
-    if history.may_have_run and not route.may_repeat:
+    if not history.is_resumable or (history.may_have_run and not route.may_repeat):
         return NextStep.FAIL
     return NextStep.RETRY if history.sends < route.attempts and has_budget else final_step
 
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -107,12 +107,18 @@
         self._held_answer: Holding | None = None
         self._is_paused = False
         self._sent_to: set[str] = set()
+        self._begun: ResponseHead | None = None
 
     @property
     def last_event(self) -> int:
         """Return the id of the last event that the caller has, or -1."""
         return self._splitter.last_id
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another target can go on with what the caller has received."""
+        return self._splitter.is_resumable
+
     @property
     def has_answered(self) -> bool:
         """Return whether the target has answered with success, and with some content.
@@ -262,9 +268,16 @@
         self._progress_at = monotonic()
         self._head, self._facts = head, facts
         is_success = head.status in SUCCESS and facts.has_signature and not facts.is_encoded
-        self._is_stream = self._route.kind is RequestKind.STREAM and is_success
+        is_stream = self._route.kind is RequestKind.STREAM and is_success
+        self._is_stream = is_stream and self._may_continue(head)
         return True
 
+    def _may_continue(self, head: ResponseHead) -> bool:
+        """Return whether an answer can continue what the caller has begun to receive."""
+        if self._begun is None:
+            return True
+        return (head.status, _media_type(head)) == (self._begun.status, _media_type(self._begun))
+
     def _is_own_answer(self, facts: ResponseFacts) -> bool:
         """Return whether an answer is to the request that waits for it.
 
@@ -313,6 +326,7 @@
             self._caller.send(events)
         else:
             assert self._head is not None
+            self._begun = self._head
             headers = self._dialect.write_answer_headers(self._head)
             self._caller.start_stream(self._head.status, self._head.reason, headers, events)
         caught_up = self._caller.wait_until_read()
@@ -412,7 +426,8 @@
         return None
 
     def _end_stream(self, now: float, target: TargetLoad) -> AttemptOutcome | None:
-        if self._is_broken or self._splitter.has_partial:
+        is_whole = not (self._splitter.has_partial or self._splitter.lacks_continuation)
+        if self._is_broken or not is_whole:
             target.record_failure(now)
             return AttemptOutcome.BROKEN
         target.record_success()
@@ -462,3 +477,8 @@
     def mark_abandoned(self, reason: str) -> None:
         """Record that the target was abandoned for another one, and why."""
         self._abandoned_because = reason
+
+
+def _media_type(head: ResponseHead) -> str:
+    """Return the media type of an answer without its parameters, empty if it states none."""
+    return head.headers.get("Content-Type", "").partition(";")[0].strip().lower()
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -301,6 +301,7 @@
         A reserved successor includes its part of the budget.
         """
         record_outcome(job.history, outcome)
+        job.history.is_resumable = attempt.is_resumable
         self._metrics.count_outcome(outcome)
         is_unsent = outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.EXPIRED)
         is_paid = is_unsent or successor.is_reserved
--- a/packages/node/src/jaylatch_node/gateway/watchdog.py
+++ b/packages/node/src/jaylatch_node/gateway/watchdog.py
@@ -19,6 +19,10 @@
 class WatchedAttempt(Protocol):
     """What the watchdog asks and tells the attempt."""
 
+    @property
+    def is_resumable(self) -> bool:
+        """Return whether another target can go on with what the caller has received."""
+
     def idle_time(self, now: float) -> float:
         """Return the seconds since the last progress."""
 
@@ -87,7 +91,7 @@
             self._is_reported = True
             self._attempt.report_unresponsive(self._instance)
         limit = self._response_timeout()
-        if self._successor is not None and idle >= limit:
+        if self._successor is not None and idle >= limit and self._attempt.is_resumable:
             self._search = create_task(self._seek_successor(self._successor))
             return
         wait = min((item - idle for item in (suspicion, limit) if item > idle), default=suspicion)
