Pass on no text of an error within an answer that has begun

Two siblings in the product's own interface: an agent read the body of an engine's error answer as tokens if it looks like a stream, and an entry whose handler fails in the middle of an answer ended it as if it were whole, as the library does. The body of an error is ignored, and the connection is closed. features/requests/error_in_stream.feature: 5 of 7 scenarios failed before, all pass.

--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -24,6 +24,7 @@
 """Seconds within which the engine must answer an order or a cancellation."""
 EVENT_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
+SUCCESS = 200
 
 INTERRUPTED_CONNECTION_ERRORS = {pycurl.E_GOT_NOTHING, pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR}
 
@@ -136,7 +137,7 @@
                     connect_timeout=CONNECT_TIMEOUT,
                     request_timeout=budget,
                     streaming_callback=reader.feed,
-                    prepare_curl_callback=use_new_connection,
+                    prepare_curl_callback=reader.attach,
                 )
             )
         except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
@@ -192,10 +193,19 @@
         self._on_tokens = on_tokens
         self._partial_line = b""
         self._decoder = msgspec.json.Decoder(_StreamEvent)
+        self._curl: pycurl.Curl | None = None
         self.is_complete = False
 
+    def attach(self, curl: pycurl.Curl) -> None:
+        """Read the response of the request that ``curl`` is about to send."""
+        use_new_connection(curl)
+        self._curl = curl
+
     def feed(self, data: bytes) -> None:
-        """Parse the next bytes of the response body."""
+        """Parse the next bytes of the response body; that of an error is no stream."""
+        assert self._curl is not None
+        if self._curl.getinfo(pycurl.RESPONSE_CODE) != SUCCESS:
+            return
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
         tokens = 0
         texts = []
--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -54,6 +54,17 @@
 class ProblemHandler(RequestHandler):
     """Base handler that writes every error as a problem, including those raised by tornado."""
 
+    def send_error(self, status_code: int = 500, **kwargs: Any) -> None:
+        """Write a refusal; close the connection if a part of the answer has been sent.
+
+        The library would end that part, which then looks like a whole answer.
+        """
+        if self._headers_written and not self._finished:
+            self._finished = True
+            self.request.connection.stream.close()  # type: ignore[union-attr]
+            return
+        super().send_error(status_code, **kwargs)
+
     def write_error(self, status_code: int, **kwargs: Any) -> None:
         """Write a refusal; after an internal error its outcome is unknown."""
         error = kwargs.get("exc_info", (None, None))[1]
