Let a stopping gateway send the answers that it holds before it ends

A gateway that was stopped as planned ended with answers that it was still sending, with most of the grace period left: a request counted as ended once its answer was in the connection's buffer.

--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -113,7 +113,7 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests that have no complete answer yet."""
+        """Return the number of requests whose answer has not been written to its connection."""
         return self._server.in_flight
 
     def start(self) -> None:
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -56,6 +56,7 @@
         self.memory = memory or HeldMemory(0, HeldMetrics(Metrics()))
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
+        self._sending: set[_InboundMessage] = set()
         self._idle: set[_InboundMessage] = set()
         self._sweep_timer: TimerHandle | None = None
         # Without an idle timeout: the library would keep to the one of a connection's last request.
@@ -64,8 +65,9 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests that have no complete answer yet."""
-        return len(self._messages)
+        """Return the number of requests whose answer has not been written to its connection."""
+        self._sending = {message for message in self._sending if message.is_sending}
+        return len(self._messages) + len(self._sending)
 
     @property
     def limits(self) -> ConnectionLimits:
@@ -141,6 +143,7 @@
             if message.is_idle and message.idle_since < expired_at:
                 message.close()
         self._idle = {message for message in self._idle if not message.is_closed}
+        self._sending = {message for message in self._sending if message.is_sending}
         self._sweep_timer = get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
 
     async def _run(self, message: "_InboundMessage") -> None:
@@ -157,6 +160,8 @@
         finally:
             message.release_body()
             self._messages.discard(message)
+            if message.is_sending:
+                self._sending.add(message)
 
 
 class _InboundMessage(HTTPMessageDelegate):
@@ -180,6 +185,11 @@
         """Return whether the connection has been closed."""
         return self._connection.stream.closed()
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether a part of an answer waits until the caller has read earlier ones."""
+        return not self.is_closed and self._connection.stream.writing()
+
     @property
     def is_idle(self) -> bool:
         """Return whether nothing has been read that the HTTP library has yet to pass on."""
