Let control instances without a vote refer callers to those that have one

A voter that is away for some seconds is replaced. When it returns, its own log still names it as a voter, so it asked for no vote, heard no leader and named none to its callers; announcements of the voters were ignored at instances with a disk. Once each seed had been away, a gateway that started found no leader for good, and nothing was served after a restart of all.

--- a/packages/node/src/jaylatch_node/control/relay.py
+++ b/packages/node/src/jaylatch_node/control/relay.py
@@ -1,12 +1,11 @@
 """The control role of an instance without a disk."""
 
-from itertools import count
-
 from jaylatch_core.exceptions import NotLeader
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.control import VotersAnnounced
 from jaylatch_core.messages.frames import Body
 from jaylatch_node.control.client import ControlClient
+from jaylatch_node.control.referrals import Referrals
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import StreamConnection
 
@@ -21,7 +20,7 @@
 
     def __init__(self, client: ControlClient) -> None:
         self._client = client
-        self._turns = count()
+        self._referrals = Referrals(InstanceId(""))
 
     def start(self) -> None:
         """Do nothing: the role only answers calls."""
@@ -36,11 +35,7 @@
                 self._client.update_peers(voters)
             case _ if call:
                 detail = "this control instance has no disk and never leads; ask another one"
-                connection.reply(call, NotLeader(detail, self._next_voter()))
+                connection.reply(call, NotLeader(detail, self._referrals.choose(self._client)))
             case _:
                 return False
         return True
-
-    def _next_voter(self) -> InstanceId:
-        voters = self._client.voters
-        return voters[next(self._turns) % len(voters)].instance if voters else InstanceId("")
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -63,6 +63,7 @@
 from jaylatch_node.control.disk_watch import DiskWatch
 from jaylatch_node.control.leader import NOT_CURRENT, LeaderController
 from jaylatch_node.control.places import PlaceController
+from jaylatch_node.control.referrals import Referrals
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
@@ -118,6 +119,8 @@
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
+        self._referrals = Referrals(board.identity.instance)
+        self._announced_voters: frozenset[InstanceId] = frozenset()
         self._joining: set[str] = set()
         self._admitting: set[str] = set()
         period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
@@ -196,9 +199,9 @@
                 create_task(_answer(connection, call, self._set_drain(body)))
             case ApplyConfiguration() | PreparePreset() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
-            case VotersAnnounced():
-                # It is meant for instances without a disk; this one learns the voters from the log.
-                pass
+            case VotersAnnounced(voters):
+                self._announced_voters = frozenset(peer.instance for peer in voters)
+                self._client.update_peers(voters)
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
             case _:
@@ -362,7 +365,8 @@
 
     def _current_leader(self, now: float) -> LeaderController | NotLeader | Unavailable:
         if not self._control.is_leader:
-            return NotLeader("ask the leader of the control log", self._control.leader)
+            known = self._control.leader or self._referrals.choose(self._client)
+            return NotLeader("ask the leader of the control log", known)
         if self._leader is None or not self._control.can_read(now):
             return NOT_CURRENT
         return self._leader
@@ -378,8 +382,18 @@
                 self._peers.get(peer.address).send(VotersAnnounced(voters))
 
     def _has_vote(self, log: ReplicatedLog[Any]) -> bool:
+        if log is self._control and self._is_replaced():
+            return False
         return self._board.identity.instance in log.voters and not log.is_recovering
 
+    def _is_replaced(self) -> bool:
+        """Return whether others announce voters without this one, which hears no leader.
+
+        A voter that was replaced while it was away does not find that in its own log.
+        """
+        is_announced = self._board.identity.instance in self._announced_voters
+        return bool(self._announced_voters) and not is_announced and not self._control.leader
+
     def _join(self) -> None:
         """Request admission to each log in which this instance has no vote."""
         instance = self._board.identity.instance
