--- a/packages/node/src/jaylatch_node/sockets.py
+++ b/packages/node/src/jaylatch_node/sockets.py
@@ -78,3 +78,13 @@
         socket.TCP_USER_TIMEOUT,
         int(unacknowledged_timeout * MILLISECONDS_PER_SECOND),
     )
+
+
+def peek(connection: socket.socket) -> bytes | None:
+    """Return a byte that waits to be read, no byte at the end, and None if nothing has arrived."""
+    try:
+        return connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return None
+    except OSError:
+        return b""
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -24,7 +24,7 @@
 from jaylatch_core.settings import split_address
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_node.deadlines import time_limit
-from jaylatch_node.sockets import bound_buffers, detect_dead_peer
+from jaylatch_node.sockets import bound_buffers, detect_dead_peer, peek
 
 HEADER_LIMIT = 32 * KIBIBYTE
 BODY_LIMIT = 16 * MEBIBYTE
@@ -79,15 +79,7 @@
     @property
     def has_unread(self) -> bool:
         """Return whether bytes, or the end, have arrived in the buffer or are yet to be read."""
-        if self._read_buffer_size > 0:
-            return True
-        try:
-            self.socket.recv(1, socket.MSG_PEEK)
-        except BlockingIOError:
-            return False
-        except OSError:
-            return True
-        return True
+        return self._read_buffer_size > 0 or peek(self.socket) is not None
 
 
 class Exchange(HTTPMessageDelegate):
