Count a target as sent to only once a request is sent to it

After an expired permission to send, a request that was placed at the same target again opened a new connection to it: a send that was not made counted as one.

--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -186,6 +186,7 @@
             self._request, target.instance, account, deadline - monotonic(), resume_after
         )
         self._connection = connection
+        self._sent_to.add(address)
         watchdog = None
         if self._route.kind is RequestKind.STREAM:
             may_abandon = has_attempts_left and self._route.may_repeat
@@ -221,9 +222,7 @@
         A target that refused this request before may write that refusal once more on a connection
         that it keeps, where it can't be told from the answer to a later send.
         """
-        is_repeated = address in self._sent_to
-        kept = None if is_repeated else self._pool.take(now, address)
-        self._sent_to.add(address)
+        kept = self._pool.take(now, address) if address not in self._sent_to else None
         return kept or await self._pool.connect(address)
 
     def forward_failure(self) -> bool:
