--- a/packages/node/src/jaylatch_node/control/relay.py
+++ b/packages/node/src/jaylatch_node/control/relay.py
@@ -19,8 +19,7 @@
     """
 
     def __init__(self, client: ControlClient) -> None:
-        self._client = client
-        self._referrals = Referrals(InstanceId(""))
+        self._referrals = Referrals(InstanceId(""), client)
 
     def start(self) -> None:
         """Do nothing: the role only answers calls."""
@@ -32,10 +31,10 @@
         """Note the announced voters; refer any other caller to one of them."""
         match body:
             case VotersAnnounced(voters):
-                self._client.update_peers(voters)
+                self._referrals.note_voters(voters)
             case _ if call:
                 detail = "this control instance has no disk and never leads; ask another one"
-                connection.reply(call, NotLeader(detail, self._referrals.choose(self._client)))
+                connection.reply(call, NotLeader(detail, self._referrals.choose()))
             case _:
                 return False
         return True
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -119,8 +119,7 @@
         self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
-        self._referrals = Referrals(board.identity.instance)
-        self._announced_voters: frozenset[InstanceId] = frozenset()
+        self._referrals = Referrals(board.identity.instance, client)
         self._joining: set[str] = set()
         self._admitting: set[str] = set()
         period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
@@ -200,8 +199,7 @@
             case ApplyConfiguration() | PreparePreset() | PublishDeployment():
                 create_task(_answer(connection, call, self._propose_control(body)))
             case VotersAnnounced(voters):
-                self._announced_voters = frozenset(peer.instance for peer in voters)
-                self._client.update_peers(voters)
+                self._referrals.note_voters(voters)
             case _ if isinstance(body, JournalCommand):
                 create_task(_answer(connection, call, self._propose_journal(body)))
             case _:
@@ -365,7 +363,7 @@
 
     def _current_leader(self, now: float) -> LeaderController | NotLeader | Unavailable:
         if not self._control.is_leader:
-            known = self._control.leader or self._referrals.choose(self._client)
+            known = self._control.leader or self._referrals.choose()
             return NotLeader("ask the leader of the control log", known)
         if self._leader is None or not self._control.can_read(now):
             return NOT_CURRENT
@@ -382,18 +380,11 @@
                 self._peers.get(peer.address).send(VotersAnnounced(voters))
 
     def _has_vote(self, log: ReplicatedLog[Any]) -> bool:
-        if log is self._control and self._is_replaced():
+        # A voter that was replaced while it was away does not find that in its own log.
+        if log is self._control and not log.leader and self._referrals.is_replaced:
             return False
         return self._board.identity.instance in log.voters and not log.is_recovering
 
-    def _is_replaced(self) -> bool:
-        """Return whether others announce voters without this one, which hears no leader.
-
-        A voter that was replaced while it was away does not find that in its own log.
-        """
-        is_announced = self._board.identity.instance in self._announced_voters
-        return bool(self._announced_voters) and not is_announced and not self._control.leader
-
     def _join(self) -> None:
         """Request admission to each log in which this instance has no vote."""
         instance = self._board.identity.instance
--- a/packages/node/src/jaylatch_node/gateway/attempt.py
+++ b/packages/node/src/jaylatch_node/gateway/attempt.py
@@ -1,7 +1,7 @@
 """Sending of a request to targets, and forwarding of complete answers and events to its caller."""
 
 import logging
-from asyncio import Future, sleep
+from asyncio import Future
 from collections.abc import Awaitable, Callable
 from math import inf
 
@@ -10,7 +10,6 @@
 from jaylatch_core.ids import AccountId, AttemptId, InstanceId, RequestDigest
 from jaylatch_core.log_records import AnswerSkipped
 from jaylatch_core.messages.targets import SuspectTarget
-from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import TargetLoad
 from jaylatch_decisions.targets.attempts import (
     AttemptOutcome,
@@ -19,7 +18,9 @@
     suspicion_timeout,
 )
 from jaylatch_node.gateway.caller import Caller
-from jaylatch_node.gateway.held import HeldKind, Holding
+from jaylatch_node.gateway.forwarded_stream import ForwardedStream
+from jaylatch_node.gateway.held import HeldKind
+from jaylatch_node.gateway.kept_answer import KeptAnswer
 from jaylatch_node.gateway.successor import SuccessorReservation
 from jaylatch_node.gateway.watchdog import ResponseWatchdog
 from jaylatch_node.observability import log_record
@@ -48,12 +49,6 @@
 CONNECTION_ENDED = (ExchangeFailed.CLOSED, ExchangeFailed.INCOMPLETE)
 """Failures of an exchange that a target causes when it dies."""
 
-
-ROOM_TIMEOUT = 1.5
-"""Seconds for which a complete answer waits for memory: a target cuts off an answer that stays
-unread for some seconds."""
-ROOM_POLL = 0.05
-"""Seconds between two checks whether there is memory."""
 NO_MEMORY = "memory"
 """Why a target was abandoned whose answer, or whose unread request, there is no memory for."""
 UNIDENTIFIED = "unidentified answer"
@@ -90,13 +85,11 @@
         self._route = route
         self._dialect = dialect
         self._pool = pool
-        resume_after = -1 if request.resume_after is None else request.resume_after
-        self._splitter = EventSplitter(resume_after)
+        self._stream = ForwardedStream(request.resume_after)
+        self._kept = KeptAnswer(caller.memory)
         self._head: ResponseHead | None = None
         self._facts: ResponseFacts | None = None
-        self._body: list[bytes] = []
         self._is_stream = False
-        self._is_broken = False
         self._progress_at = 0.0
         self._sent_at = 0.0
         self._has_content = False
@@ -104,20 +97,18 @@
         self._watchdog: ResponseWatchdog | None = None
         self._connection: TargetConnection | None = None
         self._target: TargetLoad | None = None
-        self._held_answer: Holding | None = None
         self._is_paused = False
         self._sent_to: set[str] = set()
-        self._begun: ResponseHead | None = None
 
     @property
     def last_event(self) -> int:
         """Return the id of the last event that the caller has, or -1."""
-        return self._splitter.last_id
+        return self._stream.last_event
 
     @property
     def is_resumable(self) -> bool:
         """Return whether another target can go on with what the caller has received."""
-        return self._splitter.is_resumable
+        return self._stream.is_resumable
 
     @property
     def has_answered(self) -> bool:
@@ -181,9 +172,12 @@
         if monotonic() > send_until:
             self._pool.release(now, address, connection, None)
             return AttemptOutcome.EXPIRED
-        resume_after = self._splitter.last_id if self._splitter.last_id >= 0 else None
         outbound = self._dialect.write_request(
-            self._request, target.instance, account, deadline - monotonic(), resume_after
+            self._request,
+            target.instance,
+            account,
+            deadline - monotonic(),
+            self._stream.resume_after,
         )
         self._connection = connection
         self._sent_to.add(address)
@@ -229,7 +223,7 @@
         """Forward a target's complete error answer unchanged; return False if there is none."""
         if self._caller.has_started or self._head is None or self._is_stream:
             return False
-        if self._facts is None or not self._facts.has_signature or self._is_broken:
+        if self._facts is None or not self._facts.has_signature:
             return False
         if self._head.status in SUCCESS or self._facts.is_not_run:
             return False
@@ -239,14 +233,12 @@
     def _reset(self) -> None:
         self._head = None
         self._facts = None
-        self._body = []
         self.release()
         self._is_paused = False
         self._is_stream = False
-        self._is_broken = False
         self._has_content = False
         self._abandoned_because = ""
-        self._splitter.restart()
+        self._stream.restart()
         self._progress_at = self._sent_at = monotonic()
 
     # Reading
@@ -268,15 +260,9 @@
         self._head, self._facts = head, facts
         is_success = head.status in SUCCESS and facts.has_signature and not facts.is_encoded
         is_stream = self._route.kind is RequestKind.STREAM and is_success
-        self._is_stream = is_stream and self._may_continue(head)
+        self._is_stream = is_stream and self._stream.may_continue(head)
         return True
 
-    def _may_continue(self, head: ResponseHead) -> bool:
-        """Return whether an answer can continue what the caller has begun to receive."""
-        if self._begun is None:
-            return True
-        return (head.status, _media_type(head)) == (self._begun.status, _media_type(self._begun))
-
     def _is_own_answer(self, facts: ResponseFacts) -> bool:
         """Return whether an answer is to the request that waits for it.
 
@@ -306,11 +292,10 @@
             self._progress_at = monotonic()
             self._has_content = True
             return self._keep(data)
-        if self._is_broken:
+        if self._stream.is_broken:
             return None
-        events = self._splitter.feed(data)
-        if self._splitter.is_broken:
-            self._is_broken = True
+        events = self._stream.feed(data)
+        if self._stream.is_broken:
             self._close_connection()
         if not events:
             # Part of an event is no progress: a stalled target may send a byte now and then.
@@ -325,7 +310,7 @@
             self._caller.send(events)
         else:
             assert self._head is not None
-            self._begun = self._head
+            self._stream.begin(self._head)
             headers = self._dialect.write_answer_headers(self._head)
             self._caller.start_stream(self._head.status, self._head.reason, headers, events)
         caught_up = self._caller.wait_until_read()
@@ -347,29 +332,19 @@
 
     def _keep(self, data: bytes) -> Awaitable[None] | None:
         """Keep a part of an answer that is sent when it is complete."""
-        self._body.append(data)
-        if self._held_answer is None:
-            self._held_answer = self._caller.memory.hold(HeldKind.WHOLE_ANSWER, lambda: None)
-        self._held_answer.add(len(data))
-        self._held_answer.complete()
-        return None if self._caller.memory.has_room() else self._wait_for_room()
+        return None if self._kept.add(data) else self._wait_for_room()
 
     async def _wait_for_room(self) -> None:
         self._is_paused = True
         try:
-            until = monotonic() + ROOM_TIMEOUT
-            while not self._caller.memory.has_room():
-                if monotonic() >= until:
-                    self._give_up_for_memory()
-                    return
-                await sleep(ROOM_POLL)
+            if not await self._kept.wait_for_room():
+                self._give_up_for_memory()
         finally:
             self._is_paused = False
             self._progress_at = monotonic()
 
     def _give_up_for_memory(self) -> None:
         self.mark_abandoned(NO_MEMORY)
-        self._body = []
         self.release()
         self._close_connection()
 
@@ -379,9 +354,7 @@
 
     def release(self) -> None:
         """Hold no answer any longer."""
-        if self._held_answer is not None:
-            self._held_answer.release()
-            self._held_answer = None
+        self._kept.release()
 
     # Outcomes
 
@@ -425,8 +398,7 @@
         return None
 
     def _end_stream(self, now: float, target: TargetLoad) -> AttemptOutcome | None:
-        is_whole = not (self._splitter.has_partial or self._splitter.lacks_continuation)
-        if self._is_broken or not is_whole:
+        if not self._stream.is_whole:
             target.record_failure(now)
             return AttemptOutcome.BROKEN
         target.record_success()
@@ -439,9 +411,7 @@
 
     def _send_complete(self, head: ResponseHead) -> None:
         headers = self._dialect.write_answer_headers(head)
-        body = b"".join(self._body)
-        self._body = []
-        self._caller.send_answer(head.status, head.reason, headers, body)
+        self._caller.send_answer(head.status, head.reason, headers, self._kept.take())
         self.release()
 
     # Unresponsive targets
@@ -476,8 +446,3 @@
     def mark_abandoned(self, reason: str) -> None:
         """Record that the target was abandoned for another one, and why."""
         self._abandoned_because = reason
-
-
-def _media_type(head: ResponseHead) -> str:
-    """Return the media type of an answer without its parameters, empty if it states none."""
-    return head.headers.get("Content-Type", "").partition(";")[0].strip().lower()
