Give successors votes in pairs, and hand votes on in a planned stop

No configuration could be read any more and nothing was served, for good.

Cause: an instance that waits got a vote only in place of a voter that had been silent for 3 s, and a planned stop neither gave up the vote nor waited, so one of three voters was left. The message that hands leadership on was queued when the streams were closed.

Change: VoterRoster plans the set of voters, one change at a time: successors that wait get votes in pairs, up to 2n - 1 voters; votes of the lost are taken back after 1.5 s; a voter that gets SIGTERM asks the leader to hand on its vote and hands on its leadership before it ends. VoterController takes this out of ControlRole.

The test of plan_voter_changes keeps its rows and runs until the set settles; its rows hold unchanged.

--- a/features/consensus/replicated_log.feature
+++ b/features/consensus/replicated_log.feature
@@ -11,6 +11,7 @@
       | the spare joins                           |
       | the leader is removed                     |
       | a follower is removed                     |
+      | a follower is removed while it runs       |
       | a follower is restarted                   |
       | a follower loses its folder               |
       | a follower's snapshot is damaged          |
--- a/features/quorum/replacement.feature
+++ b/features/quorum/replacement.feature
@@ -26,3 +26,23 @@
       | a b c  |        | 5      | d       | a b c d       |
       | a b c  | c      | 5      | d       | a b c d       |
       | a b c  | c      | 3      | c       |               |
+
+    # Guards against two of three voters that end before the loss of the first one is noticed.
+    Examples: the first voter leads; the letters are in the order of the age of the disks
+      | voters    | silent | wanted | joining               | steps                                   |
+      | a b c     |        | 3      | d e                   | a b c d/a b c d e                       |
+      | a b c     |        | 3      | d e f                 | a b c d/a b c d e/a b c d e f/a c d e f |
+      | a b c     | b      | 3      | d e                   | a b c d/a c d                           |
+      | a b c d e | a      | 3      | f                     | b c d e/b c d e f                       |
+      | a b c d   | d      | 3      | nobody                | a b c                                   |
+      | a b c d   |        | 3      | nobody                | a c d                                   |
+      | a b c d e | a b    | 3      | nobody                | b c d e/c d e                           |
+      | a         |        | 1      | b c                   |                                         |
+      | a b c     |        | 3      | nobody, while b ends, |                                         |
+      | a b c     |        | 3      | d, while b ends,      | a b c d/a c d                           |
+      | a b c     |        | 3      | d, while a ends,      | a b c d/b c d                           |
+      | a b c     |        | 3      | d, while a b ends,    | a b c d/a c d                           |
+      | a b c     |        | 3      | d e, while a b ends,  | a b c d/a c d/a c d e/c d e             |
+      | a b c     |        | 3      | d, while d ends,      |                                         |
+      | a b c d e |        | 3      | nobody, while b ends, | a c d e/a d e                           |
+      | a         |        | 1      | b, while a ends,      | a b/b                                   |
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -1,5 +1,6 @@
 """Steps that test the replacement of a control instance at another address."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import msgspec
@@ -7,7 +8,7 @@
 from behave.runner import Context
 
 from jaylatch_core.ids import InstanceId
-from jaylatch_decisions.consensus.membership import plan_voter_changes
+from jaylatch_decisions.consensus.membership import VoterRoster, VoterSet
 from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
 from jaylatch_standins.deployment import (
     configuration_text,
@@ -19,6 +20,8 @@
 
 JOINING = "control-4"
 REPLICATED_LOGS = {"control", "journal-0", "journal-1"}
+NOW = 100.0
+MAX_CHANGES = 12
 WAIT_TIMEOUT = 30.0
 """Seconds."""
 
@@ -69,11 +72,39 @@
     context.wanted = int(wanted)
 
 
-@when(r"(?P<joining>\w) asks to become a voter")
-def step_asks_to_join(context: Context, joining: str) -> None:
-    context.steps = plan_voter_changes(
-        context.voters, InstanceId(joining), context.wanted, context.unresponsive
-    )
+@when(r"(?P<joining>[\w ]+)(?:, while (?P<leaving>[\w ]+) ends,)? asks to become a voter")
+def step_asks_to_join(context: Context, joining: str, leaving: str | None) -> None:
+    names = [] if joining == "nobody" else joining.split()
+    context.steps = list(plan_until_settled(context, names, (leaving or "").split()))
+
+
+def plan_until_settled(
+    context: Context, joining: list[str], leaving: list[str]
+) -> Iterator[tuple[InstanceId, ...]]:
+    """Yield the voters after each change; one that is removed while it runs asks again."""
+    roster = VoterRoster()
+    voters = context.voters
+    for name in joining:
+        roster.record_request(NOW, InstanceId(name), disk_of(name))
+    for name in leaving:
+        roster.record_leave(NOW, InstanceId(name))
+    for _ in range(MAX_CHANGES):
+        lost = tuple(voter for voter in context.unresponsive if voter in voters)
+        disks = {voter: disk_of(voter) for voter in voters}
+        voter_set = VoterSet(voters, voters[0], context.wanted, lost, disks)
+        change = roster.plan(NOW, voter_set)
+        if change is None:
+            return
+        voters = voter_set.after(change)
+        for name in set(voter_set.voters) - set(voters) - set(lost) - set(leaving):
+            roster.record_request(NOW, name, disk_of(name))
+        yield voters
+    raise AssertionError(f"the voters never settle: {voters}")
+
+
+def disk_of(instance: str) -> int:
+    """Return the number of an instance's disk."""
+    return ord(instance)
 
 
 @then(r'the voters become, step by step, "(?P<steps>[^"]*)"')
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -12,6 +12,7 @@
 
 from jaylatch_core.exceptions import JaylatchError, StorageCorrupt, StorageFailed
 from jaylatch_core.ids import InstanceId
+from jaylatch_node.consensus import change_voters
 from jaylatch_standins.deployment import wait_until
 
 
@@ -60,16 +61,24 @@
     remaining = tuple(name for name in FIRST_VOTERS if name != follower)
     match event:
         case "the spare joins":
-            changed = await log.change_voters((*FIRST_VOTERS, SPARE), WAIT_TIMEOUT)
+            changed = await change_voters(log, (*FIRST_VOTERS, SPARE), WAIT_TIMEOUT)
             assert is_successful(changed), changed
         case "the leader is removed":
             others = tuple(name for name in FIRST_VOTERS if name != leader)
-            changed = await log.change_voters(others, WAIT_TIMEOUT)
+            changed = await change_voters(log, others, WAIT_TIMEOUT)
             assert is_successful(changed), changed
         case "a follower is removed":
-            changed = await log.change_voters(remaining, WAIT_TIMEOUT)
+            changed = await change_voters(log, remaining, WAIT_TIMEOUT)
             assert is_successful(changed), changed
             network.stop(follower)
+        case "a follower is removed while it runs":
+            changed = await change_voters(log, remaining, WAIT_TIMEOUT)
+            assert is_successful(changed), changed
+
+            async def knows_it() -> bool:
+                return follower not in network.logs[follower].voters
+
+            await wait_until(knows_it, WAIT_TIMEOUT, "the removed follower knows it")
         case "a follower is restarted":
             network.stop(follower)
             await network.propose(b"while it was away")
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -291,6 +291,13 @@
     outcome: str
 
 
+class VoteHandedOn(LogRecord, frozen=True, kw_only=True, tag="vote"):
+    """This instance is about to end; it keeps its vote if no other instance can take it over."""
+
+    log: str
+    keeps_vote: bool
+
+
 class DeploymentReceived(LogRecord, frozen=True, kw_only=True, tag="document"):
     """An operator's deployment document was accepted, or refused for ``reason``."""
 
@@ -351,6 +358,7 @@
     SupplyChanged,
     EvacuationChanged,
     VotersChanged,
+    VoteHandedOn,
     DeploymentReceived,
     HeartbeatRefused,
     EventRecorded,
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -132,12 +132,29 @@
 
 
 class JoinControl(msgspec.Struct, frozen=True, tag=True):
-    """A control instance without a vote in ``log`` asks the leader of that log for one."""
+    """A control instance without a vote in ``log`` asks the leader of that log for one.
+
+    ``disk`` numbers its disk; a newer disk has a higher number (0: not known).
+    """
+
+    log: str
+    instance: InstanceId
+    disk: int = 0
+
+
+class LeaveControl(msgspec.Struct, frozen=True, tag=True):
+    """A control instance that is about to end asks the leader of ``log`` to hand on its vote."""
 
     log: str
     instance: InstanceId
 
 
+class LeaveAnswered(msgspec.Struct, frozen=True, tag=True):
+    """The instance has no vote any more, or keeps it because nobody waits to take it over."""
+
+    keeps_vote: bool
+
+
 class ConfigurationRecord(msgspec.Struct, frozen=True):
     """An accepted configuration and the operator who applied it."""
 
--- a/packages/core/src/jaylatch_core/messages/frames.py
+++ b/packages/core/src/jaylatch_core/messages/frames.py
@@ -27,6 +27,8 @@
     CommandAccepted,
     DrainGeneration,
     JoinControl,
+    LeaveAnswered,
+    LeaveControl,
     PreparePreset,
     ReadDrainGeneration,
     SetDrain,
@@ -99,6 +101,8 @@
     | ReadDrainGeneration
     | DrainGeneration
     | JoinControl
+    | LeaveControl
+    | LeaveAnswered
     | VotersAnnounced
     | CommandAccepted
     | ClaimOrder
--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -36,6 +36,7 @@
         self._state = state
         self._progress: dict[InstanceId, Progress] = {}
         self._learners: set[InstanceId] = set()
+        self._removed: dict[InstanceId, LogIndex] = {}
         self._round = 0
         self._round_sent_at: dict[int, float] = {}
         self._lease_start = 0.0
@@ -72,6 +73,7 @@
         state.role = RaftRole.LEADER
         state.leader = state.instance
         self._learners = set()
+        self._removed = {}
         self._progress = {}
         self._round_sent_at = {}
         self._lease_start = now - state.timing.election_timeout
@@ -89,17 +91,27 @@
             self.transfer(now)
             return
         if now >= self._heartbeat_due:
+            self._forget_lost_removed(now)
             self._broadcast(now)
 
     def append(self, now: float, command: bytes, voters: tuple[InstanceId, ...] = ()) -> LogEntry:
-        """Append an entry to the local log; it is sent at the next tick."""
+        """Append an entry to the local log; it is sent at the next tick.
+
+        A voter that the entry removes still receives it, so that it does not take itself for a
+        voter after a restart.
+        """
         state = self._state
+        removed = set(state.peers) - set(voters) if voters else set()
         entry = LogEntry(LogIndex(state.log.last_index + 1), state.term, command, voters)
         state.log.append(entry)
         state.effects.entries.append(entry)
         self._heartbeat_due = now
         if voters:
             self._learners -= set(voters)
+            self._removed |= dict.fromkeys(removed, entry.index)
+            self._removed = {
+                peer: index for peer, index in self._removed.items() if peer not in voters
+            }
             self._update_followers(now)
         self._advance_commit()
         return entry
@@ -118,6 +130,11 @@
             and progress.match >= self._state.commit
         )
 
+    def disk_of(self, peer: InstanceId) -> int:
+        """Return the number of a follower's disk, 0 if it has not reported it in this term."""
+        progress = self._progress.get(peer)
+        return 0 if progress is None else progress.disk
+
     def unresponsive_voters(self, now: float, limit: float) -> list[InstanceId]:
         """Return the other voters without contact for ``limit`` seconds, longest first."""
         unresponsive = [
@@ -148,6 +165,9 @@
             progress.record_match(message.match)
             self._advance_commit()
             self._readmit(progress)
+            if progress.match >= self._removed.get(message.sender, float("inf")):
+                self._stop_replicating(now, {message.sender})
+                return
         else:
             progress.step_back(message.match)
         if progress.next_index <= self._state.log.last_index:
@@ -213,13 +233,24 @@
 
     def _update_followers(self, now: float) -> None:
         state = self._state
-        wanted = set(state.peers) | self._learners
+        wanted = set(state.peers) | self._learners | set(self._removed)
         next_index = state.log.last_index + 1
         self._progress = {
             peer: self._progress.get(peer) or Progress(next_index, last_contact_at=now)
             for peer in sorted(wanted)
         }
 
+    def _forget_lost_removed(self, now: float) -> None:
+        oldest = now - QUORUM_TIMEOUTS * self._state.timing.election_timeout
+        lost = {peer for peer in self._removed if self._progress[peer].last_contact_at < oldest}
+        if lost:
+            self._stop_replicating(now, lost)
+
+    def _stop_replicating(self, now: float, removed: set[InstanceId]) -> None:
+        for peer in removed:
+            del self._removed[peer]
+        self._update_followers(now)
+
     def _broadcast(self, now: float) -> None:
         state = self._state
         self._round += 1
--- a/packages/decisions/src/jaylatch_decisions/consensus/raft.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/raft.py
@@ -155,6 +155,12 @@
         """Return whether a learner or voter holds all committed entries."""
         return self._leading.is_caught_up(instance)
 
+    def disk_of(self, instance: InstanceId) -> int:
+        """Return the number of an instance's disk, 0 if this leader does not know it."""
+        if instance == self._state.instance:
+            return self._state.hard_state.disk
+        return self._leading.disk_of(instance)
+
     def unresponsive_voters(self, now: float, limit: float) -> list[InstanceId]:
         """Return the voters without contact with this leader for ``limit`` seconds."""
         if self._state.role is not RaftRole.LEADER:
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -11,7 +11,7 @@
 write all of it once the disk works.
 """
 
-from asyncio import get_running_loop, sleep
+from asyncio import get_running_loop
 from collections.abc import Callable
 from concurrent.futures import TimeoutError as DiskTimeout
 from contextlib import suppress
@@ -55,8 +55,6 @@
 
 CLOSING_WAIT = 1.0
 """Seconds for which the end waits for a write that is under way."""
-CATCH_UP_POLL_INTERVAL = 0.05
-"""Seconds between two checks whether a joining voter has caught up."""
 
 T = TypeVar("T")
 Sender = Callable[[InstanceId, ConsensusMessage], None]
@@ -184,6 +182,10 @@
         """Return the voters without contact with this leader for ``limit`` seconds."""
         return [] if self._raft is None else self._raft.unresponsive_voters(now, limit)
 
+    def disk_of(self, instance: InstanceId) -> int:
+        """Return the number of an instance's disk, 0 if it is not known."""
+        return 0 if self._raft is None else self._raft.disk_of(instance)
+
     def can_read(self, now: float) -> bool:
         """Return whether the applied state is guaranteed to be current.
 
@@ -207,14 +209,20 @@
         elif now >= self._raft.tick_due or self._disk.is_withheld(now):
             self._pump()
 
+    def hand_on_leadership(self, now: float) -> None:
+        """Step down, and ask another voter to stand for election at once.
+
+        The message leaves with the next iteration of the loop.
+        """
+        if self._raft is not None:
+            for peer, message in self._raft.step_down(now):
+                self._send(peer, message)
+
     def stop(self) -> None:
         """Transfer leadership, then close the files."""
         if self._is_stopped:
             return
-        now = monotonic()
-        if self._raft is not None:
-            for peer, message in self._raft.step_down(now):
-                self._send(peer, message)
+        self.hand_on_leadership(monotonic())
         self._is_stopped = True
         self._proposals.fail(
             StorageFailed(
@@ -254,27 +262,27 @@
             return Err(self._refusal())
         return await self._wait_for_commit(self._raft.propose(now, command))
 
-    async def change_voters(
-        self, voters: tuple[InstanceId, ...], timeout: float
+    def add_learner(
+        self, instance: InstanceId
+    ) -> Result[None, NotLeader | Unavailable | StorageFailed]:
+        """Start to replicate to an instance that is to become a voter."""
+        now = monotonic()
+        if self._raft is None or self._is_stopped or self._disk.is_withheld(now):
+            return Err(self._refusal())
+        return self._raft.add_learner(now, instance)
+
+    def is_caught_up(self, instance: InstanceId) -> bool:
+        """Return whether a learner or voter of this leader holds all committed entries."""
+        return self._raft is not None and self._raft.is_caught_up(instance)
+
+    async def propose_voters(
+        self, voters: tuple[InstanceId, ...]
     ) -> Result[None, NotLeader | Unavailable | StorageFailed]:
-        """Add or remove one voter. A joining voter catches up as a learner first."""
-        raft = self._raft
-        if raft is None or self._is_stopped or self._disk.is_withheld(monotonic()):
+        """Commit a set of voters that differs from the present one by one instance."""
+        now = monotonic()
+        if self._raft is None or self._is_stopped or self._disk.is_withheld(now):
             return Err(self._refusal())
-        deadline = monotonic() + timeout
-        for joining in set(voters) - set(self.voters):
-            added = raft.add_learner(monotonic(), joining)
-            if not is_successful(added):
-                return added
-            while not raft.is_caught_up(joining):
-                if monotonic() > deadline or not self.is_leader:
-                    return Err(
-                        Unavailable(
-                            f"instance {joining!r} did not catch up with the log within {timeout} s"
-                        )
-                    )
-                await sleep(CATCH_UP_POLL_INTERVAL)
-        proposed = raft.propose_voters(monotonic(), voters)
+        proposed = self._raft.propose_voters(now, voters)
         return (await self._wait_for_commit(proposed)).map(lambda _: None)
 
     async def _wait_for_commit(
@@ -411,8 +419,7 @@
     def _go_without_disk(self, now: float, raft: RaftNode) -> None:
         """Lead no one and send nothing that depends on the disk; follow in memory."""
         was_leader = raft.role is RaftRole.LEADER
-        for peer, message in raft.step_down(now):
-            self._send(peer, message)
+        self.hand_on_leadership(now)
         if was_leader:
             # Rounds of a term in which this voter leads no longer would delay the next election.
             self._turn_in_flight.messages.clear()
--- a/packages/node/src/jaylatch_node/control/announcements.py
+++ b/packages/node/src/jaylatch_node/control/announcements.py
@@ -41,6 +41,11 @@
         if message.known:
             self._known.replace(now, message.known)
 
+    def knows_others(self) -> bool:
+        """Return whether a control instance without a vote has been seen lately."""
+        voting = {voter.instance for voter in self._list_voters()}
+        return any(peer.instance not in voting for peer in self._known.list(monotonic()))
+
     def announce(self, *, is_leader: bool) -> None:
         """Send the announcement; call on an instance that has a vote."""
         voters = self._list_voters()
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -21,15 +21,15 @@
     Unavailable,
 )
 from jaylatch_core.ids import CommandId, InstanceId
-from jaylatch_core.log_records import TargetStateChanged, VotersChanged
+from jaylatch_core.log_records import TargetStateChanged
 from jaylatch_core.messages.administration import ReadHistory, ReadStatus
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
     ApplyConfiguration,
-    CommandAccepted,
     ControlCommand,
     DrainGeneration,
     JoinControl,
+    LeaveControl,
     PreparePreset,
     ReadDrainGeneration,
     SetDrain,
@@ -49,7 +49,6 @@
 )
 from jaylatch_core.settings import NodeSettings
 from jaylatch_decisions.consensus import RaftTiming
-from jaylatch_decisions.consensus.membership import VOTER_LOSS_TIMEOUT, plan_voter_changes
 from jaylatch_decisions.control import ControlState
 from jaylatch_decisions.control.state import ControlResult
 from jaylatch_decisions.journal import JournalState, RetentionTimes, shard_of
@@ -66,6 +65,7 @@
 from jaylatch_node.control.referrals import Referrals
 from jaylatch_node.control.replies import discard, flatten, reply_with
 from jaylatch_node.control.targets import TargetController
+from jaylatch_node.control.voters import VoterController
 from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
 from jaylatch_node.storage import DiskWorker
@@ -76,13 +76,8 @@
 
 LEADER_TICK = 0.1
 """Seconds between two rounds of the leader's duties."""
-JOIN_INTERVAL = 1.0
-"""Seconds between two requests to be admitted as a voter, or two announcements of the voters, and
-before the first one: at a first start the voters elect a leader sooner than that."""
-JOIN_TIMEOUT = 5.0
-"""Seconds to wait for the answer to a request for admission."""
-ADMISSION_TIMEOUT = 4.0
-"""Seconds within which a joining instance must catch up; otherwise it must request again."""
+ANNOUNCEMENT_INTERVAL = 1.0
+"""Seconds between two announcements of the voters."""
 TICKS_PER_HEARTBEAT = 2
 
 _encoder = msgspec.msgpack.Encoder()
@@ -124,10 +119,7 @@
         self._announcer = VoterAnnouncer(
             board.identity.instance, settings.control.peers, peers, self._voting_peers
         )
-        self._joining: set[str] = set()
-        self._admitting: set[str] = set()
-        period = JOIN_INTERVAL * MILLISECONDS_PER_SECOND
-        self._join_timer = PeriodicCallback(self._join, period)
+        period = ANNOUNCEMENT_INTERVAL * MILLISECONDS_PER_SECOND
         self._announcement_timer = PeriodicCallback(self._announce_voters, period)
         self._state = ControlState()
         control = settings.control
@@ -145,6 +137,14 @@
         ]
         self._logs: dict[str, ReplicatedLog[Any]] = {self._control.name: self._control}
         self._logs.update((shard.name, shard) for shard in self._shards)
+        self._voters = VoterController(
+            board.identity.instance,
+            self._logs,
+            client,
+            control.voter_count or len(control.voters or control.peers),
+            self._lacks_vote,
+            self._announcer.knows_others,
+        )
         self._disk_watch = DiskWatch(board, self._logs.values())
         self._timer = PeriodicCallback(self._tick, LEADER_TICK * MILLISECONDS_PER_SECOND)
         # One timer for all logs: messages due at the same time are sent to each peer in one frame.
@@ -156,13 +156,17 @@
         self._disk_watch.report()
         self._consensus_timer.start()
         self._timer.start()
-        self._join_timer.start()
+        self._voters.start()
         self._announcement_timer.start()
 
+    async def drain(self) -> None:
+        """Hand on the votes and the leadership of this instance."""
+        await self._voters.leave()
+
     def stop(self) -> None:
         """Stop all logs."""
         self._timer.stop()
-        self._join_timer.stop()
+        self._voters.stop()
         self._announcement_timer.stop()
         self._consensus_timer.stop()
         self._places.stop()
@@ -183,7 +187,9 @@
             case RenewLease():
                 connection.reply(call, self._renew(body, connection))
             case JoinControl():
-                create_task(reply_with(connection, call, self._admit(body)))
+                connection.reply(call, self._voters.record_request(monotonic(), body))
+            case LeaveControl():
+                create_task(reply_with(connection, call, self._voters.release(body)))
             case ReadStatus():
                 connection.reply(call, self._status())
             case ReadHistory():
@@ -392,51 +398,20 @@
         if not self._control.is_leader:
             self._announcer.adopt(monotonic(), message)
 
+    def _lacks_vote(self, log: ReplicatedLog[Any]) -> bool:
+        # A voter of a journal that was replaced while it was away hears from no leader.
+        return not self._has_vote(log) or (log is not self._control and not log.leader)
+
     def _has_vote(self, log: ReplicatedLog[Any]) -> bool:
         # A voter that was replaced while it was away does not find that in its own log.
         if log is self._control and not log.leader and self._referrals.is_replaced:
             return False
         return self._board.identity.instance in log.voters and not log.is_recovering
 
-    def _join(self) -> None:
-        """Request admission to each log in which this instance has no vote."""
-        instance = self._board.identity.instance
-        for log in self._logs.values():
-            if not self._has_vote(log) and log.name not in self._joining:
-                self._joining.add(log.name)
-                create_task(self._request_admission(log.name, instance))
-
-    async def _request_admission(self, log: str, instance: InstanceId) -> None:
-        try:
-            await self._client.call(log, JoinControl(log, instance), JOIN_TIMEOUT)
-        finally:
-            self._joining.discard(log)
-
-    async def _admit(self, body: JoinControl) -> Body:
-        """Admit an instance as a voter; it replaces a lost one if the set is complete."""
-        log = self._logs.get(body.log)
-        if log is None or not log.is_leader:
-            leader = log.leader if log is not None else InstanceId("")
-            return NotLeader("ask the leader of the log", leader)
-        if body.log in self._admitting:
-            return Unavailable("another instance is being admitted; ask again")
-        control = self._settings.control
-        voter_count = control.voter_count or len(control.voters or control.peers)
-        unresponsive = log.unresponsive_voters(monotonic(), VOTER_LOSS_TIMEOUT)
-        self._admitting.add(body.log)
-        try:
-            for voters in plan_voter_changes(log.voters, body.instance, voter_count, unresponsive):
-                changed = await log.change_voters(voters, ADMISSION_TIMEOUT)
-                log_record(_log, VotersChanged(log=body.log, voters=voters, outcome=repr(changed)))
-                if not is_successful(changed):
-                    return flatten(changed)
-        finally:
-            self._admitting.discard(body.log)
-        return CommandAccepted(len(log.voters))
-
     def _tick(self) -> None:
         now = monotonic()
         self._disk_watch.report()
+        self._voters.tick(now)
         if not self._control.is_leader:
             self._leader = None
             self._cold_report.clear()
