Take a number that is no HTTP status code for no answer

Seen by callers (MIXED, report of other operators): a server in trouble answered with the status 000, and the client got it as an answer. Gateways did the same for 000, 099, 600 and 999, streams included, and the leader took 000 to an order for the engine's outcome.

Cause: a status was any number of three digits that the HTTP library accepts.

Change: jaylatch_core.http_status names the ranges of RFC 9110; a connection to a target closes at a head with another number, and the exchange is malformed, as for bytes that are not HTTP. The command line checks the same. The docstring of ControlSettings is wrapped again.

--- a/features/gateway/path.feature
+++ b/features/gateway/path.feature
@@ -57,6 +57,16 @@
       | stream | sends a byte of an event now and then     | every event once | 2     |
       | stream | sends whole events slowly                 | every event once | 1     |
 
+    # Guards against a number that is no status code and is passed on as that of an answer (MIXED).
+    Examples: numbers that are no status codes
+      | kind       | fault                   | answer              | asked |
+      | once       | answers with status 000 | 502                 | 1     |
+      | once       | answers with status 099 | 502                 | 1     |
+      | once       | answers with status 600 | 502                 | 1     |
+      | once       | answers with status 999 | 502                 | 1     |
+      | idempotent | answers with status 000 | the complete answer | 2     |
+      | stream     | answers with status 000 | every event once    | 2     |
+
   Scenario Outline: a target of kind stream that <fault> gives <reports> report of progress
     Given a gateway with two targets, of which the first one used <fault>
     But both are granted as heads of groups only
--- a/features/steps/gateway_path_steps.py
+++ b/features/steps/gateway_path_steps.py
@@ -148,6 +148,9 @@
             await sleep(0.1)
             reset(writer)
             return False
+        case _ if fault.startswith("answers with status "):
+            writer.write(answer_bytes(request, body, f"{fault.split()[-1]} Odd"))
+            return True
         case "fails with 500":
             writer.write(answer_bytes(request, b"broken", "500 Internal Server Error"))
             return True
--- a/packages/cli/src/jaylatch_cli/client.py
+++ b/packages/cli/src/jaylatch_cli/client.py
@@ -18,6 +18,7 @@
     GenerationConflict,
     Unavailable,
 )
+from jaylatch_core.http_status import is_final
 
 REQUEST_TIMEOUT = 30.0
 """Seconds."""
@@ -78,8 +79,9 @@
             response = self._client.fetch(request, raise_error=False)
         except (OSError, HTTPError, pycurl.error) as error:
             return Err(Unavailable(f"{self._base} cannot be reached: {error}"))
-        if response.code == 599:
-            return Err(Unavailable(f"{self._base} cannot be reached: {response.error}"))
+        if response.code == 599 or not is_final(response.code):
+            detail = response.error or f"status {response.code}"
+            return Err(Unavailable(f"{self._base} cannot be reached: {detail}"))
         if response.code >= 400:
             return Err(_decode_failure(response.code, response.body))
         if not response.body:
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -36,15 +36,16 @@
     starts for the first time: with ``no``, an instance on an empty disk waits for the leader of the
     running system, and with ``yes`` a majority of empty disks is enough to elect the first one. An
     instance without a vote asks for one; it gets it while there are fewer than ``voter_count``
-    voters (0: as many as at the first start), together with a second one that waits, or in place
-    of a voter that is lost or ends. ``journal_shards``, ``answer_retention`` and ``key_retention`` must be the same on every process. A resent order
-    gets its stored answer within ``answer_retention`` of its completion, and runs at most once
-    within ``key_retention``. ``data_folder`` is used by the control role only. A direct target that
-    has sent no heartbeat for ``target_silence`` is lost. Without ``keeps_journal`` there is no
-    order journal, and no entry may serve orders. An instance without ``keeps_log`` has no disk: it
-    is no control peer, has no vote, and forwards the calls of direct targets and operators to the
-    leader. ``failure_domains`` are the domains that an operator may evacuate (none: any name is
-    accepted); new work there has stopped ``evacuation_bound`` after the acknowledgement.
+    voters (0: as many as at the first start), together with a second one that waits, or in place of
+    a voter that is lost or ends. ``journal_shards``, ``answer_retention`` and ``key_retention``
+    must be the same on every process. A resent order gets its stored answer within
+    ``answer_retention`` of its completion, and runs at most once within ``key_retention``.
+    ``data_folder`` is used by the control role only. A direct target that has sent no heartbeat for
+    ``target_silence`` is lost. Without ``keeps_journal`` there is no order journal, and no entry
+    may serve orders. An instance without ``keeps_log`` has no disk: it is no control peer, has no
+    vote, and forwards the calls of direct targets and operators to the leader. ``failure_domains``
+    are the domains that an operator may evacuate (none: any name is accepted); new work there has
+    stopped ``evacuation_bound`` after the acknowledgement.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
--- a/packages/node/src/jaylatch_node/targets/connection.py
+++ b/packages/node/src/jaylatch_node/targets/connection.py
@@ -21,6 +21,7 @@
 from tornado.iostream import IOStream, StreamClosedError, UnsatisfiableReadError
 
 from jaylatch_core.control_peers import is_address
+from jaylatch_core.http_status import is_final, is_interim
 from jaylatch_core.settings import split_address
 from jaylatch_core.units import KIBIBYTE, MEBIBYTE
 from jaylatch_node.deadlines import time_limit
@@ -83,17 +84,22 @@
 
 
 class Exchange(HTTPMessageDelegate):
-    """Receives one response. ``on_head`` returns whether it answers the current request."""
+    """Receives one response. ``on_head`` returns whether it answers the current request.
+
+    ``on_invalid`` is called for a head whose number is no status code.
+    """
 
     def __init__(
         self,
         on_head: Callable[[ResponseHead], bool],
         on_data: DataHandler,
         on_complete: Callable[[], None],
+        on_invalid: Callable[[], None],
     ) -> None:
         self.head: ResponseHead | None = None
         self.is_complete = False
         self.is_skipped = False
+        self._on_invalid = on_invalid
         self._on_head = on_head
         self._on_data = on_data
         self._on_complete = on_complete
@@ -103,7 +109,10 @@
     ) -> None:
         """Handle the head of a response; ignore an interim one."""
         assert isinstance(start_line, ResponseStartLine)
-        if 100 <= start_line.code < 200:
+        if is_interim(start_line.code):
+            return
+        if not is_final(start_line.code):
+            self._on_invalid()
             return
         head = ResponseHead(start_line.code, start_line.reason, headers)
         self.is_skipped = not self._on_head(head)
@@ -112,7 +121,7 @@
 
     def data_received(self, chunk: bytes) -> Awaitable[None] | None:
         """Handle a chunk of the body."""
-        return None if self.is_skipped else self._on_data(chunk)
+        return None if self.is_skipped or self.head is None else self._on_data(chunk)
 
     def finish(self) -> None:
         """Mark the response as complete according to its framing."""
@@ -220,7 +229,7 @@
             if self._unwritten or self._stream.writing():
                 on_unsent()
             for _ in range(STALE_ANSWERS_LIMIT):
-                exchange = Exchange(on_head, on_data, self._end_writing)
+                exchange = Exchange(on_head, on_data, self._end_writing, self._stream.close)
                 await self._read(connection, exchange)
                 self._has_answered = True
                 if not exchange.is_skipped:
