Bound what an agent keeps of an answer, and read its status line

Here agents kept up to 100 MiB of a body for each health check, state or order, a line of a stream until the deadline, and all events of an engine that never stops; machines have 200 to 300 MB. Statuses 600 and 999 of a service were passed on, and a service's own 599 was taken for no response.

Cause: only calls of services had a limit; all else had that of the HTTP client. What the reader of a stream raised in a callback of the loop went nowhere.

The reader of a stream bounds a line and the text, and fails the completion if an event cannot be read.

--- a/features/steps/entry_error_steps.py
+++ b/features/steps/entry_error_steps.py
@@ -18,6 +18,7 @@
 from jaylatch_standins.ports import free_addresses
 
 BUDGET_SECONDS = 2.0
+ANSWER_LIMIT = 1 << 20
 EVENTS = b'data: {"choices": [{"text": "lost"}]}\n\n' * 2 + b"data: [DONE]\n\n"
 FIRST_PART = b"data: first\n\n"
 
@@ -54,7 +55,11 @@
     engine = EngineClient(context.address, AsyncHTTPClient(force_instance=True))
     work = ModelWork("m", "prompt", 5, 0, 0)
     context.result = await engine.complete(
-        AttemptId("a"), work, BUDGET_SECONDS, lambda tokens, text: texts.extend([text] * tokens)
+        AttemptId("a"),
+        work,
+        BUDGET_SECONDS,
+        ANSWER_LIMIT,
+        lambda tokens, text: texts.extend([text] * tokens),
     )
     context.tokens = len(texts)
 
--- a/features/steps/repeated_answer_steps.py
+++ b/features/steps/repeated_answer_steps.py
@@ -142,13 +142,15 @@
     context.outcomes = context.runner.run(send_orders(context))
 
 
-async def send_orders(context: Context) -> list[OrderOutcome]:
+def make_record(address: str) -> TargetRecord:
     domain = FailureDomainId("d")
-    heartbeat = TargetCheckIn(
-        InstanceId("i"), "models", context.address, domain, domain, 1, 1, False
-    )
+    heartbeat = TargetCheckIn(InstanceId("i"), "models", address, domain, domain, 1, 1, False)
+    return TargetRecord(heartbeat, 0.0)
+
+
+async def send_orders(context: Context) -> list[OrderOutcome]:
     client = EngineOrderClient(OrderDialect())
-    record = TargetRecord(heartbeat, 0.0)
+    record = make_record(context.address)
     return [
         await client.send(record, LeaveGroup(GroupId("g"), Epoch(number)), 1) for number in (1, 2)
     ]
--- a/packages/node/src/jaylatch_node/adapters/engine.py
+++ b/packages/node/src/jaylatch_node/adapters/engine.py
@@ -7,14 +7,22 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 from tornado.curl_httpclient import CurlError
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from jaylatch_core.exceptions import TargetFailed
 from jaylatch_core.ids import AttemptId, Epoch, GroupId
 from jaylatch_core.json_documents import decode_json
 from jaylatch_core.messages.membership import Assignment
 from jaylatch_core.messages.requests import ModelWork
-from jaylatch_node.adapters.connections import AnswerCutError, fetch, use_new_connection
+from jaylatch_core.units import KIBIBYTE
+from jaylatch_node.adapters.connections import (
+    AnswerCutError,
+    StatusError,
+    fetch,
+    has_connected,
+    raise_unless_success,
+    use_new_connection,
+)
 
 CONNECT_TIMEOUT = 0.5
 """Seconds to connect to the engine."""
@@ -24,6 +32,8 @@
 """Seconds within which the engine must answer an order or a cancellation."""
 EVENT_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
+LINE_LIMIT = 256 * KIBIBYTE
+"""Largest size in bytes of a line of a stream."""
 SUCCESS = 200
 
 INTERRUPTED_CONNECTION_ERRORS = {pycurl.E_GOT_NOTHING, pycurl.E_PARTIAL_FILE, pycurl.E_RECV_ERROR}
@@ -83,7 +93,7 @@
     async def read_state(self) -> Result[EngineState, TargetFailed]:
         """Return the engine's state; a failure means that it is not healthy."""
         try:
-            response = await fetch(
+            answer = await fetch(
                 self._client,
                 HTTPRequest(
                     f"http://{self._address}/state",
@@ -92,8 +102,8 @@
                     prepare_curl_callback=use_new_connection,
                 ),
             )
-            return Success(decode_json(_state_decoder, response.body))
-        except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
+            return Success(decode_json(_state_decoder, raise_unless_success(answer).body))
+        except (StatusError, CurlError, OSError, msgspec.DecodeError) as error:
             return Err(
                 TargetFailed(f"the engine's state could not be read: {error}", has_run=False)
             )
@@ -116,10 +126,18 @@
         return await self._order(_Order("release", group, epoch, "", 0, 0))
 
     async def complete(
-        self, attempt: AttemptId, work: ModelWork, budget: float, on_tokens: TokenHandler
+        self,
+        attempt: AttemptId,
+        work: ModelWork,
+        budget: float,
+        answer_limit: int,
+        on_tokens: TokenHandler,
     ) -> Result[None, TargetFailed]:
-        """Run a completion within ``budget`` seconds; ``on_tokens`` receives generated text."""
-        reader = _EventReader(on_tokens)
+        """Run a completion within ``budget`` seconds; ``on_tokens`` receives generated text.
+
+        It fails if the text is larger than ``answer_limit`` characters.
+        """
+        reader = _EventReader(on_tokens, answer_limit)
         body = _Completion(
             work.model,
             work.prompt,
@@ -129,7 +147,7 @@
             work.resume_from,
         )
         try:
-            await fetch(
+            answer = await fetch(
                 self._client,
                 HTTPRequest(
                     f"http://{self._address}/v1/completions",
@@ -141,15 +159,21 @@
                     streaming_callback=reader.feed,
                     prepare_curl_callback=reader.attach,
                 ),
+                is_aborted=lambda: reader.has_failed,
             )
-        except (HTTPError, CurlError, OSError, msgspec.DecodeError) as error:
+            raise_unless_success(answer)
+        except (StatusError, CurlError, OSError) as error:
             return Err(
                 TargetFailed(
-                    f"completion failed at the engine: {error}",
-                    has_run=_has_connected(error),
-                    has_died=_is_interrupted(error),
+                    f"completion failed at the engine: {reader.failure or error}",
+                    has_run=has_connected(error),
+                    has_died=not reader.has_failed and _is_interrupted(error),
                 )
             )
+        if reader.has_failed:
+            return Err(
+                TargetFailed(f"completion failed at the engine: {reader.failure}", has_run=True)
+            )
         if not reader.is_complete:
             return Err(TargetFailed("the engine's stream ended without [DONE]", has_run=True))
         return Success(None)
@@ -163,7 +187,7 @@
 
     async def _post(self, path: str, body: bytes, timeout: float) -> Result[None, TargetFailed]:
         try:
-            await fetch(
+            answer = await fetch(
                 self._client,
                 HTTPRequest(
                     f"http://{self._address}{path}",
@@ -174,16 +198,12 @@
                     prepare_curl_callback=use_new_connection,
                 ),
             )
+            raise_unless_success(answer)
             return Success(None)
-        except (HTTPError, CurlError, OSError) as error:
+        except (StatusError, CurlError, OSError) as error:
             return Err(TargetFailed(f"request {path} to the engine failed: {error}", has_run=True))
 
 
-def _has_connected(error: Exception) -> bool:
-    """Return False if the engine cannot have received the request."""
-    return not (isinstance(error, CurlError) and error.errno == pycurl.E_COULDNT_CONNECT)
-
-
 def _is_interrupted(error: Exception) -> bool:
     """Return whether the engine closed the connection in the middle of its answer."""
     if isinstance(error, AnswerCutError):
@@ -192,14 +212,25 @@
 
 
 class _EventReader:
-    """Parses a server-sent event stream of tokens."""
+    """Parses a server-sent event stream of tokens.
+
+    Once a line, or the text of all events, is larger than its limit, or an event cannot be read,
+    ``failure`` says so, and nothing more is read.
+    """
 
-    def __init__(self, on_tokens: TokenHandler) -> None:
+    def __init__(self, on_tokens: TokenHandler, text_limit: int) -> None:
         self._on_tokens = on_tokens
+        self._text_left = text_limit
         self._partial_line = b""
         self._decoder = msgspec.json.Decoder(_StreamEvent)
         self._curl: pycurl.Curl | None = None
         self.is_complete = False
+        self.failure = ""
+
+    @property
+    def has_failed(self) -> bool:
+        """Return whether what has arrived is no stream of events."""
+        return bool(self.failure)
 
     def attach(self, curl: pycurl.Curl) -> None:
         """Read the response of the request that ``curl`` is about to send."""
@@ -209,9 +240,18 @@
     def feed(self, data: bytes) -> None:
         """Parse the next bytes of the response body; that of an error is no stream."""
         assert self._curl is not None
-        if self._curl.getinfo(pycurl.RESPONSE_CODE) != SUCCESS:
+        if self.has_failed or self._curl.getinfo(pycurl.RESPONSE_CODE) != SUCCESS:
             return
         *lines, self._partial_line = (self._partial_line + data).split(b"\n")
+        if len(self._partial_line) > LINE_LIMIT:
+            self._fail(f"a line of the stream is longer than {LINE_LIMIT} bytes")
+            return
+        try:
+            self._read_lines(lines)
+        except (msgspec.DecodeError, IndexError) as error:
+            self._fail(f"an event of the stream cannot be read: {error}")
+
+    def _read_lines(self, lines: list[bytes]) -> None:
         tokens = 0
         texts = []
         for line in lines:
@@ -224,5 +264,12 @@
             choice = self._decoder.decode(payload).choices[0]
             tokens += choice.tokens
             texts.append(choice.text)
-        if texts:
+            self._text_left -= len(choice.text)
+        if self._text_left < 0:
+            self._fail("the stream is larger than the limit of an answer")
+        elif texts:
             self._on_tokens(tokens, "".join(texts))
+
+    def _fail(self, failure: str) -> None:
+        self.failure = failure
+        self._partial_line = b""
--- a/packages/node/src/jaylatch_node/adapters/service.py
+++ b/packages/node/src/jaylatch_node/adapters/service.py
@@ -5,12 +5,18 @@
 from returns.result import Failure as Err
 from returns.result import Result, Success
 from tornado.curl_httpclient import CurlError
-from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
 
 from jaylatch_core.exceptions import TargetFailed
 from jaylatch_core.ids import AttemptId
 from jaylatch_core.messages.requests import ServiceWork
-from jaylatch_node.adapters.connections import NO_RESPONSE, fetch, use_new_connection
+from jaylatch_node.adapters.connections import (
+    StatusError,
+    fetch,
+    has_connected,
+    raise_unless_success,
+    use_new_connection,
+)
 
 CONNECT_TIMEOUT = 0.5
 """Seconds to connect to the service."""
@@ -37,7 +43,7 @@
     async def is_healthy(self) -> bool:
         """Return whether the service answers its health check."""
         try:
-            await fetch(
+            answer = await fetch(
                 self._client,
                 HTTPRequest(
                     f"http://{self._address}/health",
@@ -45,7 +51,8 @@
                     request_timeout=HEALTH_TIMEOUT,
                 ),
             )
-        except (HTTPError, CurlError, OSError):
+            raise_unless_success(answer)
+        except (StatusError, CurlError, OSError):
             return False
         return True
 
@@ -56,22 +63,14 @@
 
         After the connection is made, every failure counts as run.
         """
-        body = _BoundedBody(answer_limit)
         try:
-            request = self._request(attempt, work, budget, answer_limit, body)
-            response = await fetch(self._client, request, raise_error=False)
-        except (HTTPError, CurlError, OSError) as error:
-            return Err(TargetFailed(f"call to the service failed: {error}", has_run=True))
-        if response.code == NO_RESPONSE:
-            has_run = getattr(response.error, "errno", None) != pycurl.E_COULDNT_CONNECT
-            return Err(
-                TargetFailed(f"call to the service failed: {response.error}", has_run=has_run)
-            )
-        if body.is_too_large:
-            detail = f"the service's answer is larger than {answer_limit} bytes"
-            return Err(TargetFailed(detail, has_run=True))
-        content_type = response.headers.get("Content-Type", "application/octet-stream")
-        return Success(ServiceAnswer(response.code, content_type, body.data))
+            request = self._request(attempt, work, budget, answer_limit)
+            answer = await fetch(self._client, request, body_limit=answer_limit)
+        except (CurlError, OSError) as error:
+            detail = f"call to the service failed: {error}"
+            return Err(TargetFailed(detail, has_run=has_connected(error)))
+        content_type = answer.headers.get("Content-Type", "application/octet-stream")
+        return Success(ServiceAnswer(answer.status, content_type, answer.body))
 
     def _request(
         self,
@@ -79,7 +78,6 @@
         work: ServiceWork,
         budget: float,
         answer_limit: int,
-        body: "_BoundedBody",
     ) -> HTTPRequest:
         has_body = work.method not in METHODS_WITHOUT_BODY
 
@@ -93,33 +91,7 @@
             headers={"X-Request-Id": attempt, "Content-Type": work.content_type},
             body=work.body if has_body else None,
             allow_nonstandard_methods=True,
-            follow_redirects=False,
             connect_timeout=CONNECT_TIMEOUT,
             request_timeout=budget,
-            streaming_callback=body.feed,
             prepare_curl_callback=prepare,
         )
-
-
-class _BoundedBody:
-    """Collects a response body, and discards it once it is larger than the limit."""
-
-    def __init__(self, limit: int) -> None:
-        self._limit = limit
-        self._parts: list[bytes] = []
-        self._size = 0
-        self.is_too_large = False
-
-    @property
-    def data(self) -> bytes:
-        """Return the collected bytes."""
-        return b"".join(self._parts)
-
-    def feed(self, data: bytes) -> None:
-        """Add the next bytes."""
-        self._size += len(data)
-        if self._size > self._limit:
-            self.is_too_large = True
-            self._parts.clear()
-        else:
-            self._parts.append(data)
--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -220,7 +220,8 @@
                 record.emit(tokens, text.encode())
 
         engine = EngineClient(self._address(), self._client)
-        result = await engine.complete(start.attempt, work, start.budget, on_tokens)
+        limit = self._settings.answer_limit
+        result = await engine.complete(start.attempt, work, start.budget, limit, on_tokens)
         if is_successful(result):
             record.finish(200, "text/plain")
             if start.is_suspect:
