Put the time and the waiting of planned stops into one module

Change: PlannedStop and UnreadAnswers in jaylatch_node.planned_stop. Connections whose answers have been read are forgotten when another one is added, not only when they are counted. A sole voter keeps its leadership in a planned stop, since other roles of its process may still need it.

--- a/packages/node/src/jaylatch_node/agent/attempts.py
+++ b/packages/node/src/jaylatch_node/agent/attempts.py
@@ -1,6 +1,6 @@
 """Execution of attempts on the target, each at most once, and retention of their answers."""
 
-from asyncio import Task, create_task, sleep
+from asyncio import Task, create_task
 from functools import partial
 from typing import Protocol
 
@@ -32,6 +32,7 @@
 from jaylatch_node.agent.attempt_record import AttemptRecord
 from jaylatch_node.agent.load import LoadController
 from jaylatch_node.blackboard import NO_EPOCH, NO_GROUP, Blackboard
+from jaylatch_node.planned_stop import PlannedStop
 from jaylatch_node.streams import StreamConnection
 
 MAX_START_AGE = 5.0
@@ -43,8 +44,6 @@
 UNWATCHED_TIMEOUT = 5.0
 """Seconds after which a running completion that no entry watches is stopped."""
 ANSWER_CHUNK_BYTES = 64 * 1024
-DRAIN_POLL = 0.05
-"""Seconds between two checks for running attempts at a planned stop."""
 
 
 class Admission(Protocol):
@@ -86,14 +85,12 @@
         self._reporter.stop()
         self._sweeper.stop()
 
-    async def drain(self, until: float) -> None:
-        """Start nothing more, and wait until ``until`` for the attempts and their delivery."""
+    async def drain(self, stop: PlannedStop) -> None:
+        """Start nothing more, and wait for the attempts and their delivery."""
         self._is_stopping = True
         self.report()
-        while monotonic() < until and any(item.is_open for item in self._attempts.values()):
-            await sleep(DRAIN_POLL)
-        # The last messages leave with the next turns of the loop.
-        await sleep(DRAIN_POLL)
+        await stop.wait_while(lambda: any(item.is_open for item in self._attempts.values()))
+        await stop.flush()
 
     def open_connection(self, connection: StreamConnection) -> None:
         """Report to a new connection at once."""
--- a/packages/node/src/jaylatch_node/agent/role.py
+++ b/packages/node/src/jaylatch_node/agent/role.py
@@ -13,6 +13,7 @@
 from jaylatch_node.agent.membership import MembershipController
 from jaylatch_node.blackboard import Blackboard
 from jaylatch_node.listening import listen_at
+from jaylatch_node.planned_stop import PlannedStop
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection, StreamServer
 
@@ -20,8 +21,6 @@
 """Concurrent probes and orders to the target."""
 MAX_ANSWER_REQUESTS = 512
 """Concurrent attempts on the target."""
-GRACE_MARGIN = 0.4
-"""Seconds before the end of the grace period at which the process stops."""
 
 
 class AgentRole(NodeRole):
@@ -61,7 +60,7 @@
 
     async def drain(self) -> None:
         """Finish the attempts in flight."""
-        await self._attempts.drain(monotonic() + self._settings.agent.grace - GRACE_MARGIN)
+        await self._attempts.drain(PlannedStop(monotonic(), self._settings.agent.grace))
 
     def stop(self) -> None:
         """Stop probing and listening."""
--- a/packages/node/src/jaylatch_node/control/voters.py
+++ b/packages/node/src/jaylatch_node/control/voters.py
@@ -151,11 +151,14 @@
             await self._hand_on_leadership(log)
 
     async def _hand_on_leadership(self, log: ReplicatedLog[Any]) -> None:
+        others = set(log.voters) - {self._instance}
+        if not others:
+            # Other roles of this process may still need it.
+            return
         log.hand_on_leadership(monotonic())
         # The message must leave before the streams are closed.
         await sleep(POLL_INTERVAL)
-        others = set(log.voters) - {self._instance}
-        if others and self._instance in log.voters:
+        if self._instance in log.voters:
             await _wait_until(lambda: log.leader in others, ELECTION_TIMEOUT)
 
     def _join(self) -> None:
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -33,6 +33,7 @@
 from jaylatch_node.entry.quarantine import QuarantineController
 from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.listening import listen_at
+from jaylatch_node.planned_stop import PlannedStop
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 
@@ -44,8 +45,6 @@
 """Seconds after which a connection without a request is closed."""
 BODY_TIMEOUT = 60.0
 """Seconds within which the complete body of a request must be received."""
-GRACE_MARGIN = 0.4
-"""Seconds before the end of the grace period at which remaining requests are interrupted."""
 
 
 class EntryRole(NodeRole):
@@ -112,11 +111,11 @@
 
     async def drain(self) -> None:
         """Answer the requests in flight while new callers are sent elsewhere."""
-        until = monotonic() + self._settings.entry.grace - GRACE_MARGIN
+        stop = PlannedStop(monotonic(), self._settings.entry.grace)
         self._requests.is_ready = False
         await sleep(self._settings.entry.rotation)
         self._http.stop()
-        await self._requests.drain(until)
+        await self._requests.drain(stop)
 
     def stop(self) -> None:
         """Stop listening and stop the controllers."""
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -30,14 +30,11 @@
 from jaylatch_node.gateway.places import PlaceClient
 from jaylatch_node.gateway.server import GatewayServer
 from jaylatch_node.listening import listen_at
+from jaylatch_node.planned_stop import PlannedStop
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import StreamConnection
 from jaylatch_node.targets import TargetDialect, TargetPool
 
-GRACE_MARGIN = 0.4
-"""Seconds before the end of the grace period at which remaining requests are interrupted."""
-DRAIN_POLL = 0.05
-"""Seconds between two checks for requests in flight."""
 SUSPICION_INTERVAL = 0.4
 """Seconds between two reports of one target by this process."""
 SUSPICION_TIMEOUT = 1.0
@@ -130,7 +127,7 @@
 
     async def drain(self) -> None:
         """Finish the requests in flight while the platform routes new callers elsewhere."""
-        started_at = monotonic()
+        stop = PlannedStop(monotonic(), self._settings.grace)
         self._is_stopping = True
         self._server.drain()
         await sleep(self._settings.rotation)
@@ -138,16 +135,14 @@
         # A request sent from now on may take longer than the rest of the grace period.
         self._forwarder.stop_admitting()
         self._server.close_idle()
-        until = started_at + self._settings.grace - GRACE_MARGIN
-        while self._server.in_flight and monotonic() < until:
-            await sleep(DRAIN_POLL)
+        await stop.wait_while(lambda: bool(self._server.in_flight))
         self._board.events.record(
             wall(),
             EventName.GATEWAY_DRAINED,
             detail=f"{self._server.in_flight} requests cut",
         )
         self._server.interrupt()
-        await sleep(DRAIN_POLL)
+        await stop.flush()
 
     def handle_call(self, connection: StreamConnection, call: int, body: Body) -> bool:
         """Handle what an owner tells a waiting request; returns False for other bodies."""
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -15,6 +15,7 @@
     RequestStartLine,
     ResponseStartLine,
 )
+from tornado.iostream import IOStream
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import ConnectionLimits
@@ -22,6 +23,7 @@
 from jaylatch_node.gateway.held import HeldKind, HeldMemory, Holding
 from jaylatch_node.gateway.metrics import HeldMetrics
 from jaylatch_node.observability import Metrics
+from jaylatch_node.planned_stop import UnreadAnswers
 from jaylatch_node.sockets import bound_buffers
 
 RequestHandler = Callable[[RequestStartLine, HTTPHeaders, bytes, Caller], Awaitable[None]]
@@ -56,7 +58,7 @@
         self.memory = memory or HeldMemory(0, HeldMetrics(Metrics()))
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
-        self._sending: set[_InboundMessage] = set()
+        self._unread = UnreadAnswers()
         self._idle: set[_InboundMessage] = set()
         self._sweep_timer: TimerHandle | None = None
         # Without an idle timeout: the library would keep to the one of a connection's last request.
@@ -66,8 +68,7 @@
     @property
     def in_flight(self) -> int:
         """Return the number of requests whose answer has not been written to its connection."""
-        self._sending = {message for message in self._sending if message.is_sending}
-        return len(self._messages) + len(self._sending)
+        return len(self._messages) + self._unread.count
 
     @property
     def limits(self) -> ConnectionLimits:
@@ -143,7 +144,7 @@
             if message.is_idle and message.idle_since < expired_at:
                 message.close()
         self._idle = {message for message in self._idle if not message.is_closed}
-        self._sending = {message for message in self._sending if message.is_sending}
+        self._unread.forget_read()
         self._sweep_timer = get_running_loop().call_later(SWEEP_INTERVAL, self._sweep)
 
     async def _run(self, message: "_InboundMessage") -> None:
@@ -160,8 +161,7 @@
         finally:
             message.release_body()
             self._messages.discard(message)
-            if message.is_sending:
-                self._sending.add(message)
+            self._unread.add(message.stream)
 
 
 class _InboundMessage(HTTPMessageDelegate):
@@ -186,9 +186,9 @@
         return self._connection.stream.closed()
 
     @property
-    def is_sending(self) -> bool:
-        """Return whether a part of an answer waits until the caller has read earlier ones."""
-        return not self.is_closed and self._connection.stream.writing()
+    def stream(self) -> IOStream:
+        """Return the stream below HTTP."""
+        return self._connection.stream
 
     @property
     def is_idle(self) -> bool:
