Let instances without a vote forget a lost leader, and keep three voters

Cause, found by trials of random replacements with real processes: an instance whose vote was taken back while it ran went on naming its last leader. If that leader was lost, callers went from the one to the other and back, and never asked the new leader: no document accepted in 15 s. And where voter_count is not set, an instance that was added later counts the voters that its own settings name; with two of them it removed a lost voter without a successor (features/quorum/replacement @1.3).

Change: an instance without a vote forgets a leader after an election timeout. A log that has had three voters keeps three, whatever the settings of its leader name.

The event "a follower is removed while it runs" checks the first, a row of the table of voters the last.

--- a/features/quorum/replacement.feature
+++ b/features/quorum/replacement.feature
@@ -36,6 +36,7 @@
       | a b c d e | a      | 3      | f                     | b c d e/b c d e f                       |
       | a b c d   | d      | 3      | nobody                | a b c                                   |
       | a b c d   |        | 3      | nobody                | a c d                                   |
+      | a b c     | b      | 2      | nobody                |                                         |
       | a b c d e | a b    | 3      | nobody                | b c d e/c d e                           |
       | a         |        | 1      | b c                   |                                         |
       | a b c     |        | 3      | nobody, while b ends, |                                         |
--- a/features/steps/replicated_log_steps.py
+++ b/features/steps/replicated_log_steps.py
@@ -76,7 +76,8 @@
             assert is_successful(changed), changed
 
             async def knows_it() -> bool:
-                return follower not in network.logs[follower].voters
+                removed = network.logs[follower]
+                return follower not in removed.voters and not removed.leader
 
             await wait_until(knows_it, WAIT_TIMEOUT, "the removed follower knows it")
         case "a follower is restarted":
--- a/packages/decisions/src/jaylatch_decisions/consensus/elections.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/elections.py
@@ -51,6 +51,8 @@
         if now < state.election_due:
             return False
         if not state.is_voter:
+            # Nobody tells an instance without a vote of the next leader.
+            state.leader = NOBODY
             state.reset_election_timer(now)
             return False
         return self._start_pre_vote(now)
--- a/packages/decisions/src/jaylatch_decisions/consensus/membership.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/membership.py
@@ -21,6 +21,9 @@
 """Seconds for which a request for admission counts; it is repeated each second."""
 LEAVE_RETENTION = 10.0
 """Seconds after which an instance that wanted to end is taken for one that goes on."""
+MIN_VOTERS = 3
+"""Voters that a log keeps if it has had them. The settings of an instance that has been added later
+may name fewer control instances than there are."""
 REQUEST_WAIT = 2.0
 """Seconds within which all waiting instances have asked a new leader for admission."""
 
@@ -46,8 +49,9 @@
 class VoterSet:
     """The voters of a log as their leader sees them.
 
-    ``wanted`` is the intended number of voters, and ``lost`` are those without contact. ``disks``
-    numbers the disks of the voters that have reported theirs; a newer disk has a higher number.
+    ``wanted`` is the number of voters that the settings state, and ``lost`` are those without
+    contact. ``disks`` numbers the disks of the voters that have reported theirs; a newer disk has a
+    higher number.
     """
 
     voters: tuple[InstanceId, ...]
@@ -57,9 +61,20 @@
     disks: Mapping[InstanceId, int] = field(default_factory=dict)
 
     @property
-    def limit(self) -> int:
-        """Return the largest size: as many successors as voters are wanted have a majority."""
-        return 2 * self.wanted - 1
+    def min_size(self) -> int:
+        """Return the intended number of voters."""
+        odd = (len(self.voters) + 1) // 2 * 2 - 1
+        return max(self.wanted, min(MIN_VOTERS, odd))
+
+    @property
+    def max_size(self) -> int:
+        """Return the size at which as many successors as voters are intended have a majority."""
+        return 2 * self.min_size - 1
+
+    @property
+    def is_enlarged(self) -> bool:
+        """Return whether there are more voters than intended."""
+        return len(self.voters) > self.min_size
 
     def after(self, change: VoterChange) -> tuple[InstanceId, ...]:
         """Return the voters after a change."""
@@ -75,9 +90,9 @@
         Voters are added in pairs: one more would raise the majority, but not the number of losses
         that the log tolerates.
         """
-        if available <= self.wanted:
+        if available <= self.min_size:
             return available
-        return self.wanted + (min(available, self.limit) - self.wanted) // 2 * 2
+        return self.min_size + (min(available, self.max_size) - self.min_size) // 2 * 2
 
 
 @dataclass
@@ -116,15 +131,14 @@
 
     def can_hand_on(self, now: float, voter_set: VoterSet) -> bool:
         """Return whether a voter that ends can be released of its vote."""
-        return len(voter_set.voters) > voter_set.wanted or bool(self._waiting(now, voter_set))
+        return voter_set.is_enlarged or bool(self._waiting(now, voter_set))
 
     def plan(self, now: float, voter_set: VoterSet) -> VoterChange | None:
         """Return the next change of the voters, or None if there is nothing to do."""
-        voters = voter_set.voters
         departing = self._departing(now, voter_set)
-        if departing and len(voters) > voter_set.wanted:
+        if departing and voter_set.is_enlarged:
             return RemoveVoter(departing[0])
-        present = [voter for voter in voters if voter not in departing]
+        present = [voter for voter in voter_set.voters if voter not in departing]
         waiting = self._waiting(now, voter_set)
         target = voter_set.target_size(len(present) + len(waiting))
         if len(present) > target:
@@ -133,7 +147,7 @@
             return None
         if len(present) < target:
             return AddVoter(waiting[0])
-        if len(present) == voter_set.limit and not departing:
+        if len(present) == voter_set.max_size and not departing:
             return self._replace_oldest(waiting, present, voter_set)
         return None
 
