Count the silence of a lost leader from before the election

Cause: a new leader counted the silence of its predecessor from its own election, so a successor that waited got the vote of a killed leader about 2.8 s after its end.

Change: VoterState keeps the last leader that was followed; until that one answers in the new term, its last contact is the one before the term.

--- a/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/leaders.py
@@ -137,12 +137,17 @@
 
     def unresponsive_voters(self, now: float, limit: float) -> list[InstanceId]:
         """Return the other voters without contact for ``limit`` seconds, longest first."""
-        unresponsive = [
-            peer
-            for peer in self._state.peers
-            if now >= self._progress[peer].last_contact_at + limit
-        ]
-        return sorted(unresponsive, key=lambda peer: self._progress[peer].last_contact_at)
+        contacts = {peer: self._last_contact(peer) for peer in self._state.peers}
+        unresponsive = [peer for peer, contact_at in contacts.items() if now >= contact_at + limit]
+        return sorted(unresponsive, key=contacts.__getitem__)
+
+    def _last_contact(self, peer: InstanceId) -> float:
+        """Return the time of the last contact: with the last leader, that before this term."""
+        state = self._state
+        progress = self._progress[peer]
+        if peer == state.last_leader and not progress.acknowledged_round:
+            return min(progress.last_contact_at, state.last_leader_contact_at)
+        return progress.last_contact_at
 
     def transfer(self, now: float) -> None:
         """Step down for this term, and ask the most up-to-date voter to start an election.
--- a/packages/decisions/src/jaylatch_decisions/consensus/state.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/state.py
@@ -43,6 +43,7 @@
         self.is_in_start_wait = True
         self.start_number = random.getrandbits(START_NUMBER_BITS) | 1
         self.has_heard_leader = False
+        self.last_leader = NOBODY
         self.last_leader_contact_at = float("-inf")
         self._write_duration = 0.0
         self._random = random
@@ -122,6 +123,7 @@
     def follow_leader(self, now: float, term: Term, leader: InstanceId) -> None:
         """Follow the leader that sent a message, and withhold votes for others."""
         self.become_follower(now, term, leader)
+        self.last_leader = leader
         self.last_leader_contact_at = now
         self.has_heard_leader = True
 
