--- a/features/steps/no_answer_steps.py
+++ b/features/steps/no_answer_steps.py
@@ -39,13 +39,9 @@
 @given(r"a target that answers with (?P<right>.+) or (?P<wrong>.+) as the status")
 def step_statuses(context: Context, right: str, wrong: str) -> None:
     async def handle(reader: StreamReader, writer: StreamWriter) -> None:
-        request = await read_request(reader)
-        body = EVENTS if request.path == "/v1/completions" else STATE
+        body = EVENTS if (await read_request(reader)).path == "/v1/completions" else STATE
         head = f"HTTP/1.1 {context.variant} Odd\r\nContent-Length: {len(body)}\r\n\r\n"
         writer.write(head.encode() + body)
-        await writer.drain()
-        writer.write_eof()
-        await reader.read()
 
     context.variants = [*right.split(), *wrong.split()]
     context.runner.run(listen(context, handle))
@@ -53,12 +49,9 @@
 
 @given(r"a target that sends (?P<endless>.+) without end")
 def step_endless(context: Context, endless: str) -> None:
-    context.sent = dict.fromkeys(endless.split(", "), 0)
-
     async def handle(reader: StreamReader, writer: StreamWriter) -> None:
         await read_request(reader)
-        what = context.variant
-        first, more = ENDLESS[what]
+        what, (first, more) = context.variant, ENDLESS[context.variant]
         writer.write(first)
         with suppress(ConnectionError):
             while context.sent[what] < SEND_LIMIT:
@@ -66,7 +59,8 @@
                 await writer.drain()
                 context.sent[what] += len(more)
 
-    context.variants = list(context.sent)
+    context.variants = endless.split(", ")
+    context.sent = dict.fromkeys(context.variants, 0)
     context.runner.run(listen(context, handle))
 
 
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -291,6 +291,14 @@
     outcome: str
 
 
+class LeaderChanged(LogRecord, frozen=True, kw_only=True, tag="leader"):
+    """This instance follows another leader of a log, or leads it; ``leader`` is empty: none."""
+
+    log: str
+    leader: str
+    term: int
+
+
 class VoteHandedOn(LogRecord, frozen=True, kw_only=True, tag="vote"):
     """This instance is about to end; it keeps its vote if no other instance can take it over."""
 
@@ -358,6 +366,7 @@
     SupplyChanged,
     EvacuationChanged,
     VotersChanged,
+    LeaderChanged,
     VoteHandedOn,
     DeploymentReceived,
     HeartbeatRefused,
--- a/packages/node/src/jaylatch_node/control/voters.py
+++ b/packages/node/src/jaylatch_node/control/voters.py
@@ -12,7 +12,7 @@
 from jaylatch_core.clock import MILLISECONDS_PER_SECOND, monotonic
 from jaylatch_core.exceptions import NotLeader
 from jaylatch_core.ids import InstanceId, Term
-from jaylatch_core.log_records import VoteHandedOn, VotersChanged
+from jaylatch_core.log_records import LeaderChanged, VoteHandedOn, VotersChanged
 from jaylatch_core.messages.control import (
     CommandAccepted,
     JoinControl,
@@ -74,6 +74,7 @@
         self._may_have_successors = may_have_successors
         self._rosters: dict[str, VoterRoster] = {}
         self._leading_since: dict[str, tuple[Term, float]] = {}
+        self._reported: dict[str, LeaderChanged] = {}
         self._changing: set[str] = set()
         self._requests: dict[str, Task[None]] = {}
         self._join_timer = PeriodicCallback(self._join, JOIN_INTERVAL * MILLISECONDS_PER_SECOND)
@@ -91,6 +92,7 @@
     def tick(self, now: float) -> None:
         """Start the next change of the voters of each log that this instance leads."""
         for log in self._logs.values():
+            self._report_leader(log)
             if not log.is_leader:
                 self._rosters.pop(log.name, None)
                 self._leading_since.pop(log.name, None)
@@ -173,6 +175,12 @@
         finally:
             del self._requests[log.name]
 
+    def _report_leader(self, log: ReplicatedLog[Any]) -> None:
+        record = LeaderChanged(log=log.name, leader=log.leader, term=log.term)
+        if record != self._reported.get(log.name):
+            self._reported[log.name] = record
+            log_record(_log, record)
+
     def _roster(self, log: ReplicatedLog[Any]) -> VoterRoster:
         return self._rosters.setdefault(log.name, VoterRoster())
 
