Keep a named leader as the confirmed one while callers go on to the next instance

Change: the leader is confirmed as before; if it is not connected, the next call goes to the instance after the one that has named it.

--- a/packages/node/src/jaylatch_node/control/client.py
+++ b/packages/node/src/jaylatch_node/control/client.py
@@ -159,13 +159,15 @@
     def _handle_answer(self, log: str, address: str, result: CallResult) -> Body | None:
         """Return a leader's answer; otherwise return None and update the supposed leader.
 
-        A supposed leader that answers Unavailable is called again. One that is not connected is
-        not called: the instance that has named it may have followed a leader that is lost.
+        A supposed leader that answers Unavailable is called again.
         """
         answer = result.unwrap() if is_successful(result) else None
         match answer:
-            case NotLeader(_, leader) if (peer := self._find_connected(leader)) is not None:
+            case NotLeader(_, leader) if (peer := self._find(InstanceId(leader))) is not None:
                 self._confirm(log, peer)
+                if self._peers.get(peer).connection is None:
+                    # The instance that has named it may have followed a leader that is lost.
+                    self._leaders[log] = self._next(address)
             case None | NotLeader() | StorageFailed():
                 self._call_next(log, address)
             case Unavailable():
@@ -175,18 +177,15 @@
                 return answer
         return None
 
-    def _find_connected(self, leader: str) -> str | None:
-        """Return the address of a control instance, or None if it is unknown or not connected.
+    def _find(self, instance: InstanceId) -> str | None:
+        """Return the address of a control instance, or None if it is unknown.
 
         An address that the instance id states is added to the calling order.
         """
-        instance = InstanceId(leader)
         named = peer_from_instance_id(instance)
         if named is not None and named.address not in self._order:
             self._order.append(named.address)
-        address = address_of(instance, self._addresses)
-        is_connected = address is not None and self._peers.get(address).connection is not None
-        return address if is_connected else None
+        return address_of(instance, self._addresses)
 
     def _choose(self, log: str, asked: set[str]) -> str | None:
         """Return the address to call next: the supposed leader, or the next connected instance.
