Count only instances that were added later as successors

Change: an instance whose disk is of a stated first start says so when it asks for a vote. It is admitted in place of a voter, as before, but does not enlarge the set.

--- a/features/quorum/replacement.feature
+++ b/features/quorum/replacement.feature
@@ -28,7 +28,7 @@
       | a b c  | c      | 3      | c       |               |
 
     # Guards against two of three voters that end before the loss of the first one is noticed.
-    Examples: the first voter leads; the letters are in the order of the age of the disks
+    Examples: the first voter leads; letters are in the order of the disks, capital ones of the first start
       | voters    | silent | wanted | joining               | steps                                   |
       | a b c     |        | 3      | d e                   | a b c d/a b c d e                       |
       | a b c     |        | 3      | d e f                 | a b c d/a b c d e/a b c d e f/a c d e f |
@@ -39,6 +39,8 @@
       | a b c     | b      | 2      | nobody                |                                         |
       | a b c d e | a b    | 3      | nobody                | b c d e/c d e                           |
       | a         |        | 1      | b c                   |                                         |
+      | a b c     |        | 3      | D E F                 |                                         |
+      | a b c     | b      | 3      | D E                   | a b c D/a c D                           |
       | a b c     |        | 3      | nobody, while b ends, |                                         |
       | a b c     |        | 3      | d, while b ends,      | a b c d/a c d                           |
       | a b c     |        | 3      | d, while a ends,      | a b c d/b c d                           |
--- a/features/steps/replacement_steps.py
+++ b/features/steps/replacement_steps.py
@@ -85,7 +85,8 @@
     roster = VoterRoster()
     voters = context.voters
     for name in joining:
-        roster.record_request(NOW, InstanceId(name), disk_of(name))
+        is_successor = not name.isupper()
+        roster.record_request(NOW, InstanceId(name), disk_of(name), is_successor=is_successor)
     for name in leaving:
         roster.record_leave(NOW, InstanceId(name))
     for _ in range(MAX_CHANGES):
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -134,12 +134,14 @@
 class JoinControl(msgspec.Struct, frozen=True, tag=True):
     """A control instance without a vote in ``log`` asks the leader of that log for one.
 
-    ``disk`` numbers its disk; a newer disk has a higher number (0: not known).
+    ``disk`` numbers its disk; a newer disk has a higher number (0: not known). ``is_successor`` is
+    false if the disk is known to be one of the first start.
     """
 
     log: str
     instance: InstanceId
     disk: int = 0
+    is_successor: bool = True
 
 
 class LeaveControl(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/consensus/membership.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/membership.py
@@ -100,6 +100,7 @@
     first_asked_at: float
     asked_at: float
     disk: int
+    is_successor: bool
 
 
 class VoterRoster:
@@ -109,11 +110,16 @@
         self._candidates: dict[InstanceId, _Candidate] = {}
         self._leaving: dict[InstanceId, float] = {}
 
-    def record_request(self, now: float, instance: InstanceId, disk: int) -> None:
-        """Record that an instance asks for a vote; ``disk`` numbers its disk."""
-        candidate = self._candidates.setdefault(instance, _Candidate(now, now, disk))
-        candidate.asked_at = now
-        candidate.disk = disk
+    def record_request(
+        self, now: float, instance: InstanceId, disk: int, *, is_successor: bool = True
+    ) -> None:
+        """Record that an instance asks for a vote; ``disk`` numbers its disk.
+
+        One that has been there since the first start is no successor: it waits for a voter's end.
+        """
+        known = self._candidates.get(instance)
+        first_asked_at = now if known is None else known.first_asked_at
+        self._candidates[instance] = _Candidate(first_asked_at, now, disk, is_successor)
         self._leaving.pop(instance, None)
 
     def record_leave(self, now: float, instance: InstanceId) -> None:
@@ -140,15 +146,16 @@
             return RemoveVoter(departing[0])
         present = [voter for voter in voter_set.voters if voter not in departing]
         waiting = self._waiting(now, voter_set)
-        target = voter_set.target_size(len(present) + len(waiting))
+        if waiting and len(present) < voter_set.min_size:
+            return AddVoter(waiting[0])
+        successors = [item for item in waiting if self._candidates[item].is_successor]
+        target = voter_set.target_size(len(present) + len(successors))
         if len(present) > target:
             return _remove_oldest(present, voter_set)
-        if not waiting:
-            return None
-        if len(present) < target:
-            return AddVoter(waiting[0])
+        if len(present) < target and successors:
+            return AddVoter(successors[0])
         if len(present) == voter_set.max_size and not departing:
-            return self._replace_oldest(waiting, present, voter_set)
+            return self._replace_oldest(successors, present, voter_set)
         return None
 
     def _departing(self, now: float, voter_set: VoterSet) -> list[InstanceId]:
@@ -172,7 +179,7 @@
         return sorted(waiting, key=lambda item: (self._candidates[item].first_asked_at, item))
 
     def _replace_oldest(
-        self, waiting: list[InstanceId], present: list[InstanceId], voter_set: VoterSet
+        self, successors: list[InstanceId], present: list[InstanceId], voter_set: VoterSet
     ) -> VoterChange | None:
         """Add a successor to the largest set if its disk is newer than that of a voter.
 
@@ -182,7 +189,7 @@
         oldest = min(
             (disk for voter in present if (disk := _disk_of_follower(voter, voter_set))), default=0
         )
-        newer = (item for item in waiting if self._candidates[item].disk > oldest > 0)
+        newer = (item for item in successors if self._candidates[item].disk > oldest > 0)
         return next((AddVoter(item) for item in newer), None)
 
 
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -158,6 +158,11 @@
         """Return whether this voter started on an empty disk and may not vote yet."""
         return self._raft is not None and self._raft.is_recovering
 
+    @property
+    def is_of_first_start(self) -> bool:
+        """Return whether the disk is known to have been empty at the first start."""
+        return self._raft is not None and self._raft.hard_state.is_first_start
+
     @property
     def set_aside_folder(self) -> Path | None:
         """Return the folder of the damaged files that were set aside at startup, if any."""
--- a/packages/node/src/jaylatch_node/control/voters.py
+++ b/packages/node/src/jaylatch_node/control/voters.py
@@ -106,7 +106,9 @@
         if log is None or not log.is_leader:
             return _refer_to_leader(log)
         if body.instance not in log.voters:
-            self._roster(log).record_request(now, body.instance, body.disk)
+            self._roster(log).record_request(
+                now, body.instance, body.disk, is_successor=body.is_successor
+            )
         else:
             self._roster(log).drop_leave(body.instance)
         return CommandAccepted(len(log.voters))
@@ -169,7 +171,8 @@
                 self._requests[log.name] = create_task(self._request_admission(log))
 
     async def _request_admission(self, log: ReplicatedLog[Any]) -> None:
-        body = JoinControl(log.name, self._instance, log.disk_of(self._instance))
+        disk = log.disk_of(self._instance)
+        body = JoinControl(log.name, self._instance, disk, not log.is_of_first_start)
         try:
             await self._client.call(log.name, body, JOIN_TIMEOUT)
         finally:
