--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -135,7 +135,7 @@
     """A control instance without a vote in ``log`` asks the leader of that log for one.
 
     ``disk`` numbers its disk; a newer disk has a higher number (0: not known). ``is_successor`` is
-    false if the disk is known to be one of the first start.
+    false if the instance has been there since the first start and never had a vote.
     """
 
     log: str
--- a/packages/decisions/src/jaylatch_decisions/consensus/membership.py
+++ b/packages/decisions/src/jaylatch_decisions/consensus/membership.py
@@ -115,7 +115,8 @@
     ) -> None:
         """Record that an instance asks for a vote; ``disk`` numbers its disk.
 
-        One that has been there since the first start is no successor: it waits for a voter's end.
+        One that has been there since the first start and never had a vote is no successor: it waits
+        for a voter's end.
         """
         known = self._candidates.get(instance)
         first_asked_at = now if known is None else known.first_asked_at
--- a/packages/node/src/jaylatch_node/consensus/replicated_log.py
+++ b/packages/node/src/jaylatch_node/consensus/replicated_log.py
@@ -159,9 +159,10 @@
         return self._raft is not None and self._raft.is_recovering
 
     @property
-    def is_of_first_start(self) -> bool:
-        """Return whether the disk is known to have been empty at the first start."""
-        return self._raft is not None and self._raft.hard_state.is_first_start
+    def is_spare(self) -> bool:
+        """Return whether the disk is of a stated first start and has never held an entry."""
+        raft = self._raft
+        return raft is not None and raft.hard_state.is_first_start and not raft.last_index
 
     @property
     def set_aside_folder(self) -> Path | None:
--- a/packages/node/src/jaylatch_node/control/voters.py
+++ b/packages/node/src/jaylatch_node/control/voters.py
@@ -172,7 +172,7 @@
 
     async def _request_admission(self, log: ReplicatedLog[Any]) -> None:
         disk = log.disk_of(self._instance)
-        body = JoinControl(log.name, self._instance, disk, not log.is_of_first_start)
+        body = JoinControl(log.name, self._instance, disk, not log.is_spare)
         try:
             await self._client.call(log.name, body, JOIN_TIMEOUT)
         finally:
