--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,13 +14,14 @@
 from platform_standin import (  # noqa: E402
     KEY,
     TROUBLE,
+    NotRunError,
     Platform,
     Record,
-    Unusable,
     call,
     document,
     free_ports,
     route,
+    run_case,
 )
 from proxy_standin import DelayProxy  # noqa: E402
 from server_standin import Server  # noqa: E402
@@ -79,66 +80,59 @@
     await asyncio.gather(*tasks)
 
 
-async def run() -> int:
-    record = Record(FOLDER / "record.txt")
-    platform = Platform(record)
-    try:
-        platform.start()
-        await platform.publish(document(3, [route("order", "unsafe", "shop")]))
-        ports = free_ports(platform.address(10), 4)
-        stays = Server(
-            record, "i-stays", "shop", f"{platform.address(10)}:{ports[0]}", platform.controls()
-        )
-        await stays.start()
-        await platform.wait_until_ready()
-        await asyncio.sleep(4.0)
-        delay = CHECK_IN_DELAY if TROUBLE else 0.0
-        proxies = [
-            DelayProxy(f"{platform.address(10)}:{port}", control, lambda: delay)
-            for port, control in zip(ports[1:], platform.controls(), strict=True)
-        ]
-        for proxy in proxies:
-            await proxy.start()
-        leaves = LeavingServer(
-            record,
-            "i-leaves",
-            "shop",
-            f"{platform.address(11)}:{free_ports(platform.address(11), 1)[0]}",
-            [proxy.address for proxy in proxies],
-        )
-        await leaves.start()
-        record.write(f"server i-leaves: starts; its check-ins arrive {delay} s late")
-        answers: dict[str, int] = {}
-        traffic = asyncio.create_task(
-            send_orders(platform, record, record.now + DEPARTS_AFTER + SERVES_FOR + 1.0, answers)
-        )
-        await asyncio.sleep(DEPARTS_AFTER)
-        leaves.controls = platform.controls()
-        answer = await leaves.depart()
-        if answer.status != 200:
-            raise Unusable(f"the departure got {answer.status}")
-        leaves.acknowledged_at = record.now
-        record.write("server i-leaves: its departure is acknowledged with 200")
-        await asyncio.sleep(SERVES_FOR)
-        leaves.end()
-        record.write("server i-leaves: exits")
-        await traffic
-        broken = [item for item in leaves.runs if answers.get(item) != 200]
-        record.write(f"orders that it began and that were not answered with success: {broken}")
-        last = max(leaves.late, default=0.0)
-        record.write(
-            f"result: {len(leaves.late)} orders reached it over {DRAIN} s after the ack,"
-            f" the last one {last:.3f} s after it; {len(stays.runs)} ran at the other server"
-        )
-        if not stays.runs:
-            raise Unusable("no order ran at all")
-        return 1 if leaves.late else 0
-    except Unusable as error:
-        record.write(f"could not run: {error}")
-        return 2
-    finally:
-        platform.stop()
+async def run(record: Record, platform: Platform) -> bool:
+    """Return whether the rule was broken."""
+    platform.start()
+    await platform.publish(document(3, [route("order", "unsafe", "shop")]))
+    ports = free_ports(platform.address(10), 4)
+    stays = Server(
+        record, "i-stays", "shop", f"{platform.address(10)}:{ports[0]}", platform.controls()
+    )
+    await stays.start()
+    await platform.wait_until_ready()
+    await asyncio.sleep(4.0)
+    delay = CHECK_IN_DELAY if TROUBLE else 0.0
+    proxies = [
+        DelayProxy(f"{platform.address(10)}:{port}", control, lambda: delay)
+        for port, control in zip(ports[1:], platform.controls(), strict=True)
+    ]
+    for proxy in proxies:
+        await proxy.start()
+    leaves = LeavingServer(
+        record,
+        "i-leaves",
+        "shop",
+        f"{platform.address(11)}:{free_ports(platform.address(11), 1)[0]}",
+        [proxy.address for proxy in proxies],
+    )
+    await leaves.start()
+    record.write(f"server i-leaves: starts; its check-ins arrive {delay} s late")
+    answers: dict[str, int] = {}
+    traffic = asyncio.create_task(
+        send_orders(platform, record, record.now + DEPARTS_AFTER + SERVES_FOR + 1.0, answers)
+    )
+    await asyncio.sleep(DEPARTS_AFTER)
+    leaves.controls = platform.controls()
+    answer = await leaves.depart()
+    if answer.status != 200:
+        raise NotRunError(f"the departure got {answer.status}")
+    leaves.acknowledged_at = record.now
+    record.write("server i-leaves: its departure is acknowledged with 200")
+    await asyncio.sleep(SERVES_FOR)
+    leaves.end()
+    record.write("server i-leaves: exits")
+    await traffic
+    broken = [item for item in leaves.runs if answers.get(item) != 200]
+    record.write(f"orders that it began and that were not answered with success: {broken}")
+    last = max(leaves.late, default=0.0)
+    record.write(
+        f"result: {len(leaves.late)} orders reached it over {DRAIN} s after the ack,"
+        f" the last one {last:.3f} s after it; {len(stays.runs)} ran at the other server"
+    )
+    if not stays.runs:
+        raise NotRunError("no order ran at all")
+    return bool(leaves.late)
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run()))
+    sys.exit(run_case(run, FOLDER / "record.txt"))
--- a/review/15/case.py
+++ b/review/15/case.py
@@ -15,13 +15,14 @@
     HOST,
     KEY,
     TROUBLE,
+    NotRunError,
     Platform,
     Record,
-    Unusable,
     document,
     free_ports,
     read_message,
     route,
+    run_case,
 )
 from server_standin import Server  # noqa: E402
 
@@ -74,56 +75,47 @@
         self._writer.close()
 
 
-async def run() -> int:
-    record = Record(FOLDER / "record.txt")
-    platform = Platform(record)
+async def run(record: Record, platform: Platform) -> bool:
+    """Return whether the rule was broken."""
     clients: list[Client] = []
-    try:
-        platform.start()
-        routes = [route("order", "unsafe", "shop")]
-        limits = {
-            "maxHeaderBytes": OLD_LIMIT if TROUBLE else NEW_LIMIT,
-            "maxBodyBytes": 4194304,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        }
-        await platform.publish(document(3, routes, limits=limits))
-        address = platform.address(10)
-        server = Server(
-            record, "i-1", "shop", f"{address}:{free_ports(address, 1)[0]}", platform.controls()
-        )
-        await server.start()
-        await platform.wait_until_ready()
-        await asyncio.sleep(4.0)
-        clients = [Client(f"order-{n}", platform.front(), record) for n in range(CLIENTS)]
-        for client in clients:
-            await client.connect()
-        first = [await client.ask(1) for client in clients]
-        if first != [200] * CLIENTS:
-            raise Unusable(f"the first orders got {first}")
-        if TROUBLE:
-            await platform.publish(document(4, routes, limits=limits | {"maxHeaderBytes": NEW_LIMIT}))
-        acknowledged_at = record.now
-        await asyncio.sleep(REST)
-        since = record.now - acknowledged_at
-        kept = [await client.ask(2, "n" * NOTE_BYTES) for client in clients]
-        fresh = Client("order-new-channel", platform.front(), record)
-        clients.append(fresh)
-        await fresh.connect()
-        other = await fresh.ask(1, "n" * NOTE_BYTES)
-        record.write(
-            f"result: {kept.count(0)} of {CLIENTS} orders on kept channels, sent {since:.3f} s"
-            f" after the ack, got no answer; the same order on a new channel got {other}"
-        )
-        return 1 if kept.count(0) and since > APPLY else 0
-    except Unusable as error:
-        record.write(f"could not run: {error}")
-        return 2
-    finally:
-        for client in clients:
-            client.close()
-        platform.stop()
+    platform.start()
+    routes = [route("order", "unsafe", "shop")]
+    limits = {
+        "maxHeaderBytes": OLD_LIMIT if TROUBLE else NEW_LIMIT,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    }
+    await platform.publish(document(3, routes, limits=limits))
+    address = platform.address(10)
+    server = Server(
+        record, "i-1", "shop", f"{address}:{free_ports(address, 1)[0]}", platform.controls()
+    )
+    await server.start()
+    await platform.wait_until_ready()
+    await asyncio.sleep(4.0)
+    clients = [Client(f"order-{n}", platform.front(), record) for n in range(CLIENTS)]
+    for client in clients:
+        await client.connect()
+    first = [await client.ask(1) for client in clients]
+    if first != [200] * CLIENTS:
+        raise NotRunError(f"the first orders got {first}")
+    if TROUBLE:
+        await platform.publish(document(4, routes, limits=limits | {"maxHeaderBytes": NEW_LIMIT}))
+    acknowledged_at = record.now
+    await asyncio.sleep(REST)
+    since = record.now - acknowledged_at
+    kept = [await client.ask(2, "n" * NOTE_BYTES) for client in clients]
+    fresh = Client("order-new-channel", platform.front(), record)
+    clients.append(fresh)
+    await fresh.connect()
+    other = await fresh.ask(1, "n" * NOTE_BYTES)
+    record.write(
+        f"result: {kept.count(0)} of {CLIENTS} orders on kept channels, sent {since:.3f} s"
+        f" after the ack, got no answer; the same order on a new channel got {other}"
+    )
+    return kept.count(0) > 0 and since > APPLY
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(run()))
+    sys.exit(run_case(run, FOLDER / "record.txt"))
--- a/review/standins-3/platform_standin.py
+++ b/review/standins-3/platform_standin.py
@@ -7,11 +7,11 @@
 import json
 import os
 import shutil
-import signal
 import socket
 import subprocess
 import tempfile
-from asyncio import StreamReader, StreamWriter, open_connection, sleep, wait_for
+from asyncio import StreamReader, StreamWriter, open_connection, run, sleep, wait_for
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from random import SystemRandom
 from time import monotonic
@@ -75,7 +75,10 @@
         self._prefix = free_prefix()
         self.ips = [f"{self._prefix}.{number}" for number in range(1, CONTROL_COUNT + 1)]
         self._gateways = gateways
-        self._front, self._ready, self._control, self._internal = free_ports(self.ips[0], 4)
+        ports = free_ports(self.ips[0], 4)
+        while ports[3] + 1 in ports:
+            ports = free_ports(self.ips[0], 4)
+        self._front, self._ready, self._control, self._internal = ports
 
     def address(self, number: int) -> str:
         """Return an address of the range for a server or a proxy, ``number`` from 10 on."""
@@ -134,7 +137,9 @@
         fields |= {f"bounds.{key}": value for key, value in self._bounds.items()}
         settings = self.folder / f"{name}.conf"
         settings.write_text("".join(f"{key}={value}\n" for key, value in fields.items()))
-        environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment = {
+            key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ
+        }
         environment |= {"PYTHONPATH": str(ROOT / "target/deps"), "JAYLATCH_BOOT": str(settings)}
         with (self.folder / f"{name}.log").open("ab") as log:
             self.processes[name] = subprocess.Popen(
@@ -146,27 +151,6 @@
                 env=environment,
             )
 
-    def signal(self, name: str, number: signal.Signals) -> None:
-        """Send a signal to a process that this object started."""
-        self.record.write(f"platform: {number.name} to {name}")
-        self.processes[name].send_signal(number)
-
-    def kill(self, name: str) -> None:
-        """Kill a process and wait for its end."""
-        self.signal(name, signal.SIGKILL)
-        self.processes.pop(name).wait()
-
-    def find_leader(self) -> int:
-        """Return the machine whose control process published a view last."""
-        times = {}
-        for machine in range(CONTROL_COUNT):
-            path = self.folder / f"control-{machine}.log"
-            lines = path.read_text(errors="replace").splitlines() if path.exists() else []
-            decided = [line for line in lines if '"message": "view"' in line]
-            if decided and f"control-{machine}" in self.processes:
-                times[machine] = json.loads(decided[-1])["asctime"]
-        return max(times, key=times.__getitem__)
-
     async def wait_until_ready(self, machine: int = 0, limit: float = 20.0) -> None:
         """Wait until the platform would send clients to a gateway."""
         until = monotonic() + limit
@@ -175,9 +159,11 @@
             if answer.status == 200:
                 return
             await sleep(0.1)
-        raise Unusable(f"the gateway on machine {machine} is not ready")
+        raise NotRunError(f"the gateway on machine {machine} is not ready")
 
-    async def publish(self, document: dict[str, Any], machine: int = 0, limit: float = 20.0) -> None:
+    async def publish(
+        self, document: dict[str, Any], machine: int = 0, limit: float = 20.0
+    ) -> None:
         """Send a configuration until it is acknowledged, to one control process after another."""
         body = json.dumps(document).encode()
         until = monotonic() + limit
@@ -188,7 +174,7 @@
                 return
             machine = (machine + 1) % CONTROL_COUNT
             await sleep(0.2)
-        raise Unusable("no configuration was acknowledged")
+        raise NotRunError("no configuration was acknowledged")
 
     def stop(self) -> None:
         """Kill the processes that still run, and remove the folder."""
@@ -202,10 +188,26 @@
             shutil.rmtree(self.folder, ignore_errors=True)
 
 
-class Unusable(Exception):
+class NotRunError(Exception):
     """The case could not run."""
 
 
+def run_case(case: Callable[[Record, Platform], Awaitable[bool]], path: Path) -> int:
+    """Run a case; return 1 if it finds the rule broken, 0 if the rule held, 2 if it could not run.
+
+    It ends all processes of the case.
+    """
+    record = Record(path)
+    platform = Platform(record)
+    try:
+        return int(bool(run(case(record, platform))))  # type: ignore[arg-type]
+    except Exception as error:
+        record.write(f"could not run: {error!r}")
+        return 2
+    finally:
+        platform.stop()
+
+
 class Answer:
     """An HTTP answer; ``status`` is 0 if there was none."""
 
--- a/review/standins-3/server_standin.py
+++ b/review/standins-3/server_standin.py
@@ -1,7 +1,15 @@
 """A stand-in server of a plain service, as the pages describe it."""
 
 import json
-from asyncio import CancelledError, StreamReader, StreamWriter, Task, create_task, sleep, start_server
+from asyncio import (
+    CancelledError,
+    StreamReader,
+    StreamWriter,
+    Task,
+    create_task,
+    sleep,
+    start_server,
+)
 from collections.abc import Awaitable, Callable
 from time import time
 
