Close the heads of direct targets' groups that the configuration no longer wants

Cause: a retiring group was listed as ending and the planner waited until it had ended its work, but no order ever closed its head. Agents learn of the end from their assignment; direct targets only obey orders, and the leader closed groups that are recalled, evacuated or converted, never retiring ones.

Change: the leader closes them. Groups of a former size retire one at a time; one goes on while its successor can be formed without it, and the last one until the successor serves, within the new control.apply_bound. Outdated groups are neither repaired nor converted, and need no spares. What ends a group's work moved from TargetController to EndingGroups, which gives recalled groups the time of the longest request. New log line "retirement".

--- a/features/groups/planner.feature
+++ b/features/groups/planner.feature
@@ -49,7 +49,7 @@
       | 10       | 1        | n=1x0     | m 1a 1b            |          | 1b      | 0       | dissolve 1                   |
 
   Scenario: Random losses, returns and drains keep groups disjoint, in one domain each, and instances in use
-    When 150 random histories of losses, returns, drains and changed group counts run until the planner is idle
+    When 150 random histories of losses, returns, drains and changes of the models run until the planner is idle
     Then the planner never proposed a command that the state refused
     And no instance was ever in two groups, and no group in two failure domains
     And in the end no free instance was left that a wanted group could use
--- a/features/steps/planner_history_steps.py
+++ b/features/steps/planner_history_steps.py
@@ -1,5 +1,6 @@
-"""Steps that run the planner against random losses, returns, drains and changed group counts."""
+"""Steps that run the planner against random losses, returns, drains and changes of the models."""
 
+import msgspec
 from behave import then, when
 from behave.runner import Context
 from hypothesis import HealthCheck, given, seed, settings
@@ -36,6 +37,7 @@
     st.tuples(st.just("dark"), st.integers(0, DOMAIN_COUNT - 1)),
     st.tuples(st.just("rounds"), st.integers(1, 6)),
     st.tuples(st.just("wish"), st.integers(0, 3)),
+    st.tuples(st.just("size"), st.integers(1, 4)),
 )
 models = st.lists(st.tuples(st.integers(1, 4), st.integers(0, 4)), min_size=1, max_size=2).map(
     lambda pairs: tuple(
@@ -84,11 +86,9 @@
                 ]:
                     self.lost_for.setdefault(name, 0.0)
             case "wish":
-                first, *others = self.configuration.models
-                changed = ModelSpecification(first.name, first.instances_per_group, number)
-                self.configuration = Configuration(
-                    models=(changed, *others), weights=self.configuration.weights
-                )
+                self._change_first_model(groups=number)
+            case "size":
+                self._change_first_model(instances_per_group=number)
             case _:
                 for _ in range(number):
                     self.run_round()
@@ -135,12 +135,17 @@
             name not in self.lost_for,
             name in self.drained,
             self.epochs[name],
-            False,
+            self.epochs[name] > 0,
             0,
             draining_epoch=group.epoch if group is not None else Epoch(0),
             unusable_for=self.lost_for.get(name, 0.0),
         )
 
+    def _change_first_model(self, **changes: int) -> None:
+        first, *others = self.configuration.models
+        changed = msgspec.structs.replace(first, **changes)
+        self.configuration = msgspec.structs.replace(self.configuration, models=(changed, *others))
+
     def _check_new_members(self, command: ControlCommand) -> None:
         if not isinstance(command, FormGroup | RepairGroup):
             return
@@ -167,7 +172,7 @@
 
 
 @when(
-    "{number:d} random histories of losses, returns, drains and changed group counts run"
+    "{number:d} random histories of losses, returns, drains and changes of the models run"
     " until the planner is idle"
 )
 def step_histories(context: Context, number: int) -> None:
--- a/features/support/evacuation_fleet.py
+++ b/features/support/evacuation_fleet.py
@@ -14,8 +14,10 @@
 from jaylatch_core.events import EventLog
 from jaylatch_core.ids import (
     CommandId,
+    Epoch,
     FailureDomainId,
     Generation,
+    GroupId,
     Incarnation,
     InstanceId,
     Term,
@@ -76,6 +78,7 @@
     staging: str = ""
     staged_at: float = NEVER
     reports: int = 0
+    cut_work: int = 0
     orders: list[EngineOrder] = field(default_factory=list)
 
 
@@ -97,6 +100,7 @@
     def __init__(self, models: dict[str, int], staging_seconds: float = 1.0) -> None:
         self.now = STARTED_AT
         self.state = ControlState()
+        self.group_sizes: dict[tuple[GroupId, Epoch], int] = {}
         self.commands: list[ControlCommand] = []
         self.targets: dict[InstanceId, Target] = {}
         self.gateways = {OBSERVER: Gateway(OBSERVER)}
@@ -104,14 +108,19 @@
         self._staging_seconds = staging_seconds
         self._ticks = 0
         self._sent = 0
+        self.publish(models)
+        self.registry = TargetRegistry(HEARTBEAT_TIMEOUT_SECONDS, STARTED_AT - 10.0)
+        self.elect(1)
+
+    def publish(self, models: dict[str, int]) -> None:
+        """Put a deployment in force that gives each model a size."""
+        number = DeploymentNumber(self.state.deployment.number + 1)
         profiles = tuple(ModelProfile(name, size, 1.0) for name, size in models.items())
         services = (
             ServiceProfile(ENGINE_SERVICE, 100, EngineProfile(ENGINE_SLOTS, profiles)),
             ServiceProfile(PLAIN_SERVICE, 100),
         )
-        self.state.apply(PublishDeployment(Deployment(DeploymentNumber(1), services=services), b""))
-        self.registry = TargetRegistry(HEARTBEAT_TIMEOUT_SECONDS, STARTED_AT - 10.0)
-        self.elect(1)
+        self.state.apply(PublishDeployment(Deployment(number, services=services), b""))
 
     def elect(self, term: int) -> None:
         """Make a new leader, which knows the committed state and the registered targets."""
@@ -230,9 +239,11 @@
     ) -> OrderOutcome:
         target = self.targets[record.heartbeat.instance]
         target.orders.append(order)
+        target.cut_work += target.is_busy and isinstance(order, CloseGroup | JoinGroup | LeaveGroup)
         match order:
             case JoinGroup(group, epoch, _, members):
                 rank = members.index(target.name)
+                self.group_sizes[group, epoch] = len(members)
                 target.membership = ReportedMembership(group, epoch, rank, MemberState.READY)
             case OpenGroup():
                 self._set_state(target, MemberState.OPEN)
--- a/packages/core/src/jaylatch_core/log_records.py
+++ b/packages/core/src/jaylatch_core/log_records.py
@@ -283,6 +283,18 @@
     holding: tuple[str, ...] = ()
 
 
+class GroupsRetired(LogRecord, frozen=True, kw_only=True, tag="retirement"):
+    """The groups that the configuration no longer wants, or those that retire, have changed.
+
+    Of the ``outdated`` groups those ``retiring`` take no new work, and the others serve until their
+    turn comes. ``deployment`` is the number of the one in force.
+    """
+
+    deployment: int
+    outdated: tuple[str, ...]
+    retiring: tuple[str, ...]
+
+
 class VotersChanged(LogRecord, frozen=True, kw_only=True, tag="voters"):
     """The leader tried to change the voters of a log; ``outcome`` is the result."""
 
@@ -365,6 +377,7 @@
     PlanCommitted,
     SupplyChanged,
     EvacuationChanged,
+    GroupsRetired,
     VotersChanged,
     LeaderChanged,
     VoteHandedOn,
--- a/packages/core/src/jaylatch_core/settings.py
+++ b/packages/core/src/jaylatch_core/settings.py
@@ -45,7 +45,8 @@
     may serve orders. An instance without ``keeps_log`` has no disk: it is no control peer, has no
     vote, and forwards the calls of direct targets and operators to the leader. ``failure_domains``
     are the domains that an operator may evacuate (none: any name is accepted); new work there has
-    stopped ``evacuation_bound`` after the acknowledgement.
+    stopped ``evacuation_bound`` after the acknowledgement. ``apply_bound`` is the time after which
+    groups of direct targets of a former size serve no longer.
     """
 
     peers: tuple[ControlPeer, ...] = (ControlPeer(InstanceId("instance-1"), "127.0.0.1:7100"),)
@@ -64,6 +65,7 @@
     target_silence: Interval = 3.0
     failure_domains: tuple[FailureDomainId, ...] = ()
     evacuation_bound: Interval = 5.0
+    apply_bound: Interval = 2.0
 
 
 class LeaseSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/decisions/src/jaylatch_decisions/groups/conversion.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/conversion.py
@@ -85,9 +85,13 @@
 
     @property
     def convertible_groups(self) -> Iterator[Group]:
-        """Iterate over the complete groups whose members are all in one domain."""
+        """Iterate over the complete groups whose members are all in one domain.
+
+        Outdated groups end in an order of their own.
+        """
         for group in self._facts.groups:
-            if group not in self._broken and not remote_members(group, self._known):
+            is_staying = group.id not in self._facts.outdated and group not in self._broken
+            if is_staying and not remote_members(group, self._known):
                 yield group
 
     def free(self, domain: FailureDomainId) -> list[InstanceFacts]:
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from jaylatch_core.configuration import Configuration, PresetPolicy
-from jaylatch_core.ids import Epoch, FailureDomainId, InstanceId
+from jaylatch_core.ids import Epoch, FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import Group
 
 RECENTLY_SEEN_TIME = 0.5
@@ -62,12 +62,29 @@
     may_join_cold: bool = True
     spanning_models: frozenset[str] = frozenset()
     parallel_loads: int = 0
+    expired: frozenset[GroupId] = frozenset()
+
+    @cached_property
+    def members(self) -> frozenset[InstanceId]:
+        """Return the instances that are in a group."""
+        return frozenset(member for group in self.groups for member in group.members)
 
     @cached_property
     def assigned(self) -> frozenset[InstanceId]:
         """Return the instances that are in a group, or have not confirmed that they left one."""
-        members = {member for group in self.groups for member in group.members}
-        return frozenset(members | self.occupied.keys())
+        return self.members | self.occupied.keys()
+
+    @cached_property
+    def lost_members(self) -> frozenset[InstanceId]:
+        """Return the members of groups that are unknown or unusable."""
+        return self.members - {item.instance for item in self.instances if item.is_usable}
+
+    @cached_property
+    def outdated(self) -> frozenset[GroupId]:
+        """Return the groups that the configuration no longer wants as they are."""
+        return frozenset(
+            group.id for group in self.groups if is_outdated(self.configuration, group)
+        )
 
     @cached_property
     def free_instances(self) -> list[InstanceFacts]:
@@ -93,5 +110,11 @@
     @cached_property
     def broken_groups(self) -> list[Group]:
         """Return the groups with a member that is unknown or unusable."""
-        usable = {item.instance for item in self.instances if item.is_usable}
-        return [group for group in self.groups if not usable.issuperset(group.members)]
+        lost = self.lost_members
+        return [group for group in self.groups if not lost.isdisjoint(group.members)]
+
+
+def is_outdated(configuration: Configuration, group: Group) -> bool:
+    """Return whether the group's model is not configured, or with another size."""
+    model = configuration.model(group.model)
+    return model is None or len(group.members) != model.instances_per_group
--- a/packages/decisions/src/jaylatch_decisions/groups/planner.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/planner.py
@@ -26,7 +26,7 @@
     remote_members,
 )
 from jaylatch_decisions.groups.supply import supply_of
-from jaylatch_decisions.groups.weighing import kept_spares, repair_timeout
+from jaylatch_decisions.groups.weighing import instances_for_group, repair_timeout
 
 
 def plan_groups(facts: PlanInput, conversion: Conversion | None = None) -> list[ControlCommand]:
@@ -57,7 +57,7 @@
             or not self._known[member].is_usable
             or self._counts_as_lost(group, member)
         )
-        self._retiring = retiring_groups(facts.configuration, facts.groups, self._lost)
+        self._retiring = retiring_groups(facts)
         self._broken: dict[FailureDomainId, list[Group]] = defaultdict(list)
         self._free: dict[FailureDomainId, list[InstanceId]] = defaultdict(list)
         self._leaving: dict[FailureDomainId, list[InstanceId]] = defaultdict(list)
@@ -66,7 +66,7 @@
         self._existing_in: Counter[tuple[str, FailureDomainId]] = Counter()
         self._sort_instances()
         for group in facts.groups:
-            self._count(group.model, self._domain_of(group), 1)
+            self._count(group, 1)
 
     def confirm_releases(self) -> None:
         """Confirm the release of instances that report, under a live lease, to be in no group."""
@@ -84,9 +84,11 @@
     def repair_groups(self) -> None:
         """Replace lost, drained and remote members.
 
-        Groups with the fewest lost members come first, so that most groups serve.
+        Groups with the fewest lost members come first, so that most groups serve. Outdated groups
+        are not repaired.
         """
-        groups = [group for group in self._facts.groups if group.id not in self._retiring]
+        ending = self._retiring | self._facts.outdated
+        groups = [group for group in self._facts.groups if group.id not in ending]
         for group in sorted(groups, key=lambda group: len(self._lost & set(group.members))):
             if self._is_broken(group):
                 self._repair(group)
@@ -100,7 +102,7 @@
         while (choice := self._next_to_form()) is not None:
             model, domain = choice
             members = tuple(self._take_free(domain, model.name, model.instances_per_group))
-            self._count(model.name, domain, 1)
+            self._count_in(model.name, domain, 1)
             self.commands.append(FormGroup(model.name, members))
 
     def span_domains(self) -> None:
@@ -306,16 +308,15 @@
     ) -> int:
         """Return how many free instances a new group requires, including the spares.
 
-        A spare protects the groups of its domain, so a domain without groups keeps none. Where
-        instances join only groups of the model that they have staged, a spare protects no others.
+        Where instances join only groups of the model that they have staged, a spare protects no
+        others.
         """
         if self._facts.may_join_cold:
             protected = self._groups_in[domain] - len(dissolved)
         else:
             others = sum(group.model == model.name for group in dissolved)
             protected = self._existing_in[model.name, domain] - others
-        spares = kept_spares(self._facts.configuration.weights, self._facts.policy)
-        return model.instances_per_group + (spares if protected > 0 else 0)
+        return instances_for_group(self._facts, model, protected)
 
     def _is_wanted(self, model: ModelSpecification, dissolved: int) -> bool:
         return model.groups == 0 or self._existing[model.name] - dissolved < model.groups
@@ -340,13 +341,18 @@
             elif item.epoch == 0 and item.is_settled:
                 self._free[item.failure_domain].append(item.instance)
 
-    def _count(self, model: str, domain: FailureDomainId, change: int) -> None:
+    def _count(self, group: Group, change: int) -> None:
+        """Count a group; outdated ones are replaced, so they need no spares and fill no need."""
+        if group.id not in self._facts.outdated:
+            self._count_in(group.model, self._domain_of(group), change)
+
+    def _count_in(self, model: str, domain: FailureDomainId, change: int) -> None:
         self._groups_in[domain] += change
         self._existing[model] += change
         self._existing_in[model, domain] += change
 
     def _dissolve(self, group: Group) -> None:
-        self._count(group.model, self._domain_of(group), -1)
+        self._count(group, -1)
         self.commands.append(DissolveGroup(group.id, group.epoch))
 
     def _domain_of(self, group: Group) -> FailureDomainId:
--- a/packages/decisions/src/jaylatch_decisions/groups/spanning.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/spanning.py
@@ -64,7 +64,7 @@
             and item.instance not in assigned
             and may_replace(item, group.model)
         ]
-        if remote and len(replacements) >= len(remote):
+        if remote and len(replacements) >= len(remote) and group.id not in facts.outdated:
             recalled.add(group.id)
     return frozenset(recalled)
 
--- a/packages/decisions/src/jaylatch_decisions/groups/weighing.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/weighing.py
@@ -1,6 +1,7 @@
 """Trade-offs between group downtime and stranded accelerators, by the configured weights."""
 
-from jaylatch_core.configuration import GroupWeights, PresetPolicy
+from jaylatch_core.configuration import GroupWeights, ModelSpecification, PresetPolicy
+from jaylatch_decisions.groups.facts import PlanInput
 
 MAX_REPAIR_TIMEOUT = 2.0
 """Maximum seconds for which the survivors of a broken group wait for a lost member."""
@@ -16,6 +17,15 @@
     return policy.spares_per_domain if is_downtime_costlier else 0
 
 
+def instances_for_group(facts: PlanInput, model: ModelSpecification, protected: int) -> int:
+    """Return how many free instances of a domain a new group requires, including the spares.
+
+    A spare protects the groups of its domain; where ``protected`` is 0, none is kept.
+    """
+    spares = kept_spares(facts.configuration.weights, facts.policy) if protected > 0 else 0
+    return model.instances_per_group + spares
+
+
 def repair_timeout(weights: GroupWeights) -> float:
     """Return the seconds to wait for a lost member before its group is dissolved.
 
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -12,7 +12,7 @@
 from jaylatch_core.enums import DrainScope, Role, TargetKind
 from jaylatch_core.event_names import EventName
 from jaylatch_core.exceptions import DomainUnknown, Unavailable
-from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId, Term
+from jaylatch_core.ids import FailureDomainId, InstanceId, Term
 from jaylatch_core.log_records import PartsQuarantined, PlanCommitted, SupplyChanged, ViewPublished
 from jaylatch_core.messages.administration import HistoryReport, StatusReport
 from jaylatch_core.messages.control import (
@@ -55,6 +55,7 @@
 from jaylatch_node.control.drains import Drains
 from jaylatch_node.control.evacuation import EvacuationController
 from jaylatch_node.control.group_metrics import GroupMetrics
+from jaylatch_node.control.retirement import RetirementController
 from jaylatch_node.control.routes import group_route, service_routes, uses_views
 from jaylatch_node.control.status import build_status
 from jaylatch_node.control.targets import TargetController
@@ -93,6 +94,7 @@
         targets: TargetController | None = None,
         list_peers: Callable[[], tuple[ControlPeer, ...]] = tuple,
         evacuation_bound: float = 5.0,
+        apply_bound: float = 2.0,
     ) -> None:
         self._list_peers = list_peers
         self._board = board
@@ -105,6 +107,7 @@
         self._evacuations = EvacuationController(
             state, targets, self._leases, evacuation_bound, now
         )
+        self._retirements = RetirementController(state, apply_bound)
         self._suspect_after = settings.renew_interval * MISSED_RENEWALS_BEFORE_SUSPICION
         self._plan_from = now + 2 * self._suspect_after
         self._view_from = now + self._suspect_after
@@ -112,7 +115,6 @@
             self._plan_from = self._view_from = targets.plan_from
         self._renewed_at: dict[InstanceId, float] = {}
         self._usable_at: dict[InstanceId, float] = {}
-        self._retiring: frozenset[GroupId] = frozenset()
         self._permits: frozenset[LoadPermit] = frozenset()
         self._connections: dict[InstanceId, StreamConnection] = {}
         self._view = View(term * VIEW_VERSIONS_PER_TERM, (), ())
@@ -210,11 +212,12 @@
         self._evacuations.update(now)
         facts = self._evacuations.remaining_instances(self._facts(now))
         self._update_metrics(now, facts)
-        self._update_retiring(facts)
+        known = self._plan_input(now, facts)
+        self._retirements.update(now, retiring_groups(known))
         self._permit_loads(now)
         self._refresh_view(now)
         self._announce_changes()
-        plan_input = self._plan_input(facts) if now >= self._plan_from else None
+        plan_input = known if now >= self._plan_from else None
         conversion = plan_conversion(plan_input) if plan_input is not None else None
         # The plan comes first: instances that it uses must not be staged or warmed up meanwhile.
         if not self._is_proposing:
@@ -235,6 +238,7 @@
     ) -> None:
         groups = tuple(self._state.groups.values())
         recalled = groups_to_recall(plan_input) | self._evacuations.closing(now)
+        recalled |= self._retirements.closing(now)
         if conversion is not None and conversion.is_ready:
             recalled |= {conversion.group}
         targets.recall(now, recalled)
@@ -278,7 +282,8 @@
 
     def _refresh_view(self, now: float) -> None:
         known = self._state.groups.values()
-        draining = {group.id for group in known if self._drains.is_draining(group, self._retiring)}
+        retiring = self._retirements.retiring
+        draining = {group.id for group in known if self._drains.is_draining(group, retiring)}
         admitting = (group for group in known if group.id not in draining)
         groups = tuple(
             route for group in admitting if (route := self._route(now, group)) is not None
@@ -340,7 +345,7 @@
             group.model,
             group.members,
             addresses,
-            self._drains.is_draining(group, self._retiring),
+            self._drains.is_draining(group, self._retirements.retiring),
             (instance, group.epoch) in self._permits,
         )
 
@@ -352,7 +357,7 @@
                 self._state.generation,
                 self._state.preset,
                 frozenset(self._state.drains),
-                self._retiring,
+                self._retirements.retiring,
                 self._state.deployment.number,
             ),
             frozenset(self._state.groups.values()),
@@ -418,7 +423,7 @@
         broken = self._targets.broken_groups(now, self._evacuations.remaining_groups())
         return [command for command in broken if command.group not in changed]
 
-    def _plan_input(self, facts: list[InstanceFacts]) -> PlanInput:
+    def _plan_input(self, now: float, facts: list[InstanceFacts]) -> PlanInput:
         state = self._state
         return PlanInput(
             state.effective_configuration(),
@@ -429,6 +434,7 @@
             self._targets is None or not self._targets.has_served,
             self._targets.spanning_models if self._targets is not None else frozenset(),
             self._targets.parallel_loads if self._targets is not None else 0,
+            self._retirements.expired(now),
         )
 
     def _facts(self, now: float) -> list[InstanceFacts]:
@@ -465,13 +471,6 @@
             now - self._usable_at.setdefault(instance, now),
         )
 
-    def _update_retiring(self, facts: list[InstanceFacts]) -> None:
-        """Update the retiring groups, so that their heads admit no new work."""
-        usable = {item.instance for item in facts if item.is_usable}
-        groups = self._evacuations.remaining_groups()
-        lost = frozenset(item for group in groups for item in group.members if item not in usable)
-        self._retiring = retiring_groups(self._state.effective_configuration(), groups, lost)
-
     def _permit_loads(self, now: float) -> None:
         requests = []
         for group in self._state.groups.values():
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -430,6 +430,7 @@
                 self._create_target_controller(now),
                 self._voting_peers,
                 self._settings.control.evacuation_bound,
+                self._settings.control.apply_bound,
             )
             self._apply_initial_configuration()
             self._limits.cold.begin_term(now, self._control.term)
--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -36,8 +36,8 @@
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_complete, warm_up_order
 from jaylatch_node.control.cold_targets import ColdTargets
+from jaylatch_node.control.ending_groups import EndingGroups
 from jaylatch_node.control.target_routes import (
-    SERVING_STATES,
     SlotFraction,
     all_slots,
     group_routes,
@@ -54,12 +54,6 @@
 """Name of the model that an engine is staging by order of an earlier leader."""
 CONFLICT_RETRY = 2.0
 """Seconds after which an engine that refused to stage a model is ordered again: it may be free."""
-DRAIN_LIMIT = 8.0
-"""Seconds after which a group with a leaving member is regrouped even if its streams have not
-finished: the member stays for at least 2 s, and for at most 10 s while the head has work."""
-DEPARTED_HEAD_TIME = 2.5
-"""Seconds after which a group is regrouped if its head departs without draining first: such a head
-serves for slightly more than 2 s."""
 FIRST_PLAN_DELAY = 2.6
 """Seconds from the first leadership until groups are formed: two heartbeat intervals and a margin.
 A plan made before all instances of a domain are known may give it two groups of the small model
@@ -119,7 +113,7 @@
         self._in_flight: set[InstanceId] = set()
         self._load_budget = LoadBudget(now, is_first_start=not has_served)
         self._is_fenced = False
-        self._recalled_at: dict[GroupId, float] = {}
+        self._ending = EndingGroups(registry)
         self._warm_models: dict[InstanceId, str] = {}
         self._warm_up_orders: dict[InstanceId, JoinGroup] = {}
         self._started_at = now
@@ -213,15 +207,16 @@
             if service.engine is not None
         }
         self._states_key = (0.0, -1)
+        self._ending.use_deployment(deployment)
         self.coldness.use_deployment(deployment)
 
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
         self._registry.forget_unresponsive(now, RECORD_RETENTION)
         self._start_probes(now, self._registry.overdue_silences(now))
-        leaving = self._leaving_heads(now, groups)
+        ended = self._ending.ended_heads(now, groups)
         return [
-            self._instance_facts(now, record, leaving)
+            self._instance_facts(now, record, ended)
             for record in self._registry.all()
             if record.heartbeat.service in self._engines
         ]
@@ -242,7 +237,7 @@
 
     def recall(self, now: float, groups: Collection[GroupId]) -> None:
         """Make these groups, and no others, finish their work so that members can be replaced."""
-        self._recalled_at = {group: self._recalled_at.get(group, now) for group in groups}
+        self._ending.recall(now, groups)
 
     def broken_groups(self, now: float, groups: Iterable[Group]) -> list[RepairGroup]:
         """Return repairs by which the same members rejoin their group under a new epoch.
@@ -271,7 +266,7 @@
         has work.
         """
         known = tuple(groups)
-        leaving = {group.id for group in known if self._is_leaving(group)}.union(ending)
+        leaving = {group.id for group in known if self._ending.is_ending(group)}.union(ending)
         routes = group_routes(
             known,
             leaving,
@@ -317,7 +312,7 @@
             return
         engines = self._engine_states(now)
         wanted = tuple(groups)
-        leaving = {group.id for group in wanted if self._is_leaving(group)}
+        leaving = {group.id for group in wanted if self._ending.is_ending(group)}
         orders = plan_orders(wanted, engines, leaving)
         epoch = max((group.epoch for group in wanted), default=Epoch(0))
         idle: dict[InstanceId, EngineOrder] = {
@@ -339,7 +334,7 @@
     # Facts
 
     def _instance_facts(
-        self, now: float, record: TargetRecord, leaving: dict[InstanceId, Epoch]
+        self, now: float, record: TargetRecord, ended: dict[InstanceId, Epoch]
     ) -> InstanceFacts:
         heartbeat = record.heartbeat
         membership = heartbeat.membership
@@ -352,46 +347,13 @@
             membership.epoch if membership is not None else Epoch(0),
             is_serving,
             0,
-            draining_epoch=leaving.get(heartbeat.instance, Epoch(0)),
+            draining_epoch=ended.get(heartbeat.instance, Epoch(0)),
             unusable_for=max(now - record.last_contact_at, 0.0),
             staged_models=heartbeat.staged_models,
             staging_model=self._staging_model(now, record),
             known_for=now - record.appeared_at,
         )
 
-    def _leaving_heads(self, now: float, groups: Iterable[Group]) -> dict[InstanceId, Epoch]:
-        """Return the heads, with their epoch, of groups with a leaving member and no more work."""
-        return {group.head: group.epoch for group in groups if self._has_ended(now, group)}
-
-    def _has_ended(self, now: float, group: Group) -> bool:
-        since = self._leaving_since(group)
-        if since is None:
-            return False
-        head = self._registry.record(group.head)
-        if head is not None and head.departed_at is not None:
-            # It sends no more heartbeats, so its state is unknown.
-            return now >= head.departed_at + DEPARTED_HEAD_TIME
-        return self._is_closed(group) or now >= since + DRAIN_LIMIT
-
-    def _is_closed(self, group: Group) -> bool:
-        """Return whether the head is unknown or reports that it does not serve."""
-        record = self._registry.record(group.head)
-        membership = record.heartbeat.membership if record is not None else None
-        return membership is None or membership.state not in SERVING_STATES
-
-    def _leaving_since(self, group: Group) -> float | None:
-        """Return when the group began to finish its work, or None.
-
-        A member has announced that it leaves, or the group has been recalled.
-        """
-        records = [self._registry.record(member) for member in group.members]
-        since = [item.draining_since for item in records if item is not None]
-        since.append(self._recalled_at.get(group.id))
-        return min((item for item in since if item is not None), default=None)
-
-    def _is_leaving(self, group: Group) -> bool:
-        return self._leaving_since(group) is not None
-
     def _engine_states(self, now: float) -> dict[InstanceId, EngineState]:
         """Return the states of the usable engines, derived once for each round and change."""
         key = (now, self._registry.revision)
