Keep an acknowledged departure of a target, also if control does not know it

Cause: a departure was noted on the record of its target, in the memory of each control process. A target without a record left no note, and a restart lost all.

Change: a departure carries the time at which a control instance received it and the start that the leader knew, and is kept by id. Heartbeats of that start and older ones are ignored; those of another incarnation that started before the departure are for 15 s, in which they may be late. A later incarnation is taken at once. The leader commits the departure to the control log before it acknowledges it, and every control instance applies it. The handling of targets' messages moved from ControlRole to TargetReports.

Table in features/targets/registry.feature. Its row "a departure of an unknown target", which expected the target to be usable, wrote down the fault; rows of the same message with the time of the departure replace it, and say which incarnations are outdated and which are not.

--- a/features/steps/direct_target_steps.py
+++ b/features/steps/direct_target_steps.py
@@ -1,5 +1,6 @@
 """Steps on the decisions about direct targets: registry, orders, routes, attempts and choice."""
 
+import re
 from random import Random
 
 import msgspec
@@ -7,6 +8,7 @@
 from behave.runner import Context
 from returns.pipeline import is_successful
 
+from jaylatch_core.clock import MILLISECONDS_PER_SECOND
 from jaylatch_core.deployment import (
     AccountProfile,
     Deployment,
@@ -20,7 +22,12 @@
 from jaylatch_core.enums import GroupState
 from jaylatch_core.ids import AccountId, Epoch, FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import Group
-from jaylatch_core.messages.targets import MemberState, ReportedMembership, TargetCheckIn
+from jaylatch_core.messages.targets import (
+    MemberState,
+    ReportedMembership,
+    TargetCheckIn,
+    TargetDeparture,
+)
 from jaylatch_core.units import KIBIBYTE
 from jaylatch_decisions.events import EventSplitter
 from jaylatch_decisions.targets import (
@@ -84,7 +91,7 @@
         f"10.0.0.{address}:80",
         DOMAIN,
         DOMAIN,
-        int(incarnation),
+        int(incarnation) * MILLISECONDS_PER_SECOND,
         int(sequence),
         text.endswith("d"),
     )
@@ -96,11 +103,19 @@
     context.registry.use_services(frozenset({"service", "other"}))
     context.now = 0.0
     for message in messages.split():
+        if message.startswith("+"):
+            context.now += float(message)
+            continue
         context.now += 1.0
-        if message.startswith("-"):
-            context.registry.depart(context.now, InstanceId(message[1:]))
-        else:
-            context.registry.record_heartbeat(context.now, parse_heartbeat(message))
+        match re.fullmatch(r"(--?)(\w)(?:@(\d+))?", message):
+            case None:
+                context.registry.record_heartbeat(context.now, parse_heartbeat(message))
+            case found:
+                left_at = int(found[3] or 0) * MILLISECONDS_PER_SECOND
+                departure = TargetDeparture(InstanceId(found[2]), left_at)
+                if found[1] == "-":
+                    departure = context.registry.identify(departure)
+                context.registry.depart(context.now, departure)
 
 
 @then(
--- a/features/targets/registry.feature
+++ b/features/targets/registry.feature
@@ -1,7 +1,8 @@
 Feature: The registry of direct targets handles late and repeated heartbeats and ended incarnations
 
   Each message is ID:ADDRESS:INCARNATION:SEQUENCE, with "d" at the end for a draining target; -ID
-  is a departure. A target without a heartbeat for 3 s is lost.
+  is a departure, "--ID" one that was received before this registry knew the target, with "@" and the
+  time at which it was received, and +N are N s. A target without a heartbeat for 3 s is lost.
 
   Scenario Outline: <case>
     Given a registry that has received "<messages>", one message a second
@@ -24,7 +25,23 @@
       | a heartbeat that arrives after the departure          | a:1:10:1 -a a:1:10:2       | 8       |        | a        |
       | a heartbeat that arrives after an announced departure | a:1:10:1d -a a:1:10:2      | 0       |        |          |
       | a new incarnation after a departure                   | a:1:10:1 -a a:1:20:1       | 0       | a      |          |
-      | a departure of an unknown target                      | -a a:1:10:1                | 0       | a      |          |
+
+    # Guards against departures that were acknowledged and forgotten: the late heartbeats of a target
+    # that control did not know listed it again, and requests were lost at its exit.
+    Examples: a target departs before its heartbeats arrive
+      | case                                                  | messages                     | seconds | usable | draining |
+      | its first heartbeat is late                           | -a@15 a:1:10:1               | 0       |        |          |
+      | several are late                                      | -a@15 a:1:10:1 +9 a:1:10:2   | 0       |        |          |
+      | it departs twice                                      | -a@15 -a@16 a:1:10:1         | 0       |        |          |
+      | its clock is ahead                                    | -a@15 a:1:15:1               | 0       |        |          |
+      | a later incarnation                                   | -a@15 a:1:16:1               | 0       | a      |          |
+      | a later incarnation after a late heartbeat            | -a@15 a:1:10:1 a:1:17:1      | 0       | a      |          |
+      | an incarnation that started when it left, in the end  | -a@15 +15 a:1:15:1           | 0       | a      |          |
+      | an earlier incarnation is known                       | a:1:5:1 -a@15 a:1:10:1       | 8       |        | a        |
+      | a later incarnation than the one that is known        | a:1:5:1 -a@15 a:1:20:1       | 0       | a      |          |
+      | a later incarnation is known to this instance         | a:1:20:1 --a@15              | 0       | a      |          |
+      | an earlier incarnation is known to this instance      | a:1:10:1 --a@15              | 8       |        | a        |
+      | another target has its address                        | -a@15 b:1:10:1 a:1:10:1      | 0       | b      |          |
 
     # Guards against entries that take the place of a sound target for as long as it lives.
     Examples: another writer uses the id or the address of a target ("@x": of a service that does not exist)
--- a/packages/core/src/jaylatch_core/messages/control.py
+++ b/packages/core/src/jaylatch_core/messages/control.py
@@ -14,7 +14,7 @@
     InstanceId,
     PromptPartId,
 )
-from jaylatch_core.messages.targets import PublishDeployment
+from jaylatch_core.messages.targets import PublishDeployment, TargetDeparture
 
 
 class ApplyConfiguration(msgspec.Struct, frozen=True, tag=True):
@@ -118,6 +118,7 @@
     | SetDrain
     | PublishDeployment
     | QuarantineParts
+    | TargetDeparture
 )
 
 
--- a/packages/core/src/jaylatch_core/messages/targets.py
+++ b/packages/core/src/jaylatch_core/messages/targets.py
@@ -15,6 +15,9 @@
     RequestDigest,
 )
 
+UNKNOWN_START = -1
+"""Start of an incarnation that is not known; it is earlier than any other."""
+
 
 class MemberState(str, Enum):
     """State of a target within its reported group."""
@@ -60,9 +63,15 @@
 
 
 class TargetDeparture(msgspec.Struct, frozen=True, tag=True):
-    """A target announces that it leaves; it takes no new work."""
+    """A target announces that it leaves; it takes no new work.
+
+    ``left_at`` is the wall-clock time in milliseconds at which a control instance received it, and
+    ``born_at`` the start of the incarnation that the leader knew then.
+    """
 
     instance: InstanceId
+    left_at: int = 0
+    born_at: int = UNKNOWN_START
 
 
 class TargetMessages(msgspec.Struct, frozen=True, tag=True):
--- a/packages/decisions/src/jaylatch_decisions/control/snapshot.py
+++ b/packages/decisions/src/jaylatch_decisions/control/snapshot.py
@@ -14,6 +14,7 @@
     Group,
 )
 from jaylatch_core.messages.membership import PresetState
+from jaylatch_core.messages.targets import TargetDeparture
 
 
 class RememberedResult(msgspec.Struct, frozen=True):
@@ -41,6 +42,7 @@
     quarantined_parts: tuple[PromptPartId, ...] = ()
     evacuations: tuple[EvacuationOrder, ...] = ()
     drain_generation: Generation = Generation(0)
+    departures: tuple[TargetDeparture, ...] = ()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -37,7 +37,11 @@
     SetDrain,
 )
 from jaylatch_core.messages.membership import PresetState
-from jaylatch_core.messages.targets import DeploymentReport, PublishDeployment
+from jaylatch_core.messages.targets import (
+    DeploymentReport,
+    PublishDeployment,
+    TargetDeparture,
+)
 from jaylatch_decisions.control.deployment_history import DeploymentHistory
 from jaylatch_decisions.control.snapshot import (
     ControlSnapshot,
@@ -48,6 +52,7 @@
 
 REMEMBERED_COMMANDS = 10_000
 REMEMBERED_CONFIGURATIONS = 20
+REMEMBERED_DEPARTURES = 1_000
 
 ControlResult = Result[CommandAccepted, CommandRefused | GenerationConflict]
 
@@ -59,7 +64,8 @@
     under which it may still act. Such an instance cannot join a group. ``published`` is the
     deployment document in force as the operator sent it. ``evacuations`` are the orders behind the
     drains of failure domains; ``ended_by`` names who ended one since this process started.
-    ``drain_generation`` counts the orders that changed ``drains``.
+    ``drain_generation`` counts the orders that changed ``drains``. ``departures`` are the latest of
+    direct targets, whose late heartbeats may arrive after control has started anew.
     """
 
     def __init__(self) -> None:
@@ -76,6 +82,7 @@
         self.ended_by: dict[FailureDomainId, str] = {}
         self.history: list[ConfigurationRecord] = []
         self.quarantined_parts: tuple[PromptPartId, ...] = ()
+        self.departures: dict[InstanceId, TargetDeparture] = {}
         self._effective: tuple[Configuration, Deployment, Configuration] | None = None
         self._preset_operator = ""
         self._last_epoch = 0
@@ -101,6 +108,7 @@
         state.evacuations = _evacuations(snapshot)
         state.history = list(snapshot.history)
         state.quarantined_parts = snapshot.quarantined_parts
+        state.departures = {item.instance: item for item in snapshot.departures}
         state._preset_operator = snapshot.preset_operator
         state._last_epoch = snapshot.last_epoch
         state.deployments = DeploymentHistory(snapshot.deployment)
@@ -132,6 +140,7 @@
                 self.quarantined_parts,
                 tuple(self.evacuations.values()),
                 self.drain_generation,
+                tuple(self.departures.values()),
             )
         )
 
@@ -155,6 +164,8 @@
             case QuarantineParts(parts):
                 self.quarantined_parts = parts
                 return Success(CommandAccepted(len(parts)))
+            case TargetDeparture():
+                return self._depart(command)
 
     def effective_configuration(self) -> Configuration:
         """Return the configuration including the models that the deployment defines."""
@@ -359,6 +370,13 @@
             del self.occupied[command.instance]
         return Success(CommandAccepted(command.epoch))
 
+    def _depart(self, departure: TargetDeparture) -> ControlResult:
+        self.departures.pop(departure.instance, None)
+        self.departures[departure.instance] = departure
+        if len(self.departures) > REMEMBERED_DEPARTURES:
+            del self.departures[next(iter(self.departures))]
+        return Success(CommandAccepted(len(self.departures)))
+
     def _are_free(self, instances: tuple[InstanceId, ...]) -> bool:
         is_repeated = len(set(instances)) != len(instances)
         is_taken = any(
--- a/packages/decisions/src/jaylatch_decisions/targets/registry.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/registry.py
@@ -10,8 +10,11 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from jaylatch_core.ids import InstanceId
-from jaylatch_core.messages.targets import TargetCheckIn
+from jaylatch_core.messages.targets import UNKNOWN_START, TargetCheckIn, TargetDeparture
+from jaylatch_decisions.targets.departures import Departures
 
 MAX_LEADERLESS_TIME = 12.0
 """Seconds without a leader for which the targets known before remain valid: a control quorum
@@ -86,7 +89,7 @@
         self._records: dict[InstanceId, TargetRecord] = {}
         self._holders: dict[str, InstanceId] = {}
         self._revision = 0
-        self._departed: dict[InstanceId, int] = {}
+        self._departures = Departures()
         self._services: frozenset[str] = frozenset()
 
     @property
@@ -124,7 +127,7 @@
 
     def record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> bool:
         """Record a heartbeat; returns False if a newer incarnation or heartbeat is known."""
-        if self._is_obsolete(heartbeat) or self._is_foreign(now, heartbeat):
+        if self._is_obsolete(now, heartbeat) or self._is_foreign(now, heartbeat):
             return False
         known = self._records.get(heartbeat.instance)
         is_same_incarnation = known is not None and known.heartbeat.born_at == heartbeat.born_at
@@ -161,16 +164,26 @@
         for record in self._records.values():
             record.last_contact_at += gap
 
-    def depart(self, now: float, instance: InstanceId) -> None:
-        """Record the departure of a target; its older heartbeats are ignored from now on.
+    def identify(self, departure: TargetDeparture) -> TargetDeparture:
+        """Return the departure with the start of the incarnation that is known."""
+        record = self._records.get(departure.instance)
+        born_at = record.heartbeat.born_at if record is not None else UNKNOWN_START
+        return msgspec.structs.replace(departure, born_at=born_at)
+
+    def depart(self, now: float, departure: TargetDeparture) -> None:
+        """Record the departure of a target; its heartbeats are ignored from now on.
 
         A target that was draining ends now. Another one finishes its work first, as the members of
-        its group do, so it counts as draining for ``DEPARTURE_GRACE_PERIOD``.
+        its group do, so it counts as draining for ``DEPARTURE_GRACE_PERIOD``. A later incarnation
+        that is known already stays.
         """
+        instance = departure.instance
+        self._departures.record(now, departure)
         record = self._records.get(instance)
         if record is None or record.departed_at is not None:
             return
-        self._departed[instance] = record.heartbeat.born_at
+        if not self._departures.outdates(now, instance, record.heartbeat.born_at):
+            return
         if record.draining_since is not None:
             self._forget(instance)
             return
@@ -269,8 +282,8 @@
             or heartbeat.sequence > known.heartbeat.sequence + MAX_SEQUENCE_STEP
         )
 
-    def _is_obsolete(self, heartbeat: TargetCheckIn) -> bool:
-        if self._departed.get(heartbeat.instance, -1) >= heartbeat.born_at:
+    def _is_obsolete(self, now: float, heartbeat: TargetCheckIn) -> bool:
+        if self._departures.outdates(now, heartbeat.instance, heartbeat.born_at):
             return True
         known = self._records.get(heartbeat.instance)
         if known is not None:
--- a/packages/node/src/jaylatch_node/control/role.py
+++ b/packages/node/src/jaylatch_node/control/role.py
@@ -21,7 +21,6 @@
     Unavailable,
 )
 from jaylatch_core.ids import CommandId, InstanceId
-from jaylatch_core.log_records import TargetStateChanged
 from jaylatch_core.messages.administration import ReadHistory, ReadStatus
 from jaylatch_core.messages.consensus import ConsensusBatch
 from jaylatch_core.messages.control import (
@@ -64,9 +63,9 @@
 from jaylatch_node.control.places import PlaceController
 from jaylatch_node.control.referrals import Referrals
 from jaylatch_node.control.replies import discard, flatten, reply_with
+from jaylatch_node.control.target_reports import TargetReports
 from jaylatch_node.control.targets import TargetController
 from jaylatch_node.control.voters import VoterController
-from jaylatch_node.observability import log_record
 from jaylatch_node.role import NodeRole
 from jaylatch_node.storage import DiskWorker
 from jaylatch_node.streams import PeerPool, StreamConnection
@@ -112,7 +111,6 @@
             self._update_cold_limits,
         )
         self._cold_report = ColdReport(board.metrics, self._limits.cold)
-        self._unforwarded: list[TargetCheckIn] = []
         self._addresses = {peer.instance: peer.address for peer in settings.control.peers}
         self._leader: LeaderController | None = None
         self._referrals = Referrals(board.identity.instance, client)
@@ -122,6 +120,14 @@
         period = ANNOUNCEMENT_INTERVAL * MILLISECONDS_PER_SECOND
         self._announcement_timer = PeriodicCallback(self._announce_voters, period)
         self._state = ControlState()
+        self._reports = TargetReports(
+            board.identity.instance,
+            self._registry,
+            peers,
+            self._voting_peers,
+            lambda: self._state.deployment.service_names,
+            self._propose_control,
+        )
         control = settings.control
         shards = control.journal_shards if control.keeps_journal else 0
         self._retention = RetentionTimes(control.answer_retention, control.key_retention)
@@ -196,10 +202,8 @@
                 connection.reply(call, self._history())
             case TargetCheckIn() | TargetDeparture():
                 self._handle_target_message(connection, call, body)
-            case TargetMessages(messages):
-                now = monotonic()
-                for message in messages:
-                    self._record_target_message(now, message)
+            case TargetMessages():
+                self._reports.record_forwarded(monotonic(), body)
             case SuspectTarget():
                 connection.reply(call, self._suspect(body))
             case ReadDeployment():
@@ -259,13 +263,18 @@
         return tuple(ControlPeer(voter, address) for voter, address in peers if address)
 
     def _apply_control(self, command: bytes) -> ControlResult:
-        return self._state.apply(_control_decoder.decode(expand(command)))
+        decoded = _control_decoder.decode(expand(command))
+        if isinstance(decoded, TargetDeparture):
+            self._registry.depart(monotonic(), decoded)
+        return self._state.apply(decoded)
 
     def _dump_control(self) -> bytes:
         return self._state.dump()
 
     def _load_control(self, data: bytes) -> None:
         self._state = ControlState.load(data)
+        for departure in self._state.departures.values():
+            self._registry.depart(monotonic(), departure)
         self._leader = None
 
     def _apply_journal(self, number: int, command: bytes) -> OrderVerdict:
@@ -325,49 +334,18 @@
     def _handle_target_message(
         self, connection: StreamConnection, call: int, body: TargetCheckIn | TargetDeparture
     ) -> None:
-        """Record and acknowledge a target's message, as the leader.
-
-        What changes routes is forwarded to the other voters before it is acknowledged; a heartbeat
-        that only repeats what is known follows with the others of the leader's round.
-        """
+        """Record and acknowledge a target's message, as the leader."""
         now = monotonic()
         leader = self._current_leader(now)
         if not isinstance(leader, LeaderController):
             connection.reply(call, leader)
             return
-        match body:
-            case TargetCheckIn() if not self._registry.changes_routes(now, body):
-                self._record_heartbeat(now, body)
-                self._unforwarded.append(body)
-            case _:
-                self._record_target_message(now, body)
-                leader.on_targets_changed(now)
-                self._forward_to_voters(TargetMessages((body,)))
-        connection.reply(call, TargetAcknowledged(body.instance))
-
-    def _record_target_message(self, now: float, body: TargetCheckIn | TargetDeparture) -> None:
         match body:
             case TargetCheckIn():
-                self._record_heartbeat(now, body)
+                connection.reply(call, self._reports.receive_heartbeat(now, body, leader))
             case TargetDeparture():
-                self._registry.depart(now, body.instance)
-                log_record(_log, TargetStateChanged(target=body.instance, state="departed"))
-
-    def _record_heartbeat(self, now: float, heartbeat: TargetCheckIn) -> None:
-        self._registry.use_services(self._state.deployment.service_names)
-        is_new = self._registry.record(heartbeat.instance) is None
-        if self._registry.record_heartbeat(now, heartbeat) and (is_new or heartbeat.is_draining):
-            _log_target("draining" if heartbeat.is_draining else "ready", heartbeat)
-
-    def _forward_heartbeats(self) -> None:
-        if self._unforwarded:
-            self._forward_to_voters(TargetMessages(tuple(self._unforwarded)))
-            self._unforwarded.clear()
-
-    def _forward_to_voters(self, messages: TargetMessages) -> None:
-        for peer in self._voting_peers():
-            if peer.instance != self._board.identity.instance:
-                self._peers.get(peer.address).send(messages)
+                answer = self._reports.receive_departure(now, body, leader)
+                create_task(reply_with(connection, call, answer))
 
     def _suspect(self, body: SuspectTarget) -> Body:
         now = monotonic()
@@ -415,7 +393,7 @@
         if not self._control.is_leader:
             self._leader = None
             self._cold_report.clear()
-            self._unforwarded.clear()
+            self._reports.drop_unforwarded()
             return
         if not self._control.can_read(now):
             return
@@ -436,7 +414,7 @@
             self._limits.cold.begin_term(now, self._control.term)
         self._leader.tick(now)
         self._cold_report.update(now, self._leader.cold_targets(now))
-        self._forward_heartbeats()
+        self._reports.forward_heartbeats()
 
     def _create_target_controller(self, now: float) -> TargetController | None:
         if self._engines is None:
@@ -463,17 +441,3 @@
             CommandId(f"initial-{uuid4().hex}"), self._state.generation, parsed.unwrap()
         )
         create_task(discard(self._propose_control(command)))
-
-
-def _log_target(state: str, heartbeat: TargetCheckIn) -> None:
-    log_record(
-        _log,
-        TargetStateChanged(
-            target=heartbeat.instance,
-            state=state,
-            service=heartbeat.service,
-            address=heartbeat.address,
-            fabric_domain=heartbeat.fabric_domain,
-            staged=heartbeat.staged_models,
-        ),
-    )
