Choose the target of a request by the service of its route

Of a split over services of both kinds the requests drawn for the plain one were lost.

Cause: the gateway looked for the heads of groups of a model whenever a request states one, whether or not the service runs models.

Change: ServiceChoice decides by the service's profile in the deployment. A stream of a split route goes on at the service that it was first sent to, and a request without a model at a service with an engine is refused at once.

--- a/packages/node/src/jaylatch_node/gateway/job.py
+++ b/packages/node/src/jaylatch_node/gateway/job.py
@@ -17,7 +17,8 @@
 class Job:
     """One request in flight. Times are seconds of the monotonic clock.
 
-    ``waits_since`` is when the search for a target that resumes its stream began.
+    ``waits_since`` is when the search for a target that resumes its stream began. ``service`` is
+    the one that a stream has been sent to: it goes on only there.
     """
 
     request: InboundRequest
@@ -30,6 +31,7 @@
     history: AttemptHistory = field(default_factory=AttemptHistory)
     placements: int = 0
     waits_since: float | None = None
+    service: str | None = None
     attempted: dict[InstanceId, TargetLoad] = field(default_factory=dict)
 
 
--- a/packages/node/src/jaylatch_node/gateway/placement.py
+++ b/packages/node/src/jaylatch_node/gateway/placement.py
@@ -30,6 +30,7 @@
 from jaylatch_node.gateway.directory import TargetDirectory
 from jaylatch_node.gateway.job import Job
 from jaylatch_node.gateway.places import OWNER_COUNT, Place, PlaceClient, PlaceRequest
+from jaylatch_node.gateway.service_choice import NO_MODEL, ServiceChoice
 
 _Found = tuple[TargetLoad, Place | None]
 
@@ -122,6 +123,7 @@
         self._places = places
         self._conditions = conditions
         self._random = random
+        self._services = ServiceChoice(board, random)
         self._times = ServiceTimes()
         self._ranked: tuple[Deployment | None, frozenset[str]] = (None, frozenset())
 
@@ -130,25 +132,28 @@
         while True:
             if not self._board.grant.lease.is_valid(monotonic()):
                 return NoPlacement(Obstacle.NO_LEASE)
-            service = self._choose_service(job)
-            listed = self._list_staying(service, job)
+            service = self._services.choose(job)
+            model = self._services.model_at(service, job)
+            if model == NO_MODEL:
+                return NoPlacement(Obstacle.NO_TARGET)
+            listed = self._list_staying(service, model)
             rest = min((self._rest_left(item) for item in listed), default=0.0)
             if rest > 0:
                 return NoPlacement(Obstacle.RESTING, candidates=len(listed), wait=rest)
             candidates = self._awake_unattempted(job, listed)
-            if job.request.model is None:
+            if model is None:
                 found = await self._choose_plain(job, service, candidates)
             else:
-                found = await self._choose_engine(job, service, job.request.model, candidates)
+                found = await self._choose_engine(job, service, model, candidates)
             if isinstance(found, NoPlacement):
                 return found
             target, place = found
             send_until = place.send_until if place is not None else self._own_send_until(service)
             address = self._directory.address(target.instance)
             if address is not None:
-                subject = job.request.model or service
+                self._services.record(job, service)
                 sent = self._balancer.start(
-                    monotonic(), subject, job.route.name, target, job.deadline
+                    monotonic(), model or service, job.route.name, target, job.deadline
                 )
                 return Placement(target, address, place, len(candidates), sent, send_until)
             # The view has changed since the candidates were chosen.
@@ -218,10 +223,10 @@
             model,
         )
 
-    def _list_staying(self, service: str, job: Job) -> list[TargetLoad]:
+    def _list_staying(self, service: str, model: str | None) -> list[TargetLoad]:
         """Return the targets of the service or model that have not said that they leave."""
         now = monotonic()
-        listed = self._directory.candidates(service, job.request.model)
+        listed = self._directory.candidates(service, model)
         return [item for item in listed if not self._conditions.is_leaving(now, item.instance)]
 
     def _awake_unattempted(self, job: Job, listed: Sequence[TargetLoad]) -> list[TargetLoad]:
@@ -411,10 +416,3 @@
             ),
             None,
         )
-
-    def _choose_service(self, job: Job) -> str:
-        shares = job.route.shares
-        if len(shares) == 1:
-            return shares[0].service
-        weights = [share.weight for share in shares]
-        return self._random.choices(shares, weights)[0].service
