Apply the limits of callers' connections to kept connections at once

A head beyond the limit never got an answer, and a larger body got 400.

Cause: the HTTP library fixes the limit of a head when it begins to wait for it, on a kept connection at the end of the request before, and closes the connection above it. The header timeout was not read at all.

Change: CallerStream waits for the first byte of a head, and reads it under the limits in force then. Beyond them a head is answered with 431, a body with 413, and a head that is not complete within the header timeout with 408; the rest is discarded for up to a second, so that no reset overtakes the answer. Entries read heads in the same way. The gateway's refusals moved from Forwarder to Refusals.

--- a/features/bad_input/bad_input.feature
+++ b/features/bad_input/bad_input.feature
@@ -24,7 +24,7 @@
       | a kind of 5000 characters      | 400    | request_invalid | not_run |
       | a wrong bearer key             | 401    | key_unknown     | not_run |
       | no bearer key                  | 401    | key_unknown     | not_run |
-      | a header block above the limit | 0      |                 |         |
+      | a header block above the limit | 431    | head_too_large  | not_run |
     Then each is refused as listed
     And the ledger holds no run
     And the entry's memory has grown by less than 32 MiB
--- a/features/gateway/answers.feature
+++ b/features/gateway/answers.feature
@@ -23,7 +23,8 @@
     When HEAD of a path without a route is sent, and then a request on the same connection
     Then the callers got the statuses 404 and 200
 
-  # Guards against the limits of a deployment, which the gateway did not apply.
+  # Guards against the limits of a deployment, which the gateway did not apply, or applied to a kept
+  # connection only after one more request, whose connection was closed without an answer.
   Scenario Outline: <connection> under a deployment that sets <limits> carries <request>
     Given a gateway with a target that answers
     When a deployment sets <limits>, and <connection> carries <request>
@@ -34,11 +35,44 @@
       | a new connection  | a body limit of 8 MiB  | 6 MiB            | 200    | 1    |
       | a kept connection | a body limit of 8 MiB  | 6 MiB            | 200    | 1    |
       | a new connection  | a head limit of 64 KiB | a head of 40 KiB | 200    | 1    |
+      | a kept connection | a head limit of 64 KiB | a head of 40 KiB | 200    | 1    |
+      | a kept connection | a head limit of 1 MiB  | a head of 40 KiB | 200    | 1    |
 
     Examples: lowered limits
       | connection        | limits                | request         | answer | runs |
-      | a new connection  | a body limit of 1 MiB | 2 MiB in chunks | 400    | 0    |
-      | a kept connection | a body limit of 1 MiB | 2 MiB in chunks | 400    | 0    |
+      | a new connection  | a body limit of 1 MiB | 2 MiB in chunks | 413    | 0    |
+      | a kept connection | a body limit of 1 MiB | 2 MiB in chunks | 413    | 0    |
+      | a new connection  | a body limit of 1 MiB | 2 MiB           | 413    | 0    |
+      | a kept connection | a body limit of 1 MiB | 2 MiB           | 413    | 0    |
+      | a kept connection | a body limit of 1 MiB | 6 MiB           | 413    | 0    |
+      | a kept connection | a body limit of 1 MiB | 2 MiB of which it asks whether to send it | 413 | 0 |
+      | a new connection  | a head limit of 4 KiB | a head of 8 KiB  | 431    | 0    |
+      | a kept connection | a head limit of 4 KiB | a head of 8 KiB  | 431    | 0    |
+      | a kept connection | a head limit of 4 KiB | a head of 40 KiB | 431    | 0    |
+      | a kept connection | a head limit of 4 KiB | a head without an end | 431 | 0    |
+
+    Examples: limits that are raised and put back
+      | connection        | limits                                         | request          | answer | runs |
+      | a kept connection | a head limit of 64 KiB, and then 16 KiB again  | a head of 40 KiB | 431    | 0    |
+      | a kept connection | a head limit of 4 KiB, and then 16 KiB again   | a head of 8 KiB  | 200    | 1    |
+      | a kept connection | a body limit of 1 MiB, and then 4 MiB again    | 2 MiB            | 200    | 1    |
+
+  Scenario Outline: <connection> under a header timeout of <timeout> s carries a head in two parts, <pause> s apart
+    Given a gateway with a target that answers
+    When a deployment sets a header timeout of <timeout> s, and <connection> carries a head in two parts, <pause> s apart
+    Then its caller gets <answer>, and the target ran <runs> requests
+
+    Examples: the time counts from the first byte of the head
+      | connection        | timeout | pause | answer | runs |
+      | a new connection  | 0.5     | 1     | 408    | 0    |
+      | a kept connection | 0.5     | 1     | 408    | 0    |
+      | a kept connection | 0.5     | 0.2   | 200    | 1    |
+      | a kept connection | 6       | 3.5   | 200    | 1    |
+
+  Scenario: a caller that is still sending reads the refusal of its body
+    Given a gateway with a target that answers
+    When a deployment sets a body limit of 1 MiB, and a caller sends 6 MiB slowly before it reads
+    Then its caller gets 413 within 1 s, and the target ran 0 requests
 
   Scenario Outline: <connection> is <under> an idle timeout of <timeout> s, and 3 s later it <state>
     Given a gateway with a margin of 0.5 s after the idle timeout
--- a/features/steps/gateway_answer_steps.py
+++ b/features/steps/gateway_answer_steps.py
@@ -238,22 +238,38 @@
 
 
 @when(
-    r"a deployment sets a (?P<part>body|head) limit of (?P<limit>\d+) (?:MiB|KiB),"
+    r"a deployment sets a (?P<part>body|head) limit of (?P<limit>\d+ (?:MiB|KiB))"
+    r"(?:, and then (?P<last>\d+ (?:MiB|KiB)) again)?,"
     r" and a (?P<connection>new|kept) connection carries (?P<request>.+)"
 )
-def step_limit(context: Context, part: str, limit: str, connection: str, request: str) -> None:
-    if part == "body":
-        limits = ConnectionLimits(body_bytes=int(limit) * MEBIBYTE)
-    else:
-        limits = ConnectionLimits(header_bytes=int(limit) * KIBIBYTE)
+def step_limit(
+    context: Context, part: str, limit: str, last: str | None, connection: str, request: str
+) -> None:
+    field = {"body": "body_bytes", "head": "header_bytes"}[part]
+    limits = [ConnectionLimits(**{field: parse_size(text)}) for text in (limit, last) if text]
     data = {
+        "2 MiB": lambda: request_bytes("/once/x", body=b"x" * 2 * MEBIBYTE, X_Key=KEY),
+        "2 MiB of which it asks whether to send it": ask_to_send,
         "6 MiB": lambda: request_bytes("/once/x", body=b"x" * 6 * MEBIBYTE, X_Key=KEY),
+        "a head of 8 KiB": lambda: request_of("once", X_Long="x" * 8 * KIBIBYTE),
         "a head of 40 KiB": lambda: request_of("once", X_Long="x" * 40 * KIBIBYTE),
+        "a head without an end": lambda: request_of("once", X_Long="x" * MEBIBYTE)[:-4],
         "2 MiB in chunks": chunked_request,
     }[request]()
     context.runner.run(send_under_limits(context, limits, connection == "kept", data))
 
 
+def parse_size(text: str) -> int:
+    number, unit = text.split()
+    return int(number) * {"MiB": MEBIBYTE, "KiB": KIBIBYTE}[unit]
+
+
+def ask_to_send() -> bytes:
+    """Return the head of a request with 2 MiB whose caller waits for an answer to it."""
+    head = request_bytes("/once/x", body=b"x" * 2 * MEBIBYTE, X_Key=KEY, Expect="100-continue")
+    return head[: head.index(b"\r\n\r\n") + 4]
+
+
 def chunked_request() -> bytes:
     head = (
         f"POST /once/x HTTP/1.1\r\nHost: {HOST}\r\nX-Id: r1\r\nX-Key: {KEY}\r\n"
@@ -264,17 +280,50 @@
 
 
 async def send_under_limits(
-    context: Context, limits: ConnectionLimits, is_kept: bool, data: bytes
+    context: Context, limits: list[ConnectionLimits], is_kept: bool, *parts: bytes, pause: float = 0
 ) -> None:
+    """Send a request in ``parts``, ``pause`` seconds apart, once all ``limits`` were in force."""
     if is_kept:
         caller = await RawCaller.connect(context.harness.address)
         assert (await caller.ask(request_of("once", "warm"))).status == 200
         context.target.received.clear()
         await sleep(0.05)
-    grant(context, limits)
+    for item in limits:
+        grant(context, item)
+        await sleep(0.05)
     if not is_kept:
         caller = await RawCaller.connect(context.harness.address)
-    context.answer = await read_status(caller, data)
+    *first, last = parts
+    for part in first:
+        caller.writer.write(part)
+        await sleep(pause)
+    context.answer = await read_status(caller, last)
+
+
+@when(
+    r"a deployment sets a header timeout of (?P<timeout>[\d.]+) s, and a (?P<connection>new|kept)"
+    r" connection carries a head in two parts, (?P<pause>[\d.]+) s apart"
+)
+def step_header_timeout(context: Context, timeout: str, connection: str, pause: str) -> None:
+    limits = [ConnectionLimits(header_timeout=float(timeout))]
+    data = request_of("once")
+    sending = send_under_limits(
+        context, limits, connection == "kept", data[:20], data[20:], pause=float(pause)
+    )
+    context.runner.run(sending)
+
+
+@then(r"its caller gets (?P<answer>\d+), and the target ran (?P<runs>\d) requests")
+def step_answer(context: Context, answer: str, runs: str) -> None:
+    step_answer_in_time(context, answer, runs)
+
+
+@when(r"a deployment sets a body limit of 1 MiB, and a caller sends 6 MiB slowly before it reads")
+def step_slow_sender(context: Context) -> None:
+    data = request_bytes("/once/x", body=b"x" * 6 * MEBIBYTE, X_Key=KEY)
+    parts = [data[start : start + MEBIBYTE] for start in range(0, len(data), MEBIBYTE)]
+    limits = [ConnectionLimits(body_bytes=MEBIBYTE)]
+    context.runner.run(send_under_limits(context, limits, True, *parts, pause=0.1))
 
 
 async def read_status(caller: RawCaller, data: bytes) -> Answer:
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -64,6 +64,9 @@
     RefusalKind.NO_ROUTE: 404,
     RefusalKind.UNKNOWN_KEY: 401,
     RefusalKind.BAD_REQUEST: 400,
+    RefusalKind.HEAD_TOO_LARGE: 431,
+    RefusalKind.HEAD_TIMED_OUT: 408,
+    RefusalKind.BODY_TOO_LARGE: 413,
 }
 DOMAIN = FailureDomainId("domain-1")
 HOST = "gateway.test"
--- a/packages/node/src/jaylatch_node/entry/refusals.py
+++ b/packages/node/src/jaylatch_node/entry/refusals.py
@@ -1,13 +1,21 @@
 """Writing of refusals as ``application/problem+json``."""
 
+from http.client import responses
 from math import ceil
 
 import msgspec
 from tornado.web import RequestHandler
 
+from jaylatch_core.enums import Outcome
 from jaylatch_core.exceptions import RequestRefused
+from jaylatch_node.entry.requests import new_request_id
+from jaylatch_node.targets import RefusalKind
 
 PROBLEM_TYPE = "application/problem+json"
+HEAD_REFUSALS = {
+    RefusalKind.HEAD_TOO_LARGE: (431, "the head of the request is larger than this entry reads"),
+    RefusalKind.HEAD_TIMED_OUT: (408, "the head of the request was not complete in time"),
+}
 
 
 class Problem(msgspec.Struct, frozen=True):
@@ -50,6 +58,18 @@
     handler.flush()
 
 
+def refuse_head(kind: RefusalKind) -> bytes:
+    """Return the whole answer to a request of which no head could be read."""
+    status, detail = HEAD_REFUSALS[kind]
+    refusal = RequestRefused(detail, status, kind.value, Outcome.NOT_RUN)
+    body = msgspec.json.encode(problem_of(refusal, new_request_id()))
+    head = (
+        f"HTTP/1.1 {status} {responses[status]}\r\nContent-Type: {PROBLEM_TYPE}\r\n"
+        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
+    )
+    return head.encode() + body
+
+
 def _start_refusal(handler: RequestHandler, refusal: RequestRefused, request_id: str) -> bytes:
     """Set status and headers of a refusal and return its body."""
     handler.set_status(refusal.status)
--- a/packages/node/src/jaylatch_node/entry/role.py
+++ b/packages/node/src/jaylatch_node/entry/role.py
@@ -3,15 +3,16 @@
 from asyncio import sleep
 from random import Random
 
-from tornado.httpserver import HTTPServer
 from tornado.web import Application
 
 from jaylatch_core.clock import monotonic
+from jaylatch_core.deployment import ConnectionLimits
 from jaylatch_core.messages.frames import Body
 from jaylatch_core.messages.requests import TargetReport
 from jaylatch_core.settings import NodeSettings
 from jaylatch_core.units import KIBIBYTE
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.caller_stream import CallerHTTPServer
 from jaylatch_node.control.client import ControlClient
 from jaylatch_node.entry.administration import AdministrationServices
 from jaylatch_node.entry.administration_handlers import administration_routes
@@ -31,20 +32,21 @@
 from jaylatch_node.entry.open_requests import OpenRequests
 from jaylatch_node.entry.orders import OrderController
 from jaylatch_node.entry.quarantine import QuarantineController
+from jaylatch_node.entry.refusals import refuse_head
 from jaylatch_node.entry.routes import RouteController
 from jaylatch_node.listening import listen_at
 from jaylatch_node.planned_stop import PlannedStop
 from jaylatch_node.role import NodeRole
 from jaylatch_node.streams import PeerPool, StreamConnection
 
-HEADER_LIMIT = 32 * KIBIBYTE
-"""Largest size in bytes of a request's headers."""
 CHUNK_SIZE = 64 * KIBIBYTE
 """Largest size in bytes of a piece of a body that is passed to a handler."""
 IDLE_CONNECTION_TIMEOUT = 120.0
 """Seconds after which a connection without a request is closed."""
 BODY_TIMEOUT = 60.0
 """Seconds within which the complete body of a request must be received."""
+HEAD_LIMITS = ConnectionLimits(header_bytes=32 * KIBIBYTE, header_timeout=BODY_TIMEOUT)
+"""Limits of the head of a request; those of the body are in the settings."""
 
 
 class EntryRole(NodeRole):
@@ -81,7 +83,7 @@
         health = {"board": board, "requests": self._requests}
         callers = {"services": services}
         operators = AdministrationServices(client, peers, settings)
-        self._http = HTTPServer(
+        self._http = CallerHTTPServer(
             Application(
                 [
                     ("/v1/completions", CompletionHandler, callers),
@@ -97,11 +99,11 @@
                 log_function=lambda handler: None,
             ),
             max_body_size=settings.entry.body_limit,
-            max_header_size=HEADER_LIMIT,
             chunk_size=CHUNK_SIZE,
             idle_connection_timeout=IDLE_CONNECTION_TIMEOUT,
             body_timeout=BODY_TIMEOUT,
         )
+        self._http.bound_heads(lambda: HEAD_LIMITS, refuse_head)
 
     def start(self) -> None:
         """Listen for HTTP requests and start the controllers."""
--- a/packages/node/src/jaylatch_node/gateway/caller.py
+++ b/packages/node/src/jaylatch_node/gateway/caller.py
@@ -52,6 +52,7 @@
         self._on_drop = on_drop
         self._unsent: Holding | None = None
         self.expects_body = True
+        self._is_sending = False
         self._state = AnswerState.NONE
         self.started_at = 0.0
         self.is_disconnected = False
@@ -74,6 +75,19 @@
         self._start(status, reason, headers, body if self.expects_body else b"")
         self._finish()
 
+    def close_after_answer(self) -> None:
+        """Close the connection after the answer, which is sent before the whole request is read.
+
+        It stays open until ``stop_reading``: a close with unread bytes resets it.
+        """
+        self._is_sending = True
+
+    def stop_reading(self) -> None:
+        """End the connection on which the rest of a refused request was read."""
+        if self._is_sending and not self.is_disconnected:
+            self._is_sending = False
+            self._connection.finish()
+
     def start_stream(self, status: int, reason: str, headers: HTTPHeaders, data: bytes) -> None:
         """Send the head of a stream and its first events."""
         if not self.is_disconnected:
@@ -125,7 +139,8 @@
             raise AnswerOrderError(expected, self._state)
 
     def _finish(self) -> None:
-        self._connection.finish()
+        if not self._is_sending:
+            self._connection.finish()
         self._state = AnswerState.WHOLE
         if self._unsent is not None:
             self._unsent.end()
@@ -139,7 +154,7 @@
         self._require(AnswerState.NONE)
         self._state = AnswerState.BEGUN
         self.started_at = monotonic()
-        if self._must_close():
+        if self._is_sending or self._must_close():
             headers["Connection"] = "close"
             self._connection._disconnect_on_finish = True  # noqa: SLF001
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
--- a/packages/node/src/jaylatch_node/gateway/forwarder.py
+++ b/packages/node/src/jaylatch_node/gateway/forwarder.py
@@ -6,7 +6,6 @@
 import logging
 from asyncio import CancelledError, timeout_at
 from collections import defaultdict
-from random import Random
 
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -17,7 +16,6 @@
     InternalError,
     RequestEnded,
     RequestPlaced,
-    RequestRefused,
     TargetConditionChanged,
 )
 from jaylatch_core.messages.membership import TargetDeath
@@ -38,6 +36,7 @@
 from jaylatch_node.gateway.job import Job, digest_of
 from jaylatch_node.gateway.metrics import GatewayMetrics
 from jaylatch_node.gateway.placement import NoPlacement, Obstacle, Placement, Placer
+from jaylatch_node.gateway.refusals import Refusals
 from jaylatch_node.gateway.successor import SuccessorReservation
 from jaylatch_node.observability import log_record
 from jaylatch_node.targets import (
@@ -54,9 +53,7 @@
 two."""
 FULL_RETRY = 0.4
 """Seconds after which a caller refused by full targets should retry: a place becomes free after the
-mean answer time divided by the slots of a target, and the jitter below spreads the callers."""
-RETRY_JITTER = 0.5
-"""Fraction by which a retry delay is varied, so that callers do not return at the same time."""
+mean answer time divided by the slots of a target, and jitter spreads the callers."""
 NO_LEASE_RETRY = 0.5
 """Seconds after which a node without a lease may have one again: one renewal interval."""
 SHUTDOWN_RETRY = 0.02
@@ -65,9 +62,6 @@
 """Seconds after which a caller should retry; ``FULL_RETRY`` after any other obstacle."""
 
 QUARANTINED_PART = "targets that answered a part of this prompt ended"
-NO_MEMORY = "this instance holds too much for others"
-MEMORY_RETRY = 1.0
-"""Seconds after which there is room again: those that do not read are dropped within a second."""
 ENDING = "this instance is ending"
 INTERNAL_ERROR = "an error of this instance"
 
@@ -88,7 +82,7 @@
         budget: RetryBudget,
         repeat_ratio: float,
         metrics: GatewayMetrics,
-        random: Random,
+        refusals: Refusals,
         suspect: SuspicionHandler,
         report_recovery: RecoveryHandler,
         apply_bound: float,
@@ -110,7 +104,7 @@
         self._budget = budget
         self._repeat_ratio = repeat_ratio
         self._metrics = metrics
-        self._random = random
+        self._refusals = refusals
         self._table = RouteTable(board.grant.deployment)
 
     def update_routes(self) -> None:
@@ -149,7 +143,7 @@
             self._log_error(request, error)
             admitted = Refusal(RefusalKind.NOT_RUN, INTERNAL_ERROR)
         if isinstance(admitted, Refusal):
-            self._refuse(caller, request, admitted, "")
+            self._refusals.refuse(caller, request, admitted, "")
             return
         try:
             self._metrics.count_request(admitted.route.name)
@@ -173,15 +167,6 @@
                 admitted.history.may_have_run = True
                 self._give_up(admitted, INTERNAL_ERROR, 0.0)
 
-    def refuse_for_memory(
-        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
-    ) -> None:
-        """Refuse a request whose body was not kept; nothing has been sent to a target."""
-        read = self._dialect.read_request(start_line, headers, b"")
-        request = read if isinstance(read, InboundRequest) else None
-        refusal = Refusal(RefusalKind.NOT_RUN, NO_MEMORY, self._add_jitter(MEMORY_RETRY))
-        self._refuse(caller, request, refusal, "")
-
     def _log_error(self, request: InboundRequest | None, error: Exception) -> None:
         _log.exception("unexpected error while handling a request")
         attempt = request.attempt if request is not None else ""
@@ -390,12 +375,9 @@
             wait = found.wait if found is not None else 0.0
             agreed = found.retry_after if found is not None else 0.0
             # An owner that agrees on a time spreads the callers itself.
-            delay = agreed or wait + self._add_jitter(retry_after)
+            delay = agreed or wait + self._refusals.add_jitter(retry_after)
             refusal = Refusal(RefusalKind.NOT_RUN, reason, delay)
-        self._refuse(job.caller, job.request, refusal, job.route.name, found)
-
-    def _add_jitter(self, retry_after: float) -> float:
-        return retry_after * (1 + RETRY_JITTER * (2 * self._random.random() - 1))
+        self._refusals.refuse(job.caller, job.request, refusal, job.route.name, found)
 
     def _time_out(self, job: Job) -> None:
         """Answer a request whose deadline has passed."""
@@ -404,42 +386,7 @@
             self._record_end(job, "stream_timed_out")
             return
         refusal = Refusal(RefusalKind.TIMED_OUT, "the route's time is over")
-        self._refuse(job.caller, job.request, refusal, job.route.name)
-
-    def _refuse(
-        self,
-        caller: Caller,
-        request: InboundRequest | None,
-        refusal: Refusal,
-        route: str,
-        found: NoPlacement | None = None,
-    ) -> None:
-        """Refuse a request; ``found`` is set if no target took it."""
-        attempt = request.attempt if request is not None else None
-        caller.send_answer(*self._dialect.write_refusal(refusal, attempt))
-        self._metrics.count_refusal(refusal.kind.value)
-        rank = found.rank if found is not None else None
-        if rank is not None:
-            self._metrics.count_ranked_refusal(refusal.reason, rank)
-        now = monotonic()
-        grant = self._board.grant
-        log_record(
-            _log,
-            RequestRefused(
-                request=attempt or "",
-                route=route,
-                kind=refusal.kind.value,
-                reason=refusal.reason,
-                retry_after=round(refusal.retry_after, 3),
-                lease_left=round(grant.lease.expires_at - now, 3),
-                load=round(found.load, 2) if found is not None else 0.0,
-                candidates=found.candidates if found is not None else 0,
-                view=grant.view.version,
-                deployment=grant.deployment.number,
-                model=(request.model if request is not None else None) or "",
-                rank=rank if rank is not None else -1,
-            ),
-        )
+        self._refusals.refuse(job.caller, job.request, refusal, job.route.name)
 
     def _record_end(
         self, job: Job, outcome: str, target: TargetLoad | None = None, status: int = 0
--- a/packages/node/src/jaylatch_node/gateway/role.py
+++ b/packages/node/src/jaylatch_node/gateway/role.py
@@ -28,6 +28,7 @@
 from jaylatch_node.gateway.metrics import GatewayMetrics, HeldMetrics
 from jaylatch_node.gateway.placement import Placer
 from jaylatch_node.gateway.places import PlaceClient
+from jaylatch_node.gateway.refusals import Refusals
 from jaylatch_node.gateway.server import GatewayServer
 from jaylatch_node.listening import listen_at
 from jaylatch_node.planned_stop import PlannedStop
@@ -78,6 +79,8 @@
             self._settings.queues_by_rank,
         )
         budget = RetryBudget(self._settings.repeat_burst)
+        metrics = GatewayMetrics(board.metrics)
+        refusals = Refusals(board, dialect, metrics, random)
         self._forwarder = Forwarder(
             board,
             dialect,
@@ -87,8 +90,8 @@
             self._pool,
             budget,
             self._settings.repeat_ratio,
-            GatewayMetrics(board.metrics),
-            random,
+            metrics,
+            refusals,
             self._suspect,
             self._report_recovery,
             self._settings.apply_bound,
@@ -102,7 +105,7 @@
             self._forwarder.handle,
             self._deployment.limits,
             self._memory,
-            self._forwarder.refuse_for_memory,
+            refusals,
         )
         self._readiness = HTTPServer(self._answer_readiness)
         self._is_stopping = False
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -2,11 +2,12 @@
 
 import logging
 import socket
+import sys
 from asyncio import Task, TimerHandle, create_task, get_running_loop
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from tornado.http1connection import HTTP1Connection
-from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
     HTTPHeaders,
@@ -19,16 +20,16 @@
 
 from jaylatch_core.clock import monotonic
 from jaylatch_core.deployment import ConnectionLimits
+from jaylatch_node.caller_stream import DISCARD_TIME, CallerHTTPServer
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.held import HeldKind, HeldMemory, Holding
 from jaylatch_node.gateway.metrics import HeldMetrics
 from jaylatch_node.observability import Metrics
 from jaylatch_node.planned_stop import UnreadAnswers
 from jaylatch_node.sockets import bound_buffers
+from jaylatch_node.targets import RefusalKind
 
 RequestHandler = Callable[[RequestStartLine, HTTPHeaders, bytes, Caller], Awaitable[None]]
-RefusalHandler = Callable[[RequestStartLine, HTTPHeaders, Caller], None]
-"""Refuses a request for whose body there is no memory."""
 
 IDLE_MARGIN = 5.0
 """Seconds added to the stated idle timeout, so that a request at its very end is still served."""
@@ -36,10 +37,29 @@
 """Seconds between two checks of the idle connections."""
 CHUNK_SIZE = 64 * 1024
 """Bytes of a body that are read at once."""
+UNBOUNDED = sys.maxsize
+"""Body size that the HTTP library never finds exceeded, because it is bounded here."""
 
 _log = logging.getLogger("jaylatch.gateway")
 
 
+class UnreadRefusals(Protocol):
+    """Refuses requests that are not read to their end."""
+
+    def refuse_for_memory(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request for whose body there is no memory."""
+
+    def refuse_body(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request whose body is larger than the limit."""
+
+    def refuse_head(self, kind: RefusalKind) -> bytes:
+        """Return the whole answer to a request of which no head could be read."""
+
+
 class GatewayServer(HTTPServerConnectionDelegate):
     """Accepts callers' connections and passes each complete request to ``handle``.
 
@@ -51,10 +71,10 @@
         handle: RequestHandler,
         limits: ConnectionLimits,
         memory: HeldMemory | None = None,
-        refuse: RefusalHandler = lambda start_line, headers, caller: caller.abort(),
+        refusals: UnreadRefusals | None = None,
     ) -> None:
         self._handle = handle
-        self._refuse = refuse
+        self.refusals = refusals or _NoAnswers()
         self.memory = memory or HeldMemory(0, HeldMetrics(Metrics()))
         self._is_draining = False
         self._messages: set[_InboundMessage] = set()
@@ -62,8 +82,9 @@
         self._idle: set[_InboundMessage] = set()
         self._sweep_timer: TimerHandle | None = None
         # Without an idle timeout: the library would keep to the one of a connection's last request.
-        self._http = HTTPServer(self, chunk_size=CHUNK_SIZE)
-        self.apply_limits(limits)
+        self._limits = limits
+        self._http = CallerHTTPServer(self, chunk_size=CHUNK_SIZE)
+        self._http.bound_heads(lambda: self._limits, self.refusals.refuse_head)
 
     @property
     def in_flight(self) -> int:
@@ -76,12 +97,8 @@
         return self._limits
 
     def apply_limits(self, limits: ConnectionLimits) -> None:
-        """Use ``limits`` for all connections.
-
-        On a kept connection the limit of a head applies from the request after the next one.
-        """
+        """Use ``limits`` for all connections, from the next request on each of them."""
         self._limits = limits
-        self._http.conn_params.max_header_size = limits.header_bytes
 
     def listen(self, port: int, address: str, *, backlog: int) -> None:
         """Accept connections; the kernel holds up to ``backlog`` until then."""
@@ -150,7 +167,7 @@
     async def _run(self, message: "_InboundMessage") -> None:
         try:
             if message.is_refused:
-                self._refuse(message.start_line, message.headers, message.caller)
+                self.refusals.refuse_for_memory(message.start_line, message.headers, message.caller)
             else:
                 body = message.take_body()
                 await self._handle(message.start_line, message.headers, body, message.caller)
@@ -164,6 +181,26 @@
             self._unread.add(message.stream)
 
 
+class _NoAnswers:
+    """Closes the connection of a request that is refused before it is read."""
+
+    def refuse_for_memory(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request for whose body there is no memory."""
+        caller.abort()
+
+    def refuse_body(
+        self, start_line: RequestStartLine, headers: HTTPHeaders, caller: Caller
+    ) -> None:
+        """Refuse a request whose body is larger than the limit."""
+        caller.abort()
+
+    def refuse_head(self, kind: RefusalKind) -> bytes:
+        """Return no answer."""
+        return b""
+
+
 class _InboundMessage(HTTPMessageDelegate):
     """Receives one request; its handling is cancelled when the caller disconnects."""
 
@@ -176,6 +213,8 @@
         self.idle_since = monotonic()
         self._chunks: list[bytes] = []
         self._held_body: Holding | None = None
+        self._body_limit = 0
+        self._body_size = 0
         self._task: Task[None] | None = None
         self.is_refused = False
         self.caller = Caller(connection, server.is_draining, server.memory, self._drop)
@@ -216,13 +255,21 @@
         self.start_line = start_line
         self.headers = headers
         self.caller.expects_body = start_line.method != "HEAD"
-        self._connection.set_max_body_size(self._server.limits.body_bytes)
+        self._connection.set_max_body_size(UNBOUNDED)
         self._server.mark_active(self)
+        self._body_limit = self._server.limits.body_bytes
+        length = headers.get("Content-Length", "")
+        if length.isdecimal() and int(length) > self._body_limit:
+            self._refuse_body()
 
     def data_received(self, chunk: bytes) -> None:
         """Handle a chunk of the body, which is not kept if there is no memory for it."""
         if self.is_refused:
             return
+        self._body_size += len(chunk)
+        if self._body_size > self._body_limit:
+            self._refuse_body()
+            return
         self._chunks.append(chunk)
         if self._held_body is None:
             self._held_body = self._server.memory.hold(HeldKind.BODY, self._refuse)
@@ -232,6 +279,9 @@
 
     def finish(self) -> None:
         """Handle the request, which is now complete, unless its connection has been closed."""
+        if self.caller.has_finished:
+            self.caller.stop_reading()
+            return
         if self.is_closed:
             # The HTTP library reports the end of a connection only until the body is complete.
             self.release_body()
@@ -259,6 +309,16 @@
         if self._task is not None:
             self._task.cancel()
 
+    def _refuse_body(self) -> None:
+        """Refuse the request at once, and drop the rest of its body for a while."""
+        self.is_refused = True
+        self.release_body()
+        # The HTTP library would ask for the body after the answer.
+        self.headers.pop("Expect", None)
+        self.caller.close_after_answer()
+        self._server.refusals.refuse_body(self.start_line, self.headers, self.caller)
+        get_running_loop().call_later(DISCARD_TIME, self.caller.stop_reading)
+
     def _refuse(self) -> None:
         """Drop the body; the request is refused once the caller has sent the rest of it."""
         self.is_refused = True
--- a/packages/node/src/jaylatch_node/targets/dialect.py
+++ b/packages/node/src/jaylatch_node/targets/dialect.py
@@ -74,7 +74,11 @@
 
 
 class RefusalKind(Enum):
-    """Kind of an answer of the gateway's own. Only ``NOT_RUN`` guarantees that nothing ran."""
+    """Kind of an answer of the gateway's own.
+
+    ``FAILED`` and ``TIMED_OUT`` do not tell whether the request has run; with any other one it has
+    not, and with ``NOT_RUN`` it may be sent again.
+    """
 
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
@@ -82,6 +86,9 @@
     NOT_RUN = "not_run"
     FAILED = "failed"
     TIMED_OUT = "timed_out"
+    HEAD_TOO_LARGE = "head_too_large"
+    HEAD_TIMED_OUT = "head_timed_out"
+    BODY_TOO_LARGE = "body_too_large"
 
 
 @dataclass(frozen=True)
