Drop old departures in constant time, and name the parts of a head's read

Change: at most two are dropped, from the oldest on. No change of behaviour otherwise; features/targets/registry.feature and features/gateway/answers.feature pass (128 scenarios).

--- a/packages/decisions/src/jaylatch_decisions/targets/departures.py
+++ b/packages/decisions/src/jaylatch_decisions/targets/departures.py
@@ -5,6 +5,7 @@
 """
 
 from dataclasses import dataclass
+from itertools import islice
 
 from jaylatch_core.ids import InstanceId
 from jaylatch_core.messages.targets import TargetDeparture
@@ -17,6 +18,8 @@
 after its departure, so that a later incarnation starts later than that."""
 RETENTION = 600.0
 """Seconds for which a departure is kept."""
+MAX_DROPPED = 2
+"""Most departures that are dropped when one is recorded; at 1 there would never be fewer."""
 
 
 @dataclass(frozen=True)
@@ -35,13 +38,11 @@
 
     def record(self, now: float, departure: TargetDeparture) -> None:
         """Record a departure, and drop those that are too old to matter."""
-        oldest = now - RETENTION
-        self._known = {
-            instance: known
-            for instance, known in self._known.items()
-            if known.recorded_at > oldest and instance != departure.instance
-        }
+        self._known.pop(departure.instance, None)
         self._known[departure.instance] = _Departure(departure, now)
+        for instance, known in tuple(islice(self._known.items(), MAX_DROPPED)):
+            if known.recorded_at <= now - RETENTION:
+                del self._known[instance]
 
     def outdates(self, now: float, instance: InstanceId, born_at: int) -> bool:
         """Return whether the incarnation of ``instance`` that started at ``born_at`` has departed.
--- a/packages/node/src/jaylatch_node/caller_stream.py
+++ b/packages/node/src/jaylatch_node/caller_stream.py
@@ -47,19 +47,19 @@
     async def _read_head(self) -> bytes:
         await super().read_until_regex(FIRST_BYTE)
         limits = self._limits()
-        head = super().read_until_regex(_head_within(limits.header_bytes))
+        reading = super().read_until_regex(_head_within(limits.header_bytes))
         try:
             async with time_limit(limits.header_timeout):
-                data = await head
+                head = await reading
         except TimeoutError:
             await self.write(self._refuse_head(RefusalKind.HEAD_TIMED_OUT))
             self.close()
             raise StreamClosedError from None
-        if len(data) > limits.header_bytes:
+        if len(head) > limits.header_bytes:
             await self.write(self._refuse_head(RefusalKind.HEAD_TOO_LARGE))
             await self._discard()
             raise StreamClosedError
-        return data
+        return head
 
     async def _discard(self) -> None:
         """Discard what still arrives, and close the connection."""
--- a/packages/node/src/jaylatch_node/gateway/server.py
+++ b/packages/node/src/jaylatch_node/gateway/server.py
@@ -81,8 +81,8 @@
         self._unread = UnreadAnswers()
         self._idle: set[_InboundMessage] = set()
         self._sweep_timer: TimerHandle | None = None
-        # Without an idle timeout: the library would keep to the one of a connection's last request.
         self._limits = limits
+        # Without an idle timeout: the library would keep to the one of a connection's last request.
         self._http = CallerHTTPServer(self, chunk_size=CHUNK_SIZE)
         self._http.bound_heads(lambda: self._limits, self.refusals.refuse_head)
 
