Ask callers to come back until an entry knows a configuration

Callers saw 401 key_unknown for a valid key, right after /readyz had answered 200.

Cause: a leader grants leases before the initial configuration is committed. An entry with such a lease was ready, and looked for the key among no accounts.

Change: an entry that was never told a configuration answers 503 at /readyz, and refuses requests with 503 not_configured and a Retry-After.

Gateways already wait for a deployment.

--- a/packages/node/src/jaylatch_node/blackboard.py
+++ b/packages/node/src/jaylatch_node/blackboard.py
@@ -58,6 +58,14 @@
     announced: AnnouncedDeployments = field(default_factory=AnnouncedDeployments)
     gateways: int = 0
 
+    @property
+    def has_configuration(self) -> bool:
+        """Return whether this process was ever told a configuration.
+
+        A leader grants leases before the initial configuration has been committed.
+        """
+        return self.generation > 0
+
     @property
     def preset_generation(self) -> Generation:
         """Return the newest preset generation that this process has acted on."""
--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -203,6 +203,8 @@
         board = self._services.board
         if not board.grant.lease.is_valid(monotonic()):
             return Err(lease_lapsed())
+        if not board.grant.has_configuration:
+            return Err(not_configured())
         configuration = board.grant.configuration
         headers = self.request.headers
         account = find_account(configuration, headers.get("Authorization", ""))
@@ -275,6 +277,17 @@
     )
 
 
+def not_configured() -> RequestRefused:
+    """Return the refusal of a request before this entry knows any account, model or service."""
+    return RequestRefused(
+        "no configuration has been applied yet, so no account is known",
+        503,
+        "not_configured",
+        Outcome.NOT_RUN,
+        1.0,
+    )
+
+
 def stopping() -> RequestRefused:
     """Return the refusal of a new request while this entry stops."""
     return RequestRefused(
--- a/packages/node/src/jaylatch_node/entry/handlers.py
+++ b/packages/node/src/jaylatch_node/entry/handlers.py
@@ -20,7 +20,7 @@
 from jaylatch_node.entry.requests import ServiceRequest
 
 SAFE_METHODS = ("GET", "HEAD")
-CLOSED_CODES = ("lease_lapsed", "entry_stopping")
+CLOSED_CODES = ("lease_lapsed", "not_configured", "entry_stopping")
 """Codes of refusals by an entry that does not look at the journal."""
 
 
@@ -98,15 +98,17 @@
 class HealthHandler(RequestHandler):
     """``GET /healthz``: the process runs; ``GET /readyz``: it takes requests."""
 
-    def initialize(self, board: Blackboard, requests: OpenRequests, needs_lease: bool) -> None:
-        """Store the dependencies and whether the check requires a valid lease."""
+    def initialize(self, board: Blackboard, requests: OpenRequests, checks_readiness: bool) -> None:
+        """Store the dependencies and whether the answer depends on ``is_ready``."""
         self._board = board
         self._requests = requests
-        self._needs_lease = needs_lease
+        self._checks_readiness = checks_readiness
 
     def get(self) -> None:
         """Answer 200 or 503."""
-        is_ready = self._requests.is_ready and self._board.grant.lease.is_valid(monotonic())
-        if self._needs_lease and not is_ready:
+        grant = self._board.grant
+        is_acting = grant.lease.is_valid(monotonic()) and grant.has_configuration
+        is_ready = self._requests.is_ready and is_acting
+        if self._checks_readiness and not is_ready:
             self.set_status(503)
         self.finish({"is_ready": is_ready})
