Elect a leader where all disks need longer than the stall limit

Cause: a candidate or leader gave up each write that took longer than 4 election timeouts, and the time that its answers need was taken from the last write alone. Where all disks are that slow, or sometimes are, each voter gave up before its write was done.

Change: the stall limit doubles with each write that outlasts it and then succeeds, up to 32 election timeouts, and is halved by each quick one. The known duration of slow writes is halved by a quick one too, not forgotten.

--- a/features/storage/disk_trouble.feature
+++ b/features/storage/disk_trouble.feature
@@ -49,12 +49,19 @@
     Then the proposal is refused before the stall ends
 
   # Guards against voters that never elect a leader, or leaders that give up before they commit,
-  # because each write takes longer than an election timeout and none of the disks is quicker.
-  Scenario: Voters whose disks are all slow elect a leader and commit
+  # because each write takes longer than an election timeout and none of the disks is quicker. The
+  # third row also outlasts the time after which a write counts as stalled, 1.2 s.
+  Scenario Outline: Voters whose disks all take <seconds> s for a write elect a leader and commit
     Given 3 connected logs with faulty disks, and 40 commands
-    When each write on every disk takes 0.4 s while 5 more commands commit
+    When each write on every disk takes <seconds> s while 5 more commands commit
     Then after a restart of all voters no acknowledged command is lost
 
+    Examples:
+      | seconds |
+      | 0.4     |
+      | 0.9     |
+      | 1.3     |
+
   # Guards against a start that ends because the folder cannot be created on a full disk, or that
   # waits without end for a disk that does not answer.
   Scenario Outline: A voter starts with a disk that <fault>, on <folder>
--- a/packages/node/src/jaylatch_node/consensus/disk.py
+++ b/packages/node/src/jaylatch_node/consensus/disk.py
@@ -21,6 +21,9 @@
 STALL_TIMEOUTS = 4
 """Election timeouts after which a write counts as stalled: the voter then leaves its election or
 leadership in any case."""
+MAX_STALL_TIMEOUTS = 32
+"""Bound of the limit above, which doubles with each write that outlasts it and then succeeds. Where
+all disks are that slow, no other voter can lead either, and each one gave up before its write."""
 FIRST_RETRY_PAUSE = 0.1
 MAX_RETRY_PAUSE = 2.0
 """Seconds between two attempts at a disk that fails; each pause is twice the one before."""
@@ -50,7 +53,8 @@
     def __init__(self, worker: DiskWorker, election_timeout: float) -> None:
         self._worker = worker
         self._limit = SLOW_FRACTION * election_timeout
-        self._stall_limit = STALL_TIMEOUTS * election_timeout
+        self._min_stall_limit = self._stall_limit = STALL_TIMEOUTS * election_timeout
+        self._max_stall_limit = MAX_STALL_TIMEOUTS * election_timeout
         self._started_at: float | None = None
         self.slow_duration = 0.0
         self._retry_pause = FIRST_RETRY_PAUSE
@@ -120,12 +124,22 @@
             return
         self.failure = None
         self._retry_pause = FIRST_RETRY_PAUSE
-        self.slow_duration = 0.0
-        if started_at is not None and now >= started_at + self._limit:
-            self.slow_duration = min(now - started_at, self._stall_limit)
-            self._set(DiskState.SLOW, self.slow_text)
-        else:
+        self._note_duration(0.0 if started_at is None else now - started_at)
+
+    def _note_duration(self, duration: float) -> None:
+        """Note how long a write took that has succeeded."""
+        # One quick write between slow ones does not make the disk a quick one.
+        self.slow_duration /= 2
+        if self.slow_duration < self._limit:
+            self.slow_duration = 0.0
+        if duration < self._limit:
+            self._stall_limit = max(self._stall_limit / 2, self._min_stall_limit)
             self._set(DiskState.USABLE, "")
+            return
+        self.slow_duration = max(self.slow_duration, min(duration, self._stall_limit))
+        if duration >= self._stall_limit:
+            self._stall_limit = min(2 * self._stall_limit, self._max_stall_limit)
+        self._set(DiskState.SLOW, self.slow_text)
 
     def _set(self, state: DiskState, error: str) -> None:
         if state is not self.condition.state:
