Keep the gateways under test away from the control of other tests

Cause: the gateway harness used the default address of control, 127.0.0.1:7100, at which the commands of the documentation start a control instance. When that ended during a scenario, the gateway lost the owner of its places and chose by its own estimate, as it should. So a silent target's request was sent to the other target, which the owner reports as full.

Change: the harness names a control instance at a free address.

The scenario of the harness failed before.

--- a/features/harness/harness.feature
+++ b/features/harness/harness.feature
@@ -19,3 +19,9 @@
     Given a cluster in which the address of control-1 is in use
     When the harness waits for it for up to 60 s
     Then the wait fails within 10 s and shows the log of control-1
+
+  # Guards against a test's gateway that lost its owner of places whenever the control instance of
+  # another test ended, because both used the default address.
+  Scenario: a gateway under test calls no control instance of another test
+    When the gateway harness is created
+    Then it knows no control instance at an address of the default settings
--- a/features/steps/harness_steps.py
+++ b/features/steps/harness_steps.py
@@ -8,7 +8,9 @@
 
 from behave import given, then, use_step_matcher, when
 from behave.runner import Context
+from features.support.gateway import GatewayHarness
 
+from jaylatch_core.settings import ControlSettings
 from jaylatch_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterPlan
 from jaylatch_standins.deployment import configuration_text, hash_key, wait_for_groups
 from jaylatch_standins.ports import LOOPBACK, free_addresses
@@ -95,6 +97,20 @@
     assert "control-1" in str(context.error) and "address" in str(context.error), context.error
 
 
+@when(r"the gateway harness is created")
+def step_gateway_harness(context: Context) -> None:
+    async def create() -> None:
+        context.harness = GatewayHarness()
+
+    context.runner.run(create())
+
+
+@then(r"it knows no control instance at an address of the default settings")
+def step_no_default_peer(context: Context) -> None:
+    default = {peer.address for peer in ControlSettings().peers}
+    assert not default & set(context.harness.client.addresses), context.harness.client.addresses
+
+
 def _take_address(context: Context) -> str:
     context.listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     context.listener.bind((LOOPBACK, 0))
--- a/features/support/gateway.py
+++ b/features/support/gateway.py
@@ -333,7 +333,9 @@
     def __init__(
         self, settings: GatewaySettings | None = None, peers: tuple[ControlPeer, ...] = ()
     ) -> None:
-        http, readiness, stream = free_addresses(3)
+        http, readiness, stream, absent = free_addresses(4)
+        # At the default address another test may run a control instance.
+        peers = peers or (ControlPeer(InstanceId("absent"), absent),)
         gateway = msgspec.structs.replace(
             settings or GatewaySettings(evidence_warm_up=0.001), http=http, readiness=readiness
         )
@@ -343,7 +345,7 @@
             failure_domain=DOMAIN,
             stream=stream,
             gateway=gateway,
-            control=ControlSettings(peers=peers) if peers else ControlSettings(),
+            control=ControlSettings(peers=peers),
         )
         events = EventLog("gateway")
         lease = HeldLease(0.0)
