Follow up each suspicion of a target, also within the interval of probes

Cause: control probes a suspected target once in 0.4 s, and gateways report it each 0.4 s while it sends nothing. A report that came a few milliseconds early was dropped, and the next one came an interval later.

Change: a suspicion within the interval, but after the last probe has ended, is probed when the interval ends. The schedule of probes is a decision of its own, which also forgets targets that were not probed lately.

--- a/packages/node/src/jaylatch_node/control/targets.py
+++ b/packages/node/src/jaylatch_node/control/targets.py
@@ -35,6 +35,7 @@
 )
 from jaylatch_decisions.targets.loads import LoadBudget
 from jaylatch_decisions.targets.orders import EngineState, is_complete, warm_up_order
+from jaylatch_decisions.targets.probes import ProbeSchedule
 from jaylatch_node.control.cold_targets import ColdTargets
 from jaylatch_node.control.ending_groups import EndingGroups
 from jaylatch_node.control.target_routes import (
@@ -69,8 +70,6 @@
 RECORD_RETENTION = 60.0
 """Seconds after which the record of an unresponsive target is removed."""
 
-PROBE_INTERVAL = 0.4
-"""Seconds between two rounds of probes of one group; each probe has a cost."""
 PROBE_ATTEMPTS = 2
 """Probes that a target must miss to count as lost, so that one lost packet is not enough."""
 
@@ -100,7 +99,7 @@
         self._part_evidence = PartEvidence(now, quarantined_parts)
         self._registry = registry
         self._probe = probe
-        self._probed_at: dict[InstanceId, float] = {}
+        self._probes = ProbeSchedule()
         self._staging_orders: dict[InstanceId, tuple[str, float]] = {}
         self._has_served = has_served
         self._interrupted_requests: dict[InstanceId, dict[RequestDigest, float]] = {}
@@ -189,7 +188,7 @@
             self._interrupted_requests.setdefault(instance, {})[digest] = now
         group = next((item for item in groups if item.head == instance), None)
         members = group.members if group is not None else (instance,)
-        self._start_probes(now, members)
+        self._start_probes(now, self._probes.request(now, members))
 
     def confirm_members(self, at: float, group: Group) -> None:
         """Record that a group generated tokens at ``at``, which it does only with all members."""
@@ -213,7 +212,9 @@
     def facts(self, now: float, groups: Iterable[Group]) -> list[InstanceFacts]:
         """Return the facts about the engines that the planner needs."""
         self._registry.forget_unresponsive(now, RECORD_RETENTION)
-        self._start_probes(now, self._registry.overdue_silences(now))
+        due = self._probes.take_due(now)
+        due += self._probes.request(now, self._registry.overdue_silences(now))
+        self._start_probes(now, due)
         ended = self._ending.ended_heads(now, groups)
         return [
             self._instance_facts(now, record, ended)
@@ -424,25 +425,33 @@
 
     def _start_probes(self, now: float, instances: Iterable[InstanceId]) -> None:
         for instance in instances:
-            if now >= self._probed_at.get(instance, 0.0) + PROBE_INTERVAL:
-                self._probed_at[instance] = now
-                create_task(self._probe_target(now, instance))
+            create_task(self._probe_target(now, instance))
 
     async def _probe_target(self, asked_at: float, instance: InstanceId) -> None:
+        try:
+            outcome = await self._send_probes(instance)
+        finally:
+            self._probes.record_end(instance)
+        if outcome is None:
+            return
+        verdict = self._registry.judge_probe(asked_at, instance, outcome)
+        if verdict is ProbeVerdict.SOUND:
+            return
+        if verdict is ProbeVerdict.LOST or outcome is not ProbeOutcome.SILENT:
+            self._record_death(asked_at, instance)
+        log_record(_log, TargetProbed(target=instance, outcome=verdict.value))
+
+    async def _send_probes(self, instance: InstanceId) -> ProbeOutcome | None:
+        """Return the outcome of a round of probes, None if the target is not known any more."""
         outcome = ProbeOutcome.UNREACHABLE
         for attempt in range(PROBE_ATTEMPTS):
             record = self._registry.record(instance)
             if record is None:
-                return
+                return None
             outcome = await self._probe(record, attempt > 0)
             if outcome in (ProbeOutcome.ANSWERED, ProbeOutcome.SILENT):
                 break
-        verdict = self._registry.judge_probe(asked_at, instance, outcome)
-        if verdict is ProbeVerdict.SOUND:
-            return
-        if verdict is ProbeVerdict.LOST or outcome is not ProbeOutcome.SILENT:
-            self._record_death(asked_at, instance)
-        log_record(_log, TargetProbed(target=instance, outcome=verdict.value))
+        return outcome
 
     def _record_death(self, now: float, instance: InstanceId) -> None:
         """Record the requests that ran at a target when it died, as evidence for the quarantine."""
