Name the models of direct targets once, and note outdated groups apart from the question

RetirementController.expired recorded state while it answered; the models of direct targets were listed in three places.

--- a/packages/core/src/jaylatch_core/deployment.py
+++ b/packages/core/src/jaylatch_core/deployment.py
@@ -167,6 +167,16 @@
         """Return the names of all services."""
         return frozenset(item.name for item in self.services)
 
+    @property
+    def engine_models(self) -> tuple[ModelProfile, ...]:
+        """Return the models that engines run which gateways call directly, without an agent."""
+        return tuple(
+            model
+            for service in self.services
+            if service.engine is not None
+            for model in service.engine.models
+        )
+
     def service(self, name: str) -> ServiceProfile | None:
         """Return the service called ``name``, or None."""
         return next((item for item in self.services if item.name == name), None)
--- a/packages/decisions/src/jaylatch_decisions/control/state.py
+++ b/packages/decisions/src/jaylatch_decisions/control/state.py
@@ -178,12 +178,7 @@
         return effective
 
     def _build_effective_configuration(self) -> Configuration:
-        profiles = [
-            model
-            for service in self.deployment.services
-            if service.engine is not None
-            for model in service.engine.models
-        ]
+        profiles = self.deployment.engine_models
         if not profiles:
             return self.configuration
         models = tuple(
--- a/packages/node/src/jaylatch_node/control/evacuation.py
+++ b/packages/node/src/jaylatch_node/control/evacuation.py
@@ -240,12 +240,7 @@
         """Return the groups of direct targets; those of agents are drained by their assignments."""
         if self._targets is None:
             return ()
-        models = {
-            model.name
-            for service in self._state.deployment.services
-            if service.engine is not None
-            for model in service.engine.models
-        }
+        models = {model.name for model in self._state.deployment.engine_models}
         return tuple(
             group
             for group in self._state.groups.values()
--- a/packages/node/src/jaylatch_node/control/leader.py
+++ b/packages/node/src/jaylatch_node/control/leader.py
@@ -212,6 +212,7 @@
         self._evacuations.update(now)
         facts = self._evacuations.remaining_instances(self._facts(now))
         self._update_metrics(now, facts)
+        self._retirements.follow_configuration(now)
         known = self._plan_input(now, facts)
         self._retirements.update(now, retiring_groups(known))
         self._permit_loads(now)
--- a/packages/node/src/jaylatch_node/control/retirement.py
+++ b/packages/node/src/jaylatch_node/control/retirement.py
@@ -45,17 +45,24 @@
         retiring = self._retiring_since.items()
         return frozenset(group for group, since in retiring if now >= since + CLOSE_DELAY)
 
-    def expired(self, now: float) -> frozenset[GroupId]:
-        """Return the outdated groups that may serve no longer."""
+    def follow_configuration(self, now: float) -> None:
+        """Note since when groups are outdated."""
         groups = tuple(self._state.groups.values())
         outdated = outdated_groups(self._state.effective_configuration(), groups)
         known = self._outdated_since
         first_seen = -inf if known is None else now
         self._outdated_since = {group: (known or {}).get(group, first_seen) for group in outdated}
-        direct = self._direct_models()
+
+    def expired(self, now: float) -> frozenset[GroupId]:
+        """Return the outdated groups that may serve no longer.
+
+        Those of agents may: agents learn of the drain of their group by their leases.
+        """
+        direct = {model.name for model in self._state.deployment.engine_models}
+        outdated = (self._outdated_since or {}).items()
         return frozenset(
             group
-            for group, since in self._outdated_since.items()
+            for group, since in outdated
             if now >= since + self._hold_time and self._state.groups[group].model in direct
         )
 
@@ -73,12 +80,3 @@
         logged, self._logged = self._logged, record
         if (record.outdated, record.retiring) != (logged.outdated, logged.retiring):
             log_record(_log, record)
-
-    def _direct_models(self) -> frozenset[str]:
-        """Return the models of direct targets. Agents learn of their drain by their leases."""
-        return frozenset(
-            model.name
-            for service in self._state.deployment.services
-            if service.engine is not None
-            for model in service.engine.models
-        )
