--- a/features/queueing/burst.feature
+++ b/features/queueing/burst.feature
@@ -12,7 +12,6 @@
     And it refuses at most <twice> times as many answers twice as the present table
     And it refuses at most <twice> times as many answers twice as an order by arrival
     And its largest tenth of prompts of each kind is served at least half as often as the kind
-    And its longest tenth of answers of each kind is served at least half as often as the kind
     And each kind and each account is served at least a quarter as often as all
     And no caller waits beyond its objective, and the mean error of the expected times is below 0.2
 
--- a/features/support/queue_load.py
+++ b/features/support/queue_load.py
@@ -49,9 +49,6 @@
 """Requests of a large account for each of a small one: the three send half of all."""
 WEIGHTS = (LARGE_WEIGHT,) * LARGE_ACCOUNTS + (1.0,) * (ACCOUNTS - LARGE_ACCOUNTS)
 LARGE_PROMPT_PART = 0.1
-ANSWER_TOKENS = (20, 60)
-LONG_ANSWER_TOKENS = 56
-"""The longest tenth of answers has more."""
 
 
 @dataclass(frozen=True)
@@ -76,7 +73,6 @@
     answer_tokens: int
     arrived_at: float
     is_large: bool
-    is_long: bool
     is_returning: bool = False
     asked_at: float = 0.0
     granted_at: float = 0.0
@@ -203,7 +199,6 @@
     by_kind: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
     by_account: dict[AccountId, Tally] = field(default_factory=lambda: defaultdict(Tally))
     large: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
-    long: dict[str, Tally] = field(default_factory=lambda: defaultdict(Tally))
     longest_wait: float = 0.0
     waits_beyond: int = 0
     errors: list[float] = field(default_factory=list)
@@ -243,17 +238,15 @@
                 prompt = self._random.randint(2200, 3000) if is_large else 200
                 prompt += self._random.randint(0, 600)
                 account = AccountId(f"a{self._random.choices(range(ACCOUNTS), weights)[0]}")
-                answer = self._random.randint(*ANSWER_TOKENS)
-                is_long = answer > LONG_ANSWER_TOKENS
-                call = Call(next(numbers), kind, account, prompt, answer, now, is_large, is_long)
+                answer = self._random.randint(20, 60)
+                call = Call(next(numbers), kind, account, prompt, answer, now, is_large)
                 for tally in self._tallies(call):
                     tally.offered += 1
                 self._at(now, lambda at, call=call: self._arrive(at, call))
 
     def _tallies(self, call: Call) -> list[Tally]:
         tallies = [self.by_kind[call.kind.name], self.by_account[call.account]]
-        tallies += [self.large[call.kind.name]] if call.is_large else []
-        return [*tallies, self.long[call.kind.name]] if call.is_long else tallies
+        return [*tallies, self.large[call.kind.name]] if call.is_large else tallies
 
     def _arrive(self, now: float, call: Call) -> None:
         call.asked_at = now
--- a/packages/decisions/src/jaylatch_decisions/places/classes.py
+++ b/packages/decisions/src/jaylatch_decisions/places/classes.py
@@ -2,7 +2,6 @@
 
 Load pattern: a few accounts send most of the requests of a burst. Those that ask for more than
 their weighted max-min share of the places come last and give way first, but none is starved.
-Among equals the request that needs the most time gives way, so that more of them are served.
 """
 
 from dataclasses import dataclass
@@ -72,8 +71,7 @@
     def _choose_victim(
         self, now: float, items: list[QueuedRequest], over_share: frozenset[AccountId]
     ) -> QueuedRequest:
-        """Return the request that gives way: the longest of the account above its share that got
-        the most, or else of all.
+        """Return the request that gives way: of an account above its share that got the most.
 
         Accounts that are served far less often than the class give way only to each other.
         """
@@ -82,10 +80,8 @@
         above = [item for item in left if item.account in over_share]
         if above:
             served = standing.served
-            return max(
-                above, key=lambda item: (served.get(item.account, 0.0), item.work, item.rank)
-            )
-        return max(left, key=lambda item: (item.work, item.rank))
+            return max(above, key=lambda item: (served.get(item.account, 0.0), item.rank))
+        return max(left, key=lambda item: item.rank)
 
     def _renew_standing(self, now: float) -> _Standing:
         if now < self._standing.at + STANDING_LIFETIME:
