--- a/packages/node/src/jaylatch_node/caller_stream.py
+++ b/packages/node/src/jaylatch_node/caller_stream.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders
 from tornado.iostream import IOStream, StreamClosedError
 
 from jaylatch_core.deployment import ConnectionLimits
@@ -85,6 +86,14 @@
         super().handle_stream(caller, address)
 
 
+def closing_answer(status: int, reason: str, headers: HTTPHeaders, body: bytes) -> bytes:
+    """Return the bytes of an answer after which the connection is closed."""
+    headers["Content-Length"] = str(len(body))
+    headers["Connection"] = "close"
+    lines = [f"HTTP/1.1 {status} {reason}", *(f"{k}: {v}" for k, v in headers.get_all())]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 def _head_within(limit: int) -> bytes:
     """Return the pattern of a head, or of one byte more than ``limit`` where no head ends."""
     return rb"(?s)\A(?:.{0,%d}?\r?\n\r?\n|.{%d})" % (limit, limit + 1)
--- a/packages/node/src/jaylatch_node/entry/base.py
+++ b/packages/node/src/jaylatch_node/entry/base.py
@@ -17,6 +17,7 @@
 from jaylatch_core.ids import IdempotencyKey
 from jaylatch_core.settings import EntrySettings
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.caller_stream import DISCARD_TIME
 from jaylatch_node.entry.accounts import find_account
 from jaylatch_node.entry.dispatcher import Dispatcher
 from jaylatch_node.entry.metrics import RequestMetrics
@@ -36,9 +37,6 @@
 MAX_KIND_LENGTH = 64
 CONNECTION_BODY_LIMIT = 1 << 40
 """Bytes; so large that tornado never enforces it, because the handler bounds the body itself."""
-DISCARD_TIME = 1.0
-"""Seconds for which the rest of a refused body is read and discarded before the connection is
-closed. A caller that is still sending reads the answer within a few round trips."""
 
 
 @dataclass(frozen=True)
--- a/packages/node/src/jaylatch_node/entry/refusals.py
+++ b/packages/node/src/jaylatch_node/entry/refusals.py
@@ -4,10 +4,12 @@
 from math import ceil
 
 import msgspec
+from tornado.httputil import HTTPHeaders
 from tornado.web import RequestHandler
 
 from jaylatch_core.enums import Outcome
 from jaylatch_core.exceptions import RequestRefused
+from jaylatch_node.caller_stream import closing_answer
 from jaylatch_node.entry.requests import new_request_id
 from jaylatch_node.targets import RefusalKind
 
@@ -63,11 +65,8 @@
     status, detail = HEAD_REFUSALS[kind]
     refusal = RequestRefused(detail, status, kind.value, Outcome.NOT_RUN)
     body = msgspec.json.encode(problem_of(refusal, new_request_id()))
-    head = (
-        f"HTTP/1.1 {status} {responses[status]}\r\nContent-Type: {PROBLEM_TYPE}\r\n"
-        f"Content-Length: {len(body)}\r\nConnection: close\r\n\r\n"
-    )
-    return head.encode() + body
+    headers = HTTPHeaders({"Content-Type": PROBLEM_TYPE})
+    return closing_answer(status, responses[status], headers, body)
 
 
 def _start_refusal(handler: RequestHandler, refusal: RequestRefused, request_id: str) -> bytes:
--- a/packages/node/src/jaylatch_node/gateway/refusals.py
+++ b/packages/node/src/jaylatch_node/gateway/refusals.py
@@ -8,6 +8,7 @@
 from jaylatch_core.clock import monotonic
 from jaylatch_core.log_records import RequestRefused
 from jaylatch_node.blackboard import Blackboard
+from jaylatch_node.caller_stream import closing_answer
 from jaylatch_node.gateway.caller import Caller
 from jaylatch_node.gateway.metrics import GatewayMetrics
 from jaylatch_node.gateway.placement import NoPlacement
@@ -74,11 +75,8 @@
         """Return the whole answer to a request of which no head could be read."""
         refusal = _refusal_of_unread(kind)
         status, reason, headers, body = self._dialect.write_refusal(refusal, None)
-        headers["Content-Length"] = str(len(body))
-        headers["Connection"] = "close"
         self._record(None, refusal, "", None)
-        lines = [f"HTTP/1.1 {status} {reason}", *(f"{k}: {v}" for k, v in headers.get_all())]
-        return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+        return closing_answer(status, reason, headers, body)
 
     def _read_head(
         self, start_line: RequestStartLine, headers: HTTPHeaders
