Define once which groups are outdated

Cause: PlanInput.outdated and outdated_groups each listed the groups that the configuration no longer wants as they are.

Change: the property calls the function, which stands beside it now. No behaviour changes.

--- a/packages/decisions/src/jaylatch_decisions/groups/__init__.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/__init__.py
@@ -6,11 +6,11 @@
     held_groups,
     remaining_instances,
 )
-from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
+from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput, outdated_groups
 from jaylatch_decisions.groups.loads import LoadPermit, LoadRequest, grant_load_permits
 from jaylatch_decisions.groups.orders import OrderGate, OrderTiming
 from jaylatch_decisions.groups.planner import plan_groups
-from jaylatch_decisions.groups.retirement import outdated_groups, retiring_groups
+from jaylatch_decisions.groups.retirement import retiring_groups
 from jaylatch_decisions.groups.spanning import groups_to_recall
 from jaylatch_decisions.groups.staging import plan_staging
 from jaylatch_decisions.groups.supply import ModelSupply, count_supply, short_models
--- a/packages/decisions/src/jaylatch_decisions/groups/facts.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/facts.py
@@ -82,9 +82,7 @@
     @cached_property
     def outdated(self) -> frozenset[GroupId]:
         """Return the groups that the configuration no longer wants as they are."""
-        return frozenset(
-            group.id for group in self.groups if is_outdated(self.configuration, group)
-        )
+        return outdated_groups(self.configuration, self.groups)
 
     @cached_property
     def free_instances(self) -> list[InstanceFacts]:
@@ -114,7 +112,11 @@
         return [group for group in self.groups if not lost.isdisjoint(group.members)]
 
 
-def is_outdated(configuration: Configuration, group: Group) -> bool:
-    """Return whether the group's model is not configured, or with another size."""
+def outdated_groups(configuration: Configuration, groups: tuple[Group, ...]) -> frozenset[GroupId]:
+    """Return the groups of a model that is not configured, or of another size than configured."""
+    return frozenset(group.id for group in groups if _is_outdated(configuration, group))
+
+
+def _is_outdated(configuration: Configuration, group: Group) -> bool:
     model = configuration.model(group.model)
     return model is None or len(group.members) != model.instances_per_group
--- a/packages/decisions/src/jaylatch_decisions/groups/retirement.py
+++ b/packages/decisions/src/jaylatch_decisions/groups/retirement.py
@@ -6,19 +6,14 @@
 so that some group of the model serves while the next one is formed.
 """
 
-from jaylatch_core.configuration import Configuration, ModelSpecification
+from jaylatch_core.configuration import ModelSpecification
 from jaylatch_core.ids import FailureDomainId, GroupId, InstanceId
 from jaylatch_core.messages.control import Group
-from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput, is_outdated
+from jaylatch_decisions.groups.facts import InstanceFacts, PlanInput
 from jaylatch_decisions.groups.spanning import home_domain
 from jaylatch_decisions.groups.weighing import instances_for_group
 
 
-def outdated_groups(configuration: Configuration, groups: tuple[Group, ...]) -> frozenset[GroupId]:
-    """Return the groups of a model that is not configured, or of another size than configured."""
-    return frozenset(group.id for group in groups if is_outdated(configuration, group))
-
-
 def retiring_groups(facts: PlanInput) -> frozenset[GroupId]:
     """Return the groups that should end: outdated ones, and those beyond the wanted number.
 
