Edit the settings of a stand-in node in one place

Change: Node.edited_settings does so. No behaviour changes.

The two benchmarks that use it were not run.

--- a/features/steps/administration_steps.py
+++ b/features/steps/administration_steps.py
@@ -33,9 +33,8 @@
     ]
     for name, node in cluster.nodes.items():
         if name.startswith("entry"):
-            settings = msgspec.toml.decode(node.settings.read_bytes())
-            settings["entry"]["operators"] = operators
-            node.settings.write_bytes(msgspec.toml.encode(settings))
+            with node.edited_settings() as settings:
+                settings["entry"]["operators"] = operators
     context.cluster = cluster
     cluster.start()
     context.runner.run(wait_for_groups(cluster, 1))
--- a/features/steps/first_configuration_steps.py
+++ b/features/steps/first_configuration_steps.py
@@ -49,9 +49,8 @@
     plan = ClusterPlan(controls=1, entries=1, domains=1, engines=1)
     cluster = Cluster(context.folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
     for node in cluster.nodes.values():
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        del settings["control"]["initial_configuration"]
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            del settings["control"]["initial_configuration"]
     context.cluster = cluster
     cluster.start()
 
--- a/features/steps/planned_stop_steps.py
+++ b/features/steps/planned_stop_steps.py
@@ -50,10 +50,9 @@
     text, token = configuration_text(), hash_key(OPERATOR_TOKEN)
     context.cluster = Cluster(context.folder, plan, text, token)
     for node in context.cluster.nodes.values():
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        for role in {"entry", "agent"} & settings.keys():
-            settings[role]["grace"] = context.grace
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            for role in {"entry", "agent"} & settings.keys():
+                settings[role]["grace"] = context.grace
     context.cluster.start()
     context.runner.run(wait_until_served(context.cluster))
 
--- a/packages/standins/src/jaylatch_standins/bench/cut_off.py
+++ b/packages/standins/src/jaylatch_standins/bench/cut_off.py
@@ -10,8 +10,6 @@
 from tempfile import TemporaryDirectory
 from time import monotonic
 
-import msgspec
-
 from jaylatch_standins.bench.base import Benchmark as BaseBenchmark
 from jaylatch_standins.bench.base import Figure
 from jaylatch_standins.caller import Caller
@@ -53,9 +51,8 @@
     plan = ClusterPlan(controls=1, domains=1)
     cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
     for node in cluster.nodes.values():
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        settings["lease"] = {"duration": lease_duration}
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            settings["lease"] = {"duration": lease_duration}
     proxies = put_proxies_before_control(cluster, "entry-2")
     cluster.start()
     try:
--- a/packages/standins/src/jaylatch_standins/bench/power_loss.py
+++ b/packages/standins/src/jaylatch_standins/bench/power_loss.py
@@ -9,8 +9,6 @@
 from time import time
 from uuid import uuid4
 
-import msgspec
-
 from jaylatch_standins.bench.base import Benchmark as BaseBenchmark
 from jaylatch_standins.bench.base import Figure, percentile
 from jaylatch_standins.caller import Caller
@@ -64,9 +62,8 @@
 def _log_events(cluster: Cluster) -> None:
     """Let the processes write the time line to their logs from their next start on."""
     for node in cluster.nodes.values():
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        settings["log"] = {"events": True}
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            settings["log"] = {"events": True}
 
 
 async def _lose_power(cluster: Cluster) -> dict[str, float]:
--- a/packages/standins/src/jaylatch_standins/cluster.py
+++ b/packages/standins/src/jaylatch_standins/cluster.py
@@ -3,6 +3,8 @@
 import signal
 import subprocess
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -59,6 +61,13 @@
     target: str = ""
     target_command: list[str] | None = None
 
+    @contextmanager
+    def edited_settings(self) -> Iterator[dict[str, Any]]:
+        """Yield the settings, and store them again as they are then."""
+        settings = msgspec.toml.decode(self.settings.read_bytes())
+        yield settings
+        self.settings.write_bytes(msgspec.toml.encode(settings))
+
 
 class Cluster:
     """A set of real processes that share one folder. Ends only processes that it started."""
@@ -201,9 +210,8 @@
         (stream,) = free_addresses(1)
         known = [{"instance": address, "address": address} for address in (*peers, stream)]
         node = self._add_node(name, domain, "control", stream, "", known)
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        settings["control"]["voters"] = peers
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            settings["control"]["voters"] = peers
 
     def _add_targets(self, domain: int, peers: list[dict[str, str]]) -> None:
         plan = self._plan
--- a/packages/standins/src/jaylatch_standins/quorum.py
+++ b/packages/standins/src/jaylatch_standins/quorum.py
@@ -32,9 +32,8 @@
     cluster = Cluster(folder, plan, configuration_text(), hash_key(OPERATOR_TOKEN))
     links = _put_proxies_between(cluster) if has_proxies else {}
     for node in cluster.nodes.values():
-        settings = msgspec.toml.decode(node.settings.read_bytes())
-        settings["control"]["journal_shards"] = journal_shards
-        node.settings.write_bytes(msgspec.toml.encode(settings))
+        with node.edited_settings() as settings:
+            settings["control"]["journal_shards"] = journal_shards
     cluster.start()
     return cluster, links
 
