--- a/features/support/raft_history.py
+++ b/features/support/raft_history.py
@@ -440,7 +440,7 @@
             "log",
             name,
             TIMING,
-            Random(self._random.random()),
+            self._new_random(name),
             disk.hard_state,
             disk.snapshot,
             list(disk.entries),
@@ -453,6 +453,10 @@
         self._nodes[name] = node
         self._applied[name] = _load(disk.snapshot.data)
 
+    def _new_random(self, name: InstanceId) -> Random:
+        """Return the source of the random timers of a voter that starts."""
+        return Random(self._random.random())
+
     # The process that runs the nodes
 
     def _propose(self) -> None:
