Ask once for each step of the search whether another instance may be lost

Cause: faults_at_step asked it up to twice for each instance, in nested conditions.

Change: one question for the step. Which faults are tried stays the same.

Result: features/consensus/search.feature, 9 passed, with the same numbers of histories and states in each row.

--- a/features/support/consensus_search.py
+++ b/features/support/consensus_search.py
@@ -58,7 +58,7 @@
 
 
 MESSAGE_FAULTS = (FaultKind.LOSE, FaultKind.DOUBLE, FaultKind.DELAY)
-REPLACEMENT_FAULTS = (FaultKind.END, FaultKind.STOP)
+LOSS_FAULTS = (FaultKind.WIPE, FaultKind.END, FaultKind.STOP)
 
 
 @dataclass(frozen=True)
@@ -139,13 +139,13 @@
         """Return the faults that may happen before the next step."""
         if self._network:
             yield from (Fault(kind) for kind in MESSAGE_FAULTS if kind in kinds)
+        if FaultKind.RESTART in kinds:
+            yield from (Fault(FaultKind.RESTART, name) for name in self._nodes)
+        if self._network or not self._can_lose_another():
+            return
         for name in self._nodes:
-            if FaultKind.RESTART in kinds:
-                yield Fault(FaultKind.RESTART, name)
-            if FaultKind.WIPE in kinds and self._can_lose_another() and not self._network:
-                yield Fault(FaultKind.WIPE, name)
-            if not self._network and self._can_lose_another() and name not in self._stopping:
-                yield from (Fault(kind, name) for kind in REPLACEMENT_FAULTS if kind in kinds)
+            possible = (FaultKind.WIPE,) if name in self._stopping else LOSS_FAULTS
+            yield from (Fault(kind, name) for kind in possible if kind in kinds)
 
     def apply_fault(self, fault: Fault) -> None:
         """Let a fault happen now."""
@@ -332,14 +332,14 @@
             return tuple(sorted(str(item) for item in value))
         case FixedRandom():
             return value.uniform(0.0, 1.0)
+        case Random():
+            return 0
         case msgspec.Struct() if value.__struct_config__.frozen:
             return value
         case msgspec.Struct():
             return tuple(_freeze(getattr(value, name)) for name in value.__struct_fields__)
     if is_dataclass(value):
         return tuple(_freeze(getattr(value, item.name)) for item in fields(value))
-    if isinstance(value, Random):
-        return 0
     if hasattr(value, "__dict__"):
         return _freeze(value.__dict__)
     return tuple(_freeze(item) for item in value)
